--- /dev/null
+++ b/include/cassiastile/platform/memory_platform.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "cassiastile/base/random.hpp"
+#include "cassiastile/platform/host_list.hpp"
+#include "cassiastile/platform/objects.hpp"
+#include "cassiastile/platform/table.hpp"
+
+namespace cassiastile::platform {
+
+// What goes wrong in a service kept in memory. Probabilities are from 0 to 1
+// and drawn from a seeded engine.
+struct MemoryFaults {
+  bool down = false;       // Every call fails and nothing is written.
+  double fail_before = 0;  // The call fails and nothing is written.
+  double lose_answer = 0;  // The write applies and its answer is lost.
+  // The answer is lost and the write applies only before a later call.
+  double delay_apply = 0;
+};
+
+// Counts of the calls that reached the service.
+struct MemoryCounts {
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;  // Transactions, applied or not.
+  std::uint64_t conflicts = 0;
+};
+
+// A table kept in memory, for tests and for the stand-in process. Safe for use
+// by several threads.
+class MemoryTable final : public Table {
+ public:
+  explicit MemoryTable(std::uint64_t seed = 1);
+
+  base::Result<std::optional<Row>> Get(const std::string& key) override;
+  base::Result<std::vector<Row>> Scan(const std::string& prefix,
+                                      const std::string& after,
+                                      std::size_t limit) override;
+  base::Result<Commit> Apply(const Transaction& transaction) override;
+  base::Result<std::optional<Commit>> FindNonce(
+      const std::string& nonce) override;
+
+  void SetFaults(MemoryFaults faults);
+  MemoryCounts Counts() const;
+
+ private:
+  bool Strikes(double probability);
+  base::Result<void> StartRead();
+  bool Holds(const Precondition& precondition) const;
+  base::Result<Commit> ApplyLocked(const Transaction& transaction);
+  void ApplyDelayed();
+
+  mutable std::mutex m_mutex;
+  base::Random m_random;
+  MemoryFaults m_faults;
+  MemoryCounts m_counts;
+  std::map<std::string, Row> m_rows;
+  std::map<std::string, std::uint64_t> m_deleted_versions;
+  std::map<std::string, Commit> m_nonces;
+  std::deque<Transaction> m_delayed;
+  std::uint64_t m_sequence = 0;
+};
+
+// An object store kept in memory.
+class MemoryObjects final : public ObjectStore {
+ public:
+  base::Result<void> Put(const std::string& name,
+                         const std::string& content) override;
+  base::Result<std::string> Get(const std::string& name) override;
+  base::Result<std::vector<std::string>> List(
+      const std::string& prefix) override;
+
+  void SetDown(bool down);
+
+ private:
+  mutable std::mutex m_mutex;
+  bool m_down = false;
+  std::map<std::string, std::string> m_objects;
+};
+
+// A host list kept in memory. It does not lag by itself; a test sets what is
+// listed when it should be seen.
+class MemoryHostList final : public HostList {
+ public:
+  base::Result<std::vector<ListedHost>> List() override;
+
+  void Set(const ListedHost& host);
+  void Remove(const std::string& name);
+  void SetDown(bool down);
+
+ private:
+  mutable std::mutex m_mutex;
+  bool m_down = false;
+  std::map<std::string, ListedHost> m_hosts;
+};
+
+}  // namespace cassiastile::platform
--- /dev/null
+++ b/src/cassiastile/platform/host_list.cpp
@@ -0,0 +1,30 @@
+#include "cassiastile/platform/host_list.hpp"
+
+#include "cassiastile/base/enum_names.hpp"
+
+namespace cassiastile::platform {
+
+namespace {
+
+constexpr std::array<base::EnumName<ListedRole>, 3> kRoleNames{{
+    {ListedRole::kRunner, "runner"},
+    {ListedRole::kWorker, "worker"},
+    {ListedRole::kEntry, "entry"},
+}};
+
+constexpr std::array<base::EnumName<ListedState>, 2> kStateNames{{
+    {ListedState::kLive, "live"},
+    {ListedState::kLeaving, "leaving"},
+}};
+
+}  // namespace
+
+std::string_view NameOf(ListedRole role) {
+  return base::FindName(kRoleNames, role);
+}
+
+std::string_view NameOf(ListedState state) {
+  return base::FindName(kStateNames, state);
+}
+
+}  // namespace cassiastile::platform
