--- a/include/cassiastile/platform/memory_platform.hpp
+++ b/include/cassiastile/platform/memory_platform.hpp
@@ -9,6 +9,7 @@
 
 #include "cassiastile/base/random.hpp"
 #include "cassiastile/platform/host_list.hpp"
+#include "cassiastile/platform/machines.hpp"
 #include "cassiastile/platform/objects.hpp"
 #include "cassiastile/platform/table.hpp"
 
@@ -99,4 +100,27 @@
   std::map<std::string, ListedHost> m_hosts;
 };
 
+// Machines kept in memory. A reboot ends when a test or the stand-in says so.
+class MemoryMachines final : public Machines {
+ public:
+  base::Result<void> SetDraining(const std::string& host,
+                                 bool draining) override;
+  base::Result<void> Reboot(const std::string& host,
+                            std::uint64_t boots) override;
+  base::Result<MachineStatus> Status(const std::string& host) override;
+
+  // Sets a machine to what is given, making it where there is none.
+  void Set(const std::string& host, MachineStatus status);
+  // Ends the reboots under way.
+  void FinishReboots();
+  void SetDown(bool down);
+
+ private:
+  base::Result<MachineStatus*> Find(const std::string& host);
+
+  mutable std::mutex m_mutex;
+  bool m_down = false;
+  std::map<std::string, MachineStatus> m_machines;
+};
+
 }  // namespace cassiastile::platform
--- a/src/cassiastile/platform/host_list.cpp
+++ b/src/cassiastile/platform/host_list.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/platform/host_list.hpp"
 
 #include "cassiastile/base/enum_names.hpp"
+#include "cassiastile/platform/machines.hpp"
 
 namespace cassiastile::platform {
 
@@ -17,8 +18,18 @@
     {ListedState::kLeaving, "leaving"},
 }};
 
+constexpr std::array<base::EnumName<MachineState>, 3> kMachineNames{{
+    {MachineState::kUp, "up"},
+    {MachineState::kRebooting, "rebooting"},
+    {MachineState::kDown, "down"},
+}};
+
 }  // namespace
 
+std::string_view NameOf(MachineState state) {
+  return base::FindName(kMachineNames, state);
+}
+
 std::string_view NameOf(ListedRole role) {
   return base::FindName(kRoleNames, role);
 }
--- a/src/cassiastile/platform/memory_platform.cpp
+++ b/src/cassiastile/platform/memory_platform.cpp
@@ -223,4 +223,63 @@
   m_down = down;
 }
 
+base::Result<void> MemoryMachines::SetDraining(const std::string& host,
+                                               bool draining) {
+  const std::lock_guard lock(m_mutex);
+  return Find(host).map(
+      [draining](MachineStatus* status) { status->draining = draining; });
+}
+
+base::Result<void> MemoryMachines::Reboot(const std::string& host,
+                                          std::uint64_t boots) {
+  const std::lock_guard lock(m_mutex);
+  const base::Result<MachineStatus*> found = Find(host);
+  if (!found) {
+    return tl::unexpected(found.error());
+  }
+  MachineStatus& status = **found;
+  if (status.boots != boots) {
+    return base::Fail(base::ErrorCode::kConflict,
+                      "The machine " + host + " has booted since.");
+  }
+  status.state = MachineState::kRebooting;
+  return {};
+}
+
+base::Result<MachineStatus> MemoryMachines::Status(const std::string& host) {
+  const std::lock_guard lock(m_mutex);
+  return Find(host).map([](MachineStatus* status) { return *status; });
+}
+
+void MemoryMachines::Set(const std::string& host, MachineStatus status) {
+  const std::lock_guard lock(m_mutex);
+  m_machines[host] = status;
+}
+
+void MemoryMachines::FinishReboots() {
+  const std::lock_guard lock(m_mutex);
+  for (auto& [host, status] : m_machines) {
+    if (status.state == MachineState::kRebooting) {
+      status.state = MachineState::kUp;
+      ++status.boots;
+    }
+  }
+}
+
+void MemoryMachines::SetDown(bool down) {
+  const std::lock_guard lock(m_mutex);
+  m_down = down;
+}
+
+base::Result<MachineStatus*> MemoryMachines::Find(const std::string& host) {
+  if (m_down) {
+    return Unavailable();
+  }
+  const auto found = m_machines.find(host);
+  if (found == m_machines.end()) {
+    return base::Fail(base::ErrorCode::kNotFound, "No such machine: " + host);
+  }
+  return &found->second;
+}
+
 }  // namespace cassiastile::platform
