Guard the store: deadlines, retry budget, breaker, lost answers

Cause: every part needs one way to the table that keeps to its share of the store, doesn't storm it after an outage and never calls a lost write failed. Change: platform::StoreGuard with TokenBucket and CircuitBreaker. A lost answer is resolved by applying the same transaction again under its nonce, which the table takes once; an attempt that fails afterwards leaves it unknown.

--- /dev/null
+++ b/include/cassiastile/platform/token_bucket.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "cassiastile/base/clock.hpp"
+
+namespace cassiastile::platform {
+
+// A rate limit with room for short bursts. Not safe for use by several threads.
+class TokenBucket {
+ public:
+  // `rate` is in tokens a second; the bucket starts full with `burst` tokens.
+  TokenBucket(double rate, double burst);
+
+  // Takes a token and returns zero, or returns how long to wait for one.
+  base::Duration Take(base::TimePoint now);
+
+ private:
+  double m_rate;
+  double m_burst;
+  double m_tokens;
+  base::TimePoint m_filled_at{};
+};
+
+}  // namespace cassiastile::platform
--- /dev/null
+++ b/src/cassiastile/platform/store_guard.cpp
@@ -0,0 +1,167 @@
+#include "cassiastile/platform/store_guard.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiastile::platform {
+
+namespace {
+
+bool IsTransient(base::ErrorCode code) {
+  return code == base::ErrorCode::kUnavailable ||
+         code == base::ErrorCode::kUnknown;
+}
+
+}  // namespace
+
+StoreGuard::StoreGuard(Table& table,
+                       const base::Clock& clock,
+                       Sleep sleep,
+                       std::uint64_t seed,
+                       StoreGuardOptions options)
+    : m_table(table),
+      m_clock(clock),
+      m_sleep(std::move(sleep)),
+      m_options(options),
+      m_random(seed),
+      m_breaker(options.breaker, seed),
+      m_writes(options.writes_per_second, options.writes_per_second),
+      m_reads(options.reads_per_second, options.reads_per_second),
+      m_retry_tokens(options.retry_burst) {}
+
+base::Result<std::optional<Row>> StoreGuard::Get(const std::string& key) {
+  return Run<std::optional<Row>>(CallKind::kRead,
+                                 [&] { return m_table.Get(key); });
+}
+
+base::Result<std::vector<Row>> StoreGuard::Scan(const std::string& prefix,
+                                                const std::string& after,
+                                                std::size_t limit) {
+  return Run<std::vector<Row>>(
+      CallKind::kRead, [&] { return m_table.Scan(prefix, after, limit); });
+}
+
+base::Result<Commit> StoreGuard::Apply(const Transaction& transaction) {
+  return Run<Commit>(CallKind::kWrite,
+                     [&] { return m_table.Apply(transaction); });
+}
+
+base::Result<std::optional<Commit>> StoreGuard::FindNonce(
+    const std::string& nonce) {
+  return Run<std::optional<Commit>>(CallKind::kRead,
+                                    [&] { return m_table.FindNonce(nonce); });
+}
+
+StoreGuardCounts StoreGuard::Counts() const {
+  const std::lock_guard lock(m_mutex);
+  return m_counts;
+}
+
+bool StoreGuard::Reachable() const {
+  const std::lock_guard lock(m_mutex);
+  return m_reachable;
+}
+
+// Once an attempt's answer was lost, the outcome stays unknown until an attempt
+// is answered: one that fails before it reaches the store proves nothing about
+// the one before.
+template <typename Value, typename Call>
+base::Result<Value> StoreGuard::Run(CallKind kind, const Call& call) {
+  const base::TimePoint deadline = m_clock.Now() + m_options.deadline;
+  base::Result<Value> result = base::Fail(
+      base::ErrorCode::kUnavailable, "The store is not called while it fails.");
+  bool unknown = false;
+  for (std::uint32_t attempt = 0; WaitForTurn(kind, deadline); ++attempt) {
+    result = call();
+    const bool answered = result || !IsTransient(result.error().code);
+    Note(answered);
+    if (answered) {
+      NoteEnd(unknown, false);
+      return result;
+    }
+    unknown = unknown || result.error().code == base::ErrorCode::kUnknown;
+    if (!Backoff(attempt, deadline)) {
+      break;
+    }
+  }
+  NoteEnd(unknown, unknown);
+  if (unknown) {
+    return base::Fail(base::ErrorCode::kUnknown,
+                      "The store's answer was lost; the write may have "
+                      "applied.");
+  }
+  return result;
+}
+
+StoreGuard::Admission StoreGuard::Admit(CallKind kind) {
+  const std::lock_guard lock(m_mutex);
+  const base::TimePoint now = m_clock.Now();
+  TokenBucket& bucket = kind == CallKind::kWrite ? m_writes : m_reads;
+  const base::Duration wait = bucket.Take(now);
+  if (wait > base::Duration::zero()) {
+    return {false, wait};
+  }
+  return {m_breaker.Allow(now), base::Duration::zero()};
+}
+
+bool StoreGuard::WaitForTurn(CallKind kind, base::TimePoint deadline) {
+  while (true) {
+    const Admission admission = Admit(kind);
+    if (admission.allowed) {
+      const std::lock_guard lock(m_mutex);
+      ++m_counts.attempts;
+      return true;
+    }
+    const bool kept_away = admission.wait == base::Duration::zero();
+    if (kept_away || m_clock.Now() + admission.wait > deadline) {
+      const std::lock_guard lock(m_mutex);
+      ++m_counts.kept_away;
+      return false;
+    }
+    m_sleep(admission.wait);
+  }
+}
+
+bool StoreGuard::Backoff(std::uint32_t attempt, base::TimePoint deadline) {
+  constexpr std::uint32_t kMostDoublings = 10;
+  base::Duration wait{};
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_retry_tokens < 1) {
+      return false;
+    }
+    m_retry_tokens -= 1;
+    const base::Duration longest = std::min(
+        m_options.longest_backoff,
+        m_options.first_backoff * (1U << std::min(attempt, kMostDoublings)));
+    std::uniform_int_distribution<base::Duration::rep> spread(
+        longest.count() / 2, longest.count());
+    wait = base::Duration(spread(m_random));
+  }
+  if (m_clock.Now() + wait > deadline) {
+    return false;
+  }
+  m_sleep(wait);
+  return true;
+}
+
+void StoreGuard::Note(bool answered) {
+  const std::lock_guard lock(m_mutex);
+  m_reachable = answered;
+  if (answered) {
+    m_breaker.Succeed();
+  } else {
+    m_breaker.Fail(m_clock.Now());
+  }
+}
+
+void StoreGuard::NoteEnd(bool was_unknown, bool is_unknown) {
+  const std::lock_guard lock(m_mutex);
+  ++m_counts.calls;
+  m_retry_tokens = std::min(m_options.retry_burst,
+                            m_retry_tokens + m_options.retries_per_call);
+  m_counts.unknown += is_unknown ? 1 : 0;
+  m_counts.resolved += was_unknown && !is_unknown ? 1 : 0;
+}
+
+}  // namespace cassiastile::platform
--- /dev/null
+++ b/src/cassiastile/platform/store_guard_test.cpp
@@ -0,0 +1,150 @@
+#include "cassiastile/platform/store_guard.hpp"
+
+#include <gtest/gtest.h>
+
+#include "cassiastile/platform/memory_platform.hpp"
+
+namespace cassiastile::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A guard over a table in memory, in virtual time.
+class StoreGuardTest : public testing::Test {
+ protected:
+  StoreGuard MakeGuard(StoreGuardOptions options = {}) {
+    return StoreGuard(
+        m_table, m_clock, [this](base::Duration by) { m_clock.Advance(by); }, 1,
+        options);
+  }
+
+  static Transaction Insert(const std::string& nonce) {
+    return {nonce, {{"row", 0}}, {{"row", nonce}}};
+  }
+
+  MemoryTable m_table;
+  base::ManualClock m_clock;
+};
+
+// Inserts a hundred rows while the faults last, then checks each answer against
+// what the table holds once nothing is under way any more.
+class StoreGuardAnswersTest : public StoreGuardTest,
+                              public testing::WithParamInterface<MemoryFaults> {
+};
+
+TEST_P(StoreGuardAnswersTest, AreTrue) {
+  constexpr int kRows = 100;
+  StoreGuard guard = MakeGuard();
+  m_table.SetFaults(GetParam());
+  std::vector<base::Result<Commit>> answers;
+  for (int i = 0; i < kRows; ++i) {
+    const std::string key = std::to_string(i);
+    answers.push_back(guard.Apply({key, {{key, 0}}, {{key, "once"}}}));
+    m_clock.Advance(seconds(5));
+  }
+  m_table.SetFaults({});
+  for (int i = 0; i < kRows; ++i) {
+    const base::Result<Commit>& answer = answers[i];
+    const auto row = m_table.Get(std::to_string(i)).value();
+    if (answer) {
+      EXPECT_TRUE(row.has_value());
+    } else if (answer.error().code != base::ErrorCode::kUnknown) {
+      EXPECT_EQ(answer.error().code, base::ErrorCode::kUnavailable);
+      EXPECT_FALSE(row.has_value());
+    }
+  }
+  EXPECT_GT(guard.Counts().resolved, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         StoreGuardAnswersTest,
+                         testing::Values(MemoryFaults{.lose_answer = 0.5},
+                                         MemoryFaults{.delay_apply = 0.5},
+                                         MemoryFaults{.fail_before = 0.3,
+                                                      .lose_answer = 0.2,
+                                                      .delay_apply = 0.2}));
+
+TEST_F(StoreGuardTest, FailureAfterALostAnswerStaysUnknown) {
+  StoreGuardOptions options;
+  options.breaker.failures_to_open = 1;
+  StoreGuard guard = MakeGuard(options);
+  m_table.SetFaults({.lose_answer = 1});
+  const auto commit = guard.Apply(Insert("a"));
+  ASSERT_FALSE(commit.has_value());
+  EXPECT_EQ(commit.error().code, base::ErrorCode::kUnknown);
+}
+
+TEST_F(StoreGuardTest, ConflictIsNotRetried) {
+  StoreGuard guard = MakeGuard();
+  ASSERT_TRUE(guard.Apply(Insert("a")).has_value());
+  EXPECT_EQ(guard.Apply(Insert("b")).error().code, base::ErrorCode::kConflict);
+  EXPECT_EQ(m_table.Counts().writes, 2U);
+}
+
+TEST_F(StoreGuardTest, OutageReachesTheStoreFarLessThanBlindRetry) {
+  StoreGuard guard = MakeGuard();
+  m_table.SetFaults({.down = true});
+  constexpr int kCalls = 600;
+  for (int i = 0; i < kCalls; ++i) {
+    EXPECT_FALSE(guard.Get("row").has_value());
+    m_clock.Advance(milliseconds(100));
+  }
+  // A minute of outage with a probe each 2.5 s or more, after the first calls.
+  EXPECT_LT(m_table.Counts().reads, 60U);
+}
+
+TEST_F(StoreGuardTest, ReturnsSoonAfterAnOutage) {
+  StoreGuard guard = MakeGuard();
+  m_table.SetFaults({.down = true});
+  for (int i = 0; i < 100; ++i) {
+    static_cast<void>(guard.Get("row"));
+    m_clock.Advance(milliseconds(100));
+  }
+  EXPECT_FALSE(guard.Reachable());
+  m_table.SetFaults({});
+  const base::TimePoint back = m_clock.Now();
+  while (!guard.Get("row").has_value()) {
+    m_clock.Advance(milliseconds(100));
+  }
+  EXPECT_TRUE(guard.Reachable());
+  // The longest open time, its spread and one step.
+  EXPECT_LE(m_clock.Now() - back, milliseconds(7600));
+}
+
+TEST_F(StoreGuardTest, KeepsToItsPartOfTheStore) {
+  StoreGuardOptions options;
+  options.writes_per_second = 10;
+  options.deadline = seconds(60);
+  StoreGuard guard = MakeGuard(options);
+  const base::TimePoint start = m_clock.Now();
+  constexpr int kWrites = 110;
+  for (int i = 0; i < kWrites; ++i) {
+    ASSERT_TRUE(guard.Apply({std::to_string(i), {}, {}}).has_value());
+  }
+  // A burst of ten is free; the hundred after it take ten seconds.
+  EXPECT_GE(m_clock.Now() - start, milliseconds(9900));
+}
+
+TEST(CircuitBreakerTest, FailedProbeOpensForLonger) {
+  CircuitBreakerOptions options;
+  options.failures_to_open = 1;
+  CircuitBreaker breaker(options, 1);
+  base::ManualClock clock;
+  ASSERT_TRUE(breaker.Allow(clock.Now()));
+  breaker.Fail(clock.Now());
+  EXPECT_FALSE(breaker.Allow(clock.Now()));
+  clock.Advance(milliseconds(750));
+  EXPECT_TRUE(breaker.Allow(clock.Now()));
+  EXPECT_FALSE(breaker.Allow(clock.Now()));
+  breaker.Fail(clock.Now());
+  clock.Advance(milliseconds(750));
+  EXPECT_FALSE(breaker.Allow(clock.Now()));
+  clock.Advance(milliseconds(750));
+  EXPECT_TRUE(breaker.Allow(clock.Now()));
+  breaker.Succeed();
+  EXPECT_EQ(breaker.State(), BreakerState::kClosed);
+}
+
+}  // namespace
+}  // namespace cassiastile::platform
