Add the pure core of request routing and admission

Routing by load and latency with the own zone first, outlier ejection with a cap, fair bounded queues that refuse early, a retry budget, and a dispatcher that ties them together.

--- /dev/null
+++ b/src/cassiastile/work/admission.cpp
@@ -0,0 +1,300 @@
+#include "cassiastile/work/admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <random>
+#include <utility>
+
+namespace cassiastile::work {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+double SecondsOf(base::Duration duration) {
+  return std::chrono::duration_cast<Seconds>(duration).count();
+}
+
+base::Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<base::Duration>(Seconds(seconds));
+}
+
+// Requests that can be started in a second.
+double StartsPerSecond(std::uint32_t slots, const ServiceRate& rate) {
+  constexpr double kShortestSeconds = 1e-4;
+  return slots / std::max(SecondsOf(rate.service_time), kShortestSeconds);
+}
+
+const TeamTerms kDefaultTerms;
+
+}  // namespace
+
+bool AdmissionQueue::TeamQueue::MayStart() const {
+  return !terms.granted || running < *terms.granted;
+}
+
+AdmissionQueue::AdmissionQueue(AdmissionOptions options) : m_options(options) {}
+
+void AdmissionQueue::SetTerms(const std::string& team, TeamTerms terms) {
+  m_teams[team].terms = terms;
+}
+
+const TeamTerms& AdmissionQueue::TermsOf(const std::string& team) const {
+  const auto found = m_teams.find(team);
+  return found == m_teams.end() ? kDefaultTerms : found->second.terms;
+}
+
+std::vector<Refusal> AdmissionQueue::Offer(const RequestTicket& ticket,
+                                           const ServiceRate& rate,
+                                           base::TimePoint now,
+                                           base::Random& random) {
+  TeamQueue& team = m_teams[ticket.team];
+  const std::size_t ahead = ticket.urgent ? team.urgent.size() : team.Queued();
+  const auto objection = FindObjection(team, ahead, ticket, rate, now);
+  if (objection) {
+    return {Refuse(ticket, *objection, rate, random)};
+  }
+  std::vector<Refusal> refusals;
+  if (m_size >= m_options.queue_limit) {
+    TeamQueue* largest = FindLargest();
+    const double part = (static_cast<double>(team.Queued()) + 1) /
+                        std::max(1U, team.terms.weight);
+    const bool makes_room = largest != nullptr && !largest->normal.empty() &&
+                            part < static_cast<double>(largest->Queued()) /
+                                       std::max(1U, largest->terms.weight);
+    if (!makes_room) {
+      return {Refuse(ticket, RefusalReason::kQueueFull, rate, random)};
+    }
+    refusals.push_back(PushOut(*largest, rate, random));
+  }
+  if (team.Queued() == 0) {
+    team.virtual_time = std::max(team.virtual_time, m_virtual_time);
+  }
+  (ticket.urgent ? team.urgent : team.normal).push_back(ticket);
+  ++m_size;
+  return refusals;
+}
+
+std::optional<RequestTicket> AdmissionQueue::TakeNext() {
+  AdvanceVirtualTime();
+  TeamQueue* team = FindNext();
+  if (team == nullptr) {
+    return std::nullopt;
+  }
+  auto& queue = team->urgent.empty() ? team->normal : team->urgent;
+  RequestTicket ticket = std::move(queue.front());
+  queue.pop_front();
+  --m_size;
+  ++team->running;
+  team->virtual_time += 1.0 / std::max(1U, team->terms.weight);
+  return ticket;
+}
+
+bool AdmissionQueue::StartAgain(const std::string& team) {
+  TeamQueue& queue = m_teams[team];
+  if (!queue.MayStart()) {
+    return false;
+  }
+  ++queue.running;
+  queue.virtual_time += 1.0 / std::max(1U, queue.terms.weight);
+  return true;
+}
+
+void AdmissionQueue::Release(const std::string& team, double cost) {
+  constexpr double kMostCost = 20;
+  TeamQueue& queue = m_teams[team];
+  queue.running -= queue.running > 0 ? 1 : 0;
+  const double correction = std::clamp(cost, 0.0, kMostCost) - 1;
+  queue.virtual_time += correction / std::max(1U, queue.terms.weight);
+}
+
+std::vector<Refusal> AdmissionQueue::GiveUp(const ServiceRate& rate,
+                                            base::TimePoint now,
+                                            base::Random& random) {
+  std::vector<Refusal> refusals;
+  for (auto& [name, team] : m_teams) {
+    std::size_t ahead = 0;
+    for (std::deque<RequestTicket>* queue : {&team.urgent, &team.normal}) {
+      std::deque<RequestTicket> kept;
+      for (RequestTicket& ticket : *queue) {
+        const auto objection = FindObjection(team, ahead, ticket, rate, now);
+        if (objection) {
+          refusals.push_back(Refuse(ticket, *objection, rate, random));
+          continue;
+        }
+        ++ahead;
+        kept.push_back(std::move(ticket));
+      }
+      m_size -= queue->size() - kept.size();
+      *queue = std::move(kept);
+    }
+  }
+  return refusals;
+}
+
+std::vector<Refusal> AdmissionQueue::Clear(RefusalReason reason,
+                                           const ServiceRate& rate,
+                                           base::Random& random) {
+  std::vector<Refusal> refusals;
+  for (auto& [name, team] : m_teams) {
+    for (std::deque<RequestTicket>* queue : {&team.urgent, &team.normal}) {
+      for (const RequestTicket& ticket : *queue) {
+        refusals.push_back(Refuse(ticket, reason, rate, random));
+      }
+      queue->clear();
+    }
+  }
+  m_size = 0;
+  return refusals;
+}
+
+base::Duration AdmissionQueue::DrawRetryAfter(const ServiceRate& rate,
+                                              base::Random& random) const {
+  const double drain_seconds = static_cast<double>(m_size) /
+                               std::max(1.0, StartsPerSecond(rate.slots, rate));
+  const double least = SecondsOf(m_options.min_retry_after);
+  const double most = SecondsOf(m_options.max_retry_after);
+  const double window = std::clamp(2 * drain_seconds, 2 * least, most - least);
+  std::uniform_real_distribution<double> draw(0, window);
+  return FromSeconds(least + draw(random));
+}
+
+std::map<std::string, AdmissionQueue::TeamCount> AdmissionQueue::Counts()
+    const {
+  std::map<std::string, TeamCount> counts;
+  for (const auto& [name, team] : m_teams) {
+    counts[name] = {static_cast<std::uint32_t>(team.Queued()), team.running};
+  }
+  return counts;
+}
+
+// The virtual time is that of the waiting team furthest behind.
+void AdmissionQueue::AdvanceVirtualTime() {
+  double least = std::numeric_limits<double>::infinity();
+  for (const auto& [name, team] : m_teams) {
+    if (team.Queued() > 0 && team.MayStart()) {
+      least = std::min(least, team.virtual_time);
+    }
+  }
+  if (std::isfinite(least)) {
+    m_virtual_time = std::max(m_virtual_time, least);
+  }
+}
+
+// Urgent requests go first while their team is not too far ahead of its share;
+// else the team furthest behind its share is next.
+AdmissionQueue::TeamQueue* AdmissionQueue::FindNext() {
+  TeamQueue* next = nullptr;
+  bool next_urgent = false;
+  for (auto& [name, team] : m_teams) {
+    if (team.Queued() == 0 || !team.MayStart()) {
+      continue;
+    }
+    const double lead =
+        (team.virtual_time - m_virtual_time) * std::max(1U, team.terms.weight);
+    const bool urgent = !team.urgent.empty() && lead < m_options.urgent_lead;
+    const bool better =
+        next == nullptr || (urgent && !next_urgent) ||
+        (urgent == next_urgent && team.virtual_time < next->virtual_time);
+    if (better) {
+      next = &team;
+      next_urgent = urgent;
+    }
+  }
+  return next;
+}
+
+AdmissionQueue::TeamQueue* AdmissionQueue::FindLargest() {
+  TeamQueue* largest = nullptr;
+  double largest_part = 0;
+  for (auto& [name, team] : m_teams) {
+    const double part =
+        static_cast<double>(team.Queued()) / std::max(1U, team.terms.weight);
+    if (part > largest_part) {
+      largest = &team;
+      largest_part = part;
+    }
+  }
+  return largest;
+}
+
+// Seconds until a team's request with `ahead` of its own before it starts,
+// given that the other teams take their turns by weight.
+double AdmissionQueue::ExpectedWait(const TeamQueue& team,
+                                    std::size_t ahead,
+                                    const ServiceRate& rate) const {
+  const double own = static_cast<double>(ahead);
+  const double rounds = (own + 1) / std::max(1U, team.terms.weight);
+  double before = own;
+  for (const auto& [name, other] : m_teams) {
+    if (&other != &team && other.MayStart()) {
+      before += std::min(static_cast<double>(other.Queued()),
+                         rounds * other.terms.weight);
+    }
+  }
+  double wait = before / StartsPerSecond(rate.slots, rate);
+  if (team.terms.granted && !team.MayStart()) {
+    wait =
+        std::max(wait, (own + 1) / StartsPerSecond(*team.terms.granted, rate));
+  }
+  return wait;
+}
+
+std::optional<RefusalReason> AdmissionQueue::FindObjection(
+    const TeamQueue& team,
+    std::size_t ahead,
+    const RequestTicket& ticket,
+    const ServiceRate& rate,
+    base::TimePoint now) const {
+  if (now >= ticket.deadline) {
+    return RefusalReason::kWaitTooLong;
+  }
+  const bool patient = now - ticket.arrived < m_options.patience;
+  if (rate.slots == 0) {
+    return patient ? std::nullopt : std::optional(RefusalReason::kNoRunner);
+  }
+  if (team.terms.granted && *team.terms.granted == 0) {
+    return patient ? std::nullopt : std::optional(RefusalReason::kTeamLimit);
+  }
+  const double left =
+      SecondsOf(ticket.deadline - now - rate.service_time) * m_options.safety;
+  if (ExpectedWait(team, ahead, rate) <= left) {
+    return std::nullopt;
+  }
+  const bool at_limit = team.terms.granted && !team.MayStart();
+  return at_limit ? RefusalReason::kTeamLimit : RefusalReason::kWaitTooLong;
+}
+
+Refusal AdmissionQueue::Refuse(const RequestTicket& ticket,
+                               RefusalReason reason,
+                               const ServiceRate& rate,
+                               base::Random& random) const {
+  return {ticket, NotRun{reason, DrawRetryAfter(rate, random), ""}};
+}
+
+Refusal AdmissionQueue::PushOut(TeamQueue& team,
+                                const ServiceRate& rate,
+                                base::Random& random) {
+  const RequestTicket ticket = std::move(team.normal.back());
+  team.normal.pop_back();
+  --m_size;
+  return Refuse(ticket, RefusalReason::kQueueFull, rate, random);
+}
+
+RetryBudget::RetryBudget(double part, double most)
+    : m_part(part), m_most(most), m_tokens(most) {}
+
+void RetryBudget::Earn() {
+  m_tokens = std::min(m_most, m_tokens + m_part);
+}
+
+bool RetryBudget::Spend() {
+  if (!HasOne()) {
+    return false;
+  }
+  m_tokens -= 1;
+  return true;
+}
+
+}  // namespace cassiastile::work
--- /dev/null
+++ b/src/cassiastile/work/request_dispatcher.cpp
@@ -0,0 +1,460 @@
+#include "cassiastile/work/request_dispatcher.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cassiastile::work {
+
+namespace {
+
+constexpr double kServiceTimeGain = 0.05;
+constexpr std::chrono::milliseconds kOverdueMargin{100};
+constexpr int kServerError = 500;
+
+template <typename... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <typename... Visitors>
+Overloaded(Visitors...) -> Overloaded<Visitors...>;
+
+}  // namespace
+
+RequestDispatcher::RequestDispatcher(DispatcherOptions options,
+                                     std::uint64_t seed)
+    : m_options(std::move(options)),
+      m_random(seed),
+      m_queue(m_options.admission),
+      m_budget(m_options.retry_part, m_options.retry_burst),
+      m_service_time(m_options.routing.assumed_latency) {}
+
+RequestActions RequestDispatcher::Arrive(const RequestTicket& ticket,
+                                         base::TimePoint now) {
+  RequestActions actions;
+  if (m_stopping) {
+    actions.emplace_back(
+        FinishRequest{ticket, NotRun{RefusalReason::kStopping,
+                                     m_options.admission.min_retry_after, ""}});
+    return actions;
+  }
+  Refuse(m_queue.Offer(ticket, Rate(), now, m_random), actions);
+  NoteDemand();
+  Dispatch(now, actions);
+  return actions;
+}
+
+std::vector<Refusal> RequestDispatcher::Preview(const RequestTicket& ticket,
+                                                base::TimePoint now) const {
+  AdmissionQueue queue = m_queue;
+  base::Random random = m_random;
+  std::vector<Refusal> refusals = queue.Offer(ticket, Rate(), now, random);
+  std::erase_if(refusals, [&ticket](const Refusal& refusal) {
+    return refusal.ticket.id != ticket.id;
+  });
+  return refusals;
+}
+
+RequestActions RequestDispatcher::EndTry(TryId try_id,
+                                         TryResult result,
+                                         base::TimePoint now) {
+  RequestActions actions;
+  const auto found = m_tries.find(try_id);
+  if (found == m_tries.end()) {
+    return actions;
+  }
+  const Try ended = std::move(found->second);
+  m_tries.erase(found);
+  const auto flight = m_flights.find(ended.request_id);
+  if (flight != m_flights.end()) {
+    --flight->second.active;
+  }
+  std::visit(Overloaded{
+                 [&](TryAnswered& answer) {
+                   TakeAnswer(ended, std::move(answer), now, actions);
+                 },
+                 [&](TryNotSent&) { TakeNotSent(ended, now, actions); },
+                 [&](TryLost& loss) { TakeLoss(ended, loss, now, actions); },
+             },
+             result);
+  Dispatch(now, actions);
+  return actions;
+}
+
+RequestActions RequestDispatcher::EndProbe(const std::string& runner,
+                                           bool healthy,
+                                           base::TimePoint now) {
+  RequestActions actions;
+  if (Runner* probed = FindRunner(runner)) {
+    RecordProbe(*probed, healthy, m_options.routing, now);
+  }
+  Dispatch(now, actions);
+  return actions;
+}
+
+RequestActions RequestDispatcher::Tick(base::TimePoint now) {
+  RequestActions actions;
+  ReleaseHeld(now);
+  Hedge(now);
+  EjectSlow(m_runners, m_options.routing, now);
+  for (const std::size_t due : TakeDueProbes(m_runners, now)) {
+    actions.emplace_back(
+        SendProbe{m_runners[due].name, m_runners[due].address});
+  }
+  Dispatch(now, actions);
+  FinishOverdue(now, actions);
+  Refuse(m_queue.GiveUp(Rate(), now, m_random), actions);
+  NoteDemand();
+  return actions;
+}
+
+RequestActions RequestDispatcher::SetRunners(
+    const std::vector<ListedRunner>& listed,
+    base::TimePoint now) {
+  std::set<std::string> present;
+  for (const ListedRunner& entry : listed) {
+    present.insert(entry.name);
+    Runner* runner = FindRunner(entry.name);
+    if (runner == nullptr) {
+      runner = &m_runners.emplace_back();
+      runner->name = entry.name;
+    } else if (runner->incarnation != entry.incarnation) {
+      runner->health = RunnerHealth::kTrusted;
+      runner->failures = 0;
+      runner->ejections = 0;
+      runner->latency = base::Duration::zero();
+    }
+    runner->address = entry.address;
+    runner->zone = entry.zone;
+    runner->incarnation = entry.incarnation;
+    runner->leaving = entry.leaving;
+  }
+  for (Runner& runner : m_runners) {
+    runner.leaving = runner.leaving || !present.contains(runner.name);
+  }
+  std::erase_if(m_runners, [&present](const Runner& runner) {
+    return runner.in_use == 0 && runner.granted == 0 &&
+           !present.contains(runner.name);
+  });
+  RequestActions actions;
+  Dispatch(now, actions);
+  return actions;
+}
+
+RequestActions RequestDispatcher::SetSlots(
+    const std::map<std::string, std::uint32_t>& granted,
+    base::TimePoint now) {
+  for (Runner& runner : m_runners) {
+    const auto found = granted.find(runner.name);
+    runner.granted = found == granted.end() ? 0 : found->second;
+  }
+  RequestActions actions;
+  Dispatch(now, actions);
+  return actions;
+}
+
+RequestActions RequestDispatcher::SetTerms(
+    const std::map<std::string, TeamTerms>& terms,
+    base::TimePoint now) {
+  for (const auto& [team, its_terms] : terms) {
+    m_queue.SetTerms(team, its_terms);
+  }
+  RequestActions actions;
+  Dispatch(now, actions);
+  return actions;
+}
+
+RequestActions RequestDispatcher::Stop(base::TimePoint) {
+  m_stopping = true;
+  RequestActions actions;
+  Refuse(m_queue.Clear(RefusalReason::kStopping, Rate(), m_random), actions);
+  return actions;
+}
+
+std::map<std::string, AdmissionQueue::TeamCount> RequestDispatcher::TeamCounts()
+    const {
+  return m_queue.Counts();
+}
+
+Demand RequestDispatcher::TakeDemand() {
+  NoteDemand();
+  Demand demand = std::exchange(m_demand, Demand{});
+  NoteDemand();
+  return demand;
+}
+
+Runner* RequestDispatcher::FindRunner(const std::string& name) {
+  const auto found = std::find_if(
+      m_runners.begin(), m_runners.end(),
+      [&name](const Runner& runner) { return runner.name == name; });
+  return found == m_runners.end() ? nullptr : &*found;
+}
+
+ServiceRate RequestDispatcher::Rate() const {
+  ServiceRate rate;
+  rate.service_time = m_service_time;
+  for (const Runner& runner : m_runners) {
+    rate.slots += IsUsable(runner) ? runner.granted : 0;
+  }
+  return rate;
+}
+
+bool RequestDispatcher::HasFreeSlot() const {
+  return std::any_of(
+      m_runners.begin(), m_runners.end(), [](const Runner& runner) {
+        return IsUsable(runner) && runner.in_use < runner.granted;
+      });
+}
+
+void RequestDispatcher::Dispatch(base::TimePoint now, RequestActions& actions) {
+  DispatchRetries(now, actions);
+  while (HasFreeSlot()) {
+    const std::optional<RequestTicket> ticket = m_queue.TakeNext();
+    if (!ticket) {
+      return;
+    }
+    Flight& flight = m_flights[ticket->id];
+    flight.ticket = *ticket;
+    const auto runner =
+        PickRunner(m_runners, flight.tried, m_options.routing, m_random);
+    Send(flight, *runner, now, actions);
+  }
+}
+
+void RequestDispatcher::DispatchRetries(base::TimePoint now,
+                                        RequestActions& actions) {
+  std::deque<RequestId> waiting;
+  waiting.swap(m_retries);
+  for (const RequestId id : waiting) {
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end()) {
+      continue;
+    }
+    Flight& flight = found->second;
+    const auto runner =
+        PickRunner(m_runners, flight.tried, m_options.routing, m_random);
+    if (!runner || !m_queue.StartAgain(flight.ticket.team)) {
+      m_retries.push_back(id);
+      continue;
+    }
+    flight.waiting = false;
+    Send(flight, *runner, now, actions);
+  }
+}
+
+void RequestDispatcher::Send(Flight& flight,
+                             std::size_t runner,
+                             base::TimePoint now,
+                             RequestActions& actions) {
+  Runner& chosen = m_runners[runner];
+  ++chosen.in_use;
+  ++flight.active;
+  const bool again = !flight.tried.empty();
+  flight.tried.push_back(chosen.name);
+  Try& started = m_tries[m_next_try];
+  started.request_id = flight.ticket.id;
+  started.team = flight.ticket.team;
+  started.runner = chosen.name;
+  started.sent = now;
+  started.stop = flight.ticket.deadline;
+  SendTry send;
+  send.try_id = m_next_try++;
+  send.request_id = flight.ticket.id;
+  send.runner = chosen.name;
+  send.address = chosen.address;
+  send.timeout = flight.ticket.deadline - now;
+  send.fresh_connection =
+      !flight.ticket.idempotent || again || now < chosen.fresh_until;
+  actions.emplace_back(std::move(send));
+}
+
+void RequestDispatcher::TakeAnswer(const Try& ended,
+                                   TryAnswered answer,
+                                   base::TimePoint now,
+                                   RequestActions& actions) {
+  const base::Duration took = now - ended.sent;
+  const double cost =
+      static_cast<double>(took.count()) /
+      static_cast<double>(std::max<std::int64_t>(1, m_service_time.count()));
+  const auto step =
+      static_cast<double>((took - m_service_time).count()) * kServiceTimeGain;
+  m_service_time += base::Duration(static_cast<std::int64_t>(step));
+  m_budget.Earn();
+  ReleaseSlot(ended.runner, ended.team, cost);
+  if (answer.response.status >= kServerError) {
+    RecordFailureAt(ended.runner, now);
+  } else if (Runner* runner = FindRunner(ended.runner)) {
+    RecordAnswer(*runner, took, now);
+  }
+  const auto flight = m_flights.find(ended.request_id);
+  if (flight != m_flights.end()) {
+    Finish(flight, Answered{std::move(answer.response), ended.runner}, actions);
+  }
+}
+
+void RequestDispatcher::TakeNotSent(const Try& ended,
+                                    base::TimePoint now,
+                                    RequestActions& actions) {
+  ReleaseSlot(ended.runner, ended.team, 0);
+  RecordFailureAt(ended.runner, now);
+  const auto flight = m_flights.find(ended.request_id);
+  if (flight == m_flights.end() || flight->second.active > 0 ||
+      flight->second.waiting) {
+    return;
+  }
+  if (MayTryAgain(flight->second, now)) {
+    Retry(flight->second);
+  } else {
+    FinishFailed(flight, actions);
+  }
+}
+
+void RequestDispatcher::TakeLoss(const Try& ended,
+                                 const TryLost& loss,
+                                 base::TimePoint now,
+                                 RequestActions& actions) {
+  m_held.push_back(
+      {ended.runner, ended.team, ended.stop + m_options.stop_margin});
+  RecordFailureAt(ended.runner, now);
+  const auto found = m_flights.find(ended.request_id);
+  if (found == m_flights.end()) {
+    return;
+  }
+  Flight& flight = found->second;
+  flight.maybe_ran = true;
+  flight.doubt = loss.reason;
+  if (flight.active > 0 || flight.waiting) {
+    return;
+  }
+  if (flight.ticket.idempotent && MayTryAgain(flight, now)) {
+    Retry(flight);
+  } else {
+    FinishFailed(found, actions);
+  }
+}
+
+// Whether another try is allowed and of use; takes it from the budget.
+bool RequestDispatcher::MayTryAgain(const Flight& flight, base::TimePoint now) {
+  return flight.tried.size() < m_options.max_tries &&
+         now + m_service_time < flight.ticket.deadline && m_budget.Spend();
+}
+
+void RequestDispatcher::Retry(Flight& flight) {
+  flight.waiting = true;
+  m_retries.push_back(flight.ticket.id);
+}
+
+void RequestDispatcher::Finish(Flights::iterator flight,
+                               Outcome outcome,
+                               RequestActions& actions) {
+  actions.emplace_back(
+      FinishRequest{std::move(flight->second.ticket), std::move(outcome)});
+  m_flights.erase(flight);
+}
+
+void RequestDispatcher::FinishFailed(Flights::iterator flight,
+                                     RequestActions& actions) {
+  const Flight& failed = flight->second;
+  if (failed.maybe_ran) {
+    Finish(flight, MaybeRan{failed.doubt, failed.tried.back()}, actions);
+    return;
+  }
+  Finish(flight,
+         NotRun{RefusalReason::kUnreachable,
+                m_queue.DrawRetryAfter(Rate(), m_random), ""},
+         actions);
+}
+
+// Ends the requests whose deadline passed without a word from any try.
+void RequestDispatcher::FinishOverdue(base::TimePoint now,
+                                      RequestActions& actions) {
+  for (auto next = m_flights.begin(); next != m_flights.end();) {
+    const auto flight = next++;
+    Flight& late = flight->second;
+    const bool in_time = late.active > 0
+                             ? now < late.ticket.deadline + kOverdueMargin
+                             : now + m_service_time < late.ticket.deadline;
+    if (in_time) {
+      continue;
+    }
+    if (late.active > 0) {
+      late.maybe_ran = true;
+      late.doubt = DoubtReason::kTimeout;
+    }
+    FinishFailed(flight, actions);
+  }
+}
+
+// Looks for tries that are overdue. Kept connections to their runners are not
+// trusted for a while, runners that answer nobody are ejected, and requests
+// that may run twice are tried elsewhere too.
+void RequestDispatcher::Hedge(base::TimePoint now) {
+  for (auto& [id, pending] : m_tries) {
+    Runner* runner = FindRunner(pending.runner);
+    if (runner == nullptr || pending.hedged ||
+        now - pending.sent < SilenceLimit(*runner, m_options.routing)) {
+      continue;
+    }
+    pending.hedged = true;
+    runner->fresh_until = now + m_options.distrust;
+    if (runner->last_answer < pending.sent) {
+      const auto index = static_cast<std::size_t>(runner - m_runners.data());
+      Eject(m_runners, index, m_options.routing, now);
+    }
+    const auto found = m_flights.find(pending.request_id);
+    if (found != m_flights.end() && found->second.ticket.idempotent &&
+        !found->second.waiting && MayTryAgain(found->second, now)) {
+      Retry(found->second);
+    }
+  }
+}
+
+void RequestDispatcher::ReleaseHeld(base::TimePoint now) {
+  std::vector<HeldSlot> still_held;
+  for (HeldSlot& held : m_held) {
+    if (now < held.until) {
+      still_held.push_back(std::move(held));
+    } else {
+      ReleaseSlot(held.runner, held.team, 1);
+    }
+  }
+  m_held = std::move(still_held);
+}
+
+void RequestDispatcher::ReleaseSlot(const std::string& runner,
+                                    const std::string& team,
+                                    double cost) {
+  if (Runner* freed = FindRunner(runner)) {
+    freed->in_use -= freed->in_use > 0 ? 1 : 0;
+  }
+  m_queue.Release(team, cost);
+}
+
+void RequestDispatcher::RecordFailureAt(const std::string& runner,
+                                        base::TimePoint now) {
+  if (const Runner* failed = FindRunner(runner)) {
+    const auto index = static_cast<std::size_t>(failed - m_runners.data());
+    RecordFailure(m_runners, index, m_options.routing, now);
+  }
+}
+
+void RequestDispatcher::NoteDemand() {
+  std::uint32_t requests = static_cast<std::uint32_t>(m_retries.size());
+  for (const auto& [team, count] : m_queue.Counts()) {
+    const std::uint32_t wanted = count.queued + count.running;
+    std::uint32_t& most = m_demand.by_team[team];
+    most = std::max(most, wanted);
+    requests += wanted;
+  }
+  m_demand.requests = std::max(m_demand.requests, requests);
+}
+
+void RequestDispatcher::Refuse(std::vector<Refusal> refusals,
+                               RequestActions& actions) {
+  for (Refusal& refusal : refusals) {
+    actions.emplace_back(
+        FinishRequest{std::move(refusal.ticket), std::move(refusal.not_run)});
+  }
+}
+
+}  // namespace cassiastile::work
--- /dev/null
+++ b/src/cassiastile/work/request_try.cpp
@@ -0,0 +1,26 @@
+#include "cassiastile/work/request_try.hpp"
+
+#include <utility>
+
+namespace cassiastile::work {
+
+TryResult JudgeTry(wire::HttpOutcome outcome, const std::string& request_id) {
+  if (!outcome) {
+    const wire::HttpFailure& failure = outcome.error();
+    if (failure.state == wire::SendState::kNotSent) {
+      return TryNotSent{};
+    }
+    return TryLost{failure.timed_out ? DoubtReason::kTimeout
+                                     : DoubtReason::kBroken};
+  }
+  if (!outcome->framed) {
+    return TryLost{DoubtReason::kBroken};
+  }
+  const auto named = wire::FindHeader(outcome->headers, kRequestIdHeader);
+  if (named && *named != request_id) {
+    return TryLost{DoubtReason::kCrossed};
+  }
+  return TryAnswered{std::move(*outcome)};
+}
+
+}  // namespace cassiastile::work
