--- /dev/null
+++ b/include/cassiastile/platform/http_platform.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "cassiastile/platform/host_list.hpp"
+#include "cassiastile/platform/machines.hpp"
+#include "cassiastile/platform/objects.hpp"
+#include "cassiastile/platform/table.hpp"
+#include "cassiastile/wire/http_client.hpp"
+
+namespace cassiastile::platform {
+
+// Where and how the platform's services are called over HTTP; docs/PLATFORM.md
+// describes the calls.
+struct HttpPlatformLink {
+  wire::HttpClient* client = nullptr;  // Outlives all that use the link.
+  std::string address;                 // IP:PORT
+  std::chrono::milliseconds timeout{800};
+};
+
+class HttpTable final : public Table {
+ public:
+  explicit HttpTable(HttpPlatformLink link);
+
+  base::Result<std::optional<Row>> Get(const std::string& key) override;
+  base::Result<std::vector<Row>> Scan(const std::string& prefix,
+                                      const std::string& after,
+                                      std::size_t limit) override;
+  base::Result<Commit> Apply(const Transaction& transaction) override;
+  base::Result<std::optional<Commit>> FindNonce(
+      const std::string& nonce) override;
+
+ private:
+  HttpPlatformLink m_link;
+};
+
+class HttpObjects final : public ObjectStore {
+ public:
+  explicit HttpObjects(HttpPlatformLink link);
+
+  base::Result<void> Put(const std::string& name,
+                         const std::string& content) override;
+  base::Result<std::string> Get(const std::string& name) override;
+  base::Result<std::vector<std::string>> List(
+      const std::string& prefix) override;
+
+ private:
+  HttpPlatformLink m_link;
+};
+
+class HttpHostList final : public HostList {
+ public:
+  explicit HttpHostList(HttpPlatformLink link);
+
+  base::Result<std::vector<ListedHost>> List() override;
+
+ private:
+  HttpPlatformLink m_link;
+};
+
+class HttpMachines final : public Machines {
+ public:
+  explicit HttpMachines(HttpPlatformLink link);
+
+  base::Result<void> SetDraining(const std::string& host,
+                                 bool draining) override;
+  base::Result<void> Reboot(const std::string& host,
+                            std::uint64_t boots) override;
+  base::Result<MachineStatus> Status(const std::string& host) override;
+
+ private:
+  HttpPlatformLink m_link;
+};
+
+}  // namespace cassiastile::platform
--- a/include/cassiastile/platform/memory_platform.hpp
+++ b/include/cassiastile/platform/memory_platform.hpp
@@ -111,8 +111,9 @@
 
   // Sets a machine to what is given, making it where there is none.
   void Set(const std::string& host, MachineStatus status);
-  // Ends the reboots under way.
+  // Ends the reboots under way, of all machines or of one.
   void FinishReboots();
+  void FinishReboot(const std::string& host);
   void SetDown(bool down);
 
  private:
--- /dev/null
+++ b/include/cassiastile/platform/platform_json.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "cassiastile/platform/host_list.hpp"
+#include "cassiastile/platform/machines.hpp"
+#include "cassiastile/platform/table.hpp"
+
+namespace cassiastile::platform {
+
+// The JSON forms of the platform's calls, used at both ends. Reading throws
+// nlohmann::json::exception for a value of another shape.
+void to_json(nlohmann::json& json, const Row& row);
+void from_json(const nlohmann::json& json, Row& row);
+void to_json(nlohmann::json& json, const Transaction& transaction);
+void from_json(const nlohmann::json& json, Transaction& transaction);
+void to_json(nlohmann::json& json, const ListedHost& host);
+void from_json(const nlohmann::json& json, ListedHost& host);
+void to_json(nlohmann::json& json, const MachineStatus& status);
+void from_json(const nlohmann::json& json, MachineStatus& status);
+
+}  // namespace cassiastile::platform
--- a/include/cassiastile/wire/http_types.hpp
+++ b/include/cassiastile/wire/http_types.hpp
@@ -33,6 +33,12 @@
 std::optional<std::string> FindQueryParameter(const HttpRequest& request,
                                               std::string_view name);
 
+// Encodes text for use as a segment of a path or a value of a query.
+std::string EncodePercent(std::string_view text);
+
+// Undoes EncodePercent. A percent sign that starts no code stays as it is.
+std::string DecodePercent(std::string_view text);
+
 // A whole answer.
 struct HttpResponse {
   int status = 200;
--- a/include/cassiastile/wire/router.hpp
+++ b/include/cassiastile/wire/router.hpp
@@ -9,7 +9,8 @@
 namespace cassiastile::wire {
 
 // Finds the handler for a request. A pattern is a path whose segments are
-// literal, `:name` for one segment or, at the end, `*name` for the rest.
+// literal, `:name` for one segment (decoded) or, at the end, `*name` for the
+// rest (as it was sent).
 // Routes are added before the server starts and read by several threads after.
 class Router {
  public:
--- a/src/cassiastile/platform/memory_platform.cpp
+++ b/src/cassiastile/platform/memory_platform.cpp
@@ -16,6 +16,13 @@
                     "The answer of the platform's table was lost.");
 }
 
+void EndReboot(MachineStatus& status) {
+  if (status.state == MachineState::kRebooting) {
+    status.state = MachineState::kUp;
+    ++status.boots;
+  }
+}
+
 }  // namespace
 
 MemoryTable::MemoryTable(std::uint64_t seed) : m_random(seed) {}
@@ -259,10 +266,15 @@
 void MemoryMachines::FinishReboots() {
   const std::lock_guard lock(m_mutex);
   for (auto& [host, status] : m_machines) {
-    if (status.state == MachineState::kRebooting) {
-      status.state = MachineState::kUp;
-      ++status.boots;
-    }
+    EndReboot(status);
+  }
+}
+
+void MemoryMachines::FinishReboot(const std::string& host) {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_machines.find(host);
+  if (found != m_machines.end()) {
+    EndReboot(found->second);
   }
 }
 
--- a/src/cassiastile/wire/http_types.cpp
+++ b/src/cassiastile/wire/http_types.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include <fmt/format.h>
+
 namespace cassiastile::wire {
 
 namespace {
@@ -28,14 +30,36 @@
   return std::nullopt;
 }
 
+bool IsUnreserved(unsigned char character) {
+  return std::isalnum(character) != 0 || character == '-' || character == '.' ||
+         character == '_' || character == '~';
+}
+
+// In a query a plus sign stands for a space.
+std::string DecodeQueryValue(std::string_view text) {
+  std::string spaced(text);
+  std::replace(spaced.begin(), spaced.end(), '+', ' ');
+  return DecodePercent(spaced);
+}
+
+}  // namespace
+
+std::string EncodePercent(std::string_view text) {
+  std::string encoded;
+  for (const unsigned char character : text) {
+    if (IsUnreserved(character)) {
+      encoded += static_cast<char>(character);
+    } else {
+      encoded += fmt::format("%{:02X}", character);
+    }
+  }
+  return encoded;
+}
+
 std::string DecodePercent(std::string_view text) {
   constexpr int kHexBase = 16;
   std::string decoded;
   for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] == '+') {
-      decoded += ' ';
-      continue;
-    }
     if (text[i] == '%' && i + 2 < text.size()) {
       const auto high = HexDigit(text[i + 1]);
       const auto low = HexDigit(text[i + 2]);
@@ -50,8 +74,6 @@
   return decoded;
 }
 
-}  // namespace
-
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name) {
   for (const auto& [field, value] : headers) {
@@ -72,7 +94,7 @@
     if (pair.substr(0, equals) == name) {
       return equals == std::string_view::npos
                  ? std::string()
-                 : DecodePercent(pair.substr(equals + 1));
+                 : DecodeQueryValue(pair.substr(equals + 1));
     }
     rest = end == std::string_view::npos ? std::string_view()
                                          : rest.substr(end + 1);
--- a/src/cassiastile/wire/router.cpp
+++ b/src/cassiastile/wire/router.cpp
@@ -88,7 +88,7 @@
       return false;
     }
     if (!expected.empty() && expected.front() == ':') {
-      parameters[expected.substr(1)] = segments[i];
+      parameters[expected.substr(1)] = DecodePercent(segments[i]);
     } else if (expected != segments[i]) {
       return false;
     }
