--- a/include/cassiastile/config/fleet.hpp
+++ b/include/cassiastile/config/fleet.hpp
@@ -119,6 +119,7 @@
 };
 
 std::string_view NameOf(WaveOrder order);
+std::optional<WaveOrder> FindWaveOrder(std::string_view name);
 
 // The hours of the day in which a wave may take hosts, in minutes of UTC from
 // midnight. An end before the start runs over midnight; equal means always.
