--- /dev/null
+++ b/src/cassiastile/daemon/command_line.cpp
@@ -0,0 +1,73 @@
+#include "cassiastile/daemon/command_line.hpp"
+
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "cassiastile/base/version.hpp"
+
+namespace cassiastile::daemon {
+
+namespace {
+
+namespace options = boost::program_options;
+
+options::options_description Describe(Invocation& invocation) {
+  options::options_description description("Options");
+  description.add_options()                                    //
+      ("help,h", "print this help")                            //
+      ("version", "print the version")                         //
+      ("config,c", options::value(&invocation.settings_path),  //
+       "file of settings, in JSON with comments")              //
+      ("log-level", options::value(&invocation.log_level),     //
+       "debug, info, warn or error")                           //
+      ("check", options::bool_switch(&invocation.check_only),  //
+       "report findings on the settings and end");
+  return description;
+}
+
+void PrintHelp(const Program& program,
+               const options::options_description& description) {
+  std::cout << program.name << ": " << program.summary << "\n\n"
+            << "usage: " << program.name << " --config FILE\n\n"
+            << description << "\nExit status: 0 done, 1 refused with findings, "
+            << "2 wrong usage, 3 could not start.\n\nExample:\n  "
+            << program.name << " --config " << program.name
+            << ".jsonc --log-level debug\n";
+}
+
+Answered RefuseUsage(const Program& program, const std::string& reason) {
+  std::cerr << program.name << ": " << reason << "; see --help\n";
+  return {kExitUsage};
+}
+
+}  // namespace
+
+std::variant<Invocation, Answered> ReadCommandLine(const Program& program,
+                                                   int argc,
+                                                   const char* const* argv) {
+  Invocation invocation;
+  const options::options_description description = Describe(invocation);
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, description),
+                   values);
+    options::notify(values);
+  } catch (const options::error& error) {
+    return RefuseUsage(program, error.what());
+  }
+  if (values.count("help") > 0) {
+    PrintHelp(program, description);
+    return Answered{kExitDone};
+  }
+  if (values.count("version") > 0) {
+    std::cout << program.name << ' ' << base::kVersion << '\n';
+    return Answered{kExitDone};
+  }
+  if (invocation.settings_path.empty()) {
+    return RefuseUsage(program, "--config FILE is missing");
+  }
+  return invocation;
+}
+
+}  // namespace cassiastile::daemon
