Add slot credits over the table and a fault mix judged from outside

Entry hosts take and give back slots by conditional writes: use stops before a write that gives back, and starts after one that is known to have applied.

--- /dev/null
+++ b/include/cassiastile/standin/backend_simulation.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/entry/credit_account.hpp"
+#include "cassiastile/entry/holder_watch.hpp"
+#include "cassiastile/entry/service_shard.hpp"
+#include "cassiastile/platform/memory_platform.hpp"
+#include "cassiastile/standin/backend_model.hpp"
+#include "cassiastile/work/request.hpp"
+
+namespace cassiastile::standin {
+
+// How requests are handled in a simulation.
+enum class SimulatedPolicy : std::uint8_t {
+  kCassiastile,
+  // Runners in turn, first-come queues at the runners, blind retry.
+  kRoundRobin,
+};
+
+struct SimulationOptions {
+  SimulatedPolicy policy = SimulatedPolicy::kCassiastile;
+  std::uint32_t hosts = 6;
+  std::uint32_t zones = 3;
+  std::uint32_t runners = 10;
+  std::uint32_t slots = 8;
+  std::chrono::milliseconds mean_service{50};
+  std::uint64_t seed = 1;
+};
+
+struct SimulatedRequest {
+  std::uint64_t id = 0;
+  std::uint32_t host = 0;
+  std::string team;
+  bool idempotent = true;
+  bool urgent = false;
+  base::TimePoint at{};
+  base::Duration timeout{};
+};
+
+// What a caller saw.
+struct SimulatedAnswer {
+  wire::Execution execution = wire::Execution::kUnknown;
+  bool whole = false;  // The answer is the one to this request.
+  base::TimePoint at{};
+  std::uint32_t answers = 0;
+  base::Duration retry_after{};
+};
+
+// Entry hosts with their callers, runners and table in virtual time. The
+// decisions are those of the daemons; only the network and time are modelled.
+class RequestSimulation {
+ public:
+  explicit RequestSimulation(SimulationOptions options);
+  ~RequestSimulation();
+  RequestSimulation(const RequestSimulation&) = delete;
+  RequestSimulation& operator=(const RequestSimulation&) = delete;
+
+  base::TimePoint Now() const { return m_now; }
+  BackendModel& Backends() { return m_backends; }
+  platform::MemoryTable& Table() { return m_table; }
+  static std::string RunnerName(std::uint32_t index);
+
+  void Submit(const SimulatedRequest& request);
+  // Runs to a time; requests submitted before it arrive in their order.
+  void RunUntil(base::TimePoint until);
+
+  // Ends a host's process at once. Its callers hear nothing more.
+  void Crash(std::uint32_t host);
+  // Starts it again under a new incarnation.
+  void Restart(std::uint32_t host);
+  // Lists a runner as leaving, or as live again.
+  void SetLeaving(std::uint32_t runner, bool leaving);
+
+  // By request.
+  const std::map<std::uint64_t, SimulatedAnswer>& Answers() const {
+    return m_answers;
+  }
+  // The sum of all grants of a runner's slots, as the table has it.
+  std::uint32_t GrantedInTable(std::uint32_t runner);
+
+ private:
+  struct Host {
+    std::uint64_t incarnation = 1;
+    std::unique_ptr<entry::ServiceShard> shard;
+    std::unique_ptr<entry::CreditAccount> account;
+    std::unique_ptr<entry::HolderWatch> watch;
+    base::TimePoint next_step{};
+    std::uint64_t generation = 0;  // Completions of an earlier one are lost.
+  };
+
+  struct BaselineFlight {
+    SimulatedRequest request;
+    std::uint32_t tries = 0;
+  };
+
+  struct Sent {
+    std::uint32_t host = 0;
+    std::uint64_t generation = 0;
+    work::TryId try_id = 0;
+    std::string request_id;
+    std::string probed;  // The runner, where the call is a health check.
+    std::uint64_t request = 0;
+  };
+
+  void StartHost(std::uint32_t index);
+  entry::ServiceShardHooks MakeHooks(std::uint32_t index);
+  void Send(std::uint32_t host, const work::SendTry& send);
+  void Probe(std::uint32_t host, const work::SendProbe& probe);
+  void Finish(const work::FinishRequest& finish);
+  void ListRunners(Host& host);
+  void ListHosts();
+  void Arrive(const SimulatedRequest& request);
+  void Complete(const ModelCompletion& completion);
+  void TickHosts();
+  void StepCredits(std::uint32_t index);
+  base::TimePoint NextEvent() const;
+
+  void SendBaseline(std::uint64_t request);
+  void CompleteBaseline(std::uint64_t request, work::TryResult result);
+
+  SimulationOptions m_options;
+  base::Random m_random;
+  base::TimePoint m_now;
+  BackendModel m_backends;
+  platform::MemoryTable m_table;
+  std::vector<Host> m_hosts;
+  std::vector<bool> m_leaving;
+  std::multimap<base::TimePoint, SimulatedRequest> m_arrivals;
+  std::map<std::uint64_t, Sent> m_sent;
+  std::map<std::uint64_t, BaselineFlight> m_baseline;
+  std::map<std::uint64_t, SimulatedAnswer> m_answers;
+  std::multimap<base::TimePoint, ModelCompletion> m_completions;
+  base::TimePoint m_next_tick;
+  base::TimePoint m_next_listing;
+  std::uint64_t m_next_call = 1;
+  std::uint32_t m_next_runner = 0;
+};
+
+}  // namespace cassiastile::standin
--- a/include/cassiastile/work/admission.hpp
+++ b/include/cassiastile/work/admission.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -63,6 +64,11 @@
                              base::TimePoint now,
                              base::Random& random);
 
+  // Why a request offered now would be refused, or nothing.
+  std::optional<RefusalReason> Preview(const RequestTicket& ticket,
+                                       const ServiceRate& rate,
+                                       base::TimePoint now) const;
+
   // Takes out the request that is next by its team's share, and counts it as
   // running; nothing when none may start.
   std::optional<RequestTicket> TakeNext();
@@ -80,10 +86,12 @@
                               base::TimePoint now,
                               base::Random& random);
 
-  // Takes out and refuses everything.
-  std::vector<Refusal> Clear(RefusalReason reason,
-                             const ServiceRate& rate,
-                             base::Random& random);
+  // Takes out and refuses what fits the condition.
+  using Condition = std::function<bool(const RequestTicket&)>;
+  std::vector<Refusal> TakeOut(const Condition& condition,
+                               RefusalReason reason,
+                               const ServiceRate& rate,
+                               base::Random& random);
 
   // When a caller that is refused should come back: after the queue has
   // drained, spread so that callers don't come back together.
@@ -91,12 +99,14 @@
                                 base::Random& random) const;
 
   std::size_t Size() const { return m_size; }
+  std::uint32_t Running() const { return m_running; }
 
   struct TeamCount {
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
   };
   std::map<std::string, TeamCount> Counts() const;
+  TeamCount CountOf(const std::string& team) const;
 
  private:
   struct TeamQueue {
@@ -132,6 +142,7 @@
   AdmissionOptions m_options;
   std::map<std::string, TeamQueue> m_teams;
   std::size_t m_size = 0;
+  std::uint32_t m_running = 0;
   double m_virtual_time = 0;
 };
 
--- a/include/cassiastile/work/request.hpp
+++ b/include/cassiastile/work/request.hpp
@@ -17,6 +17,7 @@
 struct RequestTicket {
   RequestId id = 0;
   std::string team;         // Empty where no key came with it.
+  std::string key_id;       // The key it came with; empty where none did.
   bool urgent = false;      // Goes before the others, within bounds.
   bool idempotent = false;  // May be sent again after it may have run.
   base::TimePoint arrived{};
--- a/include/cassiastile/work/request_dispatcher.hpp
+++ b/include/cassiastile/work/request_dispatcher.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,6 +55,8 @@
   // After the time that a runner was told to stop by, a slot whose request was
   // lost is held for this long.
   std::chrono::milliseconds stop_margin{200};
+  // A process that stood still for longer may have lost its slots to others.
+  std::chrono::seconds longest_pause{5};
   // How long no kept connection to a runner is used after a request to it went
   // without an answer for too long.
   std::chrono::seconds distrust{15};
@@ -91,23 +95,28 @@
   // Takes in the list. Runners that are no longer listed get nothing new.
   RequestActions SetRunners(const std::vector<ListedRunner>& listed,
                             base::TimePoint now);
-  // Sets the slots granted to this host, by runner.
+  // Sets the slots granted to this host, by runner. After a pause of this
+  // process nothing is sent until this was called again.
   RequestActions SetSlots(const std::map<std::string, std::uint32_t>& granted,
                           base::TimePoint now);
   RequestActions SetTerms(const std::map<std::string, TeamTerms>& terms,
                           base::TimePoint now);
-  // Refuses what waits and all that arrives from now on.
-  RequestActions Stop(base::TimePoint now);
+  // Refuses what waits under a key that is none of these.
+  RequestActions Withdraw(const std::set<std::string>& valid_keys,
+                          RefusalReason reason);
 
-  // Why a request arriving now would be refused, or nothing.
-  std::vector<Refusal> Preview(const RequestTicket& ticket,
-                               base::TimePoint now) const;
+  // How a request arriving now would be refused, or nothing.
+  std::optional<NotRun> Preview(const RequestTicket& ticket,
+                                base::TimePoint now);
 
   const Runners& AllRunners() const { return m_runners; }
-  std::map<std::string, AdmissionQueue::TeamCount> TeamCounts() const;
+  std::uint32_t TeamRunning(const std::string& team) const {
+    return m_queue.CountOf(team).running;
+  }
   std::size_t Waiting() const { return m_queue.Size() + m_retries.size(); }
   std::size_t Unfinished() const { return m_queue.Size() + m_flights.size(); }
   Demand TakeDemand();
+  bool Paused() const { return m_paused; }
 
  private:
   struct Try {
@@ -171,7 +180,8 @@
                    const std::string& team,
                    double cost);
   void RecordFailureAt(const std::string& runner, base::TimePoint now);
-  void NoteDemand();
+  void NoteDemand(const std::string& team);
+  void NoteTime(base::TimePoint now);
   static void Refuse(std::vector<Refusal> refusals, RequestActions& actions);
 
   DispatcherOptions m_options;
@@ -185,7 +195,8 @@
   std::vector<HeldSlot> m_held;
   base::Duration m_service_time;
   TryId m_next_try = 1;
-  bool m_stopping = false;
+  base::TimePoint m_last_seen{};  // When anything last came in.
+  bool m_paused = false;          // Slots may have been taken away since.
   Demand m_demand;
 };
 
--- /dev/null
+++ b/src/cassiastile/entry/credit_account.cpp
@@ -0,0 +1,130 @@
+#include "cassiastile/entry/credit_account.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiastile::entry {
+
+namespace {
+
+Grants LowerOf(const Grants& left, const Grants& right) {
+  Grants lower;
+  for (const auto& [resource, granted] : left) {
+    const auto found = right.find(resource);
+    if (found != right.end()) {
+      lower[resource] = std::min(granted, found->second);
+    }
+  }
+  return lower;
+}
+
+std::set<work::HolderName> HoldersOf(const work::LedgerRow& row) {
+  std::set<work::HolderName> holders;
+  for (const auto& [resource, ledger] : row) {
+    for (const auto& [holder, holding] : ledger.holdings) {
+      holders.insert(holder);
+    }
+  }
+  return holders;
+}
+
+// What came into use while the row was planned is not given back.
+void KeepInUse(work::LedgerRow& planned,
+               const work::LedgerRow& row,
+               const work::HolderName& holder,
+               const Grants& in_use) {
+  const Grants held = GrantsOf(row, holder);
+  for (const auto& [resource, used] : in_use) {
+    const auto granted = held.find(resource);
+    const std::uint32_t most = granted == held.end() ? 0 : granted->second;
+    const std::uint32_t kept = std::min(used, most);
+    if (kept > 0) {
+      work::Holding& holding = planned[resource].holdings[holder];
+      holding.granted = std::max(holding.granted, kept);
+    }
+  }
+}
+
+}  // namespace
+
+CreditAccount::CreditAccount(platform::Table& table,
+                             std::string key,
+                             work::HolderName holder,
+                             std::uint64_t seed)
+    : m_table(table),
+      m_key(std::move(key)),
+      m_holder(std::move(holder)),
+      m_random(seed) {}
+
+CreditStep CreditAccount::Step(CreditUser& user,
+                               const GoneFinder& find_gone,
+                               base::TimePoint now) {
+  if (!Resolve()) {
+    return CreditStep::kUnreachable;
+  }
+  const auto read = m_table.Get(m_key);
+  if (!read) {
+    return CreditStep::kUnreachable;
+  }
+  m_last_answer = now;
+  const std::string text = read->has_value() ? (*read)->value : "{}";
+  const std::uint64_t version = read->has_value() ? (*read)->version : 0;
+  const auto row = work::ParseLedgerRow(text);
+  if (!row) {
+    return CreditStep::kUnreachable;
+  }
+  work::LedgerRow planned = PlanRow(*row, m_holder, user.Needs(*row, now),
+                                    find_gone(HoldersOf(*row)));
+  if (!IsWorthWriting(*row, planned, m_holder)) {
+    user.Allow(GrantsOf(*row, m_holder), now);
+    return CreditStep::kUnchanged;
+  }
+  return Write(user, *row, version, std::move(planned), now);
+}
+
+CreditStep CreditAccount::Write(CreditUser& user,
+                                const work::LedgerRow& row,
+                                std::uint64_t version,
+                                work::LedgerRow planned,
+                                base::TimePoint now) {
+  const Grants held = GrantsOf(row, m_holder);
+  const Grants in_use =
+      user.Allow(LowerOf(held, GrantsOf(planned, m_holder)), now);
+  KeepInUse(planned, row, m_holder, in_use);
+  platform::Transaction transaction;
+  transaction.nonce = base::MakeId(m_random);
+  transaction.preconditions.push_back({m_key, version});
+  transaction.writes.push_back({m_key, work::FormatLedgerRow(planned)});
+  const auto commit = m_table.Apply(transaction);
+  if (commit) {
+    user.Allow(GrantsOf(planned, m_holder), now);
+    return CreditStep::kWritten;
+  }
+  switch (commit.error().code) {
+    case base::ErrorCode::kConflict:
+      return CreditStep::kConflict;
+    case base::ErrorCode::kUnavailable:
+      user.Allow(held, now);
+      return CreditStep::kUnreachable;
+    default:
+      m_unresolved = std::move(transaction);
+      return CreditStep::kUnreachable;
+  }
+}
+
+// Applies a write whose answer was lost once more under its nonce, which takes
+// effect once at most, until its outcome is known.
+bool CreditAccount::Resolve() {
+  if (!m_unresolved) {
+    return true;
+  }
+  const auto commit = m_table.Apply(*m_unresolved);
+  const bool known =
+      commit || commit.error().code == base::ErrorCode::kConflict;
+  if (known) {
+    m_unresolved.reset();
+  }
+  return known;
+}
+
+}  // namespace cassiastile::entry
--- /dev/null
+++ b/src/cassiastile/standin/backend_model.cpp
@@ -0,0 +1,237 @@
+#include "cassiastile/standin/backend_model.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace cassiastile::standin {
+
+namespace {
+
+constexpr std::chrono::microseconds kWay{1500};
+constexpr std::chrono::milliseconds kLateness{200};
+
+wire::HttpOutcome MakeFailure(wire::SendState state, bool timed_out) {
+  wire::HttpFailure failure;
+  failure.state = state;
+  failure.timed_out = timed_out;
+  return tl::unexpected(failure);
+}
+
+wire::HttpResponse MakeAnswer(const ModelCall& call) {
+  wire::HttpResponse response;
+  response.headers.emplace_back("X-Request-Id", call.request_id);
+  response.body = "answer to " + call.request;
+  return response;
+}
+
+// What the client sees when the work has ended under a fault.
+wire::HttpOutcome MakeOutcome(const ModelCall& call, BackendFault fault) {
+  wire::HttpResponse response = MakeAnswer(call);
+  switch (fault) {
+    case BackendFault::kNone:
+    case BackendFault::kOverLong:
+      return response;
+    case BackendFault::kCrossed:
+      response.headers.front().second = "of-another";
+      response.body = "answer to another";
+      return response;
+    case BackendFault::kUnframed:
+      response.framed = false;
+      response.body.resize(response.body.size() / 2);
+      return response;
+    case BackendFault::kRefuse:
+      return MakeFailure(wire::SendState::kNotSent, false);
+    case BackendFault::kStall:
+    case BackendFault::kLate:
+      return MakeFailure(wire::SendState::kMaybeSent, true);
+    case BackendFault::kDie:
+    case BackendFault::kShort:
+    case BackendFault::kChunkCut:
+    case BackendFault::kReset:
+    case BackendFault::kHeaderOnly:
+      return MakeFailure(wire::SendState::kMaybeSent, false);
+  }
+  return response;
+}
+
+}  // namespace
+
+BackendModel::BackendModel(std::uint64_t seed) : m_random(seed) {}
+
+ModelRunnerOptions& BackendModel::RunnerOptions(const std::string& runner) {
+  return m_runners[runner].options;
+}
+
+void BackendModel::Call(const ModelCall& call, base::TimePoint now) {
+  m_calls[call.id].call = call;
+  Schedule(now + kWay, EventKind::kArrive, call.id);
+  Schedule(call.timeout, EventKind::kTimeout, call.id);
+}
+
+base::TimePoint BackendModel::NextEvent() const {
+  return m_events.empty() ? base::TimePoint::max() : m_events.top().at;
+}
+
+std::vector<ModelCompletion> BackendModel::Advance(base::TimePoint until) {
+  std::vector<ModelCompletion> completions;
+  while (!m_events.empty() && m_events.top().at <= until) {
+    const Event event = m_events.top();
+    m_events.pop();
+    Handle(event, completions);
+  }
+  return completions;
+}
+
+void BackendModel::Schedule(base::TimePoint at,
+                            EventKind kind,
+                            std::uint64_t id) {
+  m_events.push({at, m_order++, kind, id});
+}
+
+void BackendModel::Handle(const Event& event,
+                          std::vector<ModelCompletion>& completions) {
+  if (!m_calls.contains(event.id)) {
+    return;
+  }
+  switch (event.kind) {
+    case EventKind::kArrive:
+      Arrive(event.id, event.at, completions);
+      return;
+    case EventKind::kCut:
+      Cut(event.id, event.at, completions);
+      return;
+    case EventKind::kEnd:
+      EndWork(event.id, event.at, completions);
+      return;
+    case EventKind::kTimeout:
+      TimeOut(event.id, event.at, completions);
+      return;
+  }
+}
+
+void BackendModel::Arrive(std::uint64_t id,
+                          base::TimePoint now,
+                          std::vector<ModelCompletion>& completions) {
+  ActiveCall& active = m_calls[id];
+  RunnerState& runner = m_runners[active.call.runner];
+  const ModelRunnerOptions& options = runner.options;
+  active.fault = options.stalled ? BackendFault::kStall : DrawFault(options);
+  if (options.refuses || active.fault == BackendFault::kRefuse) {
+    completions.push_back(
+        {id, now + kWay, MakeFailure(wire::SendState::kNotSent, false)});
+    Forget(id);
+    return;
+  }
+  const bool swallowed =
+      !active.call.fresh_connection && now < options.kept_silent_until;
+  if (swallowed) {
+    return;
+  }
+  if (runner.working < options.slots) {
+    StartWork(id, now);
+    return;
+  }
+  ++m_over_limit;
+  active.queued = true;
+  runner.queue.push_back(id);
+}
+
+void BackendModel::StartWork(std::uint64_t id, base::TimePoint now) {
+  ActiveCall& active = m_calls[id];
+  RunnerState& runner = m_runners[active.call.runner];
+  active.queued = false;
+  active.working = true;
+  ++runner.working;
+  m_log.push_back({active.call.request, active.call.runner, now});
+  if (active.fault == BackendFault::kStall) {
+    return;
+  }
+  const auto mean = std::chrono::duration<double>(runner.options.mean_service);
+  std::exponential_distribution<double> draw(1.0 / mean.count());
+  base::Duration length = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(draw(m_random)));
+  if (active.fault == BackendFault::kLate) {
+    length = active.call.timeout - now + kLateness;
+  }
+  if (active.fault == BackendFault::kReset) {
+    Schedule(now + length / 2, EventKind::kCut, id);
+  }
+  Schedule(now + length, EventKind::kEnd, id);
+}
+
+// The connection breaks while the work goes on.
+void BackendModel::Cut(std::uint64_t id,
+                       base::TimePoint now,
+                       std::vector<ModelCompletion>& completions) {
+  ActiveCall& active = m_calls[id];
+  if (!active.answered) {
+    active.answered = true;
+    completions.push_back(
+        {id, now + kWay, MakeOutcome(active.call, active.fault)});
+  }
+}
+
+void BackendModel::EndWork(std::uint64_t id,
+                           base::TimePoint now,
+                           std::vector<ModelCompletion>& completions) {
+  const ActiveCall& active = m_calls[id];
+  RunnerState& runner = m_runners[active.call.runner];
+  if (!active.answered) {
+    completions.push_back(
+        {id, now + kWay, MakeOutcome(active.call, active.fault)});
+  }
+  Forget(id);
+  FreeSlot(runner, now);
+}
+
+// The client gives up. The runner stops too when it was told to; else it goes
+// on with what it has.
+void BackendModel::TimeOut(std::uint64_t id,
+                           base::TimePoint now,
+                           std::vector<ModelCompletion>& completions) {
+  ActiveCall& active = m_calls[id];
+  RunnerState& runner = m_runners[active.call.runner];
+  if (!active.answered) {
+    completions.push_back(
+        {id, now, MakeFailure(wire::SendState::kMaybeSent, true)});
+  }
+  active.answered = true;
+  const bool working = active.working;
+  const bool stops = active.call.tells_stop || (!working && !active.queued);
+  if (!stops) {
+    return;
+  }
+  if (active.queued) {
+    std::erase(runner.queue, id);
+  }
+  Forget(id);
+  if (working) {
+    FreeSlot(runner, now);
+  }
+}
+
+void BackendModel::FreeSlot(RunnerState& runner, base::TimePoint now) {
+  --runner.working;
+  if (!runner.queue.empty()) {
+    const std::uint64_t next = runner.queue.front();
+    runner.queue.pop_front();
+    StartWork(next, now);
+  }
+}
+
+BackendFault BackendModel::DrawFault(const ModelRunnerOptions& options) {
+  double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+  for (const auto& [fault, part] : options.faults) {
+    if (draw < part) {
+      return fault;
+    }
+    draw -= part;
+  }
+  return BackendFault::kNone;
+}
+
+void BackendModel::Forget(std::uint64_t id) {
+  m_calls.erase(id);
+}
+
+}  // namespace cassiastile::standin
--- a/src/cassiastile/work/admission.cpp
+++ b/src/cassiastile/work/admission.cpp
@@ -76,6 +76,17 @@
   return refusals;
 }
 
+std::optional<RefusalReason> AdmissionQueue::Preview(
+    const RequestTicket& ticket,
+    const ServiceRate& rate,
+    base::TimePoint now) const {
+  static const TeamQueue kNewTeam;
+  const auto found = m_teams.find(ticket.team);
+  const TeamQueue& team = found == m_teams.end() ? kNewTeam : found->second;
+  const std::size_t ahead = ticket.urgent ? team.urgent.size() : team.Queued();
+  return FindObjection(team, ahead, ticket, rate, now);
+}
+
 std::optional<RequestTicket> AdmissionQueue::TakeNext() {
   AdvanceVirtualTime();
   TeamQueue* team = FindNext();
@@ -87,6 +98,7 @@
   queue.pop_front();
   --m_size;
   ++team->running;
+  ++m_running;
   team->virtual_time += 1.0 / std::max(1U, team->terms.weight);
   return ticket;
 }
@@ -97,6 +109,7 @@
     return false;
   }
   ++queue.running;
+  ++m_running;
   queue.virtual_time += 1.0 / std::max(1U, queue.terms.weight);
   return true;
 }
@@ -104,7 +117,8 @@
 void AdmissionQueue::Release(const std::string& team, double cost) {
   constexpr double kMostCost = 20;
   TeamQueue& queue = m_teams[team];
-  queue.running -= queue.running > 0 ? 1 : 0;
+  --queue.running;
+  --m_running;
   const double correction = std::clamp(cost, 0.0, kMostCost) - 1;
   queue.virtual_time += correction / std::max(1U, queue.terms.weight);
 }
@@ -133,19 +147,21 @@
   return refusals;
 }
 
-std::vector<Refusal> AdmissionQueue::Clear(RefusalReason reason,
-                                           const ServiceRate& rate,
-                                           base::Random& random) {
+std::vector<Refusal> AdmissionQueue::TakeOut(const Condition& condition,
+                                             RefusalReason reason,
+                                             const ServiceRate& rate,
+                                             base::Random& random) {
   std::vector<Refusal> refusals;
   for (auto& [name, team] : m_teams) {
     for (std::deque<RequestTicket>* queue : {&team.urgent, &team.normal}) {
       for (const RequestTicket& ticket : *queue) {
-        refusals.push_back(Refuse(ticket, reason, rate, random));
+        if (condition(ticket)) {
+          refusals.push_back(Refuse(ticket, reason, rate, random));
+        }
       }
-      queue->clear();
+      m_size -= std::erase_if(*queue, condition);
     }
   }
-  m_size = 0;
   return refusals;
 }
 
@@ -169,6 +185,16 @@
   return counts;
 }
 
+AdmissionQueue::TeamCount AdmissionQueue::CountOf(
+    const std::string& team) const {
+  const auto found = m_teams.find(team);
+  if (found == m_teams.end()) {
+    return {};
+  }
+  return {static_cast<std::uint32_t>(found->second.Queued()),
+          found->second.running};
+}
+
 // The virtual time is that of the waiting team furthest behind.
 void AdmissionQueue::AdvanceVirtualTime() {
   double least = std::numeric_limits<double>::infinity();
--- a/src/cassiastile/work/request_dispatcher.cpp
+++ b/src/cassiastile/work/request_dispatcher.cpp
@@ -32,33 +32,28 @@
 RequestActions RequestDispatcher::Arrive(const RequestTicket& ticket,
                                          base::TimePoint now) {
   RequestActions actions;
-  if (m_stopping) {
-    actions.emplace_back(
-        FinishRequest{ticket, NotRun{RefusalReason::kStopping,
-                                     m_options.admission.min_retry_after, ""}});
-    return actions;
-  }
+  NoteTime(now);
   Refuse(m_queue.Offer(ticket, Rate(), now, m_random), actions);
-  NoteDemand();
+  NoteDemand(ticket.team);
   Dispatch(now, actions);
   return actions;
 }
 
-std::vector<Refusal> RequestDispatcher::Preview(const RequestTicket& ticket,
-                                                base::TimePoint now) const {
-  AdmissionQueue queue = m_queue;
-  base::Random random = m_random;
-  std::vector<Refusal> refusals = queue.Offer(ticket, Rate(), now, random);
-  std::erase_if(refusals, [&ticket](const Refusal& refusal) {
-    return refusal.ticket.id != ticket.id;
-  });
-  return refusals;
+std::optional<NotRun> RequestDispatcher::Preview(const RequestTicket& ticket,
+                                                 base::TimePoint now) {
+  const ServiceRate rate = Rate();
+  const auto reason = m_queue.Preview(ticket, rate, now);
+  if (!reason) {
+    return std::nullopt;
+  }
+  return NotRun{*reason, m_queue.DrawRetryAfter(rate, m_random), ""};
 }
 
 RequestActions RequestDispatcher::EndTry(TryId try_id,
                                          TryResult result,
                                          base::TimePoint now) {
   RequestActions actions;
+  NoteTime(now);
   const auto found = m_tries.find(try_id);
   if (found == m_tries.end()) {
     return actions;
@@ -94,6 +89,7 @@
 
 RequestActions RequestDispatcher::Tick(base::TimePoint now) {
   RequestActions actions;
+  NoteTime(now);
   ReleaseHeld(now);
   Hedge(now);
   EjectSlow(m_runners, m_options.routing, now);
@@ -104,7 +100,6 @@
   Dispatch(now, actions);
   FinishOverdue(now, actions);
   Refuse(m_queue.GiveUp(Rate(), now, m_random), actions);
-  NoteDemand();
   return actions;
 }
 
@@ -144,6 +139,8 @@
 RequestActions RequestDispatcher::SetSlots(
     const std::map<std::string, std::uint32_t>& granted,
     base::TimePoint now) {
+  m_paused = false;
+  m_last_seen = now;
   for (Runner& runner : m_runners) {
     const auto found = granted.find(runner.name);
     runner.granted = found == granted.end() ? 0 : found->second;
@@ -164,22 +161,24 @@
   return actions;
 }
 
-RequestActions RequestDispatcher::Stop(base::TimePoint) {
-  m_stopping = true;
+RequestActions RequestDispatcher::Withdraw(
+    const std::set<std::string>& valid_keys,
+    RefusalReason reason) {
+  const auto withdrawn = [&valid_keys](const RequestTicket& ticket) {
+    return !ticket.key_id.empty() && !valid_keys.contains(ticket.key_id);
+  };
   RequestActions actions;
-  Refuse(m_queue.Clear(RefusalReason::kStopping, Rate(), m_random), actions);
+  Refuse(m_queue.TakeOut(withdrawn, reason, Rate(), m_random), actions);
   return actions;
 }
 
-std::map<std::string, AdmissionQueue::TeamCount> RequestDispatcher::TeamCounts()
-    const {
-  return m_queue.Counts();
-}
-
 Demand RequestDispatcher::TakeDemand() {
-  NoteDemand();
   Demand demand = std::exchange(m_demand, Demand{});
-  NoteDemand();
+  for (const auto& [team, count] : m_queue.Counts()) {
+    if (count.queued + count.running > 0) {
+      NoteDemand(team);
+    }
+  }
   return demand;
 }
 
@@ -207,6 +206,9 @@
 }
 
 void RequestDispatcher::Dispatch(base::TimePoint now, RequestActions& actions) {
+  if (m_paused) {
+    return;
+  }
   DispatchRetries(now, actions);
   while (HasFreeSlot()) {
     const std::optional<RequestTicket> ticket = m_queue.TakeNext();
@@ -438,15 +440,19 @@
   }
 }
 
-void RequestDispatcher::NoteDemand() {
-  std::uint32_t requests = static_cast<std::uint32_t>(m_retries.size());
-  for (const auto& [team, count] : m_queue.Counts()) {
-    const std::uint32_t wanted = count.queued + count.running;
-    std::uint32_t& most = m_demand.by_team[team];
-    most = std::max(most, wanted);
-    requests += wanted;
-  }
-  m_demand.requests = std::max(m_demand.requests, requests);
+void RequestDispatcher::NoteDemand(const std::string& team) {
+  const AdmissionQueue::TeamCount count = m_queue.CountOf(team);
+  std::uint32_t& most = m_demand.by_team[team];
+  most = std::max(most, count.queued + count.running);
+  const auto waiting = static_cast<std::uint32_t>(Waiting());
+  m_demand.requests = std::max(m_demand.requests, waiting + m_queue.Running());
+}
+
+void RequestDispatcher::NoteTime(base::TimePoint now) {
+  const bool first = m_last_seen == base::TimePoint{};
+  m_paused =
+      m_paused || (!first && now - m_last_seen > m_options.longest_pause);
+  m_last_seen = now;
 }
 
 void RequestDispatcher::Refuse(std::vector<Refusal> refusals,
