Add the pure core of membership

Members ping each other over UDP; an acknowledgement carries what its sender knows of the head and of every listed member, each with an age that the receiver bounds by the time of its own ping, so that late and replayed packets can only understate freshness. A version may be acted on while it was known to be the head at most 2 s ago: from a read of the table, from a peer's read, or from a majority that all agreed. No version is committed before a majority has promised it.

--- /dev/null
+++ b/src/cassiastile/member/membership_receive.cpp
@@ -0,0 +1,262 @@
+#include <algorithm>
+#include <utility>
+
+#include "cassiastile/member/membership.hpp"
+
+namespace cassiastile::member {
+
+namespace {
+
+constexpr std::size_t kRecordsPerAck = 2;
+// More prepares than this under way at once are not promised.
+constexpr std::size_t kMaxPromises = 16;
+
+std::uint8_t PackAge(const std::optional<base::TimePoint>& time,
+                     base::TimePoint now) {
+  if (!time) {
+    return kAgeUnknown;
+  }
+  const auto units = base::Milliseconds(now - *time) / kAgeUnitMilliseconds + 1;
+  return static_cast<std::uint8_t>(std::min<std::int64_t>(units, kAgeUnknown));
+}
+
+base::Duration UnpackAge(std::uint8_t units) {
+  return std::chrono::milliseconds(units * kAgeUnitMilliseconds);
+}
+
+void RaiseTo(std::optional<base::TimePoint>& time, base::TimePoint to) {
+  if (!time || *time < to) {
+    time = to;
+  }
+}
+
+}  // namespace
+
+Message Membership::MakeMessage(MessageKind kind, base::TimePoint now) {
+  Message message;
+  message.kind = kind;
+  message.sender = m_options.self.name;
+  message.incarnation = m_options.self.incarnation;
+  message.sequence = ++m_sequence;
+  message.head = m_head;
+  message.in_force = m_in_force;
+  message.reaches_store = m_reaches_store;
+  message.agrees = Agrees(now);
+  message.list_hash = m_list_hash;
+  return message;
+}
+
+std::string Membership::Encode(const Message& message) const {
+  return EncodeMessage(message, m_options.secret);
+}
+
+Message Membership::MakeAck(const Message& ping,
+                            base::TimePoint now,
+                            base::Random& random) {
+  Message ack = MakeMessage(MessageKind::kAck, now);
+  ack.echo = ping.sequence;
+  if (m_head_read_at) {
+    const std::int64_t age = base::Milliseconds(now - *m_head_read_at) + 1;
+    ack.store_age = static_cast<std::uint16_t>(
+        std::min<std::int64_t>(age, kStoreAgeUnknown));
+  }
+  AddStatements(ack, now);
+  AddRecords(ack, random);
+  return ack;
+}
+
+void Membership::AddStatements(Message& message, base::TimePoint now) const {
+  for (const MemberRecord& record : m_list) {
+    MemberStatement statement{kAgeUnknown, kAgeUnknown, false};
+    const auto found = m_peers.find(record.name);
+    if (found != m_peers.end()) {
+      statement.heard_age = PackAge(found->second.heard_at, now);
+      statement.agreed_age = PackAge(found->second.agreed_at, now);
+      statement.in_force = found->second.in_force >= m_head.version;
+    }
+    message.statements.push_back(statement);
+  }
+}
+
+void Membership::AddRecords(Message& message, base::Random& random) const {
+  message.records.push_back(m_options.self);
+  if (m_peers.empty()) {
+    return;
+  }
+  for (std::size_t i = 0; i < kRecordsPerAck; ++i) {
+    const auto index = static_cast<std::ptrdiff_t>(random() % m_peers.size());
+    message.records.push_back(std::next(m_peers.begin(), index)->second.record);
+  }
+}
+
+void Membership::Count(PacketFault fault) {
+  ++m_faults.at(static_cast<std::size_t>(fault));
+}
+
+std::vector<Datagram> Membership::Receive(std::string_view datagram,
+                                          const std::string& from,
+                                          base::TimePoint now,
+                                          base::Random& random) {
+  ++m_received;
+  const auto message = DecodeMessage(datagram, m_options.secret);
+  if (!message) {
+    Count(message.error());
+    return {};
+  }
+  if (message->sender == m_options.self.name) {
+    m_refused |= message->incarnation > m_options.self.incarnation;
+    Count(PacketFault::kReplayed);
+    return {};
+  }
+  if (!IsCurrentIncarnation(*message)) {
+    Count(PacketFault::kOldIncarnation);
+    Message refused = MakeMessage(MessageKind::kRefused, now);
+    refused.echo = m_peers.at(message->sender).record.incarnation;
+    return {{from, Encode(refused)}};
+  }
+  return Answer(*message, from, now, random);
+}
+
+std::vector<Datagram> Membership::Answer(const Message& message,
+                                         const std::string& from,
+                                         base::TimePoint now,
+                                         base::Random& random) {
+  if (message.kind == MessageKind::kAck) {
+    const auto as_of = TakePing(message.echo);
+    if (!as_of) {
+      Count(PacketFault::kReplayed);
+      return {};
+    }
+    for (const MemberRecord& record : message.records) {
+      LearnRecord(record, now);
+    }
+    LearnHead(message.head, now);
+    LearnAck(message, *as_of);
+    return {};
+  }
+  for (const MemberRecord& record : message.records) {
+    LearnRecord(record, now);
+  }
+  if (!IsInOrder(message)) {
+    Count(PacketFault::kReplayed);
+    return {};
+  }
+  LearnHead(message.head, now);
+  switch (message.kind) {
+    case MessageKind::kPing:
+      return {{from, Encode(MakeAck(message, now, random))}};
+    case MessageKind::kPrepare:
+      return {{from, Encode(AnswerPrepare(message, now))}};
+    case MessageKind::kPromise:
+      if (m_proposal && m_proposal->id == message.promise_id) {
+        m_proposal->promised.insert(message.sender);
+      }
+      return {};
+    case MessageKind::kAbort:
+      m_promises.erase(message.promise_id);
+      return {};
+    case MessageKind::kRefused:
+      m_refused |= message.echo > m_options.self.incarnation;
+      return {};
+    case MessageKind::kAck:
+      break;
+  }
+  return {};
+}
+
+Message Membership::AnswerPrepare(const Message& prepare, base::TimePoint now) {
+  const bool room = m_promises.size() < kMaxPromises ||
+                    m_promises.contains(prepare.promise_id);
+  if (prepare.promise_version > m_head.version && room) {
+    m_promises[prepare.promise_id] = prepare.promise_version;
+  }
+  Message promise = MakeMessage(MessageKind::kPromise, now);
+  if (m_promises.contains(prepare.promise_id)) {
+    promise.promise_version = prepare.promise_version;
+    promise.promise_id = prepare.promise_id;
+  }
+  return promise;
+}
+
+bool Membership::IsCurrentIncarnation(const Message& message) {
+  const auto found = m_peers.find(message.sender);
+  return found == m_peers.end() ||
+         message.incarnation >= found->second.record.incarnation;
+}
+
+// Messages other than answers count only once and in the order sent.
+bool Membership::IsInOrder(const Message& message) {
+  const auto found = m_peers.find(message.sender);
+  if (found == m_peers.end()) {
+    return true;
+  }
+  Peer& peer = found->second;
+  if (message.incarnation > peer.record.incarnation) {
+    peer.record.incarnation = message.incarnation;
+    peer.last_sequence = 0;
+    peer.in_force = 0;
+  }
+  if (message.sequence <= peer.last_sequence) {
+    return false;
+  }
+  peer.last_sequence = message.sequence;
+  return true;
+}
+
+std::optional<base::TimePoint> Membership::TakePing(std::uint64_t sequence) {
+  const auto found = m_pings.find(sequence);
+  if (found == m_pings.end()) {
+    return std::nullopt;
+  }
+  const base::TimePoint sent_at = found->second.sent_at;
+  m_pings.erase(found);
+  return sent_at;
+}
+
+void Membership::LearnAck(const Message& ack, base::TimePoint as_of) {
+  const auto found = m_peers.find(ack.sender);
+  if (found != m_peers.end()) {
+    Peer& peer = found->second;
+    RaiseTo(peer.heard_at, as_of);
+    peer.in_force = std::max(peer.in_force, ack.in_force);
+    if (ack.head == m_head && ack.agrees) {
+      RaiseTo(peer.agreed_at, as_of);
+    }
+  }
+  LearnStoreAge(ack, as_of);
+  LearnStatements(ack, as_of);
+}
+
+void Membership::LearnStoreAge(const Message& ack, base::TimePoint as_of) {
+  if (ack.head == m_head && ack.store_age != kStoreAgeUnknown) {
+    RaiseTo(m_head_read_at, as_of - std::chrono::milliseconds(ack.store_age));
+  }
+}
+
+void Membership::LearnStatements(const Message& ack, base::TimePoint as_of) {
+  if (ack.list_hash != m_list_hash || ack.statements.size() != m_list.size()) {
+    return;
+  }
+  for (std::size_t i = 0; i < m_list.size(); ++i) {
+    const auto found = m_peers.find(m_list[i].name);
+    if (found == m_peers.end()) {
+      continue;
+    }
+    Peer& peer = found->second;
+    const MemberStatement& statement = ack.statements[i];
+    if (statement.heard_age != kAgeUnknown) {
+      RaiseTo(peer.heard_at, as_of - UnpackAge(statement.heard_age));
+    }
+    if (ack.head != m_head) {
+      continue;
+    }
+    if (statement.agreed_age != kAgeUnknown) {
+      RaiseTo(peer.agreed_at, as_of - UnpackAge(statement.agreed_age));
+    }
+    if (statement.in_force) {
+      peer.in_force = std::max(peer.in_force, m_head.version);
+    }
+  }
+}
+
+}  // namespace cassiastile::member
--- /dev/null
+++ b/src/cassiastile/member/membership_test.cpp
@@ -0,0 +1,251 @@
+#include "cassiastile/member/membership.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "cassiastile/member/virtual_fleet.hpp"
+
+namespace cassiastile::member {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr NetworkFaults kBadNetwork{0.1, 0.05, milliseconds(1),
+                                    milliseconds(40)};
+constexpr std::uint64_t kSeed = 11;
+
+class FleetTest : public ::testing::Test {
+ protected:
+  // A fleet that knows itself and has version 1 in force.
+  void SetUp() override {
+    AddFleet(m_network, {});
+    CommitVersion(m_network, 1);
+    m_network.Run(seconds(20));
+  }
+
+  std::size_t CountFresh() {
+    const std::vector<std::string> names = m_network.Names();
+    return static_cast<std::size_t>(std::count_if(
+        names.begin(), names.end(), [this](const std::string& name) {
+          return m_network.At(name).IsFresh(m_network.Now());
+        }));
+  }
+
+  MemberState StateSeenBy(const std::string& observer, const std::string& of) {
+    for (const MemberView& view :
+         m_network.At(observer).Members(m_network.Now())) {
+      if (view.record.name == of) {
+        return view.state;
+      }
+    }
+    return MemberState::kDead;
+  }
+
+  // Runs a prepare at a member; true when a majority promised.
+  bool PrepareAt(const std::string& name, std::uint64_t version) {
+    m_network.At(name).Prepare(version, kPromiseId);
+    m_network.RunUntil(seconds(2),
+                       [&] { return m_network.At(name).IsPrepared(); });
+    return m_network.At(name).IsPrepared();
+  }
+
+  // Puts members in a group of their own with no way to the store.
+  void CutOff(const std::vector<std::string>& names) {
+    std::map<std::string, int> groups;
+    for (const std::string& name : names) {
+      groups[name] = 1;
+      m_network.Store().cut_off.insert(name);
+    }
+    m_network.Partition(groups);
+  }
+
+  static constexpr std::uint64_t kPromiseId = 77;
+  VirtualNetwork m_network{kSeed, kBadNetwork};
+};
+
+TEST_F(FleetTest, AllJoinAndAreFreshOnABadNetwork) {
+  EXPECT_TRUE(IsInForceEverywhere(m_network, 1));
+  EXPECT_EQ(CountFresh(), 14U);
+  for (const std::string& name : m_network.Names()) {
+    EXPECT_EQ(m_network.At(name).Members(m_network.Now()).size(), 14U);
+  }
+}
+
+TEST_F(FleetTest, AcceptedVersionIsInForceEverywhereWithinThreeSeconds) {
+  for (std::uint64_t version = 2; version < 12; ++version) {
+    CommitVersion(m_network, version);
+    m_network.Run(seconds(3));
+    EXPECT_TRUE(IsInForceEverywhere(m_network, version));
+  }
+}
+
+TEST_F(FleetTest, NewVersionSpreadsByPeersWhereMostLostTheStore) {
+  for (const std::string& name : m_network.Names()) {
+    m_network.Store().cut_off.insert(name);
+  }
+  m_network.Store().cut_off.erase("h00-1");
+  CommitVersion(m_network, 2);
+  m_network.Run(seconds(4));
+  EXPECT_TRUE(IsInForceEverywhere(m_network, 2));
+  EXPECT_EQ(CountFresh(), 14U);
+}
+
+TEST_F(FleetTest, GoesOnThroughAStoreOutage) {
+  m_network.Store().down = true;
+  for (int i = 0; i < 60; ++i) {
+    m_network.Run(seconds(1));
+    EXPECT_EQ(CountFresh(), 14U) << "second " << i;
+  }
+}
+
+TEST_F(FleetTest, MinorityWithoutStoreStopsWithinFreshness) {
+  CutOff({"h00-0", "h00-1", "h01-0", "h01-1", "h02-0", "h02-1"});
+  m_network.Run(milliseconds(2100));
+  EXPECT_EQ(CountFresh(), 8U);
+}
+
+TEST_F(FleetTest, PreparedVersionStopsAMajorityThatMissesTheCommit) {
+  ASSERT_TRUE(PrepareAt("h06-1", 2));
+  // The proposer alone keeps the store; it commits and is never heard again.
+  std::vector<std::string> others = m_network.Names();
+  std::erase(others, "h06-1");
+  CutOff(others);
+  CommitVersion(m_network, 2);
+  m_network.Run(milliseconds(2100));
+  for (const std::string& name : others) {
+    EXPECT_FALSE(m_network.At(name).IsFresh(m_network.Now())) << name;
+  }
+}
+
+TEST_F(FleetTest, WithdrawnPrepareLetsTheMajorityGoOn) {
+  ASSERT_TRUE(PrepareAt("h06-1", 2));
+  m_network.At("h06-1").Withdraw(m_network.Now());
+  m_network.Run(seconds(1));
+  m_network.Store().down = true;
+  m_network.Run(seconds(10));
+  EXPECT_GE(CountFresh(), 13U);
+}
+
+TEST_F(FleetTest, MinorityCannotPrepare) {
+  CutOff({"h00-0", "h00-1", "h01-0", "h01-1", "h02-0", "h02-1"});
+  m_network.Run(seconds(1));
+  EXPECT_FALSE(PrepareAt("h00-1", 2));
+}
+
+TEST_F(FleetTest, RestartFromNothingInAnOutageLearnsFromPeers) {
+  m_network.Store().down = true;
+  m_network.Run(seconds(5));
+  m_network.Restart("h03-0");
+  EXPECT_FALSE(m_network.At("h03-0").IsFresh(m_network.Now()) &&
+               m_network.At("h03-0").InForce() > 0);
+  m_network.Run(seconds(5));
+  EXPECT_EQ(m_network.At("h03-0").InForce(), 1U);
+  EXPECT_TRUE(m_network.At("h03-0").IsFresh(m_network.Now()));
+}
+
+TEST_F(FleetTest, RestartedMemberDoesNotSpeakForTheHeadAtOnce) {
+  ASSERT_TRUE(PrepareAt("h06-1", 2));
+  // All that promised forget it, and then the store is lost to them.
+  std::vector<std::string> others = m_network.Names();
+  std::erase(others, "h06-1");
+  for (const std::string& name : others) {
+    m_network.Restart(name);
+  }
+  m_network.Run(seconds(1));
+  CutOff(others);
+  CommitVersion(m_network, 2);
+  m_network.Run(seconds(3));
+  for (const std::string& name : others) {
+    EXPECT_FALSE(m_network.At(name).IsFresh(m_network.Now())) << name;
+  }
+}
+
+TEST_F(FleetTest, NeverReverts) {
+  CommitVersion(m_network, 2);
+  m_network.Run(seconds(3));
+  CommitVersion(m_network, 1);  // A table that was put back to an older state.
+  m_network.Run(seconds(5));
+  for (const std::string& name : m_network.Names()) {
+    EXPECT_EQ(m_network.At(name).InForce(), 2U);
+  }
+}
+
+TEST_F(FleetTest, SuspectsBeforeDeath) {
+  m_network.Stop("h05-0");
+  m_network.Run(milliseconds(5500));
+  EXPECT_EQ(StateSeenBy("h00-0", "h05-0"), MemberState::kSuspect);
+  m_network.Run(seconds(6));
+  EXPECT_EQ(StateSeenBy("h00-0", "h05-0"), MemberState::kDead);
+  EXPECT_EQ(StateSeenBy("h00-0", "h04-0"), MemberState::kAlive);
+  m_network.Resume("h05-0");
+  m_network.Run(seconds(10));
+  EXPECT_EQ(StateSeenBy("h00-0", "h05-0"), MemberState::kAlive);
+}
+
+TEST_F(FleetTest, OldIncarnationIsRefused) {
+  // A process is paused, replaced under its name, and goes on.
+  const std::vector<MemberRecord> records = m_network.Records();
+  const auto old = std::find_if(
+      records.begin(), records.end(),
+      [](const MemberRecord& record) { return record.name == "h02-0"; });
+  MembershipOptions options;
+  options.self = *old;
+  options.secret = "virtual fleet";
+  options.seeds = {"10.0.0.1:7400"};
+  Membership paused(options, m_network.Now());
+  m_network.Restart("h02-0");
+  m_network.Run(seconds(5));
+  base::Random random(kSeed);
+  const auto actions = paused.Tick(m_network.Now(), random);
+  ASSERT_FALSE(actions.datagrams.empty());
+  const auto answers = m_network.At("h00-0").Receive(actions.datagrams[0].bytes,
+                                                     options.self.address,
+                                                     m_network.Now(), random);
+  ASSERT_EQ(answers.size(), 1U);
+  static_cast<void>(paused.Receive(answers[0].bytes, "10.0.0.1:7400",
+                                   m_network.Now(), random));
+  EXPECT_TRUE(paused.IsRefused());
+  EXPECT_FALSE(paused.IsFresh(m_network.Now()));
+  EXPECT_TRUE(paused.Tick(m_network.Now(), random).datagrams.empty());
+}
+
+TEST_F(FleetTest, ReplayedDatagramsAreCountedAndChangeNothing) {
+  const auto before = m_network.At("h00-0").Faults();
+  std::uint64_t injected = 0;
+  for (const Datagram& datagram : m_network.Captured()) {
+    if (datagram.to == "10.0.0.1:7400") {
+      m_network.Inject("h00-0", datagram.bytes);
+      ++injected;
+    }
+  }
+  ASSERT_GT(injected, 0U);
+  const auto index = static_cast<std::size_t>(PacketFault::kReplayed);
+  EXPECT_EQ(m_network.At("h00-0").Faults().at(index) - before.at(index),
+            injected);
+}
+
+TEST_F(FleetTest, WrongSeedsDoNoHarm) {
+  m_network.At("h00-0").SetSeeds({"10.9.9.9:1", "nonsense", ""});
+  m_network.Run(seconds(5));
+  EXPECT_TRUE(m_network.At("h00-0").IsFresh(m_network.Now()));
+}
+
+TEST(FleetBytesTest, StaysUnderTheBudgetAtFullSize) {
+  VirtualNetwork network(kSeed, {});
+  AddFleet(network, {54, 18, 2});
+  CommitVersion(network, 1);
+  network.Run(seconds(10));
+  const std::uint64_t before =
+      network.BytesSent("h10-0") + network.BytesSent("h10-1");
+  constexpr std::uint64_t kSeconds = 10;
+  constexpr std::uint64_t kBudget = 11000;
+  network.Run(seconds(kSeconds));
+  const std::uint64_t after =
+      network.BytesSent("h10-0") + network.BytesSent("h10-1");
+  EXPECT_LT((after - before) / kSeconds, kBudget);
+}
+
+}  // namespace
+}  // namespace cassiastile::member
--- /dev/null
+++ b/src/cassiastile/member/membership_tick.cpp
@@ -0,0 +1,215 @@
+#include <algorithm>
+#include <utility>
+
+#include "cassiastile/member/membership.hpp"
+
+namespace cassiastile::member {
+
+namespace {
+
+// One ping in this many goes to the own availability zone.
+constexpr std::uint64_t kOwnZoneEvery = 4;
+// One ping round in this many also tries an address from the settings or the
+// host list that no known member has.
+constexpr std::uint64_t kSeedEvery = 5;
+// The most peers offered for one pull of a body.
+constexpr std::size_t kMaxPullPeers = 3;
+// Reads are spread by up to this part of their period.
+constexpr std::uint64_t kJitterDivisor = 5;
+
+base::Duration Jitter(base::Duration period, base::Random& random) {
+  const auto range =
+      static_cast<std::uint64_t>(base::Milliseconds(period)) / kJitterDivisor;
+  return std::chrono::milliseconds(random() % (range + 1));
+}
+
+template <typename Value>
+const Value& PickOne(const std::vector<Value>& values, base::Random& random) {
+  return values[random() % values.size()];
+}
+
+}  // namespace
+
+MemberActions Membership::Tick(base::TimePoint now, base::Random& random) {
+  MemberActions actions;
+  if (m_refused) {
+    return actions;
+  }
+  AddPings(actions, now, random);
+  AddPrepares(actions, now);
+  AddSpread(actions, now);
+  AddReads(actions, now, random);
+  AddPull(actions, now, random);
+  return actions;
+}
+
+void Membership::AddPings(MemberActions& actions,
+                          base::TimePoint now,
+                          base::Random& random) {
+  if (now < m_next_ping) {
+    return;
+  }
+  m_next_ping = now + m_options.times.ping_period -
+                Jitter(m_options.times.ping_period, random) / 2;
+  ++m_ticks;
+  ForgetOldPings(now);
+  const bool same_zone = m_ticks % kOwnZoneEvery == 0;
+  std::vector<std::string> names = PingCandidates(same_zone, now);
+  if (names.empty()) {
+    names = PingCandidates(!same_zone, now);
+  }
+  if (!names.empty()) {
+    Peer& peer = m_peers.at(PickOne(names, random));
+    peer.pinged_at = now;
+    AddPing(actions, peer.record.address, !peer.heard_at, now);
+  }
+  AddSeedPing(actions, now, random);
+  AddSuspectPings(actions, now);
+}
+
+std::vector<std::string> Membership::PingCandidates(bool same_zone,
+                                                    base::TimePoint now) const {
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : m_peers) {
+    const bool in_zone = peer.record.zone == m_options.self.zone;
+    const bool reachable = StateOf(peer, now) != MemberState::kDead;
+    if (in_zone == same_zone && reachable && !peer.record.address.empty()) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void Membership::AddPing(MemberActions& actions,
+                         const std::string& address,
+                         bool introduce,
+                         base::TimePoint now) {
+  Message ping = MakeMessage(MessageKind::kPing, now);
+  if (introduce) {
+    ping.records.push_back(m_options.self);
+  }
+  m_pings[ping.sequence] = Ping{address, now};
+  actions.datagrams.push_back({address, Encode(ping)});
+}
+
+void Membership::AddSeedPing(MemberActions& actions,
+                             base::TimePoint now,
+                             base::Random& random) {
+  if (m_ticks % kSeedEvery != 1) {
+    return;
+  }
+  std::vector<std::string> unknown;
+  for (const std::string& seed : m_options.seeds) {
+    const bool known = std::any_of(
+        m_peers.begin(), m_peers.end(),
+        [&](const auto& entry) { return entry.second.record.address == seed; });
+    if (!known && seed != m_options.self.address) {
+      unknown.push_back(seed);
+    }
+  }
+  // A listed member taken for dead may only have been cut off.
+  for (const auto& [name, peer] : m_peers) {
+    if (StateOf(peer, now) == MemberState::kDead &&
+        !peer.record.address.empty()) {
+      unknown.push_back(peer.record.address);
+    }
+  }
+  if (!unknown.empty()) {
+    AddPing(actions, PickOne(unknown, random), true, now);
+  }
+}
+
+// A member that others can't vouch for is asked itself before it counts as
+// dead. One is asked a round, that waiting the longest.
+void Membership::AddSuspectPings(MemberActions& actions, base::TimePoint now) {
+  Peer* longest = nullptr;
+  for (auto& [name, peer] : m_peers) {
+    const bool suspect = StateOf(peer, now) == MemberState::kSuspect;
+    if (suspect &&
+        (longest == nullptr || peer.pinged_at < longest->pinged_at)) {
+      longest = &peer;
+    }
+  }
+  if (longest != nullptr && !longest->record.address.empty()) {
+    longest->pinged_at = now;
+    AddPing(actions, longest->record.address, true, now);
+  }
+}
+
+void Membership::ForgetOldPings(base::TimePoint now) {
+  std::erase_if(m_pings, [&](const auto& entry) {
+    return now - entry.second.sent_at > m_options.times.ping_timeout;
+  });
+}
+
+void Membership::AddReads(MemberActions& actions,
+                          base::TimePoint now,
+                          base::Random& random) {
+  const MembershipTimes& times = m_options.times;
+  if (now >= m_next_head_read) {
+    actions.read_head = true;
+    m_next_head_read =
+        now + times.head_read_period - Jitter(times.head_read_period, random);
+  }
+  if (now >= m_next_list_read) {
+    actions.read_list = true;
+    m_next_list_read =
+        now + times.list_read_period - Jitter(times.list_read_period, random);
+  }
+}
+
+void Membership::AddPull(MemberActions& actions,
+                         base::TimePoint now,
+                         base::Random& random) {
+  if (m_head.version <= m_in_force || now < m_next_pull) {
+    return;
+  }
+  m_next_pull = now + m_options.times.body_retry;
+  BodyPull pull{m_head, {}};
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.in_force >= m_head.version && !peer.record.address.empty()) {
+      pull.peers.push_back(peer.record.address);
+    }
+  }
+  std::shuffle(pull.peers.begin(), pull.peers.end(), random);
+  pull.peers.resize(std::min(pull.peers.size(), kMaxPullPeers));
+  actions.pull = std::move(pull);
+}
+
+void Membership::AddPrepares(MemberActions& actions, base::TimePoint now) {
+  std::optional<Proposal>& proposal = m_proposal ? m_proposal : m_withdrawn;
+  if (!proposal || now - proposal->sent_at < m_options.times.prepare_retry) {
+    return;
+  }
+  const bool withdrawn = !m_proposal;
+  proposal->sent_at = now;
+  Message message =
+      MakeMessage(withdrawn ? MessageKind::kAbort : MessageKind::kPrepare, now);
+  message.promise_version = proposal->version;
+  message.promise_id = proposal->id;
+  for (const MemberRecord& record : m_list) {
+    const auto found = m_peers.find(record.name);
+    const bool asked = !withdrawn && proposal->promised.contains(record.name);
+    if (found != m_peers.end() && !asked) {
+      actions.datagrams.push_back(
+          {found->second.record.address, Encode(message)});
+    }
+  }
+  if (withdrawn) {
+    m_withdrawn.reset();
+  }
+}
+
+void Membership::AddSpread(MemberActions& actions, base::TimePoint now) {
+  if (!std::exchange(m_spread, false)) {
+    return;
+  }
+  for (const auto& [name, peer] : m_peers) {
+    if (StateOf(peer, now) != MemberState::kDead &&
+        !peer.record.address.empty()) {
+      AddPing(actions, peer.record.address, false, now);
+    }
+  }
+}
+
+}  // namespace cassiastile::member
