Add the fleet's rows, budget, transitions and wave plan as pure decisions

Every change to a host is one transaction whose preconditions name the versions of the rows that it was decided from; the budget counts all that is out, whatever the cause.

--- /dev/null
+++ b/include/cassiastile/fleet/progress.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/fleet/host_view.hpp"
+#include "cassiastile/fleet/records.hpp"
+#include "cassiastile/platform/machines.hpp"
+
+namespace cassiastile::fleet {
+
+// How long the steps of maintenance may take.
+struct ProgressOptions {
+  std::chrono::seconds reboot_timeout{900};
+  std::chrono::seconds probe_time{10};  // Up all along before it is trusted.
+};
+
+// What is seen of a host.
+struct HostObservation {
+  // Nothing while the machine service does not answer.
+  std::optional<platform::MachineStatus> status;
+  bool machine_missing = false;  // The service does not know the machine.
+  HostWork work;
+  base::Duration in_state{};  // On this process's clock.
+};
+
+// What to do with a host next.
+struct Stay {};
+struct RebootIt {  // Commit that it reboots, then ask for it.
+  std::uint64_t boots = 0;
+  std::string cut;  // The work that is cut, where the document says so.
+};
+struct AskAgain {  // Repeat the request for the reboot.
+  std::uint64_t boots = 0;
+};
+struct ProbeIt {};
+struct ReturnIt {
+  std::string why;
+};
+struct MoveIt {};
+struct RemoveIt {};
+struct FailIt {
+  std::string evidence;
+};
+struct NameOverdue {  // Work runs past the drain deadline and goes on.
+  std::string evidence;
+};
+
+using HostStep = std::variant<Stay,
+                              RebootIt,
+                              AskAgain,
+                              ProbeIt,
+                              ReturnIt,
+                              MoveIt,
+                              RemoveIt,
+                              FailIt,
+                              NameOverdue>;
+
+// The drain deadline that holds for a host, and whether work past it is cut.
+struct DrainRule {
+  std::chrono::seconds deadline{3600};
+  bool cut_at_deadline = false;
+};
+
+// The next step of one host. A host rebooted by a wave counts as back only once
+// its machine has booted again; one that an operator holds is left alone.
+HostStep NextStep(const HostRecord& host,
+                  const HostObservation& seen,
+                  const DrainRule& drain,
+                  const ProgressOptions& options);
+
+// Whether a host that its row says is in service can be counted on.
+bool IsKnownUp(const HostObservation& seen);
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/include/cassiastile/fleet/state.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cassiastile/base/error.hpp"
+#include "cassiastile/fleet/records.hpp"
+#include "cassiastile/platform/table.hpp"
+
+namespace cassiastile::fleet {
+
+// A record with the version of the row that it was read from; zero where there
+// is no row yet.
+template <typename Record>
+struct Stored {
+  Record record;
+  std::uint64_t version = 0;
+};
+
+// The rows of all pools, hosts and waves, as read one after another. Nothing
+// holds between rows; a change names the version of each row that it was
+// decided from.
+struct FleetState {
+  std::map<std::string, Stored<PoolRecord>> pools;
+  std::map<std::string, Stored<HostRecord>> hosts;
+  std::map<std::string, Stored<WaveRecord>> waves;
+  platform::Precondition head;  // The row of the accepted document.
+  std::uint64_t document_version = 0;
+};
+
+// The stored pool or wave, or an empty record at version zero.
+Stored<PoolRecord> FindPoolRecord(const FleetState& state,
+                                  const std::string& pool);
+Stored<WaveRecord> FindWaveRecord(const FleetState& state,
+                                  const std::string& wave);
+
+// Reads the state, parsing only rows that have changed since the last read. Not
+// safe for use by several threads.
+class StateReader {
+ public:
+  explicit StateReader(platform::Table& table);
+
+  // Fails when the table does not answer or a row can't be read.
+  base::Result<FleetState> Read();
+
+ private:
+  platform::Table& m_table;
+  FleetState m_last;
+};
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/change.cpp
@@ -0,0 +1,289 @@
+#include "cassiastile/fleet/change.hpp"
+
+#include <utility>
+
+#include "cassiastile/fleet/budget.hpp"
+
+namespace cassiastile::fleet {
+
+namespace {
+
+Stored<PoolRecord> NextPool(const ChangeContext& context,
+                            Stored<PoolRecord> pool) {
+  ++pool.record.epoch;
+  pool.record.document_version = context.document_version;
+  return pool;
+}
+
+Stored<HostRecord> NextHost(const ChangeContext& context,
+                            Stored<HostRecord> host,
+                            HostState state,
+                            std::string detail) {
+  host.record.state = state;
+  host.record.detail = std::move(detail);
+  host.record.since_ms = WallMilliseconds(context.wall);
+  return host;
+}
+
+// A host in service with nothing left over from what it was out for.
+Stored<HostRecord> NextInService(const ChangeContext& context,
+                                 Stored<HostRecord> host,
+                                 std::string detail) {
+  host.record.reason.reset();
+  host.record.wave.clear();
+  host.record.wave_run = 0;
+  host.record.bound_for.clear();
+  host.record.boots.reset();
+  return NextHost(context, std::move(host), HostState::kInService,
+                  std::move(detail));
+}
+
+Change StartChange(const ChangeContext& context,
+                   const std::string& host,
+                   std::string_view outcome) {
+  Change change;
+  if (context.fence) {
+    change.preconditions.push_back(*context.fence);
+  }
+  change.decision.kind = base::DecisionKind::kChange;
+  change.decision.subject = "host " + host;
+  change.decision.outcome = outcome;
+  change.decision.at = context.wall;
+  return change;
+}
+
+void Explain(Change& change,
+             const ChangeContext& context,
+             std::string rule,
+             std::string section,
+             std::string observation) {
+  change.decision.reasons.push_back({std::move(rule), std::move(section),
+                                     context.document_version,
+                                     std::move(observation)});
+}
+
+void AddWave(Change& change, const TakeOrder& order, const std::string& host) {
+  if (!order.wave) {
+    return;
+  }
+  if (!order.canary) {
+    change.preconditions.push_back(
+        {WaveKey(order.wave->record.wave), order.wave->version});
+    return;
+  }
+  Stored<WaveRecord> wave = *order.wave;
+  wave.record.canary = host;
+  change.waves.push_back(std::move(wave));
+}
+
+void ReleaseCanary(Change& change,
+                   const std::optional<Stored<WaveRecord>>& wave,
+                   const std::string& host,
+                   bool done) {
+  if (!wave || wave->record.canary != host) {
+    return;
+  }
+  Stored<WaveRecord> next = *wave;
+  next.record.canary.clear();
+  next.record.canaries_done += done ? 1 : 0;
+  change.waves.push_back(std::move(next));
+}
+
+// Whether the host has been through the reboot that its wave asked for.
+bool IsMaintained(const HostRecord& host) {
+  return !host.wave.empty() && host.boots.has_value();
+}
+
+}  // namespace
+
+base::Result<Change> TakeHost(const ChangeContext& context,
+                              const config::Pool* pool,
+                              const Stored<PoolRecord>& pool_record,
+                              const Stored<HostRecord>& host,
+                              const std::set<std::string>& unseen,
+                              const TakeOrder& order) {
+  const std::string& name = host.record.host;
+  if (host.record.pool != pool_record.record.pool ||
+      host.record.state != HostState::kInService) {
+    return base::Fail(base::ErrorCode::kConflict,
+                      "The host " + name + " is not in service.");
+  }
+  const BudgetCount count = CountBudget(pool, pool_record.record, unseen);
+  if (count.Free() == 0) {
+    return base::Fail(base::ErrorCode::kOverloaded,
+                      "The budget of the pool " + host.record.pool +
+                          " has no room: " + Describe(count) + ".");
+  }
+  Change change = StartChange(context, name, "draining");
+  change.preconditions.push_back(context.head);
+  change.preconditions.insert(change.preconditions.end(),
+                              order.neighbours.begin(), order.neighbours.end());
+  Explain(change, context, "budget", "pools", Describe(count));
+  Explain(change, context, std::string(NameOf(order.reason)), "waves",
+          order.detail);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  next_pool.record.out[name] = {order.reason, {}};
+  Stored<HostRecord> next =
+      NextHost(context, host, HostState::kDraining, order.detail);
+  next.record.reason = order.reason;
+  next.record.bound_for = order.bound_for;
+  next.record.stands_in_for = order.stands_in_for;
+  next.record.wave = order.wave ? order.wave->record.wave : "";
+  next.record.wave_run = order.wave ? order.wave->record.run : 0;
+  AddWave(change, order, name);
+  change.pools.push_back(std::move(next_pool));
+  change.hosts.push_back(std::move(next));
+  return change;
+}
+
+Change RegisterHost(const ChangeContext& context,
+                    const Stored<PoolRecord>& pool_record,
+                    const std::string& host) {
+  Change change = StartChange(context, host, "in service");
+  change.preconditions.push_back(context.head);
+  Explain(change, context, "pool membership", "pools",
+          "the document places it in " + pool_record.record.pool);
+  Stored<HostRecord> stored;
+  stored.record.host = host;
+  stored.record.pool = pool_record.record.pool;
+  stored.record.epoch = 1;
+  change.hosts.push_back(
+      NextInService(context, std::move(stored), "added by the document"));
+  change.pools.push_back(NextPool(context, pool_record));
+  return change;
+}
+
+Change FailHost(const ChangeContext& context,
+                const Stored<PoolRecord>& pool_record,
+                const Stored<HostRecord>& host,
+                const FailureOrder& order) {
+  const std::string& name = host.record.host;
+  Change change = StartChange(context, name, "failed");
+  Explain(change, context, "failure", "", order.evidence);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  next_pool.record.out[name].reason = OutReason::kFailed;
+  Stored<HostRecord> next =
+      NextHost(context, host, HostState::kFailed, order.evidence);
+  next.record.reason = OutReason::kFailed;
+  next.record.bound_for.clear();
+  if (!next.record.boots) {
+    next.record.wave.clear();
+  }
+  if (order.wave) {
+    Stored<WaveRecord> wave = *order.wave;
+    wave.record.failures.push_back({name, order.evidence});
+    if (wave.record.canary == name) {
+      wave.record.canary.clear();
+    }
+    if (order.halt) {
+      wave.record.state = WaveState::kHalted;
+      wave.record.detail = "halted by failures; the last is " + name;
+      wave.record.changed_by = context.actor;
+      wave.record.since_ms = WallMilliseconds(context.wall);
+      Explain(change, context, "halt rule", "waves", wave.record.detail);
+    }
+    change.waves.push_back(std::move(wave));
+  }
+  change.pools.push_back(std::move(next_pool));
+  change.hosts.push_back(std::move(next));
+  return change;
+}
+
+Change StartReboot(const ChangeContext& context,
+                   const Stored<PoolRecord>& pool_record,
+                   const Stored<HostRecord>& host,
+                   std::uint64_t boots) {
+  Change change = StartChange(context, host.record.host, "rebooting");
+  Explain(change, context, "drained", "waves", host.record.detail);
+  Stored<HostRecord> next = NextHost(context, host, HostState::kRebooting,
+                                     "drained; the reboot is asked for");
+  next.record.boots = boots;
+  change.hosts.push_back(std::move(next));
+  change.pools.push_back(NextPool(context, pool_record));
+  return change;
+}
+
+Change StartProbe(const ChangeContext& context,
+                  const Stored<PoolRecord>& pool_record,
+                  const Stored<HostRecord>& host) {
+  Change change = StartChange(context, host.record.host, "probing");
+  Explain(change, context, "probe", "", "the machine is up");
+  change.hosts.push_back(
+      NextHost(context, host, HostState::kProbing, "up again; being probed"));
+  change.pools.push_back(NextPool(context, pool_record));
+  return change;
+}
+
+Change ReturnHost(const ChangeContext& context,
+                  const Stored<PoolRecord>& pool_record,
+                  const Stored<HostRecord>& host,
+                  const std::optional<Stored<WaveRecord>>& wave,
+                  std::string detail) {
+  const std::string& name = host.record.host;
+  Change change = StartChange(context, name, "in service");
+  Explain(change, context, "return", "", detail);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  next_pool.record.out.erase(name);
+  const bool maintained = IsMaintained(host.record);
+  Stored<HostRecord> next = NextInService(context, host, std::move(detail));
+  if (maintained) {
+    next.record.done_wave = host.record.wave;
+    next.record.done_run = host.record.wave_run;
+  }
+  ReleaseCanary(change, wave, name, maintained);
+  change.pools.push_back(std::move(next_pool));
+  change.hosts.push_back(std::move(next));
+  return change;
+}
+
+Change MoveHost(const ChangeContext& context,
+                const Stored<PoolRecord>& from,
+                const Stored<PoolRecord>& to,
+                const Stored<HostRecord>& host) {
+  const std::string& name = host.record.host;
+  const bool failed = host.record.state == HostState::kFailed;
+  Change change = StartChange(context, name, "moved to " + to.record.pool);
+  change.preconditions.push_back(context.head);
+  Explain(change, context, "move", "pools", host.record.detail);
+  Stored<PoolRecord> next_from = NextPool(context, from);
+  next_from.record.out.erase(name);
+  for (auto& [other, entry] : next_from.record.out) {
+    if (entry.replaced_by == name) {
+      entry.replaced_by.clear();
+    }
+  }
+  Stored<PoolRecord> next_to = NextPool(context, to);
+  const auto replaced = next_to.record.out.find(host.record.stands_in_for);
+  if (replaced != next_to.record.out.end()) {
+    replaced->second.replaced_by = name;
+  }
+  Stored<HostRecord> next =
+      failed ? host
+             : NextInService(context, host, "moved from " + from.record.pool);
+  if (failed) {
+    next_to.record.out[name] = {OutReason::kFailed, {}};
+  }
+  next.record.pool = to.record.pool;
+  ++next.record.epoch;
+  change.pools.push_back(std::move(next_from));
+  change.pools.push_back(std::move(next_to));
+  change.hosts.push_back(std::move(next));
+  return change;
+}
+
+Change RemoveHost(const ChangeContext& context,
+                  const Stored<PoolRecord>& pool_record,
+                  const Stored<HostRecord>& host) {
+  const std::string& name = host.record.host;
+  Change change = StartChange(context, name, "removed");
+  change.preconditions.push_back(context.head);
+  Explain(change, context, "pool membership", "pools",
+          "the document no longer has it");
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  next_pool.record.out.erase(name);
+  change.pools.push_back(std::move(next_pool));
+  change.removed_hosts.push_back(host);
+  return change;
+}
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/progress.cpp
@@ -0,0 +1,151 @@
+#include "cassiastile/fleet/progress.hpp"
+
+#include <fmt/format.h>
+
+namespace cassiastile::fleet {
+
+namespace {
+
+using platform::MachineState;
+
+bool IsUp(const HostObservation& seen) {
+  return seen.status && seen.status->state == MachineState::kUp;
+}
+
+bool IsDown(const HostObservation& seen) {
+  return seen.machine_missing ||
+         (seen.status && seen.status->state == MachineState::kDown);
+}
+
+bool IsDrained(const HostObservation& seen) {
+  return seen.status && seen.status->draining &&
+         seen.status->running_requests == 0 && seen.work.running == 0;
+}
+
+std::string DescribeMachine(const HostObservation& seen) {
+  if (seen.machine_missing) {
+    return "the platform does not know the machine";
+  }
+  if (!seen.status) {
+    return "the machine service does not answer";
+  }
+  return fmt::format("the machine is {} after {} boots",
+                     platform::NameOf(seen.status->state), seen.status->boots);
+}
+
+std::string DescribeWork(const HostObservation& seen) {
+  return fmt::format("{} tasks ({} without checkpoint) and {} requests run",
+                     seen.work.running, seen.work.without_checkpoint,
+                     seen.status ? seen.status->running_requests : 0);
+}
+
+HostStep StepInService(const HostObservation& seen) {
+  if (IsDown(seen)) {
+    return FailIt{DescribeMachine(seen)};
+  }
+  if (seen.status && seen.status->state == MachineState::kRebooting) {
+    return FailIt{"the machine reboots without having been asked to"};
+  }
+  return Stay{};
+}
+
+HostStep StepDrained(const HostRecord& host,
+                     const HostObservation& seen,
+                     std::string cut) {
+  switch (host.reason.value_or(OutReason::kOperator)) {
+    case OutReason::kWave:
+      return RebootIt{seen.status->boots, std::move(cut)};
+    case OutReason::kMoving:
+      return MoveIt{};
+    case OutReason::kRemoving:
+      return RemoveIt{};
+    case OutReason::kOperator:
+    case OutReason::kFailed:
+      return Stay{};
+  }
+  return Stay{};
+}
+
+HostStep StepDraining(const HostRecord& host,
+                      const HostObservation& seen,
+                      const DrainRule& drain) {
+  if (host.reason == OutReason::kOperator) {
+    return Stay{};
+  }
+  if (IsDown(seen)) {
+    return FailIt{DescribeMachine(seen) + " while it drained"};
+  }
+  if (IsDrained(seen)) {
+    return StepDrained(host, seen, {});
+  }
+  if (!seen.status || seen.in_state <= drain.deadline) {
+    return Stay{};
+  }
+  if (drain.cut_at_deadline && seen.status->draining) {
+    return StepDrained(host, seen, DescribeWork(seen));
+  }
+  return NameOverdue{DescribeWork(seen) + " past the drain deadline"};
+}
+
+HostStep StepRebooting(const HostRecord& host,
+                       const HostObservation& seen,
+                       const ProgressOptions& options) {
+  const std::uint64_t boots = host.boots.value_or(0);
+  if (IsUp(seen) && seen.status->boots > boots) {
+    return ProbeIt{};
+  }
+  if (seen.in_state > options.reboot_timeout) {
+    return FailIt{
+        fmt::format("not back {} s after its reboot was asked for: {}",
+                    options.reboot_timeout.count(), DescribeMachine(seen))};
+  }
+  return IsUp(seen) ? HostStep(AskAgain{boots}) : HostStep(Stay{});
+}
+
+HostStep StepProbing(const HostObservation& seen,
+                     const ProgressOptions& options) {
+  if (!seen.status && !seen.machine_missing) {
+    return Stay{};
+  }
+  if (!IsUp(seen)) {
+    return FailIt{DescribeMachine(seen) + " while it was probed"};
+  }
+  if (seen.in_state < options.probe_time) {
+    return Stay{};
+  }
+  return ReturnIt{
+      fmt::format("up for {} s of probing", options.probe_time.count())};
+}
+
+HostStep StepFailed(const HostRecord& host, const HostObservation& seen) {
+  const bool booted =
+      !host.boots || (seen.status && seen.status->boots > *host.boots);
+  return IsUp(seen) && booted ? HostStep(ProbeIt{}) : HostStep(Stay{});
+}
+
+}  // namespace
+
+HostStep NextStep(const HostRecord& host,
+                  const HostObservation& seen,
+                  const DrainRule& drain,
+                  const ProgressOptions& options) {
+  switch (host.state) {
+    case HostState::kInService:
+      return StepInService(seen);
+    case HostState::kDraining:
+      return StepDraining(host, seen, drain);
+    case HostState::kRebooting:
+      return StepRebooting(host, seen, options);
+    case HostState::kProbing:
+      return StepProbing(seen, options);
+    case HostState::kFailed:
+      return StepFailed(host, seen);
+  }
+  return Stay{};
+}
+
+bool IsKnownUp(const HostObservation& seen) {
+  return IsUp(seen);
+}
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/wave_change.cpp
@@ -0,0 +1,112 @@
+#include "cassiastile/fleet/wave_change.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "cassiastile/base/enum_names.hpp"
+
+namespace cassiastile::fleet {
+
+namespace {
+
+constexpr std::array<base::EnumName<WaveAct>, 4> kActNames{{
+    {WaveAct::kStart, "start"},
+    {WaveAct::kPause, "pause"},
+    {WaveAct::kResume, "resume"},
+    {WaveAct::kAbort, "abort"},
+}};
+
+// The states from which an act is possible, and where it leads.
+struct Transition {
+  std::vector<WaveState> from;
+  WaveState to;
+};
+
+Transition TransitionOf(WaveAct act) {
+  using enum WaveState;
+  switch (act) {
+    case WaveAct::kStart:
+      return {{kPlanned, kFinished, kAborted}, kRunning};
+    case WaveAct::kPause:
+      return {{kRunning}, kPaused};
+    case WaveAct::kResume:
+      return {{kPaused, kHalted}, kRunning};
+    case WaveAct::kAbort:
+      return {{kRunning, kPaused, kHalted}, kAborted};
+  }
+  return {{}, kPlanned};
+}
+
+Change SetState(const ChangeContext& context,
+                Stored<WaveRecord> wave,
+                WaveState state,
+                std::string detail) {
+  wave.record.state = state;
+  wave.record.changed_by = context.actor;
+  wave.record.since_ms = WallMilliseconds(context.wall);
+  Change change;
+  change.decision.kind = base::DecisionKind::kChange;
+  change.decision.subject = "wave " + wave.record.wave;
+  change.decision.outcome = NameOf(state);
+  change.decision.at = context.wall;
+  change.decision.reasons.push_back(
+      {"wave state", "waves", context.document_version, detail});
+  wave.record.detail = std::move(detail);
+  change.waves.push_back(std::move(wave));
+  return change;
+}
+
+void BeginRun(WaveRecord& record) {
+  ++record.run;
+  record.canary.clear();
+  record.canaries_done = 0;
+  record.failures.clear();
+  record.accepted_failures = 0;
+}
+
+}  // namespace
+
+std::string_view NameOf(WaveAct act) {
+  return base::FindName(kActNames, act);
+}
+
+std::optional<WaveAct> FindWaveAct(std::string_view name) {
+  return base::FindValue(kActNames, name);
+}
+
+base::Result<Change> ActOnWave(const ChangeContext& context,
+                               const Stored<WaveRecord>& wave,
+                               WaveAct act) {
+  const Transition transition = TransitionOf(act);
+  if (std::find(transition.from.begin(), transition.from.end(),
+                wave.record.state) == transition.from.end()) {
+    return base::Fail(base::ErrorCode::kConflict,
+                      "The wave " + wave.record.wave + " is " +
+                          std::string(NameOf(wave.record.state)) +
+                          "; it can't " + std::string(NameOf(act)) + " now.");
+  }
+  Stored<WaveRecord> next = wave;
+  if (act == WaveAct::kStart) {
+    BeginRun(next.record);
+  }
+  if (act == WaveAct::kResume) {
+    next.record.accepted_failures =
+        static_cast<std::uint32_t>(next.record.failures.size());
+  }
+  return SetState(context, std::move(next), transition.to,
+                  std::string(NameOf(act)) + " by " + context.actor);
+}
+
+Change FinishWave(const ChangeContext& context,
+                  const Stored<WaveRecord>& wave,
+                  std::string detail) {
+  Change change =
+      SetState(context, wave, WaveState::kFinished, std::move(detail));
+  if (context.fence) {
+    change.preconditions.push_back(*context.fence);
+  }
+  return change;
+}
+
+}  // namespace cassiastile::fleet
