--- /dev/null
+++ b/include/cassiastile/config/fleet_check.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "cassiastile/base/findings.hpp"
+#include "cassiastile/config/fleet.hpp"
+#include "cassiastile/config/placed_json.hpp"
+
+namespace cassiastile::config {
+
+// Whether the sections of a document agree with each other. The document gives
+// the findings their places and must be the one the fleet was read from.
+base::Findings CheckFleet(const Fleet& fleet, const PlacedDocument& document);
+
+}  // namespace cassiastile::config
--- /dev/null
+++ b/src/cassiastile/config/check_context.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "cassiastile/base/findings.hpp"
+#include "cassiastile/config/field_reader.hpp"
+#include "cassiastile/config/fleet.hpp"
+#include "cassiastile/config/nearest_name.hpp"
+#include "cassiastile/config/placed_json.hpp"
+
+namespace cassiastile::config {
+
+// What the checks of a document share: where to report a contradiction.
+class CheckContext {
+ public:
+  explicit CheckContext(const PlacedDocument& document)
+      : m_document(document) {}
+
+  void Report(const std::string& path, std::string message) {
+    AddFinding(m_findings,
+               {FindPlace(m_document, path), path, std::move(message)});
+  }
+
+  base::Findings Take() { return std::move(m_findings); }
+
+ private:
+  const PlacedDocument& m_document;
+  base::Findings m_findings;
+};
+
+// The path of a field of a section's row.
+inline std::string RowPath(SectionName section,
+                           std::size_t row,
+                           std::string_view field) {
+  return fmt::format("{}[{}].{}", NameOf(section), row, field);
+}
+
+// The names that stand in a section, with the row of the first use of each.
+class NameTable {
+ public:
+  // Adds a name and reports it when it was there before. Empty names are
+  // findings of the reader's and are left out.
+  void Add(CheckContext& context,
+           const std::string& name,
+           const std::string& path) {
+    if (name.empty()) {
+      return;
+    }
+    const auto [found, is_new] = m_paths.emplace(name, path);
+    if (!is_new) {
+      context.Report(path, fmt::format("\"{}\" is used already at {}; use "
+                                       "another name or remove one",
+                                       name, found->second));
+      return;
+    }
+    m_names.push_back(name);
+  }
+
+  // Reports a name that is not in the table; `kind` says what it should be.
+  void Require(CheckContext& context,
+               const std::string& name,
+               const std::string& path,
+               std::string_view kind) const {
+    if (name.empty() || m_paths.contains(name)) {
+      return;
+    }
+    context.Report(path, fmt::format("no {} is named \"{}\"{}", kind, name,
+                                     SuggestName(name, m_names)));
+  }
+
+ private:
+  std::unordered_map<std::string, std::string> m_paths;
+  std::vector<std::string> m_names;
+};
+
+// The checks, one for each subject.
+void CheckNames(const Fleet& fleet, CheckContext& context);
+void CheckOwnership(const Fleet& fleet, CheckContext& context);
+void CheckPools(const Fleet& fleet, CheckContext& context);
+void CheckWaves(const Fleet& fleet, CheckContext& context);
+void CheckServices(const Fleet& fleet, CheckContext& context);
+void CheckTeams(const Fleet& fleet, CheckContext& context);
+void CheckDigests(const Fleet& fleet, CheckContext& context);
+
+}  // namespace cassiastile::config
--- /dev/null
+++ b/src/cassiastile/config/field_reader.cpp
@@ -0,0 +1,247 @@
+#include "cassiastile/config/field_reader.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "cassiastile/config/nearest_name.hpp"
+
+namespace cassiastile::config {
+
+namespace {
+
+constexpr std::size_t kMaxQuotedName = 64;
+constexpr std::size_t kMaxNameLength = 63;
+
+// A name as it is quoted in a message, cut when it is very long.
+std::string_view Quoted(std::string_view name) {
+  std::size_t length = std::min(name.size(), kMaxQuotedName);
+  while (length < name.size() && length > 0 &&
+         (static_cast<unsigned char>(name[length]) & 0xC0U) == 0x80U) {
+    --length;
+  }
+  return name.substr(0, length);
+}
+
+bool IsNameCharacter(char character) {
+  const auto byte = static_cast<unsigned char>(character);
+  return std::isalnum(byte) != 0 || character == '.' || character == '-' ||
+         character == '_';
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         std::isalnum(static_cast<unsigned char>(text.front())) != 0 &&
+         std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+}  // namespace
+
+void AddFinding(base::Findings& findings, base::Finding finding) {
+  if (findings.size() == kMaxFindings) {
+    finding.path.clear();
+    finding.message = fmt::format(
+        "more is wrong from here on; the first {} findings are shown",
+        kMaxFindings);
+  }
+  if (findings.size() <= kMaxFindings) {
+    findings.push_back(std::move(finding));
+  }
+}
+
+FieldReader::FieldReader(const PlacedDocument& document,
+                         const PlacedValue& value,
+                         std::string path,
+                         base::Findings& findings)
+    : m_document(document),
+      m_value(value),
+      m_path(std::move(path)),
+      m_findings(findings) {
+  if (!std::holds_alternative<PlacedObject>(value.content)) {
+    AddFinding(m_findings,
+               {{m_document.file, value.line, value.column},
+                m_path,
+                fmt::format("is {}, but must be an object", KindOf(value))});
+  }
+}
+
+std::string FieldReader::Text(std::string_view name) {
+  const PlacedValue* value = Require(name);
+  if (value == nullptr) {
+    return "";
+  }
+  const auto* text = std::get_if<std::string>(&value->content);
+  if (text == nullptr) {
+    ReportKind(name, *value, "text");
+    return "";
+  }
+  if (text->empty()) {
+    Report(name, "is empty, but must be given");
+  }
+  return *text;
+}
+
+std::string FieldReader::Text(std::string_view name, std::string_view absent) {
+  const PlacedValue* value = Find(name);
+  if (value == nullptr) {
+    return std::string(absent);
+  }
+  const auto* text = std::get_if<std::string>(&value->content);
+  if (text == nullptr) {
+    ReportKind(name, *value, "text");
+    return std::string(absent);
+  }
+  return *text;
+}
+
+std::string FieldReader::Name(std::string_view name) {
+  std::string text = Text(name);
+  if (!text.empty() && !IsName(text)) {
+    Report(name,
+           fmt::format("must be a name: up to {} letters, digits, dots, dashes "
+                       "and underscores, starting with a letter or digit",
+                       kMaxNameLength));
+  }
+  return text;
+}
+
+bool FieldReader::Flag(std::string_view name, bool absent) {
+  const PlacedValue* value = Find(name);
+  if (value == nullptr) {
+    return absent;
+  }
+  const auto* flag = std::get_if<bool>(&value->content);
+  if (flag == nullptr) {
+    ReportKind(name, *value, "true or false");
+    return absent;
+  }
+  return *flag;
+}
+
+std::int64_t FieldReader::Number(std::string_view name,
+                                 NumberRange range,
+                                 std::optional<std::int64_t> absent) {
+  const PlacedValue* value = absent ? Find(name) : Require(name);
+  const std::int64_t fallback = absent.value_or(range.least);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const auto* number = std::get_if<std::int64_t>(&value->content);
+  if (number == nullptr) {
+    ReportKind(name, *value,
+               fmt::format("a whole number from {} to {}", range.least,
+                           range.greatest));
+    return fallback;
+  }
+  if (*number < range.least || *number > range.greatest) {
+    Report(name, fmt::format("is {}, but must be from {} to {}", *number,
+                             range.least, range.greatest));
+    return fallback;
+  }
+  return *number;
+}
+
+std::vector<std::string> FieldReader::TextList(std::string_view name) {
+  const PlacedValue* value = Find(name);
+  if (value == nullptr) {
+    return {};
+  }
+  const auto* list = std::get_if<PlacedList>(&value->content);
+  if (list == nullptr) {
+    ReportKind(name, *value, "a list of text");
+    return {};
+  }
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    const PlacedValue& item = (*list)[i];
+    const auto* text = std::get_if<std::string>(&item.content);
+    if (text == nullptr) {
+      ReportKind(fmt::format("{}[{}]", name, i), item, "text");
+    }
+    texts.push_back(text == nullptr ? "" : *text);
+  }
+  return texts;
+}
+
+void FieldReader::ForEach(std::string_view name,
+                          bool required,
+                          const std::function<void(FieldReader&)>& read) {
+  const PlacedValue* value = required ? Require(name) : Find(name);
+  if (value == nullptr) {
+    return;
+  }
+  const auto* list = std::get_if<PlacedList>(&value->content);
+  if (list == nullptr) {
+    ReportKind(name, *value, "a list of objects");
+    return;
+  }
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    FieldReader reader(m_document, (*list)[i],
+                       fmt::format("{}[{}]", PathOf(name), i), m_findings);
+    read(reader);
+    reader.RefuseUnknown();
+  }
+}
+
+void FieldReader::Report(std::string_view name, std::string message) {
+  const std::string path = PathOf(name);
+  AddFinding(m_findings,
+             {FindPlace(m_document, path), path, std::move(message)});
+}
+
+void FieldReader::RefuseUnknown() {
+  const auto* object = std::get_if<PlacedObject>(&m_value.content);
+  if (object == nullptr) {
+    return;
+  }
+  for (const PlacedMember& member : *object) {
+    if (m_findings.size() > kMaxFindings) {
+      return;
+    }
+    if (std::find(m_known.begin(), m_known.end(), member.name) !=
+        m_known.end()) {
+      continue;
+    }
+    const std::string suggestion = SuggestName(member.name, m_known);
+    AddFinding(m_findings,
+               {{m_document.file, member.line, member.column},
+                PathOf(Quoted(member.name)),
+                suggestion.empty()
+                    ? fmt::format("is not a known field; known are {}",
+                                  fmt::join(m_known, ", "))
+                    : fmt::format("is not a known field{}", suggestion)});
+  }
+}
+
+const PlacedValue* FieldReader::Find(std::string_view name) {
+  if (std::find(m_known.begin(), m_known.end(), name) == m_known.end()) {
+    m_known.emplace_back(name);
+  }
+  const PlacedMember* member = FindMember(m_value, name);
+  return member == nullptr ? nullptr : &member->value;
+}
+
+const PlacedValue* FieldReader::Require(std::string_view name) {
+  const PlacedValue* value = Find(name);
+  if (value == nullptr &&
+      std::holds_alternative<PlacedObject>(m_value.content)) {
+    Report(name, "is missing, but must be given");
+  }
+  return value;
+}
+
+std::string FieldReader::PathOf(std::string_view name) const {
+  return m_path.empty() ? std::string(name)
+                        : fmt::format("{}.{}", m_path, name);
+}
+
+void FieldReader::ReportKind(std::string_view name,
+                             const PlacedValue& value,
+                             std::string_view wanted) {
+  Report(name, fmt::format("is {}, but must be {}", KindOf(value), wanted));
+}
+
+}  // namespace cassiastile::config
--- /dev/null
+++ b/src/cassiastile/config/fleet_check.cpp
@@ -0,0 +1,19 @@
+#include "cassiastile/config/fleet_check.hpp"
+
+#include "check_context.hpp"
+
+namespace cassiastile::config {
+
+base::Findings CheckFleet(const Fleet& fleet, const PlacedDocument& document) {
+  CheckContext context(document);
+  CheckNames(fleet, context);
+  CheckOwnership(fleet, context);
+  CheckPools(fleet, context);
+  CheckWaves(fleet, context);
+  CheckServices(fleet, context);
+  CheckTeams(fleet, context);
+  CheckDigests(fleet, context);
+  return context.Take();
+}
+
+}  // namespace cassiastile::config
--- /dev/null
+++ b/src/cassiastile/config/placed_json_test.cpp
@@ -0,0 +1,105 @@
+#include "cassiastile/config/placed_json.hpp"
+
+#include <string>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::config {
+namespace {
+
+// The only finding that a text gives, as printed.
+std::string FindingOf(const std::string& text) {
+  const auto document = ParsePlacedJson(text, "f");
+  if (document || document.error().size() != 1) {
+    return "no single finding";
+  }
+  return base::FormatFinding(document.error().front());
+}
+
+TEST(PlacedJsonTest, KnowsPlacesAmongComments) {
+  const std::string text =
+      "// head\n{ \"a\": [1,/*,:*/ -2.5e3/* x */, \"\\\"]\"],\n"
+      "  /* ž */ \"b\": {\"c\": true}, \"d\": null }";
+  const auto document = ParsePlacedJson(text, "f");
+  ASSERT_TRUE(document);
+  const auto slice = [&](std::string_view path) {
+    const base::Place place = FindPlace(*document, path);
+    return std::to_string(place.line) + ":" + std::to_string(place.column);
+  };
+  EXPECT_EQ(slice("a"), "2:8");
+  EXPECT_EQ(slice("a[0]"), "2:9");
+  EXPECT_EQ(slice("a[1]"), "2:18");
+  EXPECT_EQ(slice("a[2]"), "2:33");
+  EXPECT_EQ(slice("b.c"), "3:22");
+  EXPECT_EQ(slice("d"), "3:34");
+  EXPECT_EQ(slice("b.nothing"), "3:16");
+  const PlacedValue& list = FindMember(document->root, "a")->value;
+  EXPECT_EQ(text.substr(list.begin, list.end - list.begin),
+            "[1,/*,:*/ -2.5e3/* x */, \"\\\"]\"]");
+}
+
+TEST(PlacedJsonTest, RefusesWhatIsNoText) {
+  EXPECT_NE(FindingOf("").find("f:1:1: error: "), std::string::npos);
+  EXPECT_NE(FindingOf("{\n \"a\": [1, 2").find("f:2:"), std::string::npos);
+  EXPECT_NE(FindingOf("{\n \"a\": \xC3\x28 }")
+                .find("f:2:7: error: the text is "
+                      "not valid UTF-8"),
+            std::string::npos);
+  EXPECT_NE(FindingOf("// \xFF\n{}").find("f:1:4: error: "), std::string::npos);
+  EXPECT_NE(FindingOf(std::string("{}\0", 3)).find("f:1:3: error: "),
+            std::string::npos);
+  EXPECT_NE(FindingOf("\x7F"
+                      "ELF\x02")
+                .find("error: "),
+            std::string::npos);
+  EXPECT_NE(FindingOf("{} {}").find("f:1:4: error: "), std::string::npos);
+  EXPECT_NE(FindingOf("{\"a\": 1e999}").find("error: "), std::string::npos);
+  EXPECT_NE(FindingOf("{ /* never closed").find("error: "), std::string::npos);
+}
+
+TEST(PlacedJsonTest, RefusesHugeAndDeepText) {
+  EXPECT_NE(FindingOf(std::string(kMaxDocumentBytes + 1, ' ')).find("at most"),
+            std::string::npos);
+  const std::string deep(1000000, '[');
+  EXPECT_NE(FindingOf(deep).find("nested deeper than the 64 levels"),
+            std::string::npos);
+  const std::string allowed =
+      std::string(kMaxDocumentDepth, '[') + std::string(kMaxDocumentDepth, ']');
+  EXPECT_TRUE(ParsePlacedJson(allowed, "f"));
+}
+
+TEST(PlacedJsonTest, ReportsDuplicatesWithTheirPaths) {
+  const auto document =
+      ParsePlacedJson("{\"a\": [{\"b\": 1,\n\"b\": {\"b\": 2}}]}", "f");
+  ASSERT_TRUE(document);
+  ASSERT_EQ(document->duplicates.size(), 1U);
+  EXPECT_EQ(document->duplicates[0].path, "a[0].b");
+  EXPECT_EQ(document->duplicates[0].place.line, 2U);
+}
+
+RC_GTEST_PROP(PlacedJsonPropertyTest,
+              AnyBytesGiveAValueOrFindings,
+              (const std::string& text)) {
+  const auto document = ParsePlacedJson(text, "f");
+  RC_ASSERT(document.has_value() || !document.error().empty());
+}
+
+RC_GTEST_PROP(PlacedJsonPropertyTest, AnyTokensGiveAValueOrFindings, ()) {
+  const auto tokens = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::element<std::string>("{", "}", "[", "]", ",", ":", "\"a\"", "1",
+                                    "-", "true", "//", "/*", "*/", "\n", "\"",
+                                    "\\", " ", "\xC5\xBE"));
+  std::string text;
+  for (const std::string& token : tokens) {
+    text += token;
+  }
+  const auto document = ParsePlacedJson(text, "f");
+  RC_ASSERT(document.has_value() || !document.error().empty());
+  const bool valid = nlohmann::json::accept(text, true);
+  RC_ASSERT(document.has_value() == valid);
+}
+
+}  // namespace
+}  // namespace cassiastile::config
