--- a/src/bin/measure_store.cpp
+++ b/src/bin/measure_store.cpp
@@ -42,6 +42,7 @@
   platform::MemoryTable table(kSeed);
   base::ManualClock clock;
   std::vector<std::unique_ptr<platform::StoreGuard>> guards;
+  guards.reserve(kHosts);
   for (int host = 0; host < kHosts; ++host) {
     guards.push_back(std::make_unique<platform::StoreGuard>(
         table, clock, [](base::Duration) {}, kSeed + host));
--- a/src/cassiastile/base/log.cpp
+++ b/src/cassiastile/base/log.cpp
@@ -75,8 +75,8 @@
   if (!found) {
     return false;
   }
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n");
+  const auto layout =
+      std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %p %m%n");
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
       layout, log4cxx::ConsoleAppender::getSystemErr());
   log4cxx::BasicConfigurator::configure(appender);
--- /dev/null
+++ b/src/cassiastile/daemon/daemon_test.cpp
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+
+#include "cassiastile/daemon/command_line.hpp"
+#include "cassiastile/daemon/health.hpp"
+
+namespace cassiastile::daemon {
+namespace {
+
+std::variant<Invocation, Answered> Read(std::vector<const char*> arguments) {
+  arguments.insert(arguments.begin(), "cassia-test");
+  return ReadCommandLine({"cassia-test", "is tested"},
+                         static_cast<int>(arguments.size()), arguments.data());
+}
+
+TEST(CommandLineTest, TellsHelpFromWrongUsage) {
+  EXPECT_EQ(std::get<Answered>(Read({"--help"})).exit_status, kExitDone);
+  EXPECT_EQ(std::get<Answered>(Read({"--version"})).exit_status, kExitDone);
+  EXPECT_EQ(std::get<Answered>(Read({})).exit_status, kExitUsage);
+  EXPECT_EQ(std::get<Answered>(Read({"--nothing"})).exit_status, kExitUsage);
+}
+
+TEST(CommandLineTest, TakesTheSettingsFile) {
+  const auto command = Read({"--config", "f.jsonc", "--check"});
+  EXPECT_EQ(std::get<Invocation>(command).settings_path, "f.jsonc");
+  EXPECT_TRUE(std::get<Invocation>(command).check_only);
+}
+
+TEST(HealthTest, ReadinessFollowsTheProcess) {
+  wire::Router router;
+  wire::Metrics metrics;
+  bool ready = true;
+  int updates = 0;
+  AddHealthRoutes(
+      router, [&ready] { return ready; }, metrics, [&updates] { ++updates; });
+  const auto ask = [&router](const std::string& path) {
+    wire::HttpRequest request;
+    request.method = "GET";
+    request.path = path;
+    int status = 0;
+    router.Handle(request, [&status](const wire::HttpResponse& response) {
+      status = response.status;
+    });
+    return status;
+  };
+  EXPECT_EQ(ask("/readyz"), 200);
+  ready = false;
+  EXPECT_EQ(ask("/readyz"), 503);
+  EXPECT_EQ(ask("/healthz"), 200);
+  EXPECT_EQ(ask("/metrics"), 200);
+  EXPECT_EQ(updates, 1);
+}
+
+}  // namespace
+}  // namespace cassiastile::daemon
--- a/src/cassiastile/daemon/health.cpp
+++ b/src/cassiastile/daemon/health.cpp
@@ -21,7 +21,8 @@
 
 void AddHealthRoutes(wire::Router& router,
                      std::function<bool()> ready,
-                     const wire::Metrics& metrics) {
+                     const wire::Metrics& metrics,
+                     std::function<void()> update) {
   router.Add("GET", "/healthz",
              [](const wire::HttpRequest&, const wire::HttpResponder& respond) {
                respond(MakeTextResponse(kOk, "ok\n"));
