--- a/src/cassiastile/daemon/health.cpp
+++ b/src/cassiastile/daemon/health.cpp
@@ -34,11 +34,12 @@
                respond(MakeTextResponse(is_ready ? kOk : kServiceUnavailable,
                                         is_ready ? "ready\n" : "not ready\n"));
              });
-  router.Add(
-      "GET", "/metrics",
-      [&metrics](const wire::HttpRequest&, const wire::HttpResponder& respond) {
-        respond(MakeTextResponse(kOk, metrics.Expose()));
-      });
+  router.Add("GET", "/metrics",
+             [&metrics, update = std::move(update)](
+                 const wire::HttpRequest&, const wire::HttpResponder& respond) {
+               update();
+               respond(MakeTextResponse(kOk, metrics.Expose()));
+             });
 }
 
 }  // namespace cassiastile::daemon
