Add the core of a pool's tasks, its store and stand-in workers

A pool's shard decides on submissions, polls and cancellations as a pure function and proposes rows; TaskOwner writes them under the shard's fence and answers only what is written. Lost answers stay pending until the same transaction, applied again, says what became of it. Runs given up count against the team's limit until their worker is known to have stopped them. Stand-in workers run simulated tasks in virtual time and log each start and end, so that tests judge from outside.

--- /dev/null
+++ b/include/cassiastile/work/task_book.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/work/task.hpp"
+
+namespace cassiastile::work {
+
+// What a worker was asked to do with a run besides running it.
+enum class RunRequest : std::uint8_t {
+  kNone,
+  kCheckpoint,
+};
+
+// A task with what is known of it besides its record.
+struct TaskEntry {
+  Task task;
+  std::uint64_t version = 0;  // Of its row; zero when it has none.
+  Resources placed;           // What it takes of its host.
+  Resources charged;          // What its team is charged for.
+  base::TimePoint started{};
+  bool measured = false;  // Whether its usage was reported.
+  double throttle = 1;
+  RunRequest request = RunRequest::kNone;
+  bool hopeless = false;  // No host of the pool could hold it.
+};
+
+// Tasks in the order in which they were submitted.
+using TaskOrder = std::set<std::pair<std::uint64_t, std::string>>;
+
+// A team's tasks in a shard.
+struct TeamTasks {
+  TaskOrder urgent;          // Waiting.
+  TaskOrder normal;          // Waiting.
+  TaskOrder hopeless;        // Waiting for a host that could hold them.
+  std::uint32_t in_use = 0;  // Runs that count against the team's limit.
+  Resources charged;
+  std::map<std::string, std::uint32_t> on_worker;
+};
+
+// The runs on a worker.
+struct WorkerTasks {
+  std::set<std::string> runs;         // Keys of tasks leased to it.
+  std::set<std::string> unconfirmed;  // Keys of runs given up.
+  Resources placed;
+};
+
+// A row to be written, or deleted where there is no value.
+struct TaskRowChange {
+  std::string key;  // The task's key, not the table's.
+  std::optional<std::string> value;
+  std::uint64_t version = 0;  // The version it must still have.
+};
+
+// A shard's tasks with the views that decisions need. Changes are made in a
+// batch, which is then confirmed once its rows are written, or taken back.
+class TaskBook {
+ public:
+  // Takes a record read from the table.
+  void Load(Task task, std::uint64_t version);
+  void Clear();
+
+  const TaskEntry* Find(const std::string& key) const;
+  std::size_t Size() const;
+
+  // Puts an entry in place of the one with its key. With `write` its record is
+  // part of the batch's rows.
+  void Put(TaskEntry entry, bool write);
+  void Erase(const std::string& key);
+
+  std::vector<TaskRowChange> Rows() const;
+  void Confirm();
+  void TakeBack();
+
+  const TeamTasks& TeamOf(const std::string& team) const;
+  const WorkerTasks& WorkerOf(const std::string& worker) const;
+  const std::map<std::string, TeamTasks>& Teams() const;
+  const std::map<std::string, WorkerTasks>& Workers() const;
+
+  // Ended tasks with no run unconfirmed, by when they changed.
+  const std::set<std::pair<std::int64_t, std::string>>& Ended() const;
+  std::uint64_t LastSequence() const;
+
+ private:
+  void Replace(const std::string& key, std::optional<TaskEntry> entry);
+  void Index(const TaskEntry& entry, bool add);
+  void IndexWaiting(const TaskEntry& entry, bool add);
+  void IndexRun(const TaskEntry& entry, const TaskLease& lease, bool add);
+
+  std::unordered_map<std::string, TaskEntry> m_entries;
+  std::map<std::string, TeamTasks> m_teams;
+  std::map<std::string, WorkerTasks> m_workers;
+  std::set<std::pair<std::int64_t, std::string>> m_ended;
+  std::map<std::string, std::optional<TaskEntry>> m_before;
+  std::set<std::string> m_written;
+  std::uint64_t m_last_sequence = 0;
+};
+
+// Whether a worker may be running the task under its present lease.
+bool MayRun(const Task& task);
+
+}  // namespace cassiastile::work
--- /dev/null
+++ b/src/cassiastile/standin/worker_fleet.cpp
@@ -0,0 +1,76 @@
+#include "cassiastile/standin/worker_fleet.hpp"
+
+#include <algorithm>
+
+namespace cassiastile::standin {
+
+namespace {
+
+constexpr base::Duration kRetryAfter = std::chrono::milliseconds(500);
+// A worker whose run ended polls at once, but not more often than this.
+constexpr base::Duration kLeastGap = std::chrono::milliseconds(100);
+
+}  // namespace
+
+WorkerFleet::WorkerFleet(const std::vector<config::Host>& hosts,
+                         base::Random random,
+                         const Worker::Log& log)
+    : m_random(random) {
+  m_members.reserve(hosts.size());
+  for (const config::Host& host : hosts) {
+    WorkerOptions options;
+    options.name = host.name;
+    m_members.push_back({Worker(options, log), {}, {}});
+  }
+}
+
+std::vector<SentPoll> WorkerFleet::CollectPolls(base::TimePoint now) {
+  std::vector<SentPoll> polls;
+  for (std::size_t index = 0; index < m_members.size(); ++index) {
+    Member& member = m_members[index];
+    member.worker.Advance(now);
+    const bool news =
+        member.worker.HasNews() && now - member.last_poll >= kLeastGap;
+    if (member.worker.IsPaused() || (now < member.next_poll && !news)) {
+      continue;
+    }
+    member.last_poll = now;
+    member.next_poll = now + kRetryAfter;
+    for (const std::string& pool : member.worker.PoolsToPoll()) {
+      SentPoll sent{index, now, member.worker.MakePoll(pool)};
+      if (!Strikes(m_faults.lose_poll)) {
+        polls.push_back(std::move(sent));
+      }
+    }
+  }
+  return polls;
+}
+
+void WorkerFleet::Deliver(const SentPoll& poll,
+                          const std::optional<work::PollAnswer>& answer,
+                          base::TimePoint now) {
+  if (!answer || Strikes(m_faults.lose_answer)) {
+    return;
+  }
+  Member& member = m_members[poll.worker];
+  member.worker.Take(*answer, poll.sent, now);
+  member.next_poll = now + answer->poll_after;
+}
+
+void WorkerFleet::SetFaults(WorkerFleetFaults faults) {
+  m_faults = faults;
+}
+
+Worker& WorkerFleet::At(std::size_t index) {
+  return m_members.at(index).worker;
+}
+
+std::size_t WorkerFleet::Count() const {
+  return m_members.size();
+}
+
+bool WorkerFleet::Strikes(double probability) {
+  return probability > 0 && std::bernoulli_distribution(probability)(m_random);
+}
+
+}  // namespace cassiastile::standin
--- /dev/null
+++ b/src/cassiastile/standin/worker_world_test.hpp
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cassiastile/platform/memory_platform.hpp"
+#include "cassiastile/standin/worker_fleet.hpp"
+#include "cassiastile/work/task_owner.hpp"
+
+namespace cassiastile::standin {
+
+class KeptDecisions final : public base::DecisionSink {
+ public:
+  void Record(base::Decision decision) override {
+    kept.push_back(std::move(decision));
+  }
+
+  std::vector<base::Decision> kept;
+};
+
+// One pool, its table, two processes that may own its shard, and its workers.
+// Judges by the workers' log.
+class TaskWorld {
+ public:
+  explicit TaskWorld(std::size_t hosts = 4, std::uint64_t seed = 1)
+      : table(seed), m_random(seed) {
+    accepted.version = 1;
+    config::Pool pool;
+    pool.name = "p";
+    for (std::size_t index = 0; index < hosts; ++index) {
+      config::Host host;
+      host.name = "w" + std::to_string(index);
+      host.zone = "z" + std::to_string(index % 3);
+      host.rack = "r" + std::to_string(index / 2);
+      pool.hosts.push_back(host);
+    }
+    accepted.fleet.pools = {pool};
+    accepted.fleet.queues = {{"q", "p", "a", false}, {"u", "p", "a", true}};
+    accepted.fleet.teams = {{"a", "c"}, {"b", "c"}};
+    workers = std::make_unique<WorkerFleet>(
+        pool.hosts, base::Random(seed),
+        [this](const WorkerLogLine& line) { Note(line); });
+    for (auto& owner : m_owners) {
+      owner = std::make_unique<work::TaskOwner>("p", work::TaskOwnerOptions{},
+                                                table, decisions,
+                                                base::Random(m_random()));
+    }
+    TakeOver(0);
+    Apply();
+  }
+
+  // Puts the document and the hosts' states in force.
+  void Apply() {
+    ++accepted.version;
+    std::vector<fleet::HostView> views;
+    for (const config::Host& host : accepted.fleet.pools[0].hosts) {
+      fleet::HostView view;
+      view.host = host;
+      view.pool = "p";
+      if (draining.contains(host.name)) {
+        view.state = fleet::HostState::kDraining;
+      }
+      views.push_back(view);
+    }
+    for (auto& owner : m_owners) {
+      owner->SetFleet(accepted);
+      owner->SetHosts(views);
+    }
+  }
+
+  void SetLimit(const std::string& team, std::uint32_t tasks) {
+    std::erase_if(accepted.fleet.limits, [&team](const config::Limit& limit) {
+      return limit.team == team;
+    });
+    accepted.fleet.limits.push_back({team, 0, tasks});
+    Apply();
+  }
+
+  // Gives a process the shard. The other goes on believing that it has it.
+  void TakeOver(std::size_t owner) {
+    const auto row = table.Get("lease/p");
+    if (!row) {
+      return;
+    }
+    const std::uint64_t version = *row ? (*row)->version : 0;
+    const platform::Transaction transaction{
+        "lease" + std::to_string(version),
+        {{"lease/p", version}},
+        {{"lease/p", std::to_string(owner)}}};
+    if (table.Apply(transaction)) {
+      m_grips[owner] = {version + 1, {"lease/p", version + 1}};
+      current = owner;
+    }
+  }
+
+  work::TaskOwner& Owner() { return *m_owners[current]; }
+
+  work::TaskResult Send(work::TaskEvent event) {
+    return m_owners[current]
+        ->Handle({std::move(event)}, Now(), m_grips[current])
+        .front();
+  }
+
+  // Submits and notes whether it was acknowledged.
+  work::TaskResult Submit(const work::TaskSpec& spec) {
+    const work::TaskResult result = Send(work::SubmitEvent{spec});
+    if (result.effect == work::Effect::kCommitted &&
+        result.reply.verdict == work::Verdict::kDone) {
+      acknowledged.insert(work::KeyOf(spec));
+    }
+    return result;
+  }
+
+  void Step(base::Duration by) {
+    clock.Advance(by);
+    std::vector<SentPoll> polls = workers->CollectPolls(clock.Now());
+    for (const SentPoll& poll : polls) {
+      const std::size_t to = both_answer ? poll.worker % 2 : current;
+      const auto result =
+          m_owners[to]->Handle({poll.poll}, Now(), m_grips[to]).front();
+      workers->Deliver(poll, result.answer, clock.Now());
+    }
+    m_owners[current]->Handle({}, Now(), m_grips[current]);
+  }
+
+  void Run(base::Duration length) {
+    constexpr base::Duration kStep = std::chrono::milliseconds(100);
+    for (base::Duration passed{}; passed < length; passed += kStep) {
+      Step(kStep);
+    }
+  }
+
+  work::Moment Now() const { return {clock.Now(), clock.WallNow()}; }
+
+  // What the table says of a task.
+  std::optional<work::Task> Stored(const std::string& key) {
+    const auto row = table.Get("task/p/" + key);
+    if (!row || !*row) {
+      return std::nullopt;
+    }
+    return work::DecodeTask((*row)->value).value();
+  }
+
+  std::size_t CountLog(const std::string& key, WorkerAct act) const {
+    std::size_t count = 0;
+    for (const WorkerLogLine& line : log) {
+      count += line.key == key && line.act == act ? 1 : 0;
+    }
+    return count;
+  }
+
+  base::ManualClock clock;
+  platform::MemoryTable table;
+  KeptDecisions decisions;
+  config::AcceptedFleet accepted;
+  std::set<std::string> draining;
+  std::unique_ptr<WorkerFleet> workers;
+  std::vector<WorkerLogLine> log;
+  std::set<std::string> acknowledged;
+  std::map<std::string, std::int64_t> running;  // By team, as it really is.
+  std::map<std::string, std::int64_t> most_running;
+  std::size_t current = 0;
+  bool both_answer = false;  // Workers ask either process.
+
+ private:
+  void Note(const WorkerLogLine& line) {
+    log.push_back(line);
+    if (line.act == WorkerAct::kStarted) {
+      ++running[line.team];
+    } else if (line.act != WorkerAct::kNotStarted) {
+      --running[line.team];
+    }
+    most_running[line.team] =
+        std::max(most_running[line.team], running[line.team]);
+  }
+
+  base::Random m_random;
+  std::array<std::unique_ptr<work::TaskOwner>, 2> m_owners;
+  std::array<work::OwnerGrip, 2> m_grips;
+};
+
+inline work::TaskSpec MakeSpec(const std::string& id, double seconds = 5) {
+  work::TaskSpec spec;
+  spec.id = id;
+  spec.queue = "q";
+  spec.team = "a";
+  spec.kind = "k";
+  spec.seconds = seconds;
+  spec.idempotent = true;
+  return spec;
+}
+
+}  // namespace cassiastile::standin
--- /dev/null
+++ b/src/cassiastile/work/placement.cpp
@@ -0,0 +1,110 @@
+#include "cassiastile/work/placement.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
+namespace cassiastile::work {
+
+namespace {
+
+std::uint32_t CountIn(const std::map<std::string, std::uint32_t>& counts,
+                      const std::string& name) {
+  const auto found = counts.find(name);
+  return found == counts.end() ? 0 : found->second;
+}
+
+bool EndsBeforeDrain(const PlacementHost& host,
+                     const PlacementRequest& request,
+                     base::TimePoint now) {
+  if (!host.drain_expected) {
+    return true;
+  }
+  const std::chrono::duration<double> left = *host.drain_expected - now;
+  return left.count() >= request.seconds_upper;
+}
+
+using Score = std::tuple<std::uint32_t, std::uint32_t, double>;
+
+Score ScoreOf(const PlacementHost& host, const PlacementRequest& request) {
+  const Resources left = host.capacity - host.placed - request.size;
+  const double room = DominantShare(left, host.capacity);
+  if (request.spread == nullptr) {
+    return {0, 0, room};
+  }
+  return {CountIn(request.spread->zones, host.zone),
+          CountIn(request.spread->racks, host.rack), room};
+}
+
+}  // namespace
+
+bool MayPlace(const PlacementHost& host,
+              const PlacementRequest& request,
+              base::TimePoint now) {
+  if (!host.open || (host.idempotent_only && !request.idempotent)) {
+    return false;
+  }
+  const bool kept_from_it =
+      host.held && (host.held_for.empty() || host.held_for != request.team);
+  if (kept_from_it && !request.urgent) {
+    return false;
+  }
+  const Resources free = host.capacity - host.placed;
+  if (!Fits(request.size, request.urgent ? free : free - host.reserve)) {
+    return false;
+  }
+  if (!EndsBeforeDrain(host, request, now)) {
+    return false;
+  }
+  return std::find(request.avoid.begin(), request.avoid.end(), host.name) ==
+         request.avoid.end();
+}
+
+std::optional<std::size_t> PickHost(const std::vector<PlacementHost>& hosts,
+                                    const PlacementRequest& request,
+                                    base::TimePoint now) {
+  std::optional<std::size_t> best;
+  Score best_score;
+  for (std::size_t index = 0; index < hosts.size(); ++index) {
+    if (!MayPlace(hosts[index], request, now)) {
+      continue;
+    }
+    const Score score = ScoreOf(hosts[index], request);
+    if (!best || score < best_score) {
+      best = index;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+double SpreadReserve(std::vector<PlacementHost>& hosts,
+                     double cores,
+                     const Resources& piece) {
+  std::map<std::string, std::uint32_t> in_zone;
+  double reserved = 0;
+  for (PlacementHost& host : hosts) {
+    host.reserve = {};
+  }
+  while (reserved < cores) {
+    PlacementHost* next = nullptr;
+    for (PlacementHost& host : hosts) {
+      const bool usable = host.open && !host.idempotent_only &&
+                          host.reserve == Resources{} &&
+                          Fits(piece, host.capacity);
+      if (usable &&
+          (next == nullptr || in_zone[host.zone] < in_zone[next->zone])) {
+        next = &host;
+      }
+    }
+    if (next == nullptr) {
+      break;
+    }
+    next->reserve = piece;
+    ++in_zone[next->zone];
+    reserved += piece.cores;
+  }
+  return reserved;
+}
+
+}  // namespace cassiastile::work
--- /dev/null
+++ b/src/cassiastile/work/task_book.cpp
@@ -0,0 +1,211 @@
+#include "cassiastile/work/task_book.hpp"
+
+#include <algorithm>
+
+namespace cassiastile::work {
+
+namespace {
+
+template <typename Set, typename Value>
+void AddOrRemove(Set& set, const Value& value, bool add) {
+  if (add) {
+    set.insert(value);
+  } else {
+    set.erase(value);
+  }
+}
+
+void CountOn(std::map<std::string, std::uint32_t>& counts,
+             const std::string& worker,
+             bool add) {
+  if (add) {
+    ++counts[worker];
+  } else if (--counts[worker] == 0) {
+    counts.erase(worker);
+  }
+}
+
+// Sums of many changes keep rounding errors; an empty one is zero again.
+void ForgetRounding(TeamTasks& team, WorkerTasks& worker) {
+  if (team.in_use == 0) {
+    team.charged = {};
+  }
+  if (worker.runs.empty() && worker.unconfirmed.empty()) {
+    worker.placed = {};
+  }
+}
+
+}  // namespace
+
+bool MayRun(const Task& task) {
+  const bool given = task.state == TaskState::kLeased ||
+                     task.state == TaskState::kRunning ||
+                     task.state == TaskState::kInDoubt;
+  return given && !task.lease.worker.empty();
+}
+
+void TaskBook::Load(Task task, std::uint64_t version) {
+  TaskEntry entry;
+  entry.placed = task.spec.declared;
+  entry.charged = task.spec.declared;
+  entry.task = std::move(task);
+  entry.version = version;
+  const std::string key = KeyOf(entry.task.spec);
+  Replace(key, std::move(entry));
+}
+
+void TaskBook::Clear() {
+  *this = TaskBook();
+}
+
+const TaskEntry* TaskBook::Find(const std::string& key) const {
+  const auto found = m_entries.find(key);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+std::size_t TaskBook::Size() const {
+  return m_entries.size();
+}
+
+void TaskBook::Put(TaskEntry entry, bool write) {
+  const std::string key = KeyOf(entry.task.spec);
+  const TaskEntry* old = Find(key);
+  m_before.try_emplace(
+      key, old == nullptr ? std::nullopt : std::optional<TaskEntry>(*old));
+  if (write) {
+    m_written.insert(key);
+  }
+  Replace(key, std::move(entry));
+}
+
+void TaskBook::Erase(const std::string& key) {
+  const TaskEntry* old = Find(key);
+  if (old == nullptr) {
+    return;
+  }
+  m_before.try_emplace(key, *old);
+  m_written.insert(key);
+  Replace(key, std::nullopt);
+}
+
+std::vector<TaskRowChange> TaskBook::Rows() const {
+  std::vector<TaskRowChange> rows;
+  for (const std::string& key : m_written) {
+    const std::optional<TaskEntry>& before = m_before.at(key);
+    const TaskEntry* after = Find(key);
+    if (!before && after == nullptr) {
+      continue;
+    }
+    TaskRowChange row;
+    row.key = key;
+    row.version = before ? before->version : 0;
+    if (after != nullptr) {
+      row.value = EncodeTask(after->task);
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+void TaskBook::Confirm() {
+  for (const std::string& key : m_written) {
+    const auto found = m_entries.find(key);
+    if (found != m_entries.end()) {
+      ++found->second.version;
+    }
+  }
+  m_before.clear();
+  m_written.clear();
+}
+
+void TaskBook::TakeBack() {
+  for (auto& [key, entry] : m_before) {
+    Replace(key, std::move(entry));
+  }
+  m_before.clear();
+  m_written.clear();
+}
+
+const TeamTasks& TaskBook::TeamOf(const std::string& team) const {
+  static const TeamTasks kNone;
+  const auto found = m_teams.find(team);
+  return found == m_teams.end() ? kNone : found->second;
+}
+
+const WorkerTasks& TaskBook::WorkerOf(const std::string& worker) const {
+  static const WorkerTasks kNone;
+  const auto found = m_workers.find(worker);
+  return found == m_workers.end() ? kNone : found->second;
+}
+
+const std::map<std::string, TeamTasks>& TaskBook::Teams() const {
+  return m_teams;
+}
+
+const std::map<std::string, WorkerTasks>& TaskBook::Workers() const {
+  return m_workers;
+}
+
+const std::set<std::pair<std::int64_t, std::string>>& TaskBook::Ended() const {
+  return m_ended;
+}
+
+std::uint64_t TaskBook::LastSequence() const {
+  return m_last_sequence;
+}
+
+void TaskBook::Replace(const std::string& key, std::optional<TaskEntry> entry) {
+  const auto found = m_entries.find(key);
+  if (found != m_entries.end()) {
+    Index(found->second, false);
+  }
+  if (!entry) {
+    m_entries.erase(key);
+    return;
+  }
+  m_last_sequence = std::max(m_last_sequence, entry->task.sequence);
+  TaskEntry& stored = m_entries[key];
+  stored = std::move(*entry);
+  Index(stored, true);
+}
+
+void TaskBook::Index(const TaskEntry& entry, bool add) {
+  const Task& task = entry.task;
+  if (task.state == TaskState::kQueued) {
+    IndexWaiting(entry, add);
+  }
+  if (MayRun(task)) {
+    AddOrRemove(m_workers[task.lease.worker].runs, KeyOf(task.spec), add);
+    IndexRun(entry, task.lease, add);
+  }
+  for (const TaskLease& lease : task.unconfirmed) {
+    AddOrRemove(m_workers[lease.worker].unconfirmed, KeyOf(task.spec), add);
+    IndexRun(entry, lease, add);
+  }
+  if (task.state == TaskState::kEnded && task.unconfirmed.empty()) {
+    AddOrRemove(m_ended, std::pair(task.changed_ms, KeyOf(task.spec)), add);
+  }
+}
+
+void TaskBook::IndexWaiting(const TaskEntry& entry, bool add) {
+  const Task& task = entry.task;
+  TeamTasks& team = m_teams[task.spec.team];
+  TaskOrder& order = task.spec.urgent ? team.urgent : team.normal;
+  AddOrRemove(entry.hopeless ? team.hopeless : order,
+              std::pair(task.sequence, KeyOf(task.spec)), add);
+}
+
+void TaskBook::IndexRun(const TaskEntry& entry,
+                        const TaskLease& lease,
+                        bool add) {
+  const double sign = add ? 1 : -1;
+  TeamTasks& team = m_teams[entry.task.spec.team];
+  team.in_use += add ? 1 : -1;
+  team.charged = team.charged + entry.charged * sign;
+  CountOn(team.on_worker, lease.worker, add);
+  WorkerTasks& worker = m_workers[lease.worker];
+  worker.placed = worker.placed + entry.placed * sign;
+  ForgetRounding(team, worker);
+}
+
+}  // namespace cassiastile::work
--- /dev/null
+++ b/src/cassiastile/work/task_shard.cpp
@@ -0,0 +1,409 @@
+#include "cassiastile/work/task_shard.hpp"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include <fmt/core.h>
+
+#include "cassiastile/base/enum_names.hpp"
+
+namespace cassiastile::work {
+
+namespace {
+
+constexpr std::array<base::EnumName<Verdict>, 7> kVerdictNames{{
+    {Verdict::kDone, "done"},
+    {Verdict::kSame, "same"},
+    {Verdict::kConflict, "conflict"},
+    {Verdict::kRefused, "refused"},
+    {Verdict::kFull, "full"},
+    {Verdict::kNotFound, "not-found"},
+    {Verdict::kStale, "stale"},
+}};
+
+std::int64_t WallMilliseconds(base::WallTime wall) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             wall.time_since_epoch())
+      .count();
+}
+
+Resources CapacityOf(const config::Host& host) {
+  return {static_cast<double>(host.cores), static_cast<double>(host.memory_gb),
+          static_cast<double>(host.accelerators)};
+}
+
+Resources Largest(const Resources& left, const Resources& right) {
+  return {std::max(left.cores, right.cores),
+          std::max(left.memory_gb, right.memory_gb),
+          std::max(left.accelerators, right.accelerators)};
+}
+
+PlacementHost MakePlacementHost(const fleet::HostView& view) {
+  PlacementHost host;
+  host.name = view.host.name;
+  host.zone = view.host.zone;
+  host.rack = view.host.rack;
+  host.capacity = CapacityOf(view.host);
+  host.draining = view.state == fleet::HostState::kDraining;
+  host.in_service = view.state == fleet::HostState::kInService;
+  host.drain_expected = view.drain_expected;
+  return host;
+}
+
+}  // namespace
+
+std::string_view NameOf(Verdict verdict) {
+  return base::FindName(kVerdictNames, verdict);
+}
+
+TaskShard::TaskShard(std::string pool,
+                     TaskShardOptions options,
+                     base::Random random)
+    : m_pool(std::move(pool)),
+      m_options(options),
+      m_random(random),
+      m_health(options.health) {}
+
+void TaskShard::BeginLoad() {
+  m_book.Clear();
+  m_workers.clear();
+  m_loaded = false;
+}
+
+void TaskShard::Load(Task task, std::uint64_t version) {
+  if (m_book.Find(KeyOf(task.spec)) == nullptr) {
+    m_book.Load(std::move(task), version);
+  }
+}
+
+void TaskShard::EndLoad(Moment moment) {
+  m_loaded = true;
+  m_moment = moment;
+  m_changed = true;
+  m_recheck_hopeless = true;
+  for (const auto& [worker, tasks] : m_book.Workers()) {
+    m_workers[worker].last_poll = moment.now;
+  }
+}
+
+bool TaskShard::IsLoaded() const {
+  return m_loaded;
+}
+
+void TaskShard::SetFleet(const config::AcceptedFleet& accepted) {
+  m_version = accepted.version;
+  m_limits.clear();
+  for (const config::Limit& limit : accepted.fleet.limits) {
+    m_limits[limit.team] = limit.tasks;
+  }
+  for (const config::Share& share : accepted.fleet.shares) {
+    m_shares.SetWeight(share.team, share.weight);
+  }
+  m_has_urgent =
+      std::any_of(accepted.fleet.queues.begin(), accepted.fleet.queues.end(),
+                  [this](const config::Queue& queue) {
+                    return queue.pool == m_pool && queue.urgent;
+                  });
+  m_changed = true;
+}
+
+void TaskShard::SetHosts(const std::vector<fleet::HostView>& hosts) {
+  m_hosts.clear();
+  m_host_index.clear();
+  m_largest = {};
+  Resources capacity;
+  for (const fleet::HostView& view : hosts) {
+    m_host_index[view.host.name] = m_hosts.size();
+    m_hosts.push_back(MakePlacementHost(view));
+    capacity = capacity + m_hosts.back().capacity;
+    m_largest = Largest(m_largest, m_hosts.back().capacity);
+  }
+  m_shares.SetCapacity(capacity);
+  m_recheck_hopeless = true;
+  m_changed = true;
+}
+
+void TaskShard::SetGrants(std::map<std::string, std::uint32_t> grants) {
+  m_changed = m_changed || grants != m_grants;
+  m_grants = std::move(grants);
+}
+
+TaskBatch TaskShard::Propose(const std::vector<TaskEvent>& events,
+                             Moment moment) {
+  m_moment = moment;
+  m_decisions.clear();
+  m_shares.Advance(moment.now);
+  TaskBatch batch;
+  batch.replies.resize(events.size());
+  for (std::size_t index = 0; index < events.size(); ++index) {
+    batch.replies[index] = std::visit(
+        [this](const auto& event) { return On(event); }, events[index]);
+  }
+  if (m_loaded) {
+    LapseSilentWorkers();
+    RecheckHopeless();
+    Dispatch();
+    DeleteOld();
+  }
+  SyncShares();
+  batch.rows = m_book.Rows();
+  batch.decisions = std::move(m_decisions);
+  return batch;
+}
+
+std::vector<base::Decision> TaskShard::Confirm() {
+  m_book.Confirm();
+  m_decisions.clear();
+  for (const Lesson& lesson : m_lessons) {
+    std::visit([this](const auto& learnt) { Learn(learnt); }, lesson);
+  }
+  m_lessons.clear();
+  return std::move(m_decisions);
+}
+
+void TaskShard::TakeBack() {
+  m_book.TakeBack();
+  m_lessons.clear();
+  m_changed = true;
+  SyncShares();
+}
+
+const TaskEntry* TaskShard::Find(const std::string& key) const {
+  return m_book.Find(key);
+}
+
+std::string TaskShard::Explain(const std::string& key) const {
+  const TaskEntry* entry = m_book.Find(key);
+  if (entry == nullptr) {
+    return "";
+  }
+  const Task& task = entry->task;
+  if (task.state != TaskState::kQueued || entry->hopeless) {
+    return task.reason;
+  }
+  const auto wait = m_waits.find(task.spec.team);
+  if (wait == m_waits.end() || wait->second.reason.empty()) {
+    return task.reason;
+  }
+  return wait->second.reason;
+}
+
+const TaskBook& TaskShard::Book() const {
+  return m_book;
+}
+
+const ShareAccount& TaskShard::Shares() const {
+  return m_shares;
+}
+
+const WorkerHealthBook& TaskShard::Health() const {
+  return m_health;
+}
+
+const std::string& TaskShard::Pool() const {
+  return m_pool;
+}
+
+std::uint32_t TaskShard::InUse(const std::string& team) const {
+  return m_book.TeamOf(team).in_use;
+}
+
+std::uint32_t TaskShard::Wanted(const std::string& team) const {
+  const TeamTasks& tasks = m_book.TeamOf(team);
+  const std::size_t wanted =
+      tasks.in_use + tasks.urgent.size() + tasks.normal.size();
+  return static_cast<std::uint32_t>(wanted);
+}
+
+TaskReply TaskShard::On(const SubmitEvent& event) {
+  const TaskSpec& spec = event.spec;
+  const std::string key = KeyOf(spec);
+  if (const TaskEntry* known = m_book.Find(key)) {
+    if (known->task.spec == spec) {
+      return {Verdict::kSame, "", ""};
+    }
+    return Refuse(spec, Verdict::kConflict,
+                  "the id was used before with another body");
+  }
+  if (m_book.Size() >= m_options.max_tasks) {
+    return Refuse(spec, Verdict::kFull,
+                  fmt::format("the pool keeps {} tasks", m_book.Size()));
+  }
+  const std::string hopeless = WhyHopeless(spec);
+  if (!hopeless.empty()) {
+    return Refuse(spec, Verdict::kRefused, hopeless);
+  }
+  TaskEntry entry;
+  entry.task.spec = spec;
+  entry.placed = spec.declared;
+  entry.charged = spec.declared;
+  const auto wall = static_cast<std::uint64_t>(WallMilliseconds(m_moment.wall));
+  entry.task.sequence = std::max(m_book.LastSequence() + 1, wall);
+  Write(std::move(entry), "waits for its turn");
+  m_changed = true;
+  return {};
+}
+
+TaskReply TaskShard::On(const CancelEvent& event) {
+  const TaskEntry* found = m_book.Find(event.key);
+  if (found == nullptr) {
+    return {Verdict::kNotFound, "no such task", ""};
+  }
+  TaskEntry entry = *found;
+  if (entry.task.state == TaskState::kEnded || entry.task.cancel_requested) {
+    return {Verdict::kSame, "", ""};
+  }
+  if (MayRun(entry.task)) {
+    entry.task.cancel_requested = true;
+    Write(std::move(entry), "cancelled; its worker has yet to stop it");
+    return {};
+  }
+  const bool in_doubt = entry.task.state == TaskState::kInDoubt;
+  End(std::move(entry), TaskOutcome::kCancelled,
+      in_doubt ? "cancelled while in doubt; it may have run in part"
+               : "cancelled before it was started again");
+  return {};
+}
+
+TaskReply TaskShard::On(const ResolveEvent& event) {
+  const TaskEntry* found = m_book.Find(event.key);
+  if (found == nullptr) {
+    return {Verdict::kNotFound, "no such task", ""};
+  }
+  TaskEntry entry = *found;
+  const bool in_doubt = entry.task.state == TaskState::kInDoubt;
+  if (!in_doubt && entry.task.unconfirmed.empty()) {
+    return {Verdict::kConflict, "the task is not in doubt", ""};
+  }
+  entry.task.unconfirmed.clear();
+  m_changed = true;
+  const std::string reason = "resolved by " + event.who;
+  Decide(base::DecisionKind::kChange, entry.task, "resolved",
+         {"operator's word", "", m_version, reason});
+  if (!in_doubt) {
+    Write(std::move(entry), reason);
+  } else if (event.outcome == TaskOutcome::kNone) {
+    Requeue(std::move(entry), reason);
+  } else {
+    End(std::move(entry), event.outcome, reason);
+  }
+  return {};
+}
+
+TaskReply TaskShard::Refuse(const TaskSpec& spec,
+                            Verdict verdict,
+                            std::string reason) {
+  Task task;
+  task.spec = spec;
+  const base::Decision& decision =
+      Decide(base::DecisionKind::kRefusal, task, "not run",
+             {std::string(NameOf(verdict)), "pools", m_version, reason});
+  return {verdict, std::move(reason), decision.id};
+}
+
+std::string TaskShard::WhyHopeless(const TaskSpec& spec) const {
+  const auto limit = m_limits.find(spec.team);
+  if (limit != m_limits.end() && limit->second == 0) {
+    return "the upper limit of team " + spec.team + " is 0 tasks";
+  }
+  const bool fits = std::any_of(m_hosts.begin(), m_hosts.end(),
+                                [&spec](const PlacementHost& host) {
+                                  return Fits(spec.declared, host.capacity);
+                                });
+  if (fits || m_hosts.empty()) {
+    return "";
+  }
+  return fmt::format(
+      "no host of pool {} can hold {} cores, {} GB and {} accelerators", m_pool,
+      spec.declared.cores, spec.declared.memory_gb, spec.declared.accelerators);
+}
+
+void TaskShard::RecheckHopeless() {
+  if (!m_recheck_hopeless) {
+    return;
+  }
+  m_recheck_hopeless = false;
+  std::vector<std::string> waiting;
+  for (const auto& [team, tasks] : m_book.Teams()) {
+    for (const TaskOrder* order :
+         {&tasks.urgent, &tasks.normal, &tasks.hopeless}) {
+      for (const auto& [sequence, key] : *order) {
+        waiting.push_back(key);
+      }
+    }
+  }
+  for (const std::string& key : waiting) {
+    TaskEntry entry = *m_book.Find(key);
+    const std::string why = WhyHopeless(entry.task.spec);
+    if (entry.hopeless == !why.empty()) {
+      continue;
+    }
+    entry.hopeless = !why.empty();
+    entry.task.reason = why.empty() ? "waits for its turn" : why;
+    Decide(base::DecisionKind::kChange, entry.task,
+           why.empty() ? "can run again" : "can't run",
+           {"fits a host", "pools", m_version, entry.task.reason});
+    m_book.Put(std::move(entry), false);
+  }
+}
+
+void TaskShard::Write(TaskEntry entry, std::string reason) {
+  entry.task.reason = std::move(reason);
+  entry.task.changed_ms = WallMilliseconds(m_moment.wall);
+  m_book.Put(std::move(entry), true);
+}
+
+void TaskShard::End(TaskEntry entry, TaskOutcome outcome, std::string reason) {
+  entry.task.state = TaskState::kEnded;
+  entry.task.outcome = outcome;
+  entry.task.lease.worker.clear();
+  m_changed = true;
+  Write(std::move(entry), std::move(reason));
+}
+
+void TaskShard::Requeue(TaskEntry entry, std::string reason) {
+  if (entry.task.cancel_requested) {
+    End(std::move(entry), TaskOutcome::kCancelled, "cancelled; " + reason);
+    return;
+  }
+  entry.task.state = TaskState::kQueued;
+  entry.task.lease.worker.clear();
+  entry.request = RunRequest::kNone;
+  entry.measured = false;
+  m_changed = true;
+  Write(std::move(entry), std::move(reason));
+}
+
+void TaskShard::DeleteOld() {
+  const std::int64_t oldest =
+      WallMilliseconds(m_moment.wall) - base::Milliseconds(m_options.retention);
+  std::vector<std::string> old;
+  for (const auto& [changed, key] : m_book.Ended()) {
+    if (changed > oldest || old.size() >= m_options.max_deletions) {
+      break;
+    }
+    old.push_back(key);
+  }
+  for (const std::string& key : old) {
+    m_book.Erase(key);
+  }
+}
+
+base::Decision& TaskShard::Decide(base::DecisionKind kind,
+                                  const Task& task,
+                                  std::string outcome,
+                                  base::Reason reason) {
+  base::Decision decision;
+  decision.id = base::MakeId(m_random);
+  decision.kind = kind;
+  decision.subject = "task " + KeyOf(task.spec);
+  decision.team = task.spec.team;
+  decision.outcome = std::move(outcome);
+  decision.reasons.push_back(std::move(reason));
+  decision.at = m_moment.wall;
+  m_decisions.push_back(std::move(decision));
+  return m_decisions.back();
+}
+
+}  // namespace cassiastile::work
--- /dev/null
+++ b/src/cassiastile/work/worker_health.cpp
@@ -0,0 +1,102 @@
+#include "cassiastile/work/worker_health.hpp"
+
+#include <algorithm>
+
+#include <fmt/core.h>
+
+namespace cassiastile::work {
+
+namespace {
+
+constexpr std::size_t kWorkersRemembered = 2;
+constexpr std::size_t kMaxKinds = 4096;
+
+}  // namespace
+
+WorkerHealthBook::WorkerHealthBook(WorkerHealthOptions options)
+    : m_options(options) {}
+
+bool WorkerHealthBook::RecordEnd(const std::string& worker,
+                                 const std::string& kind,
+                                 bool succeeded,
+                                 base::TimePoint now) {
+  if (succeeded) {
+    RecordSuccess(worker, kind, now);
+    return false;
+  }
+  Health& health = m_workers[worker];
+  ++health.failures;
+  health.kinds.insert(kind);
+  if (SucceedsElsewhere(kind, worker, now)) {
+    ++health.failures_with_evidence;
+  }
+  const bool proven =
+      health.failures_with_evidence >= m_options.failures_with_evidence;
+  const bool suspect = health.failures >= m_options.failures_without_evidence &&
+                       health.kinds.size() >= m_options.kinds_without_evidence;
+  if (!health.distrusted && !proven && !suspect) {
+    return false;
+  }
+  health.evidence = fmt::format(
+      "{} runs of {} kinds failed in a row, {} of them of kinds that succeeded "
+      "on other workers",
+      health.failures, health.kinds.size(), health.failures_with_evidence);
+  Quarantine(health, now);
+  return true;
+}
+
+WorkerTrust WorkerHealthBook::TrustIn(const std::string& worker,
+                                      base::TimePoint now) const {
+  const auto found = m_workers.find(worker);
+  if (found == m_workers.end() || !found->second.distrusted) {
+    return WorkerTrust::kTrusted;
+  }
+  return now < found->second.until ? WorkerTrust::kQuarantined
+                                   : WorkerTrust::kProbing;
+}
+
+std::string WorkerHealthBook::Evidence(const std::string& worker) const {
+  const auto found = m_workers.find(worker);
+  return found == m_workers.end() ? "" : found->second.evidence;
+}
+
+bool WorkerHealthBook::SucceedsElsewhere(const std::string& kind,
+                                         const std::string& worker,
+                                         base::TimePoint now) const {
+  const auto found = m_successes.find(kind);
+  if (found == m_successes.end()) {
+    return false;
+  }
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [&](const Success& success) {
+                       return success.worker != worker &&
+                              now - success.at <= m_options.evidence_age;
+                     });
+}
+
+void WorkerHealthBook::RecordSuccess(const std::string& worker,
+                                     const std::string& kind,
+                                     base::TimePoint now) {
+  m_workers.erase(worker);
+  if (m_successes.size() >= kMaxKinds && !m_successes.contains(kind)) {
+    m_successes.erase(m_successes.begin());
+  }
+  auto& successes = m_successes[kind];
+  std::erase_if(successes, [&](const Success& success) {
+    return success.worker == worker;
+  });
+  if (successes.size() >= kWorkersRemembered) {
+    successes.erase(successes.begin());
+  }
+  successes.push_back({worker, now});
+}
+
+void WorkerHealthBook::Quarantine(Health& health, base::TimePoint now) const {
+  health.length = health.distrusted ? std::min(health.length * 2,
+                                               m_options.longest_quarantine)
+                                    : m_options.first_quarantine;
+  health.distrusted = true;
+  health.until = now + health.length;
+}
+
+}  // namespace cassiastile::work
