--- a/include/cassiastile/work/task_book.hpp
+++ b/include/cassiastile/work/task_book.hpp
@@ -88,6 +88,7 @@
 
   // Ended tasks with no run unconfirmed, by when they changed.
   const std::set<std::pair<std::int64_t, std::string>>& Ended() const;
+  const std::set<std::string>& InDoubt() const;
   std::uint64_t LastSequence() const;
 
  private:
@@ -100,6 +101,7 @@
   std::map<std::string, TeamTasks> m_teams;
   std::map<std::string, WorkerTasks> m_workers;
   std::set<std::pair<std::int64_t, std::string>> m_ended;
+  std::set<std::string> m_in_doubt;
   std::map<std::string, std::optional<TaskEntry>> m_before;
   std::set<std::string> m_written;
   std::uint64_t m_last_sequence = 0;
--- a/include/cassiastile/work/task_owner.hpp
+++ b/include/cassiastile/work/task_owner.hpp
@@ -56,7 +56,7 @@
 // table; one thread at a time.
 class TaskOwner {
  public:
-  TaskOwner(std::string pool,
+  TaskOwner(const std::string& pool,
             TaskOwnerOptions options,
             platform::Table& table,
             base::DecisionSink& decisions,
@@ -70,6 +70,13 @@
                                  Moment moment,
                                  const OwnerGrip& grip);
 
+  // Whether the shard shows what the table holds: everything was read, and no
+  // write is under way.
+  bool IsSettled() const;
+
+  // Batches that had rows and were sent to the table.
+  std::uint64_t BatchesWritten() const;
+
   const TaskShard& Shard() const;
   TaskShard& Shard();
 
@@ -98,6 +105,7 @@
   OwnerGrip m_grip;
   std::vector<base::Decision> m_pending_decisions;
   bool m_must_read = true;
+  std::uint64_t m_batches_written = 0;
   base::TimePoint m_credits_at{};
   base::TimePoint m_retry_at{};
   base::Duration m_backoff{};
--- a/include/cassiastile/work/task_poll.hpp
+++ b/include/cassiastile/work/task_poll.hpp
@@ -49,7 +49,7 @@
   // Whose runs are listed. Empty asks the pool that the host is in and says
   // nothing of what the worker does not hold.
   std::string pool;
-  bool leaving = false;           // It wants no new tasks.
+  bool leaving = false;  // It wants no new tasks.
   std::vector<HeldTask> held;
   std::vector<EndedRun> ended;
 };
--- /dev/null
+++ b/src/cassiastile/control/task_pump.cpp
@@ -0,0 +1,241 @@
+#include "cassiastile/control/task_pump.hpp"
+
+#include <algorithm>
+
+namespace cassiastile::control {
+
+namespace {
+
+constexpr base::Duration kViewsInterval = std::chrono::milliseconds(500);
+constexpr base::Duration kStatusInterval = std::chrono::seconds(1);
+constexpr std::size_t kMaxListed = 100;
+
+bool IsCancel(const std::optional<work::TaskEvent>& event) {
+  return event && std::holds_alternative<work::CancelEvent>(*event);
+}
+
+}  // namespace
+
+TaskPump::TaskPump(std::string pool,
+                   TaskPumpOptions options,
+                   TaskParts parts,
+                   base::Random random)
+    : m_pool(std::move(pool)),
+      m_options(options),
+      m_parts(parts),
+      m_owner(m_pool, options.owner, parts.table, parts.decisions, random) {
+  m_status.pool = m_pool;
+}
+
+TaskPump::~TaskPump() {
+  Stop();
+}
+
+void TaskPump::Start() {
+  m_thread = std::thread([this] { Run(); });
+}
+
+void TaskPump::Stop() {
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_changed.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void TaskPump::Submit(work::TaskEvent event,
+                      std::string key,
+                      PumpCompletion completion) {
+  Push({std::move(event), std::move(key), std::move(completion)});
+}
+
+void TaskPump::Read(std::string key, PumpCompletion completion) {
+  Push({std::nullopt, std::move(key), std::move(completion)});
+}
+
+void TaskPump::AskToLeave(const std::string& host) {
+  const std::lock_guard lock(m_mutex);
+  m_leave.insert(host);
+}
+
+TaskPoolStatus TaskPump::Status() const {
+  const std::lock_guard lock(m_mutex);
+  return m_status;
+}
+
+void TaskPump::Push(Item item) {
+  PumpRefusal refusal = PumpRefusal::kNone;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_stopping) {
+      refusal = PumpRefusal::kStopping;
+    } else if (m_items.size() >= m_options.max_waiting) {
+      refusal = PumpRefusal::kFull;
+    } else {
+      m_items.push_back(std::move(item));
+    }
+  }
+  if (refusal != PumpRefusal::kNone) {
+    PumpResult result;
+    result.refusal = refusal;
+    item.completion(std::move(result));
+    return;
+  }
+  m_changed.notify_all();
+}
+
+void TaskPump::Run() {
+  while (true) {
+    std::vector<Item> items = WaitForItems();
+    const bool nothing = items.empty();
+    HandleItems(std::move(items));
+    const std::lock_guard lock(m_mutex);
+    if (m_stopping && nothing && m_items.empty()) {
+      return;
+    }
+  }
+}
+
+std::vector<TaskPump::Item> TaskPump::WaitForItems() {
+  std::unique_lock lock(m_mutex);
+  m_changed.wait_for(lock, m_options.tick,
+                     [this] { return m_stopping || !m_items.empty(); });
+  const base::Duration pause = m_batch_due - m_parts.clock.Now();
+  if (!m_stopping && pause > base::Duration{}) {
+    m_changed.wait_for(lock, pause, [this] { return m_stopping; });
+  }
+  std::vector<Item> taken;
+  std::deque<Item> left;
+  std::size_t cancels = 0;
+  for (Item& item : m_items) {
+    const bool over = IsCancel(item.event) && ++cancels > m_options.max_cancels;
+    if (over) {
+      left.push_back(std::move(item));
+    } else {
+      taken.push_back(std::move(item));
+    }
+  }
+  m_items = std::move(left);
+  return taken;
+}
+
+void TaskPump::HandleItems(std::vector<Item> items) {
+  const base::TimePoint now = m_parts.clock.Now();
+  m_batch_due = now + m_options.batch_interval;
+  RefreshViews(now);
+  const auto grip = m_parts.owner.Grip(m_pool, now);
+  if (!grip) {
+    Refuse(items, PumpRefusal::kNotOwner);
+    RefreshStatus(now, false);
+    return;
+  }
+  std::vector<work::TaskEvent> events;
+  for (const Item& item : items) {
+    if (item.event) {
+      events.push_back(*item.event);
+    }
+  }
+  const std::uint64_t written = m_owner.BatchesWritten();
+  std::vector<work::TaskResult> results = m_owner.Handle(
+      events, {now, m_parts.clock.WallNow()}, {grip->epoch, grip->fence});
+  if (m_owner.BatchesWritten() != written) {
+    m_batch_due = now + m_options.write_interval;
+  }
+  std::size_t next = 0;
+  for (Item& item : items) {
+    work::TaskResult result;
+    if (item.event) {
+      result = std::move(results[next++]);
+    } else if (!m_owner.IsSettled()) {
+      result.effect = work::Effect::kNotRun;
+    }
+    Complete(item, std::move(result));
+  }
+  RefreshStatus(now, m_owner.IsSettled());
+}
+
+void TaskPump::RefreshViews(base::TimePoint now) {
+  const auto accepted = m_parts.fleet.Current();
+  if (accepted && accepted->version != m_fleet_version) {
+    m_fleet_version = accepted->version;
+    m_owner.SetFleet(*accepted);
+  }
+  if (m_views_at == base::TimePoint{} || now - m_views_at >= kViewsInterval) {
+    m_views_at = now;
+    m_owner.SetHosts(m_parts.pools.Hosts(m_pool));
+  }
+  std::set<std::string> leave;
+  {
+    const std::lock_guard lock(m_mutex);
+    leave.swap(m_leave);
+  }
+  for (const std::string& host : leave) {
+    m_owner.Shard().AskToLeave(host, now);
+  }
+}
+
+void TaskPump::RefreshStatus(base::TimePoint now, bool owned) {
+  if (m_status_at != base::TimePoint{} && now - m_status_at < kStatusInterval) {
+    return;
+  }
+  m_status_at = now;
+  TaskPoolStatus status;
+  status.pool = m_pool;
+  if (owned) {
+    status = MakeStatus(now);
+  }
+  const std::lock_guard lock(m_mutex);
+  m_status = std::move(status);
+}
+
+TaskPoolStatus TaskPump::MakeStatus(base::TimePoint now) const {
+  const work::TaskShard& shard = m_owner.Shard();
+  TaskPoolStatus status;
+  status.pool = m_pool;
+  status.owned = true;
+  status.tasks = shard.Book().Size();
+  for (const auto& [team, tasks] : shard.Book().Teams()) {
+    status.waiting +=
+        tasks.urgent.size() + tasks.normal.size() + tasks.hopeless.size();
+    status.runs += tasks.in_use;
+  }
+  for (const std::string& key : shard.Book().InDoubt()) {
+    if (status.in_doubt.size() < kMaxListed) {
+      status.in_doubt.push_back({key, shard.Explain(key)});
+    }
+  }
+  for (const fleet::HostView& view : m_parts.pools.Hosts(m_pool)) {
+    const std::string& name = view.host.name;
+    status.hosts[name] = shard.WorkOn(name, now);
+    if (shard.Health().TrustIn(name, now) != work::WorkerTrust::kTrusted) {
+      status.quarantined.push_back({name, shard.Health().Evidence(name)});
+    }
+  }
+  return status;
+}
+
+void TaskPump::Complete(Item& item, work::TaskResult result) const {
+  PumpResult done;
+  const bool confirmed = result.effect == work::Effect::kCommitted;
+  const work::TaskEntry* entry =
+      confirmed ? m_owner.Shard().Find(item.key) : nullptr;
+  if (entry != nullptr) {
+    done.task = entry->task;
+    done.explanation = m_owner.Shard().Explain(item.key);
+  }
+  done.result = std::move(result);
+  item.completion(std::move(done));
+}
+
+void TaskPump::Refuse(std::vector<Item>& items, PumpRefusal refusal) {
+  for (Item& item : items) {
+    PumpResult result;
+    result.refusal = refusal;
+    item.completion(std::move(result));
+  }
+}
+
+}  // namespace cassiastile::control
--- a/src/cassiastile/standin/worker_world_test.hpp
+++ b/src/cassiastile/standin/worker_world_test.hpp
@@ -106,7 +106,7 @@
 
   // Submits and notes whether it was acknowledged.
   work::TaskResult Submit(const work::TaskSpec& spec) {
-    const work::TaskResult result = Send(work::SubmitEvent{spec});
+    work::TaskResult result = Send(work::SubmitEvent{spec});
     if (result.effect == work::Effect::kCommitted &&
         result.reply.verdict == work::Verdict::kDone) {
       acknowledged.insert(work::KeyOf(spec));
--- a/src/cassiastile/work/size_estimate.cpp
+++ b/src/cassiastile/work/size_estimate.cpp
@@ -82,10 +82,10 @@
   if (team == m_teams.end()) {
     return estimate;
   }
-  static const LearntKind kNothing;
+  static const LearntKind nothing;
   const auto found = team->second.kinds.find(spec.kind);
   const LearntKind& kind =
-      found == team->second.kinds.end() ? kNothing : found->second;
+      found == team->second.kinds.end() ? nothing : found->second;
   const LearntKind& all = team->second.all;
   const auto cores = Predict(kind.cores, all.cores, spec.declared.cores);
   if (cores.moments != nullptr) {
--- a/src/cassiastile/work/task_book.cpp
+++ b/src/cassiastile/work/task_book.cpp
@@ -127,15 +127,15 @@
 }
 
 const TeamTasks& TaskBook::TeamOf(const std::string& team) const {
-  static const TeamTasks kNone;
+  static const TeamTasks none;
   const auto found = m_teams.find(team);
-  return found == m_teams.end() ? kNone : found->second;
+  return found == m_teams.end() ? none : found->second;
 }
 
 const WorkerTasks& TaskBook::WorkerOf(const std::string& worker) const {
-  static const WorkerTasks kNone;
+  static const WorkerTasks none;
   const auto found = m_workers.find(worker);
-  return found == m_workers.end() ? kNone : found->second;
+  return found == m_workers.end() ? none : found->second;
 }
 
 const std::map<std::string, TeamTasks>& TaskBook::Teams() const {
@@ -150,6 +150,10 @@
   return m_ended;
 }
 
+const std::set<std::string>& TaskBook::InDoubt() const {
+  return m_in_doubt;
+}
+
 std::uint64_t TaskBook::LastSequence() const {
   return m_last_sequence;
 }
@@ -182,6 +186,9 @@
     AddOrRemove(m_workers[lease.worker].unconfirmed, KeyOf(task.spec), add);
     IndexRun(entry, lease, add);
   }
+  if (task.state == TaskState::kInDoubt) {
+    AddOrRemove(m_in_doubt, KeyOf(task.spec), add);
+  }
   if (task.state == TaskState::kEnded && task.unconfirmed.empty()) {
     AddOrRemove(m_ended, std::pair(task.changed_ms, KeyOf(task.spec)), add);
   }
--- a/src/cassiastile/work/task_owner.cpp
+++ b/src/cassiastile/work/task_owner.cpp
@@ -26,7 +26,7 @@
   return base::FindName(kEffectNames, effect);
 }
 
-TaskOwner::TaskOwner(std::string pool,
+TaskOwner::TaskOwner(const std::string& pool,
                      TaskOwnerOptions options,
                      platform::Table& table,
                      base::DecisionSink& decisions,
@@ -78,6 +78,14 @@
   return results;
 }
 
+bool TaskOwner::IsSettled() const {
+  return !m_must_read && !m_store.IsPending();
+}
+
+std::uint64_t TaskOwner::BatchesWritten() const {
+  return m_batches_written;
+}
+
 const TaskShard& TaskOwner::Shard() const {
   return m_shard;
 }
@@ -191,6 +199,7 @@
     Record(m_shard.Confirm());
     return Effect::kCommitted;
   }
+  ++m_batches_written;
   const auto written = m_store.Write(batch.rows, m_grip.fence);
   if (written) {
     m_backoff = {};
--- a/src/cassiastile/work/task_shard_poll.cpp
+++ b/src/cassiastile/work/task_shard_poll.cpp
@@ -207,7 +207,7 @@
   const std::size_t tries =
       failed_on.size() - static_cast<std::size_t>(by_sick);
   const bool spent = tries >= m_options.max_tries ||
-                     failed_on.size() >= 2 * m_options.max_tries;
+                     failed_on.size() >= std::size_t{2} * m_options.max_tries;
   const std::string why =
       fmt::format("failed on {}: {}", worker, ended.message);
   if (!entry.task.spec.idempotent) {
