Add cassiactl with its commands

The commands check, put, edit and get the document, give and withdraw keys, show differences, history, audit, status and decisions, steer waves and hosts, and submit and cancel tasks. Exit status 0 is done, 1 refused, 2 wrong usage, 3 could not reach or unknown. An edit is checked against the whole document before it is sent, and its findings have places in the edit's own file.

--- a/include/cassiastile/config/field_reader.hpp
+++ b/include/cassiastile/config/field_reader.hpp
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,10 +44,12 @@
   // underscores, starting with a letter or digit.
   std::string Name(std::string_view name);
   bool Flag(std::string_view name, bool absent);
-  // A whole number. Without `absent` it must be there.
+  // A whole number with a default.
   std::int64_t Number(std::string_view name,
                       NumberRange range,
-                      std::optional<std::int64_t> absent = std::nullopt);
+                      std::int64_t absent);
+  // A whole number that must be there; a fault is read as the least one.
+  std::int64_t RequiredNumber(std::string_view name, NumberRange range);
   std::vector<std::string> TextList(std::string_view name);
 
   // Calls `read` with a reader for each object of a list. A list that must be
@@ -68,6 +69,10 @@
   const PlacedValue* Find(std::string_view name);
   const PlacedValue* Require(std::string_view name);
   std::string PathOf(std::string_view name) const;
+  std::int64_t ReadNumber(std::string_view name,
+                          const PlacedValue& value,
+                          NumberRange range,
+                          std::int64_t fallback);
   void ReportKind(std::string_view name,
                   const PlacedValue& value,
                   std::string_view wanted);
--- a/include/cassiastile/config/fleet_check.hpp
+++ b/include/cassiastile/config/fleet_check.hpp
@@ -7,7 +7,10 @@
 namespace cassiastile::config {
 
 // Whether the sections of a document agree with each other. The document gives
-// the findings their places and must be the one the fleet was read from.
-base::Findings CheckFleet(const Fleet& fleet, const PlacedDocument& document);
+// the findings their places and must be the one the fleet was read from. What
+// was found about single fields is passed in, as nothing follows from them.
+base::Findings CheckFleet(const Fleet& fleet,
+                          const PlacedDocument& document,
+                          const base::Findings& faults = {});
 
 }  // namespace cassiastile::config
--- a/src/cassiastile/config/check_context.hpp
+++ b/src/cassiastile/config/check_context.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -19,18 +20,38 @@
 // What the checks of a document share: where to report a contradiction.
 class CheckContext {
  public:
-  explicit CheckContext(const PlacedDocument& document)
-      : m_document(document) {}
+  CheckContext(const PlacedDocument& document, const base::Findings& faults)
+      : m_document(document) {
+    for (const base::Finding& fault : faults) {
+      m_faulty.insert(fault.path);
+    }
+  }
+
+  // Whether the value at a path was found to be missing or wrong by itself.
+  bool IsFaulty(const std::string& path) const {
+    return m_faulty.contains(path);
+  }
 
   void Report(const std::string& path, std::string message) {
-    AddFinding(m_findings,
-               {FindPlace(m_document, path), path, std::move(message)});
+    if (!IsFaulty(path)) {
+      AddFinding(m_findings,
+                 {FindPlace(m_document, path), path, std::move(message)});
+    }
+  }
+
+  // Whether a section is there as a list. Nothing is missed in one that could
+  // not be read.
+  bool IsRead(SectionName section) const {
+    const PlacedMember* member = FindMember(m_document.root, NameOf(section));
+    return member != nullptr &&
+           std::holds_alternative<PlacedList>(member->value.content);
   }
 
   base::Findings Take() { return std::move(m_findings); }
 
  private:
   const PlacedDocument& m_document;
+  std::unordered_set<std::string> m_faulty;
   base::Findings m_findings;
 };
 
@@ -44,6 +65,8 @@
 // The names that stand in a section, with the row of the first use of each.
 class NameTable {
  public:
+  explicit NameTable(SectionName section) : m_section(section) {}
+
   // Adds a name and reports it when it was there before. Empty names are
   // findings of the reader's and are left out.
   void Add(CheckContext& context,
@@ -63,11 +86,12 @@
   }
 
   // Reports a name that is not in the table; `kind` says what it should be.
+  // Nothing is reported while the section that has the names can't be read.
   void Require(CheckContext& context,
                const std::string& name,
                const std::string& path,
                std::string_view kind) const {
-    if (name.empty() || m_paths.contains(name)) {
+    if (name.empty() || m_paths.contains(name) || !context.IsRead(m_section)) {
       return;
     }
     context.Report(path, fmt::format("no {} is named \"{}\"{}", kind, name,
@@ -75,6 +99,7 @@
   }
 
  private:
+  SectionName m_section;
   std::unordered_map<std::string, std::string> m_paths;
   std::vector<std::string> m_names;
 };
--- a/src/cassiastile/config/check_names.cpp
+++ b/src/cassiastile/config/check_names.cpp
@@ -11,7 +11,7 @@
                        const std::vector<Row>& rows,
                        std::string Row::*member,
                        std::string_view field) {
-  NameTable names;
+  NameTable names(section);
   for (std::size_t i = 0; i < rows.size(); ++i) {
     names.Add(context, rows[i].*member, RowPath(section, i, field));
   }
@@ -102,7 +102,7 @@
   RequireNames(context, kQueues, fleet.queues, &Queue::pool, "pool", pools);
   for (std::size_t i = 0; i < fleet.waves.size(); ++i) {
     const std::vector<std::string>& covered = fleet.waves[i].pools;
-    NameTable listed;
+    NameTable listed(SectionName::kPools);
     for (std::size_t j = 0; j < covered.size(); ++j) {
       const std::string path = fmt::format("waves[{}].pools[{}]", i, j);
       pools.Require(context, covered[j], path, "pool");
--- a/src/cassiastile/config/check_pools.cpp
+++ b/src/cassiastile/config/check_pools.cpp
@@ -17,6 +17,10 @@
   return largest;
 }
 
+bool HasFaultyBudget(std::size_t row, const CheckContext& context) {
+  return context.IsFaulty(RowPath(SectionName::kPools, row, "max_out"));
+}
+
 void CheckBudget(const Pool& pool, std::size_t row, CheckContext& context) {
   if (pool.hosts.empty()) {
     context.Report(RowPath(SectionName::kPools, row, "hosts"),
@@ -33,7 +37,8 @@
 }
 
 void CheckZoneLoss(const Pool& pool, std::size_t row, CheckContext& context) {
-  if (!pool.survive_zone_loss || pool.hosts.empty()) {
+  if (!pool.survive_zone_loss || pool.hosts.empty() ||
+      HasFaultyBudget(row, context)) {
     return;
   }
   const std::size_t largest = LargestZone(pool);
@@ -104,7 +109,8 @@
     }
     for (std::size_t j = 0; j < wave.pools.size(); ++j) {
       const Pool* pool = FindPool(fleet, wave.pools[j]);
-      if (pool != nullptr) {
+      if (pool != nullptr &&
+          !HasFaultyBudget(pool - fleet.pools.data(), context)) {
         CheckPoolOfWave(wave, i, j, *pool, context);
       }
     }
--- a/src/cassiastile/config/check_teams.cpp
+++ b/src/cassiastile/config/check_teams.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <cstdint>
 
 #include "check_context.hpp"
@@ -25,11 +24,20 @@
   return weights;
 }
 
+bool HasFaultyWeight(const Fleet& fleet, const CheckContext& context) {
+  for (std::size_t i = 0; i < fleet.shares.size(); ++i) {
+    if (context.IsFaulty(RowPath(SectionName::kShares, i, "weight"))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void CheckLimit(const Fleet& fleet, std::size_t row, CheckContext& context) {
   const Limit& limit = fleet.limits[row];
   const Share* share = FindShare(fleet, limit.team);
   const std::uint64_t weights = AllWeights(fleet);
-  if (share == nullptr || weights == 0) {
+  if (share == nullptr || HasFaultyWeight(fleet, context)) {
     return;
   }
   const std::uint64_t slots = AllSlots(fleet);
@@ -46,7 +54,9 @@
 void CheckTasksAllowed(const Fleet& fleet, CheckContext& context) {
   for (std::size_t i = 0; i < fleet.queues.size(); ++i) {
     const Limit* limit = FindLimit(fleet, fleet.queues[i].team);
-    if (limit != nullptr && limit->tasks == 0) {
+    if (limit != nullptr && limit->tasks == 0 &&
+        !context.IsFaulty(RowPath(SectionName::kLimits,
+                                  limit - fleet.limits.data(), "tasks"))) {
       context.Report(RowPath(SectionName::kQueues, i, "team"),
                      fmt::format("team \"{}\" has a limit of 0 tasks, so this "
                                  "queue could never run any; raise it",
@@ -121,12 +131,14 @@
   for (std::size_t i = 0; i < fleet.teams.size(); ++i) {
     const std::string& team = fleet.teams[i].name;
     const std::string path = RowPath(SectionName::kTeams, i, "name");
-    if (!team.empty() && FindShare(fleet, team) == nullptr) {
+    if (!team.empty() && context.IsRead(SectionName::kShares) &&
+        FindShare(fleet, team) == nullptr) {
       context.Report(path, fmt::format("team \"{}\" has no share; add a row to "
                                        "shares",
                                        team));
     }
-    if (!team.empty() && FindLimit(fleet, team) == nullptr) {
+    if (!team.empty() && context.IsRead(SectionName::kLimits) &&
+        FindLimit(fleet, team) == nullptr) {
       context.Report(path, fmt::format("team \"{}\" has no limit; add a row to "
                                        "limits",
                                        team));
--- a/src/cassiastile/config/field_reader.cpp
+++ b/src/cassiastile/config/field_reader.cpp
@@ -123,15 +123,25 @@
 
 std::int64_t FieldReader::Number(std::string_view name,
                                  NumberRange range,
-                                 std::optional<std::int64_t> absent) {
-  const PlacedValue* value = absent ? Find(name) : Require(name);
-  const std::int64_t fallback = absent.value_or(range.least);
-  if (value == nullptr) {
-    return fallback;
-  }
-  const auto* number = std::get_if<std::int64_t>(&value->content);
+                                 std::int64_t absent) {
+  const PlacedValue* value = Find(name);
+  return value == nullptr ? absent : ReadNumber(name, *value, range, absent);
+}
+
+std::int64_t FieldReader::RequiredNumber(std::string_view name,
+                                         NumberRange range) {
+  const PlacedValue* value = Require(name);
+  return value == nullptr ? range.least
+                          : ReadNumber(name, *value, range, range.least);
+}
+
+std::int64_t FieldReader::ReadNumber(std::string_view name,
+                                     const PlacedValue& value,
+                                     NumberRange range,
+                                     std::int64_t fallback) {
+  const auto* number = std::get_if<std::int64_t>(&value.content);
   if (number == nullptr) {
-    ReportKind(name, *value,
+    ReportKind(name, value,
                fmt::format("a whole number from {} to {}", range.least,
                            range.greatest));
     return fallback;
--- a/src/cassiastile/config/fleet_check.cpp
+++ b/src/cassiastile/config/fleet_check.cpp
@@ -4,8 +4,10 @@
 
 namespace cassiastile::config {
 
-base::Findings CheckFleet(const Fleet& fleet, const PlacedDocument& document) {
-  CheckContext context(document);
+base::Findings CheckFleet(const Fleet& fleet,
+                          const PlacedDocument& document,
+                          const base::Findings& faults) {
+  CheckContext context(document, faults);
   CheckNames(fleet, context);
   CheckOwnership(fleet, context);
   CheckPools(fleet, context);
--- a/src/cassiastile/config/fleet_reader.cpp
+++ b/src/cassiastile/config/fleet_reader.cpp
@@ -1,6 +1,5 @@
 #include "cassiastile/config/fleet_reader.hpp"
 
-#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -34,10 +33,14 @@
 std::uint32_t Count(FieldReader& reader,
                     std::string_view name,
                     NumberRange range,
-                    std::optional<std::uint32_t> absent = std::nullopt) {
-  const auto fallback = absent ? std::optional<std::int64_t>(*absent)
-                               : std::optional<std::int64_t>();
-  return static_cast<std::uint32_t>(reader.Number(name, range, fallback));
+                    std::uint32_t absent) {
+  return static_cast<std::uint32_t>(reader.Number(name, range, absent));
+}
+
+std::uint32_t RequiredCount(FieldReader& reader,
+                            std::string_view name,
+                            NumberRange range) {
+  return static_cast<std::uint32_t>(reader.RequiredNumber(name, range));
 }
 
 // Two digits below a bound, or nothing.
@@ -137,7 +140,7 @@
   Pool pool;
   pool.name = reader.Name("name");
   pool.spare = reader.Flag("spare", pool.spare);
-  pool.budget.max_out = Count(reader, "max_out", kHostsOut);
+  pool.budget.max_out = RequiredCount(reader, "max_out", kHostsOut);
   pool.survive_zone_loss =
       reader.Flag("survive_zone_loss", pool.survive_zone_loss);
   reader.ForEach("hosts", true, [&pool](FieldReader& host) {
@@ -206,12 +209,12 @@
 }
 
 Share ReadShare(FieldReader& reader) {
-  return {reader.Name("team"), Count(reader, "weight", kWeight)};
+  return {reader.Name("team"), RequiredCount(reader, "weight", kWeight)};
 }
 
 Limit ReadLimit(FieldReader& reader) {
-  return {reader.Name("team"), Count(reader, "requests", kRunning),
-          Count(reader, "tasks", kRunning)};
+  return {reader.Name("team"), RequiredCount(reader, "requests", kRunning),
+          RequiredCount(reader, "tasks", kRunning)};
 }
 
 // Reads one section, a list of rows.
@@ -225,15 +228,6 @@
   });
 }
 
-// A contradiction found about a value that is itself faulty says nothing new.
-bool IsAboutFaultyValue(const base::Finding& finding,
-                        const base::Findings& faults) {
-  return std::any_of(faults.begin(), faults.end(),
-                     [&finding](const base::Finding& fault) {
-                       return fault.path == finding.path;
-                     });
-}
-
 }  // namespace
 
 Fleet ReadFields(const PlacedDocument& document, base::Findings& findings) {
@@ -263,11 +257,8 @@
   }
   base::Findings findings = document->duplicates;
   Fleet fleet = ReadFields(*document, findings);
-  const base::Findings faults = findings;
-  for (base::Finding& finding : CheckFleet(fleet, *document)) {
-    if (!IsAboutFaultyValue(finding, faults)) {
-      AddFinding(findings, std::move(finding));
-    }
+  for (base::Finding& finding : CheckFleet(fleet, *document, findings)) {
+    AddFinding(findings, std::move(finding));
   }
   if (!findings.empty()) {
     return tl::make_unexpected(std::move(findings));
--- a/src/cassiastile/config/fleet_reader_test.cpp
+++ b/src/cassiastile/config/fleet_reader_test.cpp
@@ -182,6 +182,18 @@
   EXPECT_TRUE(HasFinding(findings, "shares[0].weight", "missing"));
 }
 
+TEST(FleetReaderTest, OneFaultIsNotReportedAsSeveral) {
+  EXPECT_EQ(FindingsOf(Changed("\"max_out\": 2,", "")).size(), 1U);
+  EXPECT_EQ(FindingsOf(Changed("\"weight\": 4", "\"weight\": -4")).size(), 1U);
+  // Each misspelled name is one that is unknown and one that is missing.
+  for (const char* section :
+       {"zones", "teams", "shares", "limits", "pools", "operators"}) {
+    const std::string name = "\"" + std::string(section);
+    EXPECT_EQ(FindingsOf(Changed(name + "\": [", name + "x\": [")).size(), 2U)
+        << section;
+  }
+}
+
 TEST(FleetReaderTest, SameKeyTwiceIsFound) {
   std::string text = Example("plechovy-hlas.jsonc");
   const std::string field = "\"sha256\": \"";
--- a/src/cassiastile/config/text_cursor.cpp
+++ b/src/cassiastile/config/text_cursor.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+constexpr std::string_view kBlanks = " \t\r\n";
 constexpr std::string_view kBetweenTokens = " \t\r\n,:";
 constexpr std::string_view kEndOfScalar = " \t\r\n,:[]{}\"/";
 constexpr std::uint32_t kContinuationMask = 0xC0;
@@ -102,19 +103,12 @@
   }
 }
 
+void TextCursor::SkipToMark() {
+  SkipOver(kBlanks);
+}
+
 void TextCursor::SkipToToken() {
-  while (!AtEnd()) {
-    if (StartsWith("//")) {
-      SkipLineComment();
-    } else if (StartsWith("/*")) {
-      SkipBlockComment();
-    } else if (kBetweenTokens.find(m_text[m_offset]) !=
-               std::string_view::npos) {
-      Step();
-    } else {
-      return;
-    }
-  }
+  SkipOver(kBetweenTokens);
 }
 
 void TextCursor::SkipString() {
@@ -135,6 +129,20 @@
   }
 }
 
+void TextCursor::SkipOver(std::string_view characters) {
+  while (!AtEnd()) {
+    if (StartsWith("//")) {
+      SkipLineComment();
+    } else if (StartsWith("/*")) {
+      SkipBlockComment();
+    } else if (characters.find(m_text[m_offset]) != std::string_view::npos) {
+      Step();
+    } else {
+      return;
+    }
+  }
+}
+
 bool TextCursor::StartsWith(std::string_view prefix) const {
   return m_text.substr(m_offset, prefix.size()) == prefix;
 }
--- a/src/cassiastile/config/text_cursor.hpp
+++ b/src/cassiastile/config/text_cursor.hpp
@@ -17,7 +17,8 @@
 
   // Moves on to the given offset; does nothing when it lies behind.
   void AdvanceTo(std::size_t offset);
-  // Skips blanks, comments, commas and colons.
+  // Skips blanks and comments, and with them commas and colons.
+  void SkipToMark();
   void SkipToToken();
   // Skips the string, number or word that starts here.
   void SkipString();
@@ -27,6 +28,8 @@
 
  private:
   bool AtEnd() const { return m_offset >= m_text.size(); }
+  // Skips comments and the given characters.
+  void SkipOver(std::string_view characters);
   bool StartsWith(std::string_view prefix) const;
   void SkipLineComment();
   void SkipBlockComment();
--- /dev/null
+++ b/src/cassiastile/operator/command.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include "api_client.hpp"
+#include "cassiastile/base/findings.hpp"
+#include "cassiastile/operator/cassiactl.hpp"
+
+namespace cassiastile::operators {
+
+// One run of a command: its words and options, the server and the streams.
+class Invocation {
+ public:
+  Invocation(const Console& console,
+             boost::program_options::variables_map options,
+             std::vector<std::string> words,
+             std::unique_ptr<ApiClient> api)
+      : m_console(console),
+        m_options(std::move(options)),
+        m_words(std::move(words)),
+        m_api(std::move(api)) {}
+
+  const Console& Streams() const { return m_console; }
+  const ApiClient& Api() const { return *m_api; }
+  bool WantsJson() const { return Flag("json"); }
+
+  // The words after the command's name; an absent one is empty.
+  std::string Word(std::size_t index) const {
+    return index < m_words.size() ? m_words[index] : "";
+  }
+  std::size_t WordCount() const { return m_words.size(); }
+
+  bool Flag(const std::string& name) const {
+    return m_options.count(name) > 0 && m_options[name].as<bool>();
+  }
+  std::string Text(const std::string& name) const {
+    return Option<std::string>(name).value_or("");
+  }
+  template <typename Value>
+  std::optional<Value> Option(const std::string& name) const {
+    if (m_options.count(name) == 0) {
+      return std::nullopt;
+    }
+    return m_options[name].as<Value>();
+  }
+
+ private:
+  const Console& m_console;
+  boost::program_options::variables_map m_options;
+  std::vector<std::string> m_words;
+  std::unique_ptr<ApiClient> m_api;
+};
+
+// A command of cassiactl.
+struct Command {
+  std::string_view name;
+  std::string_view words;  // As shown in the usage line.
+  std::string_view summary;
+  std::string_view examples;
+  std::size_t min_words = 0;
+  std::size_t max_words = 0;
+  bool calls_server = true;
+  void (*add_options)(boost::program_options::options_description&) = nullptr;
+  ExitCode (*run)(const Invocation&) = nullptr;
+};
+
+// The commands of each family.
+std::vector<Command> CheckCommands();
+std::vector<Command> EditCommands();
+std::vector<Command> KeyCommands();
+std::vector<Command> HistoryCommands();
+std::vector<Command> FleetCommands();
+std::vector<Command> TaskCommands();
+
+}  // namespace cassiastile::operators
--- /dev/null
+++ b/src/cassiastile/operator/documents.cpp
@@ -0,0 +1,180 @@
+#include "documents.hpp"
+
+#include <algorithm>
+#include <istream>
+
+#include <fmt/format.h>
+
+#include "cassiastile/config/diff.hpp"
+#include "cassiastile/config/fleet_reader.hpp"
+#include "cassiastile/config/placed_json.hpp"
+#include "cassiastile/config/section_edit.hpp"
+#include "cassiastile/config/text_file.hpp"
+#include "report.hpp"
+#include "table.hpp"
+
+namespace cassiastile::operators {
+
+namespace {
+
+constexpr int kStatusNotFound = 404;
+
+std::size_t CountLines(std::string_view text) {
+  return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+// Where a section starts in a document and where its text starts in a file.
+struct SectionPlace {
+  std::size_t line = 0;
+  std::size_t column = 0;
+  std::size_t last_line = 0;
+  std::size_t line_in_file = 1;
+  std::size_t column_in_file = 1;
+};
+
+SectionPlace LocateSection(const std::string& document,
+                           const SectionEdit& edit) {
+  SectionPlace place;
+  const auto parsed = config::ParsePlacedJson(document, "document");
+  if (!parsed) {
+    return place;
+  }
+  const base::Place start =
+      config::FindPlace(*parsed, config::NameOf(edit.section));
+  const std::size_t first =
+      std::min(edit.text.find_first_not_of(" \t\r\n"), edit.text.size());
+  const std::size_t last = edit.text.find_last_not_of(" \t\r\n");
+  const std::string_view lead = std::string_view(edit.text).substr(0, first);
+  place.line = start.line;
+  place.column = start.column;
+  place.last_line = start.line + CountLines(std::string_view(edit.text).substr(
+                                     first, last + 1 - first));
+  place.line_in_file = 1 + CountLines(lead);
+  place.column_in_file = first - (lead.rfind('\n') + 1) + 1;
+  return place;
+}
+
+// Moves a finding within the section to its place in the edit's text.
+void Relocate(base::Finding& finding,
+              const SectionPlace& section,
+              const SectionEdit& edit) {
+  base::Place& place = finding.place;
+  const bool before =
+      place.line < section.line ||
+      (place.line == section.line && place.column < section.column);
+  if (before || place.line > section.last_line) {
+    return;
+  }
+  if (place.line == section.line) {
+    place.column += section.column_in_file;
+    place.column -= section.column;
+  }
+  place.line += section.line_in_file;
+  place.line -= section.line;
+  place.file = edit.file;
+}
+
+std::string FormatChange(const nlohmann::json& body) {
+  std::string text = "nothing was changed; the fleet would do this:\n";
+  if (body.contains("change")) {
+    text += FormatJson(body["change"]);
+  }
+  return text + Printable(TextOf(body, "diff"), true);
+}
+
+std::string FormatAcceptance(const nlohmann::json& body) {
+  if (body.is_object() && body.contains("dry_run")) {
+    return FormatChange(body);
+  }
+  const std::uint64_t version = NumberOf(body, "version");
+  if (TextOf(body, "state") != "pending") {
+    return fmt::format("version {} is accepted and in force everywhere\n",
+                       version);
+  }
+  const std::string missing =
+      body.contains("missing") ? FormatCell(body["missing"]) : "-";
+  return fmt::format(
+      "version {} is committed and pending: not yet acknowledged by {}\n",
+      version, missing);
+}
+
+nlohmann::json MakeBody(const Invocation& invocation,
+                        const std::string& text,
+                        std::uint64_t base_version) {
+  return {{"text", text},
+          {"base_version", base_version},
+          {"dry_run", invocation.Flag("dry-run")}};
+}
+
+}  // namespace
+
+tl::expected<ServedDocument, ExitCode> FetchDocument(
+    const Invocation& invocation,
+    std::optional<std::uint64_t> version) {
+  const std::string path =
+      version ? fmt::format("/v1/config?version={}", *version) : "/v1/config";
+  const ApiOutcome outcome = invocation.Api().Get(path);
+  if (!version && outcome && outcome->status == kStatusNotFound) {
+    return ServedDocument{};
+  }
+  const ExitCode code = ReportOutcome(invocation, outcome);
+  if (code != ExitCode::kDone) {
+    return tl::make_unexpected(code);
+  }
+  return ServedDocument{NumberOf(outcome->body, "version"),
+                        TextOf(outcome->body, "text")};
+}
+
+base::Result<std::string> ReadInput(const Invocation& invocation,
+                                    const std::string& path) {
+  return path == "-" ? config::ReadText(invocation.Streams().in)
+                     : config::ReadTextFile(path);
+}
+
+base::Findings CheckEdit(const ServedDocument& document,
+                         const SectionEdit& edit) {
+  const auto text =
+      config::ReplaceSection(document.text, edit.section, edit.text);
+  if (!text) {
+    const auto syntax = config::ParsePlacedJson(edit.text, edit.file);
+    return syntax ? base::Findings{{{edit.file, 1, 1},
+                                    std::string(config::NameOf(edit.section)),
+                                    text.error().message}}
+                  : syntax.error();
+  }
+  const auto fleet =
+      config::ReadFleet(*text, fmt::format("document-{}", document.version));
+  if (fleet) {
+    return {};
+  }
+  base::Findings findings = fleet.error();
+  const SectionPlace place = LocateSection(*text, edit);
+  for (base::Finding& finding : findings) {
+    Relocate(finding, place, edit);
+  }
+  return findings;
+}
+
+ExitCode SendEdit(const Invocation& invocation,
+                  const ServedDocument& document,
+                  const SectionEdit& edit) {
+  const base::Findings findings = CheckEdit(document, edit);
+  if (!findings.empty()) {
+    return ReportFindings(invocation, findings);
+  }
+  const std::string path =
+      fmt::format("/v1/config/sections/{}", config::NameOf(edit.section));
+  const ApiOutcome outcome = invocation.Api().Post(
+      path, MakeBody(invocation, edit.text, document.version));
+  return ShowOutcome(invocation, outcome, FormatAcceptance);
+}
+
+ExitCode SendDocument(const Invocation& invocation,
+                      const std::string& text,
+                      std::uint64_t base_version) {
+  const ApiOutcome outcome = invocation.Api().Post(
+      "/v1/config", MakeBody(invocation, text, base_version));
+  return ShowOutcome(invocation, outcome, FormatAcceptance);
+}
+
+}  // namespace cassiastile::operators
--- /dev/null
+++ b/src/cassiastile/operator/edit_commands.cpp
@@ -0,0 +1,192 @@
+#include <ostream>
+
+#include <fmt/format.h>
+
+#include "cassiastile/config/diff.hpp"
+#include "cassiastile/config/fleet_reader.hpp"
+#include "cassiastile/config/section_edit.hpp"
+#include "command.hpp"
+#include "documents.hpp"
+#include "report.hpp"
+
+namespace cassiastile::operators {
+
+namespace {
+
+namespace po = boost::program_options;
+
+void AddEditOptions(po::options_description& options) {
+  options.add_options()("dry-run", po::bool_switch(),
+                        "show what the fleet would do and change nothing")(
+      "base", po::value<std::uint64_t>(),
+      "the version that the text was read at");
+}
+
+void AddSectionOptions(po::options_description& options) {
+  AddEditOptions(options);
+  options.add_options()("file", po::value<std::string>()->default_value("-"),
+                        "the section's new text; - reads standard input");
+}
+
+void AddGetOptions(po::options_description& options) {
+  options.add_options()("version", po::value<std::uint64_t>(),
+                        "an earlier version in place of the one in force");
+}
+
+// The version that a whole document replaces: as given, or zero when there is
+// no document yet.
+tl::expected<std::uint64_t, ExitCode> FindBase(const Invocation& invocation) {
+  if (const auto base = invocation.Option<std::uint64_t>("base")) {
+    return *base;
+  }
+  const auto document = FetchDocument(invocation);
+  if (!document) {
+    return tl::make_unexpected(document.error());
+  }
+  if (document->version != 0) {
+    return tl::make_unexpected(ReportUsage(
+        invocation,
+        fmt::format("version {} is in force: give --base N, the version that "
+                    "your file was read at, so that no other edit is undone",
+                    document->version)));
+  }
+  return 0;
+}
+
+ExitCode RunPut(const Invocation& invocation) {
+  const std::string file = invocation.Word(0);
+  const auto text = ReadInput(invocation, file);
+  if (!text) {
+    return ReportInput(invocation, text.error().message);
+  }
+  const auto fleet = config::ReadFleet(*text, file);
+  if (!fleet) {
+    return ReportFindings(invocation, fleet.error());
+  }
+  const auto base = FindBase(invocation);
+  return base ? SendDocument(invocation, *text, *base) : base.error();
+}
+
+tl::expected<config::SectionName, ExitCode> ReadSectionName(
+    const Invocation& invocation,
+    const std::string& word) {
+  const auto section = config::FindSection(word);
+  if (!section) {
+    return tl::make_unexpected(ReportUsage(
+        invocation, fmt::format("\"{}\" is not a section; sections are "
+                                "operators, ownership, zones, pools, services, "
+                                "queues, teams, keys, shares, limits, waves",
+                                word)));
+  }
+  return *section;
+}
+
+ExitCode RunEdit(const Invocation& invocation) {
+  const auto section = ReadSectionName(invocation, invocation.Word(0));
+  if (!section) {
+    return section.error();
+  }
+  const std::string file = invocation.Text("file");
+  const auto text = ReadInput(invocation, file);
+  if (!text) {
+    return ReportInput(invocation, text.error().message);
+  }
+  const auto document =
+      FetchDocument(invocation, invocation.Option<std::uint64_t>("base"));
+  if (!document) {
+    return document.error();
+  }
+  if (document->version == 0) {
+    return ReportInput(invocation,
+                       "there is no document yet; put a whole one first");
+  }
+  return SendEdit(invocation, *document, {*section, *text, file});
+}
+
+ExitCode PrintText(const Invocation& invocation,
+                   const ServedDocument& document,
+                   const std::string& text) {
+  if (invocation.WantsJson()) {
+    PrintJson(invocation, {{"version", document.version}, {"text", text}});
+    return ExitCode::kDone;
+  }
+  invocation.Streams().out << text << (text.ends_with('\n') ? "" : "\n");
+  invocation.Streams().err << "version " << document.version << '\n';
+  return ExitCode::kDone;
+}
+
+ExitCode RunGet(const Invocation& invocation) {
+  const auto document =
+      FetchDocument(invocation, invocation.Option<std::uint64_t>("version"));
+  if (!document) {
+    return document.error();
+  }
+  if (document->version == 0) {
+    return ReportInput(invocation, "there is no document yet");
+  }
+  if (invocation.WordCount() == 0) {
+    return PrintText(invocation, *document, document->text);
+  }
+  const auto section = ReadSectionName(invocation, invocation.Word(0));
+  if (!section) {
+    return section.error();
+  }
+  const auto text = config::SectionText(document->text, *section);
+  return text ? PrintText(invocation, *document, *text)
+              : ReportInput(invocation, text.error().message);
+}
+
+Command MakePut() {
+  Command put;
+  put.name = "put";
+  put.words = "FILE";
+  put.summary = "check a whole document and take it into force";
+  put.examples =
+      "  cassiactl put fleet.jsonc\n"
+      "  cassiactl put fleet.jsonc --base 7 --dry-run\n";
+  put.min_words = 1;
+  put.max_words = 1;
+  put.add_options = AddEditOptions;
+  put.run = RunPut;
+  return put;
+}
+
+Command MakeEdit() {
+  Command edit;
+  edit.name = "edit";
+  edit.words = "SECTION";
+  edit.summary = "replace one section and leave the rest as it is";
+  edit.examples =
+      "  cassiactl get shares > shares.jsonc\n"
+      "  cassiactl edit shares --file shares.jsonc --base 7 --dry-run\n"
+      "  cassiactl edit shares --base 7 < shares.jsonc\n"
+      "Without --base the text replaces the section as it is in force now.\n";
+  edit.min_words = 1;
+  edit.max_words = 1;
+  edit.add_options = AddSectionOptions;
+  edit.run = RunEdit;
+  return edit;
+}
+
+Command MakeGet() {
+  Command get;
+  get.name = "get";
+  get.words = "[SECTION]";
+  get.summary = "print the document or one section of it";
+  get.examples =
+      "  cassiactl get > fleet.jsonc\n"
+      "  cassiactl get waves --version 7\n"
+      "The version goes to standard error.\n";
+  get.max_words = 1;
+  get.add_options = AddGetOptions;
+  get.run = RunGet;
+  return get;
+}
+
+}  // namespace
+
+std::vector<Command> EditCommands() {
+  return {MakePut(), MakeEdit(), MakeGet()};
+}
+
+}  // namespace cassiastile::operators
--- /dev/null
+++ b/src/cassiastile/operator/fleet_commands.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+#include "command.hpp"
+#include "report.hpp"
+#include "table.hpp"
+
+namespace cassiastile::operators {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kWaveActs = {"start", "pause",
+                                                       "resume", "abort"};
+
+ExitCode RunStatus(const Invocation& invocation) {
+  return ShowOutcome(invocation, invocation.Api().Get("/v1/status"),
+                     FormatJson);
+}
+
+std::string FormatReason(const nlohmann::json& reason) {
+  const std::string section = TextOf(reason, "section");
+  std::string text = fmt::format("  because of {}", TextOf(reason, "rule"));
+  if (!section.empty()) {
+    text += fmt::format(" (section {} of version {})", section,
+                        NumberOf(reason, "version"));
+  }
+  return fmt::format("{}: {}\n", text, TextOf(reason, "observation"));
+}
+
+// A decision as a page of plain text.
+std::string FormatDecision(const nlohmann::json& body) {
+  std::string text = fmt::format(
+      "decision {}\n{} of {}{}{}\noutcome: {}\nat: {}\n", TextOf(body, "id"),
+      TextOf(body, "kind"), TextOf(body, "subject"),
+      TextOf(body, "team").empty() ? "" : " for team ", TextOf(body, "team"),
+      TextOf(body, "outcome"), TextOf(body, "at"));
+  if (body.is_object() && body.contains("reasons")) {
+    for (const auto& reason : body["reasons"]) {
+      text += FormatReason(reason);
+    }
+  }
+  return Printable(text, true);
+}
+
+ExitCode RunExplain(const Invocation& invocation) {
+  const std::string path = "/v1/decisions/" + EncodeSegment(invocation.Word(0));
+  return ShowOutcome(invocation, invocation.Api().Get(path), FormatDecision);
+}
+
+ExitCode RunWave(const Invocation& invocation) {
+  const std::string path = "/v1/waves/" + EncodeSegment(invocation.Word(0));
+  const std::string act = invocation.Word(1);
+  if (act == "status") {
+    return ShowOutcome(invocation, invocation.Api().Get(path), FormatJson);
+  }
+  if (std::find(kWaveActs.begin(), kWaveActs.end(), act) == kWaveActs.end()) {
+    return ReportUsage(invocation,
+                       "use: wave NAME status|start|pause|resume|abort");
+  }
+  return ShowOutcome(
+      invocation,
+      invocation.Api().Post(path + "/" + act, nlohmann::json::object()),
+      FormatJson);
+}
+
+ExitCode ActOnHost(const Invocation& invocation, std::string_view act) {
+  const std::string path =
+      fmt::format("/v1/hosts/{}/{}", EncodeSegment(invocation.Word(0)), act);
+  return ShowOutcome(invocation,
+                     invocation.Api().Post(path, nlohmann::json::object()),
+                     FormatJson);
+}
+
+ExitCode RunDrain(const Invocation& invocation) {
+  return ActOnHost(invocation, "drain");
+}
+
+ExitCode RunReturn(const Invocation& invocation) {
+  return ActOnHost(invocation, "return");
+}
+
+Command MakeCommand(std::string_view name,
+                    std::string_view words,
+                    std::string_view summary,
+                    std::string_view examples) {
+  Command command;
+  command.name = name;
+  command.words = words;
+  command.summary = summary;
+  command.examples = examples;
+  return command;
+}
+
+// Sets how many words the command takes and what runs it.
+Command WithRun(Command command,
+                std::size_t word_count,
+                ExitCode (*run)(const Invocation&)) {
+  command.min_words = word_count;
+  command.max_words = word_count;
+  command.run = run;
+  return command;
+}
+
+}  // namespace
+
+std::vector<Command> FleetCommands() {
+  return {
+      WithRun(MakeCommand("status", "",
+                          "show members, versions, pools, waves and queues",
+                          "  cassiactl status\n  cassiactl status --json\n"),
+              0, RunStatus),
+      WithRun(MakeCommand("explain", "ID",
+                          "say why a refusal, placement or change was made",
+                          "  cassiactl explain 5f0c62b1a90d4e77\n"),
+              1, RunExplain),
+      WithRun(MakeCommand("wave", "NAME status|start|pause|resume|abort",
+                          "show or steer a maintenance wave",
+                          "  cassiactl wave kernel-winter start\n"
+                          "  cassiactl wave kernel-winter status --json\n"),
+              2, RunWave),
+      WithRun(MakeCommand("drain", "HOST",
+                          "take a host out of service once its work has ended",
+                          "  cassiactl drain entries-03\n"),
+              1, RunDrain),
+      WithRun(MakeCommand("return", "HOST", "put a drained host back to work",
+                          "  cassiactl return entries-03\n"),
+              1, RunReturn),
+  };
+}
+
+}  // namespace cassiastile::operators
--- /dev/null
+++ b/src/cassiastile/operator/history_commands.cpp
@@ -0,0 +1,195 @@
+#include <charconv>
+#include <ostream>
+
+#include <fmt/format.h>
+
+#include "cassiastile/config/diff.hpp"
+#include "cassiastile/config/fleet_reader.hpp"
+#include "command.hpp"
+#include "documents.hpp"
+#include "report.hpp"
+#include "table.hpp"
+
+namespace cassiastile::operators {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::size_t kShownDigits = 12;  // Of a digest, in tables.
+
+std::optional<std::uint64_t> ReadVersion(const std::string& word) {
+  std::uint64_t version = 0;
+  const char* const end = word.data() + word.size();
+  const auto read = std::from_chars(word.data(), end, version);
+  const bool whole = read.ec == std::errc() && read.ptr == end;
+  return whole && version > 0 ? std::optional(version) : std::nullopt;
+}
+
+// A document under the label that a diff shows.
+struct LabelledDocument {
+  std::string label;
+  std::string text;
+};
+
+ExitCode ShowDiff(const Invocation& invocation,
+                  const LabelledDocument& before,
+                  const LabelledDocument& after) {
+  const std::string diff =
+      config::UnifiedDiff(before.text, after.text, before.label, after.label);
+  const auto old_fleet = config::ReadFleet(before.text, before.label);
+  const auto new_fleet = config::ReadFleet(after.text, after.label);
+  const config::FleetChange change =
+      old_fleet && new_fleet ? config::CompareFleets(*old_fleet, *new_fleet)
+                             : config::FleetChange{};
+  if (invocation.WantsJson()) {
+    PrintJson(invocation, {{"diff", diff}, {"change", config::ToJson(change)}});
+    return ExitCode::kDone;
+  }
+  invocation.Streams().out << Printable(diff, true);
+  if (!new_fleet) {
+    return ReportFindings(invocation, new_fleet.error());
+  }
+  if (old_fleet) {
+    invocation.Streams().out << Printable(config::DescribeChange(change), true);
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode DiffVersions(const Invocation& invocation) {
+  const auto from = ReadVersion(invocation.Word(0));
+  const auto to = ReadVersion(invocation.Word(1));
+  if (!from || !to) {
+    return ReportUsage(invocation, "versions are whole numbers from 1");
+  }
+  const auto before = FetchDocument(invocation, *from);
+  if (!before) {
+    return before.error();
+  }
+  const auto after = FetchDocument(invocation, *to);
+  if (!after) {
+    return after.error();
+  }
+  return ShowDiff(invocation, {fmt::format("version {}", *from), before->text},
+                  {fmt::format("version {}", *to), after->text});
+}
+
+ExitCode DiffFile(const Invocation& invocation) {
+  const std::string file = invocation.Word(0);
+  const auto text = ReadInput(invocation, file);
+  if (!text) {
+    return ReportInput(invocation, text.error().message);
+  }
+  const auto document = FetchDocument(invocation);
+  if (!document) {
+    return document.error();
+  }
+  return ShowDiff(
+      invocation,
+      {fmt::format("version {}", document->version), document->text},
+      {file, *text});
+}
+
+ExitCode RunDiff(const Invocation& invocation) {
+  return invocation.WordCount() == 2 ? DiffVersions(invocation)
+                                     : DiffFile(invocation);
+}
+
+std::string FormatHistory(const nlohmann::json& body) {
+  Table table({"version", "by", "at", "sections", "digest"});
+  if (body.is_object() && body.contains("versions")) {
+    for (const auto& row : body["versions"]) {
+      table.Add({std::to_string(NumberOf(row, "version")), TextOf(row, "by"),
+                 TextOf(row, "at"),
+                 row.contains("sections") ? FormatCell(row["sections"]) : "-",
+                 TextOf(row, "digest").substr(0, kShownDigits)});
+    }
+  }
+  return table.Format();
+}
+
+ExitCode RunHistory(const Invocation& invocation) {
+  return ShowOutcome(invocation, invocation.Api().Get("/v1/config/history"),
+                     FormatHistory);
+}
+
+void AddAuditOptions(po::options_description& options) {
+  options.add_options()("since", po::value<std::string>(),
+                        "only changes from this sequence number or time on")(
+      "section", po::value<std::string>(), "only changes of this section")(
+      "team", po::value<std::string>(), "only changes about this team");
+}
+
+std::string AuditPath(const Invocation& invocation) {
+  std::string path = "/v1/audit";
+  char separator = '?';
+  for (const char* name : {"since", "section", "team"}) {
+    const std::string value = invocation.Text(name);
+    if (!value.empty()) {
+      path += fmt::format("{}{}={}", separator, name, EncodeSegment(value));
+      separator = '&';
+    }
+  }
+  return path;
+}
+
+std::string FormatAudit(const nlohmann::json& body) {
+  std::string text = body.is_object() && body.contains("rows")
+                         ? FormatJson(body["rows"])
+                         : FormatJson(body);
+  return text + fmt::format("chain: {}\n", Printable(TextOf(body, "chain")));
+}
+
+// A broken chain means that the history of changes was edited.
+ExitCode RunAudit(const Invocation& invocation) {
+  const ApiOutcome outcome = invocation.Api().Get(AuditPath(invocation));
+  const ExitCode code = ShowOutcome(invocation, outcome, FormatAudit);
+  if (code == ExitCode::kDone && TextOf(outcome->body, "chain") != "ok") {
+    return ExitCode::kRefused;
+  }
+  return code;
+}
+
+Command MakeDiff() {
+  Command diff;
+  diff.name = "diff";
+  diff.words = "FILE | N M";
+  diff.summary = "show what differs from the version in force, or between two";
+  diff.examples =
+      "  cassiactl diff fleet.jsonc\n"
+      "  cassiactl diff 7 9\n";
+  diff.min_words = 1;
+  diff.max_words = 2;
+  diff.run = RunDiff;
+  return diff;
+}
+
+Command MakeAudit() {
+  Command audit;
+  audit.name = "audit";
+  audit.summary = "print the chain of changes and whether it is unbroken";
+  audit.examples =
+      "  cassiactl audit --since 120 --section keys\n"
+      "  cassiactl audit --json\n"
+      "Ends with 1 when the chain is broken.\n";
+  audit.add_options = AddAuditOptions;
+  audit.run = RunAudit;
+  return audit;
+}
+
+Command MakeHistory() {
+  Command history;
+  history.name = "history";
+  history.summary = "list the accepted versions";
+  history.examples = "  cassiactl history\n";
+  history.run = RunHistory;
+  return history;
+}
+
+}  // namespace
+
+std::vector<Command> HistoryCommands() {
+  return {MakeDiff(), MakeHistory(), MakeAudit()};
+}
+
+}  // namespace cassiastile::operators
--- /dev/null
+++ b/src/cassiastile/operator/table.cpp
@@ -0,0 +1,163 @@
+#include "table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::operators {
+
+namespace {
+
+constexpr std::string_view kColumnGap = "  ";
+constexpr std::string_view kIndent = "  ";
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7F;
+
+// The number of characters of UTF-8 text.
+std::size_t Width(std::string_view text) {
+  return static_cast<std::size_t>(
+      std::count_if(text.begin(), text.end(), [](char character) {
+        return (static_cast<unsigned char>(character) & 0xC0U) != 0x80U;
+      }));
+}
+
+std::string Indent(const std::string& text) {
+  std::string indented;
+  std::size_t from = 0;
+  while (from < text.size()) {
+    const std::size_t end = std::min(text.find('\n', from), text.size() - 1);
+    indented += kIndent;
+    indented += text.substr(from, end + 1 - from);
+    from = end + 1;
+  }
+  return indented;
+}
+
+bool IsListOfObjects(const nlohmann::json& value) {
+  return value.is_array() && !value.empty() &&
+         std::all_of(value.begin(), value.end(),
+                     [](const auto& item) { return item.is_object(); });
+}
+
+// The names of the members of all rows, in the order of their first use.
+std::vector<std::string> ColumnsOf(const nlohmann::json& rows) {
+  std::vector<std::string> columns;
+  for (const auto& row : rows) {
+    for (const auto& member : row.items()) {
+      if (std::find(columns.begin(), columns.end(), member.key()) ==
+          columns.end()) {
+        columns.push_back(member.key());
+      }
+    }
+  }
+  return columns;
+}
+
+std::string FormatRows(const nlohmann::json& rows) {
+  const std::vector<std::string> columns = ColumnsOf(rows);
+  Table table(columns);
+  for (const auto& row : rows) {
+    std::vector<std::string> cells;
+    cells.reserve(columns.size());
+    for (const std::string& column : columns) {
+      cells.push_back(row.contains(column) ? FormatCell(row.at(column)) : "-");
+    }
+    table.Add(std::move(cells));
+  }
+  return table.Format();
+}
+
+std::string FormatMember(const std::string& name, const nlohmann::json& value) {
+  const std::string label = Printable(name);
+  if (IsListOfObjects(value)) {
+    return fmt::format("{}:\n{}", label, Indent(FormatRows(value)));
+  }
+  if (value.is_object() && !value.empty()) {
+    return fmt::format("{}:\n{}", label, Indent(FormatJson(value)));
+  }
+  return fmt::format("{}: {}\n", label, FormatCell(value));
+}
+
+}  // namespace
+
+Table::Table(std::vector<std::string> header) {
+  Add(std::move(header));
+}
+
+void Table::Add(std::vector<std::string> row) {
+  for (std::string& cell : row) {
+    cell = Printable(cell);
+  }
+  m_rows.push_back(std::move(row));
+}
+
+std::string Table::Format() const {
+  std::vector<std::size_t> widths(m_rows.front().size(), 0);
+  for (const auto& row : m_rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], Width(row[i]));
+    }
+  }
+  std::string text;
+  for (const auto& row : m_rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      text += i == 0 ? "" : kColumnGap;
+      text += row[i];
+      text.append(i + 1 < row.size() ? widths[i] - Width(row[i]) : 0, ' ');
+    }
+    text += '\n';
+  }
+  return text;
+}
+
+std::string Printable(std::string_view text, bool multiline) {
+  std::string printable(text);
+  for (char& character : printable) {
+    const auto byte = static_cast<unsigned char>(character);
+    const bool allowed = multiline && (character == '\n' || character == '\t');
+    if ((byte < kFirstPrintable || byte == kDelete) && !allowed) {
+      character = '?';
+    }
+  }
+  return printable;
+}
+
+std::string FormatJson(const nlohmann::json& value) {
+  if (IsListOfObjects(value)) {
+    return FormatRows(value);
+  }
+  if (!value.is_object()) {
+    return FormatCell(value) + "\n";
+  }
+  std::string text;
+  for (const auto& member : value.items()) {
+    text += FormatMember(member.key(), member.value());
+  }
+  return text;
+}
+
+std::string FormatCell(const nlohmann::json& value) {
+  if (value.is_null() || (value.is_structured() && value.empty())) {
+    return "-";
+  }
+  if (value.is_string()) {
+    const auto text = Printable(value.get<std::string>());
+    return text.empty() ? "-" : text;
+  }
+  if (value.is_boolean()) {
+    return value.get<bool>() ? "yes" : "no";
+  }
+  if (!value.is_array()) {
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+  std::string text;
+  for (const auto& item : value) {
+    text += text.empty() ? "" : ", ";
+    text += FormatCell(item);
+  }
+  return text;
+}
+
+}  // namespace cassiastile::operators
