--- /dev/null
+++ b/src/cassiastile/operator/fake_control.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/wire/http_server.hpp"
+
+namespace cassiastile::operators {
+
+// A control process for tests: answers each call with what was set for its
+// method and path, and remembers the calls.
+class FakeControl {
+ public:
+  struct Call {
+    std::string method;
+    std::string target;  // Path and query.
+    std::string authorization;
+    std::string body;
+  };
+
+  FakeControl() {
+    wire::Router router;
+    router.Add("*", "/*rest",
+               [this](const wire::HttpRequest& request,
+                      const wire::HttpResponder& respond) {
+                 respond(Answer(request));
+               });
+    m_server = std::move(*wire::HttpServer::Start({}, std::move(router)));
+  }
+
+  // The answer to a call such as "GET /v1/status".
+  void Set(const std::string& call, int status, const nlohmann::json& body) {
+    const std::scoped_lock lock(m_mutex);
+    m_answers[call] = {status, {}, body.dump()};
+  }
+
+  // Makes a document of the given version the one in force.
+  void SetDocument(std::uint64_t version, const std::string& text) {
+    Set("GET /v1/config", 200, {{"version", version}, {"text", text}});
+  }
+
+  std::string Url() const {
+    return "http://127.0.0.1:" + std::to_string(m_server->Port());
+  }
+
+  std::vector<Call> Calls() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_calls;
+  }
+
+ private:
+  wire::HttpResponse Answer(const wire::HttpRequest& request) {
+    const std::string target =
+        request.path + (request.query.empty() ? "" : "?" + request.query);
+    const std::scoped_lock lock(m_mutex);
+    m_calls.push_back(
+        {request.method, target,
+         wire::FindHeader(request.headers, "Authorization").value_or(""),
+         request.body});
+    const auto found = m_answers.find(request.method + " " + target);
+    return found == m_answers.end()
+               ? wire::HttpResponse{404, {}, R"({"title": "Not found."})"}
+               : found->second;
+  }
+
+  mutable std::mutex m_mutex;
+  std::map<std::string, wire::HttpResponse> m_answers;
+  std::vector<Call> m_calls;
+  std::unique_ptr<wire::HttpServer> m_server;
+};
+
+}  // namespace cassiastile::operators
