Reconcile pools: waves, moves, failures and operators' acts

One reconciler per process brings each pool a step further from what it reads: document hosts become rows, waves drain, reboot, probe and return hosts, failures come off the budget first, hosts still draining are given back when a pool is short, the spare stands in and lends for lasting shifts of demand.

Every take names the rows of the pool, the host, the wave, the accepted document and the hosts of its rack.

--- a/include/cassiastile/fleet/change.hpp
+++ b/include/cassiastile/fleet/change.hpp
@@ -90,10 +90,12 @@
                 const FailureOrder& order);
 
 // Puts a drained host into its reboot, which has happened once the machine
-// counts more than `boots`.
+// counts more than `boots`. The wave that took it must not have changed, so
+// that nothing is rebooted once a halt has committed.
 Change StartReboot(const ChangeContext& context,
                    const Stored<PoolRecord>& pool_record,
                    const Stored<HostRecord>& host,
+                   const std::optional<Stored<WaveRecord>>& wave,
                    std::uint64_t boots);
 
 // Starts to probe a host that is back up.
--- /dev/null
+++ b/include/cassiastile/fleet/fleet_index.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cassiastile/config/fleet.hpp"
+
+namespace cassiastile::fleet {
+
+// Where the document places a host.
+struct DeclaredHost {
+  const config::Pool* pool = nullptr;
+  const config::Host* host = nullptr;
+  std::size_t position = 0;  // Among all hosts, in the document's order.
+};
+
+// A document's pools and hosts by name. It points into the fleet, which must
+// outlive it.
+struct FleetIndex {
+  std::map<std::string, const config::Pool*> pools;
+  std::map<std::string, DeclaredHost> hosts;
+  std::map<std::string, std::vector<std::string>> racks;  // Hosts of each.
+};
+
+FleetIndex MakeFleetIndex(const config::Fleet& fleet);
+
+// The pool of that name, or null.
+const config::Pool* FindPool(const FleetIndex& index, const std::string& pool);
+
+// The declared host of that name, or null.
+const DeclaredHost* FindHost(const FleetIndex& index, const std::string& host);
+
+}  // namespace cassiastile::fleet
--- a/include/cassiastile/fleet/wave_plan.hpp
+++ b/include/cassiastile/fleet/wave_plan.hpp
@@ -22,7 +22,7 @@
   bool known_up = true;
 };
 
-// A rack by its zone and name.
+// A rack by its zone and name; a host without one stands alone.
 std::string RackOf(const config::Host& host);
 
 // What one wave's next step in one pool is decided from.
--- /dev/null
+++ b/src/cassiastile/fleet/audit_appender.cpp
@@ -0,0 +1,10 @@
+#include "cassiastile/fleet/audit_appender.hpp"
+
+namespace cassiastile::fleet {
+
+base::Result<AuditAddition> NullAuditAppender::Append(
+    const AuditEntry& /*entry*/) {
+  return AuditAddition{};
+}
+
+}  // namespace cassiastile::fleet
--- a/src/cassiastile/fleet/change.cpp
+++ b/src/cassiastile/fleet/change.cpp
@@ -192,9 +192,13 @@
 Change StartReboot(const ChangeContext& context,
                    const Stored<PoolRecord>& pool_record,
                    const Stored<HostRecord>& host,
+                   const std::optional<Stored<WaveRecord>>& wave,
                    std::uint64_t boots) {
   Change change = StartChange(context, host.record.host, "rebooting");
   Explain(change, context, "drained", "waves", host.record.detail);
+  if (wave) {
+    change.preconditions.push_back({WaveKey(wave->record.wave), wave->version});
+  }
   Stored<HostRecord> next = NextHost(context, host, HostState::kRebooting,
                                      "drained; the reboot is asked for");
   next.record.boots = boots;
--- /dev/null
+++ b/src/cassiastile/fleet/observer.cpp
@@ -0,0 +1,70 @@
+#include "cassiastile/fleet/observer.hpp"
+
+namespace cassiastile::fleet {
+
+Observer::Observer(platform::Machines& machines,
+                   const HostWorkSource& work,
+                   const base::Clock& clock,
+                   base::Duration interval)
+    : m_machines(machines),
+      m_work(work),
+      m_clock(clock),
+      m_interval(interval) {}
+
+HostObservation Observer::Observe(const HostRecord& host) {
+  const base::TimePoint now = m_clock.Now();
+  const auto [found, added] = m_watched.try_emplace(host.host);
+  Watched& watched = found->second;
+  const bool moved = added || watched.pool != host.pool;
+  if (added || watched.state == HostState::kInService) {
+    watched.out_since = now;
+  }
+  if (moved || watched.state != host.state) {
+    watched.state = host.state;
+    watched.pool = host.pool;
+    watched.state_since = now;
+    watched.known = false;
+  }
+  const bool due = !watched.known || host.state != HostState::kInService ||
+                   now - watched.asked >= m_interval;
+  if (due) {
+    Ask(host.host, watched, now);
+  }
+  HostObservation seen = watched.last;
+  seen.work = m_work.WorkOn(host.host);
+  seen.in_state = now - watched.state_since;
+  return seen;
+}
+
+base::Duration Observer::OutFor(const std::string& host) const {
+  const auto found = m_watched.find(host);
+  if (found == m_watched.end() ||
+      found->second.state == HostState::kInService) {
+    return {};
+  }
+  return m_clock.Now() - found->second.out_since;
+}
+
+void Observer::Forget(const std::string& host) {
+  const auto found = m_watched.find(host);
+  if (found != m_watched.end()) {
+    found->second.known = false;
+  }
+}
+
+void Observer::Ask(const std::string& host,
+                   Watched& watched,
+                   base::TimePoint now) {
+  const auto status = m_machines.Status(host);
+  watched.last = {};
+  watched.asked = now;
+  watched.known = status.has_value();
+  if (status) {
+    watched.last.status = *status;
+  } else {
+    watched.last.machine_missing =
+        status.error().code == base::ErrorCode::kNotFound;
+  }
+}
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/reconciler.cpp
@@ -0,0 +1,165 @@
+#include "cassiastile/fleet/reconciler.hpp"
+
+#include <utility>
+
+#include "cassiastile/fleet/budget.hpp"
+#include "reconciler_round.hpp"
+
+namespace cassiastile::fleet {
+
+std::set<std::string> Reconciler::Round::Unseen(const FleetState& state) const {
+  std::set<std::string> unseen;
+  for (const auto& [host, observation] : seen) {
+    const auto found = state.hosts.find(host);
+    if (found != state.hosts.end() && found->second.record.pool == pool &&
+        found->second.record.state == HostState::kInService &&
+        !IsKnownUp(observation)) {
+      unseen.insert(host);
+    }
+  }
+  return unseen;
+}
+
+std::vector<std::string> Reconciler::Round::Members(
+    const FleetState& state) const {
+  std::vector<std::string> members;
+  for (const auto& [host, stored] : state.hosts) {
+    if (stored.record.pool == pool) {
+      members.push_back(host);
+    }
+  }
+  return members;
+}
+
+Reconciler::Reconciler(std::string name,
+                       ReconcilerPorts ports,
+                       std::uint64_t seed,
+                       ReconcilerOptions options)
+    : m_name(std::move(name)),
+      m_ports(ports),
+      m_options(options),
+      m_random(seed),
+      m_reader(ports.table),
+      m_observer(ports.machines,
+                 ports.work,
+                 ports.clock,
+                 options.observe_interval) {}
+
+base::Result<void> Reconciler::Refresh(
+    std::shared_ptr<const config::AcceptedFleet> document) {
+  if (m_document != document) {
+    m_document = std::move(document);
+    m_index = MakeFleetIndex(m_document->fleet);
+  }
+  base::Result<FleetState> state = m_reader.Read();
+  if (!state) {
+    return tl::unexpected(state.error());
+  }
+  m_state = std::move(*state);
+  return {};
+}
+
+void Reconciler::Tick(const std::string& pool,
+                      const std::optional<platform::Precondition>& fence) {
+  Round round = StartRound(pool, fence);
+  const bool whole = StepHosts(round) && GiveBackExcess(round) &&
+                     RegisterHosts(round) && DrainLeavers(round) &&
+                     LendFromSpare(round) && SendHome(round) &&
+                     TakeForWaves(round);
+  // A row that was not read back says nothing sure about its host.
+  if (whole) {
+    SetDraining(round);
+  }
+}
+
+ChangeContext Reconciler::Context(
+    const std::string& actor,
+    const std::optional<platform::Precondition>& fence) const {
+  ChangeContext context;
+  context.actor = actor;
+  context.wall = m_ports.clock.WallNow();
+  context.document_version = m_document->version;
+  context.head = m_state.head;
+  context.fence = fence;
+  return context;
+}
+
+Reconciler::Round Reconciler::StartRound(
+    const std::string& pool,
+    const std::optional<platform::Precondition>& fence) {
+  Round round;
+  round.pool = pool;
+  round.declared = FindPool(m_index, pool);
+  round.context = Context(m_name, fence);
+  round.may_take = m_state.document_version == m_document->version;
+  for (const std::string& host : round.Members(m_state)) {
+    round.seen[host] = m_observer.Observe(m_state.hosts.at(host).record);
+  }
+  return round;
+}
+
+base::Result<void> Reconciler::Commit(Change change) {
+  const auto commit =
+      m_ports.table.Apply(MakeTransaction(change, base::MakeId(m_random)));
+  if (!commit) {
+    return tl::unexpected(commit.error());
+  }
+  ApplyChange(change, m_state);
+  change.decision.id = base::MakeId(m_random);
+  m_ports.decisions.Record(std::move(change.decision));
+  return {};
+}
+
+bool Reconciler::CommitIn(Round& round, Change change) {
+  for (const auto& host : change.hosts) {
+    m_observer.Forget(host.record.host);
+    round.seen.try_emplace(host.record.host);
+  }
+  return Commit(std::move(change)).has_value();
+}
+
+bool Reconciler::GiveBackExcess(Round& round) {
+  const Stored<PoolRecord> pool = FindPoolRecord(m_state, round.pool);
+  const BudgetCount count = CountBudget(round.declared, pool.record, {});
+  if (count.Excess() == 0) {
+    return true;
+  }
+  std::vector<GiveBackCandidate> candidates;
+  for (const std::string& host : round.Members(m_state)) {
+    candidates.push_back(
+        {host, m_state.hosts.at(host).record, round.seen[host].work});
+  }
+  for (const std::string& host :
+       ChooseGiveBacks(count, std::move(candidates))) {
+    const Stored<HostRecord>& stored = m_state.hosts.at(host);
+    Change change = ReturnHost(
+        round.context, FindPoolRecord(m_state, round.pool), stored,
+        WaveInHand(stored.record),
+        "given back undrained; the pool is short: " + Describe(count));
+    if (!CommitIn(round, std::move(change))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void Reconciler::SetDraining(const Round& round) {
+  for (const auto& [host, seen] : round.seen) {
+    const auto found = m_state.hosts.find(host);
+    if (found == m_state.hosts.end() ||
+        found->second.record.pool != round.pool || !seen.status) {
+      continue;
+    }
+    const HostRecord& record = found->second.record;
+    const bool draining = record.state != HostState::kInService;
+    if (record.state == HostState::kDraining) {
+      m_ports.work.AskToLeave(host);
+    }
+    if (seen.status->draining != draining &&
+        m_ports.machines.SetDraining(host, draining)) {
+      m_observer.Forget(host);
+    }
+  }
+}
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/reconciler_acts.cpp
@@ -0,0 +1,84 @@
+#include <utility>
+
+#include "cassiastile/fleet/reconciler.hpp"
+#include "reconciler_round.hpp"
+
+namespace cassiastile::fleet {
+
+base::Result<void> Reconciler::CheckDocument() const {
+  if (m_state.document_version != m_document->version) {
+    return base::Fail(base::ErrorCode::kConflict,
+                      "A newer document was accepted than is in force here.");
+  }
+  return {};
+}
+
+base::Result<void> Reconciler::DrainHost(const std::string& host,
+                                         const std::string& actor,
+                                         const AuditAddition& audit) {
+  const auto found = m_state.hosts.find(host);
+  if (found == m_state.hosts.end()) {
+    return base::Fail(base::ErrorCode::kNotFound, "No such host: " + host);
+  }
+  base::Result<void> current = CheckDocument();
+  if (!current) {
+    return current;
+  }
+  Round round = StartRound(found->second.record.pool, std::nullopt);
+  round.context.actor = actor;
+  TakeOrder order;
+  order.reason = OutReason::kOperator;
+  order.detail = "drained by " + actor;
+  base::Result<Change> change = PlanTake(round, host, order);
+  if (!change) {
+    return tl::unexpected(change.error());
+  }
+  return CommitWith(std::move(*change), audit);
+}
+
+base::Result<void> Reconciler::ReturnHostBy(const std::string& host,
+                                            const std::string& actor,
+                                            const AuditAddition& audit) {
+  const auto found = m_state.hosts.find(host);
+  if (found == m_state.hosts.end()) {
+    return base::Fail(base::ErrorCode::kNotFound, "No such host: " + host);
+  }
+  const Stored<HostRecord>& stored = found->second;
+  if (stored.record.state != HostState::kDraining) {
+    return base::Fail(base::ErrorCode::kConflict,
+                      "The host " + host + " is " +
+                          std::string(NameOf(stored.record.state)) +
+                          "; only one that drains can be returned.");
+  }
+  return CommitWith(
+      ReturnHost(Context(actor, std::nullopt),
+                 FindPoolRecord(m_state, stored.record.pool), stored,
+                 WaveInHand(stored.record), "returned by " + actor),
+      audit);
+}
+
+base::Result<void> Reconciler::ActOn(const std::string& wave,
+                                     const std::string& actor,
+                                     WaveAct act,
+                                     const AuditAddition& audit) {
+  if (config::FindWave(m_document->fleet, wave) == nullptr) {
+    return base::Fail(base::ErrorCode::kNotFound, "No such wave: " + wave);
+  }
+  base::Result<Change> change = ActOnWave(Context(actor, std::nullopt),
+                                          FindWaveRecord(m_state, wave), act);
+  if (!change) {
+    return tl::unexpected(change.error());
+  }
+  return CommitWith(std::move(*change), audit);
+}
+
+base::Result<void> Reconciler::CommitWith(Change change,
+                                          const AuditAddition& audit) {
+  change.preconditions.insert(change.preconditions.end(),
+                              audit.preconditions.begin(),
+                              audit.preconditions.end());
+  change.other_writes = audit.writes;
+  return Commit(std::move(change));
+}
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/reconciler_hosts.cpp
@@ -0,0 +1,218 @@
+#include <utility>
+
+#include "cassiastile/fleet/reconciler.hpp"
+#include "reconciler_round.hpp"
+
+namespace cassiastile::fleet {
+
+// Turns the step of one host into a commit or a call. Each returns false when
+// the round must stop.
+class Reconciler::StepTaker {
+ public:
+  StepTaker(Reconciler& reconciler,
+            Round& round,
+            const Stored<HostRecord>& host)
+      : m_reconciler(reconciler), m_round(round), m_host(host) {}
+
+  bool operator()(const Stay& /*step*/) const { return true; }
+
+  bool operator()(const NameOverdue& step) const {
+    m_reconciler.m_overdue[m_host.record.host] = step.evidence;
+    return true;
+  }
+
+  bool operator()(const RebootIt& step) const {
+    Change change =
+        StartReboot(m_round.context, Pool(), m_host, Wave(), step.boots);
+    if (!step.cut.empty()) {
+      change.decision.reasons.push_back({"cut at the drain deadline", "waves",
+                                         m_round.context.document_version,
+                                         step.cut});
+    }
+    if (!m_reconciler.CommitIn(m_round, std::move(change))) {
+      return false;
+    }
+    return (*this)(AskAgain{step.boots});
+  }
+
+  bool operator()(const AskAgain& step) const {
+    // A conflict means that it has booted since, which the next look shows.
+    static_cast<void>(
+        m_reconciler.m_ports.machines.Reboot(m_host.record.host, step.boots));
+    return true;
+  }
+
+  bool operator()(const ProbeIt& /*step*/) const {
+    return m_reconciler.CommitIn(m_round,
+                                 StartProbe(m_round.context, Pool(), m_host));
+  }
+
+  bool operator()(const ReturnIt& step) const {
+    m_reconciler.NoteService(m_host.record);
+    return m_reconciler.CommitIn(
+        m_round, ReturnHost(m_round.context, Pool(), m_host, Wave(), step.why));
+  }
+
+  bool operator()(const MoveIt& /*step*/) const {
+    const HostRecord& host = m_host.record;
+    const Stored<PoolRecord> to =
+        FindPoolRecord(m_reconciler.m_state, host.bound_for);
+    const bool gone = FindPool(m_reconciler.m_index, host.bound_for) == nullptr;
+    const bool needless = !host.stands_in_for.empty() &&
+                          !to.record.out.contains(host.stands_in_for);
+    if (gone || needless) {
+      return (*this)(ReturnIt{"its move is no longer needed"});
+    }
+    if (!m_round.may_take) {
+      return true;
+    }
+    return m_reconciler.CommitIn(m_round,
+                                 MoveHost(m_round.context, Pool(), to, m_host));
+  }
+
+  bool operator()(const RemoveIt& /*step*/) const {
+    if (FindHost(m_reconciler.m_index, m_host.record.host) != nullptr) {
+      return (*this)(ReturnIt{"the document has it again"});
+    }
+    return !m_round.may_take ||
+           m_reconciler.CommitIn(m_round,
+                                 RemoveHost(m_round.context, Pool(), m_host));
+  }
+
+  bool operator()(const FailIt& step) const {
+    FailureOrder order;
+    order.evidence = step.evidence;
+    order.wave = m_reconciler.WaveToBlame(
+        m_host.record, m_round.seen[m_host.record.host].in_state);
+    if (order.wave) {
+      const config::Wave* wave = config::FindWave(
+          m_reconciler.m_document->fleet, order.wave->record.wave);
+      order.halt = wave != nullptr && HaltsOnFailure(*wave, order.wave->record,
+                                                     m_host.record.host);
+    }
+    return m_reconciler.CommitIn(
+        m_round, FailHost(m_round.context, Pool(), m_host, order));
+  }
+
+ private:
+  Stored<PoolRecord> Pool() const {
+    return FindPoolRecord(m_reconciler.m_state, m_round.pool);
+  }
+
+  std::optional<Stored<WaveRecord>> Wave() const {
+    return m_reconciler.WaveInHand(m_host.record);
+  }
+
+  Reconciler& m_reconciler;
+  Round& m_round;
+  Stored<HostRecord> m_host;
+};
+
+bool Reconciler::StepHosts(Round& round) {
+  for (const std::string& host : round.Members(m_state)) {
+    m_overdue.erase(host);
+    if (!StepHost(round, host)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Reconciler::StepHost(Round& round, const std::string& host) {
+  const Stored<HostRecord> stored = m_state.hosts.at(host);
+  const std::optional<Stored<WaveRecord>> wave = WaveInHand(stored.record);
+  const bool ended = stored.record.reason == OutReason::kWave &&
+                     (!wave || wave->record.state == WaveState::kHalted ||
+                      wave->record.state == WaveState::kAborted);
+  if (stored.record.state == HostState::kDraining && ended) {
+    return GiveBackFromWave(round, stored);
+  }
+  DrainRule drain = m_options.default_drain;
+  if (const config::Wave* declared =
+          config::FindWave(m_document->fleet, stored.record.wave)) {
+    drain = {declared->drain_deadline, declared->cut_at_deadline};
+  }
+  const HostStep step =
+      NextStep(stored.record, round.seen[host], drain, m_options.progress);
+  return std::visit(StepTaker(*this, round, stored), step);
+}
+
+bool Reconciler::GiveBackFromWave(Round& round,
+                                  const Stored<HostRecord>& host) {
+  return CommitIn(round,
+                  ReturnHost(round.context, FindPoolRecord(m_state, round.pool),
+                             host, WaveInHand(host.record),
+                             "given back undrained; its wave goes on no more"));
+}
+
+bool Reconciler::RegisterHosts(Round& round) {
+  if (round.declared == nullptr || !round.may_take) {
+    return true;
+  }
+  for (const config::Host& host : round.declared->hosts) {
+    if (m_state.hosts.contains(host.name)) {
+      continue;
+    }
+    if (!CommitIn(round, RegisterHost(round.context,
+                                      FindPoolRecord(m_state, round.pool),
+                                      host.name))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Reconciler::DrainLeavers(Round& round) {
+  if (!round.may_take) {
+    return true;
+  }
+  for (const std::string& host : round.Members(m_state)) {
+    const Stored<HostRecord> stored = m_state.hosts.at(host);
+    const DeclaredHost* declared = FindHost(m_index, host);
+    const bool here = declared != nullptr && declared->pool->name == round.pool;
+    // What the spare lends stays until its pool sends it home.
+    const bool lent = declared != nullptr && declared->pool->spare;
+    if (!here && !lent && !DrainLeaver(round, stored)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Reconciler::DrainLeaver(Round& round, const Stored<HostRecord>& host) {
+  const DeclaredHost* declared = FindHost(m_index, host.record.host);
+  if (host.record.state == HostState::kFailed) {
+    // Nothing runs there, so that there is nothing to drain.
+    Stored<HostRecord> leaver = host;
+    leaver.record.bound_for = declared != nullptr ? declared->pool->name : "";
+    const Stored<PoolRecord> from = FindPoolRecord(m_state, round.pool);
+    return CommitIn(
+        round,
+        declared != nullptr
+            ? MoveHost(round.context, from,
+                       FindPoolRecord(m_state, declared->pool->name), leaver)
+            : RemoveHost(round.context, from, host));
+  }
+  if (host.record.state != HostState::kInService) {
+    return true;
+  }
+  TakeOrder order;
+  order.reason =
+      declared != nullptr ? OutReason::kMoving : OutReason::kRemoving;
+  order.bound_for = declared != nullptr ? declared->pool->name : "";
+  order.detail = declared != nullptr
+                     ? "the document places it in " + order.bound_for
+                     : "the document no longer has it";
+  base::Result<Change> change = PlanTake(round, host.record.host, order);
+  return !change || CommitIn(round, std::move(*change));
+}
+
+base::Result<Change> Reconciler::PlanTake(const Round& round,
+                                          const std::string& host,
+                                          const TakeOrder& order) const {
+  return TakeHost(round.context, round.declared,
+                  FindPoolRecord(m_state, round.pool), m_state.hosts.at(host),
+                  round.Unseen(m_state), order);
+}
+
+}  // namespace cassiastile::fleet
--- /dev/null
+++ b/src/cassiastile/fleet/reconciler_moves.cpp
@@ -0,0 +1,174 @@
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "cassiastile/fleet/reconciler.hpp"
+#include "reconciler_round.hpp"
+
+namespace cassiastile::fleet {
+
+namespace {
+
+// The spare's hosts that are on their way to a pool, or there, for a shift of
+// its demand.
+std::int32_t CountLentForDemand(const FleetState& state,
+                                const FleetIndex& index,
+                                const std::string& pool) {
+  return static_cast<std::int32_t>(std::count_if(
+      state.hosts.begin(), state.hosts.end(), [&](const auto& entry) {
+        const HostRecord& host = entry.second.record;
+        const DeclaredHost* declared = FindHost(index, entry.first);
+        const bool bound = host.pool != pool && host.bound_for == pool &&
+                           host.stands_in_for.empty();
+        return declared != nullptr && declared->pool->spare && bound;
+      }));
+}
+
+std::int32_t CountLeaving(const FleetState& state, const std::string& pool) {
+  return static_cast<std::int32_t>(std::count_if(
+      state.hosts.begin(), state.hosts.end(), [&](const auto& entry) {
+        return entry.second.record.pool == pool &&
+               entry.second.record.reason == OutReason::kMoving;
+      }));
+}
+
+std::uint32_t CountMembers(const FleetState& state, const std::string& pool) {
+  return static_cast<std::uint32_t>(std::count_if(
+      state.hosts.begin(), state.hosts.end(),
+      [&](const auto& entry) { return entry.second.record.pool == pool; }));
+}
+
+}  // namespace
+
+base::Duration Reconciler::FailedFor(const std::string& host,
+                                     std::uint64_t version) {
+  const base::TimePoint now = m_ports.clock.Now();
+  const auto [found, added] =
+      m_failed_since.try_emplace(host, FailedSince{version, now});
+  if (found->second.version != version) {
+    found->second = {version, now};
+  }
+  return now - found->second.time;
+}
+
+std::set<std::string> Reconciler::NeededStandIns(const config::Pool& pool) {
+  std::set<std::string> needed;
+  const PoolRecord record = FindPoolRecord(m_state, pool.name).record;
+  for (const auto& [host, entry] : record.out) {
+    const auto found = m_state.hosts.find(host);
+    if (entry.reason == OutReason::kFailed && entry.replaced_by.empty() &&
+        found != m_state.hosts.end() &&
+        found->second.record.state == HostState::kFailed &&
+        FailedFor(host, found->second.version) >= m_options.replace_after) {
+      needed.insert(host);
+    }
+  }
+  for (const auto& [host, stored] : m_state.hosts) {
+    if (stored.record.bound_for == pool.name) {
+      needed.erase(stored.record.stands_in_for);
+    }
+  }
+  return needed;
+}
+
+std::int32_t Reconciler::ShiftOf(const std::string& pool) {
+  if (m_ports.demand == nullptr) {
+    return 0;
+  }
+  const std::optional<double> demand = m_ports.demand->Demand(pool);
+  if (!demand) {
+    return 0;
+  }
+  DemandHistory& history = m_demand[pool];
+  history = AddDemand(std::move(history), *demand, m_ports.clock.Now(),
+                      m_options.demand);
+  return HostsToMove(history, CountMembers(m_state, pool), m_options.demand);
+}
+
+bool Reconciler::LendFromSpare(Round& round) {
+  if (round.declared == nullptr || !round.declared->spare || !round.may_take) {
+    return true;
+  }
+  for (const config::Pool& pool : m_document->fleet.pools) {
+    if (!pool.spare && !LendTo(round, pool)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Reconciler::LendTo(Round& round, const config::Pool& pool) {
+  for (const std::string& failed : NeededStandIns(pool)) {
+    TakeOrder order;
+    order.reason = OutReason::kMoving;
+    order.bound_for = pool.name;
+    order.stands_in_for = failed;
+    order.detail = fmt::format("stands in for {} in {}", failed, pool.name);
+    if (!LendHost(round, order)) {
+      return false;
+    }
+  }
+  const std::int32_t shift = ShiftOf(pool.name);
+  const std::int32_t under_way =
+      CountLentForDemand(m_state, m_index, pool.name);
+  for (std::int32_t i = under_way; i < shift; ++i) {
+    TakeOrder order;
+    order.reason = OutReason::kMoving;
+    order.bound_for = pool.name;
+    order.detail = fmt::format("the demand on {} has grown to stay", pool.name);
+    if (!LendHost(round, order)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Reconciler::LendHost(Round& round, const TakeOrder& order) {
+  for (const std::string& host : round.Members(m_state)) {
+    if (m_state.hosts.at(host).record.state != HostState::kInService ||
+        !IsKnownUp(round.seen[host])) {
+      continue;
+    }
+    base::Result<Change> change = PlanTake(round, host, order);
+    return !change || CommitIn(round, std::move(*change));
+  }
+  return true;
+}
+
+bool Reconciler::SendHome(Round& round) {
+  if (round.declared == nullptr || round.declared->spare || !round.may_take) {
+    return true;
+  }
+  const std::int32_t shift = ShiftOf(round.pool);
+  const bool measured = m_ports.demand != nullptr &&
+                        m_ports.demand->Demand(round.pool).has_value();
+  const auto members =
+      static_cast<std::int32_t>(CountMembers(m_state, round.pool));
+  std::int32_t surplus = measured ? -shift : members;
+  surplus -= CountLeaving(m_state, round.pool);
+  const PoolRecord record = FindPoolRecord(m_state, round.pool).record;
+  for (const std::string& host : round.Members(m_state)) {
+    const HostRecord& stored = m_state.hosts.at(host).record;
+    const DeclaredHost* declared = FindHost(m_index, host);
+    const bool lent = declared != nullptr && declared->pool->spare &&
+                      stored.state == HostState::kInService;
+    const bool stands_in = record.out.contains(stored.stands_in_for);
+    const bool ended = !stored.stands_in_for.empty() && !stands_in;
+    if (!lent || stands_in || (!ended && surplus <= 0)) {
+      continue;
+    }
+    surplus -= ended ? 0 : 1;
+    TakeOrder order;
+    order.reason = OutReason::kMoving;
+    order.bound_for = declared->pool->name;
+    order.detail = "no longer needed here; it goes back to the spare";
+    base::Result<Change> change = PlanTake(round, host, order);
+    if (change && !CommitIn(round, std::move(*change))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace cassiastile::fleet
--- a/src/cassiastile/fleet/wave_plan.cpp
+++ b/src/cassiastile/fleet/wave_plan.cpp
@@ -68,7 +68,7 @@
 }  // namespace
 
 std::string RackOf(const config::Host& host) {
-  return host.zone + "/" + host.rack;
+  return host.zone + "/" + (host.rack.empty() ? host.name : host.rack);
 }
 
 bool IsDone(const WaveRecord& wave, const HostRecord& host) {
