Accept edits, keep shard leases, run the member and its interfaces

An edit is laid over the newest version section by section, checked as a whole, promised by a majority and committed with its audit row in one transaction; lost answers are resolved by spending the nonce and reading the audit row. Shards are leased by rows that change at takeover only. The member's shell follows the head, pulls bodies by digest from the table or from peers over TCP, and answers freshness without a lock.

Found by the lease test: failed takeovers put off the scan that would have shown the new owner, for ever; a scan now only moves nearer.

--- /dev/null
+++ b/include/cassiastile/control/config_service.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/base/decision.hpp"
+#include "cassiastile/config/diff.hpp"
+#include "cassiastile/member/config_store.hpp"
+#include "cassiastile/member/member.hpp"
+#include "cassiastile/platform/table.hpp"
+#include "cassiastile/wire/router.hpp"
+
+namespace cassiastile::control {
+
+// What the service stands on; all of it outlives the service.
+struct ConfigServiceParts {
+  member::ConfigStore& store;
+  member::Member& member;
+  platform::Table& table;
+  const base::Clock& clock;
+  base::DecisionSink* decisions = nullptr;  // May be null.
+  // What teams have running, for dry runs; may be empty.
+  std::function<std::vector<config::TeamUse>()> team_use;
+};
+
+// The configuration and audit interfaces for operators. Calls that read or
+// write the table run on threads of the service's own.
+class ConfigService {
+ public:
+  static std::unique_ptr<ConfigService> Create(ConfigServiceParts parts);
+  // Waits for the calls under way.
+  ~ConfigService();
+  ConfigService(const ConfigService&) = delete;
+  ConfigService& operator=(const ConfigService&) = delete;
+
+  // Adds the routes under /v1/config, /v1/audit and /v1/members. The service
+  // outlives the router.
+  void Register(wire::Router& router);
+
+ private:
+  class Impl;
+  explicit ConfigService(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace cassiastile::control
--- /dev/null
+++ b/include/cassiastile/member/datagram_socket.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cassiastile/base/error.hpp"
+#include "cassiastile/member/membership.hpp"
+
+namespace cassiastile::member {
+
+// A UDP socket with a thread that hands on what arrives and calls at a steady
+// period.
+class DatagramSocket {
+ public:
+  struct Handlers {
+    std::function<std::vector<Datagram>(std::string_view datagram,
+                                        const std::string& from)>
+        receive;
+    std::function<std::vector<Datagram>()> tick;
+    std::chrono::milliseconds period{20};
+  };
+
+  // Fails when the address can't be bound.
+  static base::Result<std::unique_ptr<DatagramSocket>> Open(
+      const std::string& address,
+      std::uint16_t port);
+  ~DatagramSocket();
+  DatagramSocket(const DatagramSocket&) = delete;
+  DatagramSocket& operator=(const DatagramSocket&) = delete;
+
+  // Starts the thread, on which the handlers run.
+  void Start(Handlers handlers);
+  void Stop();
+
+ private:
+  class Impl;
+  explicit DatagramSocket(std::unique_ptr<Impl> impl);
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace cassiastile::member
--- /dev/null
+++ b/src/cassiastile/control/config_service.cpp
@@ -0,0 +1,272 @@
+#include "cassiastile/control/config_service.hpp"
+
+#include <atomic>
+#include <charconv>
+#include <mutex>
+#include <utility>
+
+#include <fmt/format.h>
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/base/hash.hpp"
+#include "cassiastile/base/random.hpp"
+#include "cassiastile/control/config_answers.hpp"
+#include "cassiastile/member/member_rows.hpp"
+#include "cassiastile/wire/problem.hpp"
+
+namespace cassiastile::control {
+
+namespace {
+
+constexpr std::size_t kReadThreads = 2;
+constexpr std::size_t kEditThreads = 1;
+constexpr std::size_t kMaxWaiting = 64;
+constexpr std::string_view kBearer = "Bearer ";
+
+std::string KeyOf(const wire::HttpRequest& request) {
+  const auto value = wire::FindHeader(request.headers, "Authorization");
+  return value && value->starts_with(kBearer) ? value->substr(kBearer.size())
+                                              : "";
+}
+
+wire::HttpResponse MakeDenied() {
+  wire::Problem problem;
+  problem.status = 403;
+  problem.type = "not-an-operator";
+  problem.title = "The key is not that of an operator.";
+  return wire::MakeProblemResponse(problem);
+}
+
+wire::HttpResponse MakeBusy() {
+  return wire::MakeErrorResponse(
+      {base::ErrorCode::kOverloaded, "Too many calls wait for the table."});
+}
+
+std::optional<std::uint64_t> ParseVersion(const std::string& text) {
+  std::uint64_t version = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, version);
+  return error == std::errc() && last == end ? std::optional(version)
+                                             : std::nullopt;
+}
+
+// Reads the body of an edit; the section, if any, comes from the path.
+base::Result<member::ConfigEdit> ReadEdit(const wire::HttpRequest& request) {
+  const auto body = wire::ParseJsonBody(request.body);
+  if (!body) {
+    return tl::unexpected(body.error());
+  }
+  const auto text = body->find("text");
+  const auto base = body->find("base_version");
+  const auto dry = body->find("dry_run");
+  const bool valid = body->is_object() && text != body->end() &&
+                     text->is_string() && base != body->end() &&
+                     base->is_number_unsigned() &&
+                     (dry == body->end() || dry->is_boolean());
+  if (!valid) {
+    return base::Fail(
+        base::ErrorCode::kInvalid,
+        R"(The body must be {"text": TEXT, "base_version": N, "dry_run": BOOL}.)");
+  }
+  member::ConfigEdit edit;
+  edit.text = text->get<std::string>();
+  edit.base_version = base->get<std::uint64_t>();
+  edit.dry_run = dry != body->end() && dry->get<bool>();
+  edit.key = KeyOf(request);
+  const auto named = request.path_parameters.find("section");
+  if (named != request.path_parameters.end()) {
+    edit.section = config::FindSection(named->second);
+    if (!edit.section) {
+      return base::Fail(base::ErrorCode::kNotFound,
+                        "There is no section " + named->second + ".");
+    }
+  }
+  return edit;
+}
+
+}  // namespace
+
+class ConfigService::Impl {
+ public:
+  explicit Impl(ConfigServiceParts parts)
+      : m_parts(std::move(parts)),
+        m_random(base::MakeRandom()),
+        m_reads(kReadThreads),
+        m_edits(kEditThreads) {}
+
+  ~Impl() {
+    m_reads.join();
+    m_edits.join();
+  }
+
+  void Register(wire::Router& router) {
+    AddRead(router, "/v1/config", &Impl::AnswerConfig);
+    AddRead(router, "/v1/config/history", &Impl::AnswerHistory);
+    AddRead(router, "/v1/audit", &Impl::AnswerAudit);
+    AddRead(router, "/v1/members", &Impl::AnswerMembers);
+    AddEdit(router, "/v1/config");
+    AddEdit(router, "/v1/config/sections/:section");
+  }
+
+ private:
+  using Answer = wire::HttpResponse (Impl::*)(const wire::HttpRequest&);
+
+  void AddRead(wire::Router& router, std::string_view path, Answer answer) {
+    router.Add(
+        "GET", path,
+        [this, answer](wire::HttpRequest request, wire::HttpResponder respond) {
+          if (!IsOperator(KeyOf(request))) {
+            respond(MakeDenied());
+            return;
+          }
+          Post(m_reads, answer, std::move(request), std::move(respond));
+        });
+  }
+
+  void AddEdit(wire::Router& router, std::string_view path) {
+    router.Add("POST", path,
+               [this](wire::HttpRequest request, wire::HttpResponder respond) {
+                 Post(m_edits, &Impl::AnswerEdit, std::move(request),
+                      std::move(respond));
+               });
+  }
+
+  void Post(asio::thread_pool& pool,
+            Answer answer,
+            wire::HttpRequest request,
+            wire::HttpResponder respond) {
+    if (m_waiting.fetch_add(1) >= kMaxWaiting) {
+      --m_waiting;
+      respond(MakeBusy());
+      return;
+    }
+    asio::post(pool, [this, answer, request = std::move(request),
+                      respond = std::move(respond)] {
+      respond((this->*answer)(request));
+      --m_waiting;
+    });
+  }
+
+  bool IsOperator(const std::string& key) const {
+    const auto fleet = m_parts.member.Current();
+    return fleet && m_parts.member.IsFresh(m_parts.clock.Now()) &&
+           config::FindOperator(fleet->fleet, key) != nullptr;
+  }
+
+  wire::HttpResponse AnswerConfig(const wire::HttpRequest& request) {
+    const auto asked = wire::FindQueryParameter(request, "version");
+    const auto head = m_parts.store.Head();
+    if (!head) {
+      return wire::MakeErrorResponse(head.error());
+    }
+    const auto version =
+        asked ? ParseVersion(*asked) : std::optional(head->head.version);
+    if (!version) {
+      return wire::MakeErrorResponse(
+          {base::ErrorCode::kInvalid, "The version must be a number."});
+    }
+    const auto text = m_parts.store.Text(*version);
+    if (!text) {
+      return wire::MakeErrorResponse(text.error());
+    }
+    return wire::MakeJsonResponse(200, {{"version", *version},
+                                        {"digest", base::Sha256Hex(*text)},
+                                        {"text", *text}});
+  }
+
+  wire::HttpResponse AnswerHistory(const wire::HttpRequest&) {
+    const auto history = m_parts.store.History();
+    return history ? MakeHistoryAnswer(*history)
+                   : wire::MakeErrorResponse(history.error());
+  }
+
+  wire::HttpResponse AnswerAudit(const wire::HttpRequest& request) {
+    // The head is read first: rows appended meanwhile are left out.
+    const auto head = member::ReadAuditHead(m_parts.table);
+    auto rows = member::ReadAuditRows(m_parts.table, 0);
+    if (!head || !rows) {
+      return wire::MakeErrorResponse(head ? rows.error() : head.error());
+    }
+    std::erase_if(*rows, [&](const member::AuditRow& row) {
+      return row.sequence > head->sequence;
+    });
+    return MakeAuditAnswer(
+        *rows, *head, wire::FindQueryParameter(request, "since").value_or(""),
+        wire::FindQueryParameter(request, "section").value_or(""));
+  }
+
+  wire::HttpResponse AnswerMembers(const wire::HttpRequest&) {
+    return MakeMembersAnswer(m_parts.member.Status());
+  }
+
+  wire::HttpResponse AnswerEdit(const wire::HttpRequest& request) {
+    auto edit = ReadEdit(request);
+    if (!edit) {
+      return wire::MakeErrorResponse(edit.error());
+    }
+    if (m_parts.team_use) {
+      edit->use = m_parts.team_use();
+    }
+    const member::EditResult result = m_parts.store.Accept(*edit);
+    if (!result) {
+      return MakeRefusedAnswer(result.error(),
+                               Record(*edit, DescribeRefusal(result.error())));
+    }
+    if (edit->dry_run) {
+      return MakeDryRunAnswer(*result);
+    }
+    Record(*edit, fmt::format("accepted as version {}", result->version));
+    return MakeAcceptedAnswer(*result,
+                              m_parts.member.WaitForAll(result->version));
+  }
+
+  // Keeps the decision and returns its id, or nothing where none are kept.
+  std::string Record(const member::ConfigEdit& edit,
+                     const std::string& outcome) {
+    if (m_parts.decisions == nullptr) {
+      return "";
+    }
+    base::Decision decision;
+    {
+      const std::lock_guard lock(m_mutex);
+      decision.id = base::MakeId(m_random);
+    }
+    const std::string section =
+        edit.section ? std::string(config::NameOf(*edit.section)) : "document";
+    const bool accepted = outcome.starts_with("accepted");
+    decision.kind =
+        accepted ? base::DecisionKind::kChange : base::DecisionKind::kRefusal;
+    decision.subject = section;
+    decision.outcome = accepted ? outcome : "not accepted";
+    decision.reasons = {
+        {"configuration edit", section, edit.base_version, outcome}};
+    decision.at = m_parts.clock.WallNow();
+    std::string id = decision.id;
+    m_parts.decisions->Record(std::move(decision));
+    return id;
+  }
+
+  ConfigServiceParts m_parts;
+  std::mutex m_mutex;
+  base::Random m_random;
+  std::atomic<std::size_t> m_waiting{0};
+  asio::thread_pool m_reads;
+  asio::thread_pool m_edits;
+};
+
+std::unique_ptr<ConfigService> ConfigService::Create(ConfigServiceParts parts) {
+  return std::unique_ptr<ConfigService>(
+      new ConfigService(std::make_unique<Impl>(std::move(parts))));
+}
+
+ConfigService::ConfigService(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl)) {}
+
+ConfigService::~ConfigService() = default;
+
+void ConfigService::Register(wire::Router& router) {
+  m_impl->Register(router);
+}
+
+}  // namespace cassiastile::control
--- /dev/null
+++ b/src/cassiastile/member/peer_frame.cpp
@@ -0,0 +1,148 @@
+#include <exception>
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include "cassiastile/base/hash.hpp"
+#include "cassiastile/member/peer_link.hpp"
+#include "cassiastile/member/short_text.hpp"
+
+namespace cassiastile::member {
+
+namespace {
+
+constexpr std::uint8_t kFormat = 1;
+constexpr std::size_t kSealBytes = 32;
+
+std::string AddSeal(const std::string& data, std::string_view secret) {
+  return base::HmacSha256(secret, data) + data;
+}
+
+base::Result<std::string> TakeSeal(std::string_view frame,
+                                   std::string_view secret) {
+  if (frame.size() < kSealBytes) {
+    return base::Fail(base::ErrorCode::kInvalid, "The peer's frame is cut.");
+  }
+  const std::string_view data = frame.substr(kSealBytes);
+  if (!base::ConstantTimeEqual(base::HmacSha256(secret, data),
+                               frame.substr(0, kSealBytes))) {
+    return base::Fail(base::ErrorCode::kDenied,
+                      "The peer's frame is not sealed with our secret.");
+  }
+  return std::string(data);
+}
+
+void SaveRecord(cereal::PortableBinaryOutputArchive& archive,
+                const MemberRecord& record) {
+  SaveText(archive, record.name);
+  archive(record.incarnation, static_cast<std::uint8_t>(record.role));
+  SaveText(archive, record.zone);
+  SaveText(archive, record.address);
+  SaveText(archive, record.http_address);
+}
+
+MemberRecord LoadRecord(cereal::PortableBinaryInputArchive& archive) {
+  MemberRecord record;
+  std::uint8_t role = 0;
+  record.name = LoadText(archive);
+  archive(record.incarnation, role);
+  record.role = role == 0 ? MemberRole::kEntry : MemberRole::kControl;
+  record.zone = LoadText(archive);
+  record.address = LoadText(archive);
+  record.http_address = LoadText(archive);
+  return record;
+}
+
+// The text comes last, so that its length is what remains.
+PeerReply LoadReply(std::istringstream& stream) {
+  cereal::PortableBinaryInputArchive archive(stream);
+  PeerReply reply;
+  std::uint8_t format = 0;
+  std::uint16_t records = 0;
+  archive(format, reply.version, records);
+  reply.nonce = LoadText(archive);
+  for (std::uint16_t i = 0; i < records; ++i) {
+    reply.list.push_back(LoadRecord(archive));
+  }
+  std::ostringstream rest;
+  if (stream.peek() != std::istringstream::traits_type::eof()) {
+    rest << stream.rdbuf();
+  }
+  reply.text = rest.str();
+  return reply;
+}
+
+}  // namespace
+
+std::string EncodeRequest(const PeerRequest& request, std::string_view secret) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(kFormat, request.version);
+  SaveText(archive, request.nonce);
+  return AddSeal(stream.str(), secret);
+}
+
+std::string EncodeReply(const PeerReply& reply, std::string_view secret) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(kFormat, reply.version,
+          static_cast<std::uint16_t>(reply.list.size()));
+  SaveText(archive, reply.nonce);
+  for (const MemberRecord& record : reply.list) {
+    SaveRecord(archive, record);
+  }
+  stream << reply.text;
+  return AddSeal(stream.str(), secret);
+}
+
+base::Result<PeerRequest> DecodeRequest(std::string_view frame,
+                                        std::string_view secret) {
+  const auto data = TakeSeal(frame, secret);
+  if (!data) {
+    return tl::unexpected(data.error());
+  }
+  try {
+    std::istringstream stream(*data);
+    cereal::PortableBinaryInputArchive archive(stream);
+    PeerRequest request;
+    std::uint8_t format = 0;
+    archive(format, request.version);
+    request.nonce = LoadText(archive);
+    return request;
+  } catch (const std::exception&) {
+    return base::Fail(base::ErrorCode::kInvalid, "Not a peer's request.");
+  }
+}
+
+base::Result<PeerReply> DecodeReply(std::string_view frame,
+                                    std::string_view secret) {
+  const auto data = TakeSeal(frame, secret);
+  if (!data) {
+    return tl::unexpected(data.error());
+  }
+  try {
+    std::istringstream stream(*data);
+    return LoadReply(stream);
+  } catch (const std::exception&) {
+    return base::Fail(base::ErrorCode::kInvalid, "Not a peer's reply.");
+  }
+}
+
+base::Result<SocketAddress> ParseAddress(const std::string& text) {
+  constexpr unsigned long kLargestPort = 65535;
+  const std::size_t colon = text.rfind(':');
+  if (colon != std::string::npos && colon > 0) {
+    const std::string port = text.substr(colon + 1);
+    const bool digits =
+        !port.empty() && port.size() <= 5 &&
+        port.find_first_not_of("0123456789") == std::string::npos;
+    if (digits && std::stoul(port) <= kLargestPort) {
+      return SocketAddress{text.substr(0, colon),
+                           static_cast<std::uint16_t>(std::stoul(port))};
+    }
+  }
+  return base::Fail(base::ErrorCode::kInvalid,
+                    "Not an address of the form IP:PORT: " + text + ".");
+}
+
+}  // namespace cassiastile::member
--- /dev/null
+++ b/src/cassiastile/member/shard_keeper.cpp
@@ -0,0 +1,121 @@
+#include "cassiastile/member/shard_keeper.hpp"
+
+#include <utility>
+
+namespace cassiastile::member {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRound{50};
+
+}  // namespace
+
+ShardKeeper::ShardKeeper(ShardLeaseOptions options,
+                         platform::Table& table,
+                         const base::Clock& clock,
+                         Sources sources,
+                         std::uint64_t seed)
+    : m_table(table),
+      m_clock(clock),
+      m_sources(std::move(sources)),
+      m_leases(std::move(options)),
+      m_random(seed) {}
+
+ShardKeeper::~ShardKeeper() {
+  Stop();
+}
+
+void ShardKeeper::Start() {
+  m_thread = std::thread([this] {
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+      lock.unlock();
+      RunOnce();
+      lock.lock();
+      m_wake.wait_for(lock, kRound, [this] { return m_stopping; });
+    }
+  });
+}
+
+void ShardKeeper::Stop() {
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+  }
+  m_wake.notify_all();
+  if (!m_thread.joinable()) {
+    return;
+  }
+  m_thread.join();
+  std::vector<LeaseAct> acts;
+  {
+    const std::lock_guard lock(m_mutex);
+    acts = m_leases.ReleaseAll();
+  }
+  for (LeaseAct& act : acts) {
+    Apply(std::move(act));
+  }
+}
+
+void ShardKeeper::RunOnce() {
+  const std::vector<std::string> shards = m_sources.shards();
+  std::vector<std::string> candidates = m_sources.candidates();
+  const base::TimePoint now = m_clock.Now();
+  bool scan_due = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_leases.SetShards(shards, now);
+    m_leases.SetCandidates(std::move(candidates), now);
+    scan_due = m_leases.IsScanDue(now);
+  }
+  if (scan_due) {
+    Scan();
+  }
+  std::vector<LeaseAct> acts;
+  {
+    const std::lock_guard lock(m_mutex);
+    acts = m_leases.Decide(m_clock.Now());
+  }
+  for (LeaseAct& act : acts) {
+    Apply(std::move(act));
+  }
+}
+
+void ShardKeeper::Scan() {
+  const auto leases = platform::ScanAll(m_table, "lease/");
+  const auto renewals = platform::ScanAll(m_table, "renewal/");
+  if (leases && renewals) {
+    const auto rows = ReadLeaseRows(*leases, *renewals);
+    const std::lock_guard lock(m_mutex);
+    m_leases.ObserveRows(rows, m_clock.Now());
+  }
+}
+
+void ShardKeeper::Apply(LeaseAct act) {
+  {
+    const std::lock_guard lock(m_mutex);
+    act.transaction.nonce = base::MakeId(m_random);
+  }
+  const base::TimePoint started = m_clock.Now();
+  const auto outcome = m_table.Apply(act.transaction);
+  const std::lock_guard lock(m_mutex);
+  m_leases.Finish(act, started, outcome);
+}
+
+std::optional<ShardGrip> ShardKeeper::Grip(const std::string& shard,
+                                           base::TimePoint now) const {
+  const std::lock_guard lock(m_mutex);
+  return m_leases.Grip(shard, now);
+}
+
+std::string ShardKeeper::OwnerAddress(const std::string& shard) const {
+  const std::lock_guard lock(m_mutex);
+  return m_leases.OwnerAddress(shard);
+}
+
+std::vector<std::string> ShardKeeper::Owned(base::TimePoint now) const {
+  const std::lock_guard lock(m_mutex);
+  return m_leases.Owned(now);
+}
+
+}  // namespace cassiastile::member
--- /dev/null
+++ b/src/cassiastile/member/shard_lease_test.cpp
@@ -0,0 +1,186 @@
+#include "cassiastile/member/shard_lease.hpp"
+
+#include <memory>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "cassiastile/member/shard_keeper.hpp"
+#include "cassiastile/platform/memory_platform.hpp"
+
+namespace cassiastile::member {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Keepers of several processes on one table, each run every 50 ms of virtual
+// time while it is not paused.
+class ShardLeaseTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    for (int i = 0; i < 25; ++i) {
+      m_shards.push_back("pool-" + std::to_string(i));
+    }
+    for (const std::string name : {"a#1", "b#1", "c#1"}) {
+      Add(name);
+    }
+    Run(seconds(40));
+  }
+
+  void Add(const std::string& name) {
+    m_alive.insert(name);
+    ShardLeaseOptions options;
+    options.owner = name;
+    options.address = name + ":80";
+    m_keepers[name] = std::make_unique<ShardKeeper>(
+        options, m_table, m_clock,
+        ShardKeeper::Sources{[this] { return m_shards; },
+                             [this] {
+                               return std::vector<std::string>(m_alive.begin(),
+                                                               m_alive.end());
+                             }},
+        m_keepers.size() + 1);
+  }
+
+  void Run(base::Duration time) {
+    const base::TimePoint end = m_clock.Now() + time;
+    while (m_clock.Now() < end) {
+      for (auto& [name, keeper] : m_keepers) {
+        if (!m_paused.contains(name)) {
+          keeper->RunOnce();
+        }
+      }
+      CheckOwners();
+      m_clock.Advance(milliseconds(50));
+    }
+  }
+
+  // No two processes may take themselves for the owner at the same time.
+  void CheckOwners() {
+    for (const std::string& shard : m_shards) {
+      std::size_t owners = 0;
+      for (const auto& [name, keeper] : m_keepers) {
+        owners += keeper->Grip(shard, m_clock.Now()) ? 1 : 0;
+      }
+      ASSERT_LE(owners, 1U) << shard;
+    }
+  }
+
+  std::map<std::string, std::string> Owners() {
+    std::map<std::string, std::string> owners;
+    for (const auto& [name, keeper] : m_keepers) {
+      for (const std::string& shard : keeper->Owned(m_clock.Now())) {
+        owners[shard] = name;
+      }
+    }
+    return owners;
+  }
+
+  std::size_t CountOf(const std::string& name) {
+    return m_keepers.at(name)->Owned(m_clock.Now()).size();
+  }
+
+  base::ManualClock m_clock;
+  platform::MemoryTable m_table;
+  std::vector<std::string> m_shards;
+  std::set<std::string> m_alive;
+  std::set<std::string> m_paused;
+  std::map<std::string, std::unique_ptr<ShardKeeper>> m_keepers;
+};
+
+TEST_F(ShardLeaseTest, AllShardsAreOwnedAndBalanced) {
+  EXPECT_EQ(Owners().size(), 25U);
+  for (const std::string name : {"a#1", "b#1", "c#1"}) {
+    EXPECT_GE(CountOf(name), 4U);
+    EXPECT_LE(CountOf(name), 14U);
+  }
+}
+
+TEST_F(ShardLeaseTest, DeadOwnersShardsAreTakenWithinLeaseAndASecond) {
+  m_paused.insert("a#1");
+  Run(ShardLeaseOptions{}.lease + seconds(1));
+  EXPECT_EQ(CountOf("a#1"), 0U);
+  EXPECT_EQ(Owners().size(), 25U);
+}
+
+TEST_F(ShardLeaseTest, PausedOwnerStopsActingAndWritesNothing) {
+  const std::string shard = m_keepers.at("a#1")->Owned(m_clock.Now()).front();
+  const auto grip = m_keepers.at("a#1")->Grip(shard, m_clock.Now());
+  m_paused.insert("a#1");
+  Run(seconds(5));
+  EXPECT_FALSE(m_keepers.at("a#1")->Grip(shard, m_clock.Now()));
+  // Even one that checked its grip before the pause is stopped by the fence.
+  const auto late =
+      m_table.Apply({"late", {grip->fence}, {{"pool/" + shard, "x"}}});
+  ASSERT_FALSE(late);
+  EXPECT_EQ(late.error().code, base::ErrorCode::kConflict);
+  m_paused.clear();
+  Run(seconds(5));
+  EXPECT_EQ(Owners().size(), 25U);
+}
+
+TEST_F(ShardLeaseTest, WallClockStepsChangeNothing) {
+  const auto before = Owners();
+  m_clock.StepWall(seconds(7200));
+  Run(seconds(5));
+  m_clock.StepWall(seconds(-14400));
+  Run(seconds(5));
+  EXPECT_EQ(Owners(), before);
+}
+
+TEST_F(ShardLeaseTest, NewHostMovesOnlyItsShare) {
+  const auto before = Owners();
+  Add("d#1");
+  Run(seconds(45));
+  std::size_t moved = 0;
+  for (const auto& [shard, owner] : Owners()) {
+    moved += before.at(shard) != owner ? 1 : 0;
+  }
+  EXPECT_EQ(moved, CountOf("d#1"));
+  EXPECT_GE(moved, 1U);
+  EXPECT_LE(moved, 12U);
+}
+
+TEST_F(ShardLeaseTest, LeavingHostMovesOnlyItsShards) {
+  const auto before = Owners();
+  m_alive.erase("c#1");
+  m_paused.insert("c#1");
+  Run(seconds(45));
+  std::size_t moved = 0;
+  for (const auto& [shard, owner] : Owners()) {
+    moved += before.at(shard) != owner && before.at(shard) != "c#1" ? 1 : 0;
+  }
+  EXPECT_EQ(moved, 0U);
+  EXPECT_EQ(Owners().size(), 25U);
+}
+
+TEST_F(ShardLeaseTest, OutageEndsAllGripsAndLeasesResume) {
+  m_table.SetFaults({true, 0, 0, 0});
+  Run(seconds(4));
+  EXPECT_TRUE(Owners().empty());
+  m_table.SetFaults({});
+  Run(seconds(6));
+  EXPECT_EQ(Owners().size(), 25U);
+}
+
+TEST_F(ShardLeaseTest, LostAndDelayedAnswersNeverMakeTwoOwners) {
+  m_table.SetFaults({false, 0.1, 0.3, 0.2});
+  Run(seconds(120));
+  m_table.SetFaults({});
+  Run(seconds(10));
+  EXPECT_EQ(Owners().size(), 25U);
+}
+
+TEST_F(ShardLeaseTest, StopGivesShardsUpAtOnce) {
+  m_keepers.at("b#1")->Start();
+  m_keepers.at("b#1")->Stop();
+  m_paused.insert("b#1");
+  m_alive.erase("b#1");
+  Run(milliseconds(1000));
+  EXPECT_EQ(CountOf("b#1"), 0U);
+  EXPECT_EQ(Owners().size(), 25U);
+}
+
+}  // namespace
+}  // namespace cassiastile::member
