--- a/include/cassiastile/standin/backend_simulation.hpp
+++ b/include/cassiastile/standin/backend_simulation.hpp
@@ -64,6 +64,7 @@
 
   base::TimePoint Now() const { return m_now; }
   BackendModel& Backends() { return m_backends; }
+  const BackendModel& Backends() const { return m_backends; }
   platform::MemoryTable& Table() { return m_table; }
   static std::string RunnerName(std::uint32_t index);
 
@@ -123,7 +124,8 @@
   base::TimePoint NextEvent() const;
 
   void SendBaseline(std::uint64_t request);
-  void CompleteBaseline(std::uint64_t request, work::TryResult result);
+  void CompleteBaseline(std::uint64_t request,
+                        const wire::HttpOutcome& outcome);
 
   SimulationOptions m_options;
   base::Random m_random;
--- a/include/cassiastile/work/admission.hpp
+++ b/include/cassiastile/work/admission.hpp
@@ -22,8 +22,10 @@
   double urgent_lead = 16;
   // How long a request may wait when nothing can be started at all.
   std::chrono::milliseconds patience{1000};
-  // The part of a request's remaining time that its wait may be put at.
-  double safety = 0.9;
+  // The part of a request's remaining time that its wait may be put at when it
+  // arrives, and while it waits.
+  double admit_part = 0.5;
+  double keep_part = 0.9;
   std::chrono::milliseconds min_retry_after{1000};
   std::chrono::milliseconds max_retry_after{30000};
 };
@@ -130,7 +132,8 @@
                                              std::size_t ahead,
                                              const RequestTicket& ticket,
                                              const ServiceRate& rate,
-                                             base::TimePoint now) const;
+                                             base::TimePoint now,
+                                             double part) const;
   Refusal Refuse(const RequestTicket& ticket,
                  RefusalReason reason,
                  const ServiceRate& rate,
--- /dev/null
+++ b/src/bin/measure_requests.cpp
@@ -0,0 +1,227 @@
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/standin/backend_fault_mix.hpp"
+#include "cassiastile/standin/backend_simulation.hpp"
+
+namespace {
+
+using namespace cassiastile;  // NOLINT(google-build-using-namespace)
+using standin::RequestSimulation;
+using standin::SimulatedPolicy;
+using standin::SimulatedRequest;
+using Seconds = std::chrono::duration<double>;
+
+constexpr std::uint64_t kSeed = 4;
+constexpr std::uint64_t kMixes = 1000;
+constexpr std::uint64_t kBaselineMixes = 50;
+constexpr double kMeanLoad = 0.4;  // Of the capacity, at 1x.
+constexpr Seconds kWarmUp{3};
+constexpr Seconds kMeasured{6};
+constexpr Seconds kSettling{3};
+constexpr std::chrono::milliseconds kTimeout{1000};
+constexpr std::chrono::milliseconds kSlow{500};
+
+struct Scenario {
+  double load = 1;  // Times the mean.
+  bool one_stalled = false;
+  bool silent_link = false;
+};
+
+struct Figures {
+  double goodput = 0;  // Of what was asked for or, if less, the capacity.
+  double p99_ms = 0;   // Of whole answers.
+  double refused_p99_ms = 0;  // Until a caller was told "not run".
+  double slow_part = 0;       // Answered later than kSlow or not at all.
+  // From the first to the last slow request at a host, at the worst host.
+  double recovery_s = 0;
+  std::uint64_t over_slots = 0;
+};
+
+base::Duration ToDuration(Seconds seconds) {
+  return std::chrono::duration_cast<base::Duration>(seconds);
+}
+
+// Draws arrivals at a rate, in requests a second, as a Poisson process.
+void Submit(RequestSimulation& simulation,
+            std::vector<SimulatedRequest>& requests,
+            base::TimePoint from,
+            Seconds length,
+            double rate,
+            base::Random& random) {
+  constexpr std::uint32_t kHosts = 6;
+  constexpr std::uint32_t kTeams = 6;
+  std::exponential_distribution<double> gap(rate);
+  double at = gap(random);
+  while (at < length.count()) {
+    SimulatedRequest request;
+    request.id = requests.size() + 1;
+    request.host = static_cast<std::uint32_t>(random() % kHosts);
+    request.team = "t" + std::to_string(random() % kTeams);
+    request.idempotent = random() % 2 == 0;
+    request.at = from + ToDuration(Seconds(at));
+    request.timeout = kTimeout;
+    simulation.Submit(request);
+    requests.push_back(request);
+    at += gap(random);
+  }
+}
+
+double Percentile99(std::vector<double> values) {
+  constexpr double kPart = 0.99;
+  if (values.empty()) {
+    return 0;
+  }
+  const auto index =
+      static_cast<std::ptrdiff_t>(kPart * static_cast<double>(values.size()));
+  std::nth_element(values.begin(), values.begin() + index, values.end());
+  return values[static_cast<std::size_t>(index)];
+}
+
+double MillisBetween(base::TimePoint from, base::TimePoint to) {
+  return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+Figures Judge(const RequestSimulation& simulation,
+              const std::vector<SimulatedRequest>& requests,
+              base::TimePoint from,
+              double expected) {
+  Figures figures;
+  std::vector<double> answered;
+  std::vector<double> refused;
+  double total = 0;
+  double late = 0;
+  std::map<std::uint32_t, base::TimePoint> first_slow;  // By host.
+  for (const SimulatedRequest& request : requests) {
+    const auto found = simulation.Answers().find(request.id);
+    if (request.at < from || found == simulation.Answers().end()) {
+      continue;
+    }
+    const double took = MillisBetween(request.at, found->second.at);
+    const bool good =
+        found->second.whole && took <= static_cast<double>(kTimeout.count());
+    if (good) {
+      answered.push_back(took);
+    } else if (found->second.execution == wire::Execution::kNotRun) {
+      refused.push_back(took);
+    }
+    total += 1;
+    if (!good || took > static_cast<double>(kSlow.count())) {
+      late += 1;
+      const auto first = first_slow.try_emplace(request.host, request.at);
+      figures.recovery_s =
+          std::max(figures.recovery_s,
+                   Seconds(request.at - first.first->second).count());
+    }
+  }
+  figures.goodput =
+      static_cast<double>(answered.size()) / std::min(total, expected);
+  figures.slow_part = late / std::max(1.0, total);
+  figures.p99_ms = Percentile99(answered);
+  figures.refused_p99_ms = Percentile99(refused);
+  figures.over_slots = simulation.Backends().OverLimit();
+  return figures;
+}
+
+Figures Run(const Scenario& scenario, SimulatedPolicy policy) {
+  standin::SimulationOptions options;
+  options.policy = policy;
+  options.seed = kSeed;
+  RequestSimulation simulation(options);
+  base::Random random(kSeed);
+  const double capacity =
+      options.runners * options.slots / Seconds(options.mean_service).count();
+  const base::TimePoint start = simulation.Now();
+  const base::TimePoint from = start + ToDuration(kWarmUp);
+  std::vector<SimulatedRequest> requests;
+  Submit(simulation, requests, start, kWarmUp, capacity * kMeanLoad, random);
+  Submit(simulation, requests, from, kMeasured,
+         capacity * kMeanLoad * scenario.load, random);
+  simulation.RunUntil(from);
+  auto& runner =
+      simulation.Backends().RunnerOptions(RequestSimulation::RunnerName(0));
+  runner.stalled = scenario.one_stalled;
+  if (scenario.silent_link) {
+    runner.kept_silent_until = from + ToDuration(2 * kMeasured);
+  }
+  simulation.RunUntil(from + ToDuration(kMeasured + kSettling));
+  return Judge(simulation, requests, from, capacity * kMeasured.count());
+}
+
+void Print(const std::string& name,
+           double value,
+           const std::string& unit,
+           const std::string& better,
+           double baseline) {
+  const nlohmann::ordered_json line{
+      {"name", "requests." + name}, {"value", value}, {"unit", unit},
+      {"better", better},           {"seed", kSeed},  {"baseline", baseline}};
+  std::puts(line.dump().c_str());
+}
+
+void MeasureScenario(const std::string& name, const Scenario& scenario) {
+  const Figures ours = Run(scenario, SimulatedPolicy::kCassiastile);
+  const Figures baseline = Run(scenario, SimulatedPolicy::kRoundRobin);
+  Print("goodput." + name, ours.goodput, "ratio", "higher", baseline.goodput);
+  Print("p99." + name, ours.p99_ms, "ms", "lower", baseline.p99_ms);
+  Print("refusal_p99." + name, ours.refused_p99_ms, "ms", "lower",
+        baseline.refused_p99_ms);
+  Print("slow_or_failed." + name, ours.slow_part, "ratio", "lower",
+        baseline.slow_part);
+  Print("over_slots." + name, static_cast<double>(ours.over_slots), "starts",
+        "lower", static_cast<double>(baseline.over_slots));
+  if (scenario.silent_link) {
+    Print("recovery." + name, ours.recovery_s, "s", "lower",
+          baseline.recovery_s);
+  }
+}
+
+standin::FaultMixViolations SumMixes(std::uint64_t mixes,
+                                     SimulatedPolicy policy) {
+  standin::FaultMixViolations sum;
+  for (std::uint64_t seed = 1; seed <= mixes; ++seed) {
+    const auto found = standin::RunFaultMix(seed, policy).violations;
+    sum.ran_twice += found.ran_twice;
+    sum.not_run_but_ran += found.not_run_but_ran;
+    sum.foreign_answers += found.foreign_answers;
+    sum.over_slots += found.over_slots;
+  }
+  return sum;
+}
+
+// The baseline is run over fewer mixes and scaled up to as many.
+void MeasureMixes() {
+  const auto ours = SumMixes(kMixes, SimulatedPolicy::kCassiastile);
+  const auto baseline = SumMixes(kBaselineMixes, SimulatedPolicy::kRoundRobin);
+  const auto print = [](const std::string& name, std::uint64_t value,
+                        std::uint64_t of_baseline) {
+    const std::uint64_t scaled = of_baseline * kMixes / kBaselineMixes;
+    Print(name, static_cast<double>(value), "violations in 1000 mixes", "lower",
+          static_cast<double>(scaled));
+  };
+  print("at_most_once_violations", ours.ran_twice, baseline.ran_twice);
+  print("not_run_violations", ours.not_run_but_ran, baseline.not_run_but_ran);
+  print("whole_answer_violations", ours.foreign_answers,
+        baseline.foreign_answers);
+  print("slot_violations", ours.over_slots, baseline.over_slots);
+}
+
+}  // namespace
+
+// Prints the figures of request handling as JSON lines, each against plain
+// round robin with first-come queues and blind retry.
+int main() {
+  MeasureScenario("1x", {});
+  MeasureScenario("5x", {.load = 5});
+  MeasureScenario("one_stalled", {.one_stalled = true});
+  MeasureScenario("silent_link", {.silent_link = true});
+  MeasureMixes();
+  return 0;
+}
--- /dev/null
+++ b/src/cassiastile/standin/backend_fault_mix.cpp
@@ -0,0 +1,163 @@
+#include "cassiastile/standin/backend_fault_mix.hpp"
+
+#include <array>
+#include <map>
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cassiastile::standin {
+
+namespace {
+
+constexpr std::uint32_t kRequests = 300;
+constexpr std::chrono::seconds kArrivalTime{6};
+constexpr std::chrono::seconds kCrashAfter{2};
+constexpr std::chrono::seconds kRestartAfter{3};
+constexpr std::chrono::seconds kSilence{4};
+constexpr std::chrono::seconds kRunLength{20};
+constexpr double kMostOfOneFault = 0.06;
+
+std::map<BackendFault, double> DrawFaults(base::Random& random) {
+  constexpr std::array kAll{BackendFault::kRefuse,  BackendFault::kStall,
+                            BackendFault::kDie,     BackendFault::kLate,
+                            BackendFault::kShort,   BackendFault::kOverLong,
+                            BackendFault::kCrossed, BackendFault::kChunkCut,
+                            BackendFault::kReset,   BackendFault::kHeaderOnly,
+                            BackendFault::kUnframed};
+  std::uniform_real_distribution<double> part(0, kMostOfOneFault);
+  std::map<BackendFault, double> faults;
+  for (const BackendFault fault : kAll) {
+    faults[fault] = random() % 2 == 0 ? part(random) : 0;
+  }
+  return faults;
+}
+
+std::vector<SimulatedRequest> DrawRequests(base::TimePoint from,
+                                           std::uint32_t hosts,
+                                           base::Random& random) {
+  constexpr int kTeams = 4;
+  constexpr int kUrgentInverse = 8;
+  constexpr int kShortestMillis = 200;
+  constexpr int kLongestMillis = 4000;
+  std::uniform_real_distribution<double> when(0, kArrivalTime.count());
+  std::uniform_int_distribution<int> timeout(kShortestMillis, kLongestMillis);
+  std::vector<SimulatedRequest> requests;
+  for (std::uint64_t id = 1; id <= kRequests; ++id) {
+    SimulatedRequest request;
+    request.id = id;
+    request.host = static_cast<std::uint32_t>(random() % hosts);
+    request.team = "t" + std::to_string(random() % kTeams);
+    request.idempotent = random() % 2 == 0;
+    request.urgent = random() % kUrgentInverse == 0;
+    request.at = from + std::chrono::duration_cast<base::Duration>(
+                            std::chrono::duration<double>(when(random)));
+    request.timeout = std::chrono::milliseconds(timeout(random));
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+void BreakThings(RequestSimulation& simulation,
+                 const SimulationOptions& options,
+                 base::Random& random) {
+  constexpr int kStalledInverse = 10;
+  constexpr int kSilentInverse = 4;
+  constexpr double kLostAnswers = 0.1;
+  constexpr double kDelayedWrites = 0.05;
+  constexpr double kFailedCalls = 0.1;
+  for (std::uint32_t i = 0; i < options.runners; ++i) {
+    ModelRunnerOptions& runner =
+        simulation.Backends().RunnerOptions(RequestSimulation::RunnerName(i));
+    runner.faults = DrawFaults(random);
+    runner.stalled = random() % kStalledInverse == 0;
+    if (random() % kSilentInverse == 0) {
+      runner.kept_silent_until = simulation.Now() + kSilence;
+    }
+  }
+  platform::MemoryFaults faults;
+  faults.lose_answer = kLostAnswers;
+  faults.delay_apply = kDelayedWrites;
+  faults.fail_before = kFailedCalls;
+  simulation.Table().SetFaults(faults);
+}
+
+void JudgeOne(const SimulatedRequest& request,
+              const SimulatedAnswer& seen,
+              int ran,
+              FaultMixResult& result) {
+  using wire::Execution;
+  FaultMixViolations& found = result.violations;
+  const bool not_run = seen.execution == Execution::kNotRun;
+  const bool unknown = seen.execution == Execution::kUnknown;
+  found.ran_twice += !request.idempotent && ran > 1 ? 1 : 0;
+  found.answered_twice += seen.answers > 1 ? 1 : 0;
+  found.not_run_but_ran += not_run && ran > 0 ? 1 : 0;
+  found.foreign_answers += !not_run && !unknown && !seen.whole ? 1 : 0;
+  result.tally.whole += seen.whole ? 1 : 0;
+  result.tally.not_run += not_run ? 1 : 0;
+  result.tally.unknown += unknown ? 1 : 0;
+}
+
+FaultMixResult Judge(const std::vector<SimulatedRequest>& requests,
+                     const RequestSimulation& simulation,
+                     std::uint32_t crashed_host) {
+  std::map<std::string, int> runs;
+  for (const Execution& execution : simulation.Backends().Log()) {
+    ++runs[execution.request];
+  }
+  FaultMixResult result;
+  result.violations.over_slots = simulation.Backends().OverLimit();
+  for (const SimulatedRequest& request : requests) {
+    const int ran = runs[std::to_string(request.id)];
+    const auto answer = simulation.Answers().find(request.id);
+    if (answer != simulation.Answers().end()) {
+      JudgeOne(request, answer->second, ran, result);
+      continue;
+    }
+    const bool host_died = request.host == crashed_host;
+    result.violations.without_answer += host_died ? 0 : 1;
+    result.violations.ran_twice += !request.idempotent && ran > 1 ? 1 : 0;
+  }
+  return result;
+}
+
+}  // namespace
+
+void PrintTo(const FaultMixViolations& found, std::ostream* out) {
+  *out << "ran twice " << found.ran_twice << ", not run but ran "
+       << found.not_run_but_ran << ", foreign " << found.foreign_answers
+       << ", without answer " << found.without_answer << ", answered twice "
+       << found.answered_twice << ", over slots " << found.over_slots;
+}
+
+FaultMixResult RunFaultMix(std::uint64_t seed, SimulatedPolicy policy) {
+  constexpr int kShortestServiceMillis = 50;
+  constexpr int kServiceSpreadMillis = 800;
+  base::Random random(seed);
+  SimulationOptions options;
+  options.policy = policy;
+  options.hosts = 3;
+  options.runners = 4;
+  options.seed = seed;
+  options.mean_service = std::chrono::milliseconds(
+      kShortestServiceMillis + random() % kServiceSpreadMillis);
+  RequestSimulation simulation(options);
+  BreakThings(simulation, options, random);
+  const auto requests = DrawRequests(simulation.Now(), options.hosts, random);
+  for (const SimulatedRequest& request : requests) {
+    simulation.Submit(request);
+  }
+  const base::TimePoint start = simulation.Now();
+  const auto crashed = static_cast<std::uint32_t>(random() % options.hosts);
+  simulation.RunUntil(start + kCrashAfter);
+  simulation.Crash(crashed);
+  simulation.SetLeaving(0, true);
+  simulation.RunUntil(start + kRestartAfter);
+  simulation.Restart(crashed);
+  simulation.RunUntil(start + kRunLength);
+  return Judge(requests, simulation, crashed);
+}
+
+}  // namespace cassiastile::standin
--- a/src/cassiastile/standin/backend_simulation.cpp
+++ b/src/cassiastile/standin/backend_simulation.cpp
@@ -248,8 +248,7 @@
   const Sent sent = found->second;
   m_sent.erase(found);
   if (m_options.policy == SimulatedPolicy::kRoundRobin) {
-    CompleteBaseline(sent.request,
-                     work::JudgeTry(completion.outcome, sent.request_id));
+    CompleteBaseline(sent.request, completion.outcome);
     return;
   }
   Host& host = m_hosts[sent.host];
@@ -341,20 +340,18 @@
 }
 
 void RequestSimulation::CompleteBaseline(std::uint64_t request,
-                                         work::TryResult result) {
+                                         const wire::HttpOutcome& outcome) {
   const BaselineFlight& flight = m_baseline[request];
-  const auto* answered = std::get_if<work::TryAnswered>(&result);
-  if (answered == nullptr && flight.tries < kBaselineTries) {
+  if (!outcome && flight.tries < kBaselineTries) {
     SendBaseline(request);
     return;
   }
   SimulatedAnswer& answer = m_answers[request];
   ++answer.answers;
   answer.at = m_now;
-  if (answered != nullptr) {
+  if (outcome) {
     answer.execution = wire::Execution::kRan;
-    answer.whole =
-        answered->response.body == "answer to " + RequestName(request);
+    answer.whole = outcome->body == "answer to " + RequestName(request);
   }
   m_baseline.erase(request);
 }
--- a/src/cassiastile/work/admission.cpp
+++ b/src/cassiastile/work/admission.cpp
@@ -51,7 +51,8 @@
                                            base::Random& random) {
   TeamQueue& team = m_teams[ticket.team];
   const std::size_t ahead = ticket.urgent ? team.urgent.size() : team.Queued();
-  const auto objection = FindObjection(team, ahead, ticket, rate, now);
+  const auto objection =
+      FindObjection(team, ahead, ticket, rate, now, m_options.admit_part);
   if (objection) {
     return {Refuse(ticket, *objection, rate, random)};
   }
@@ -84,7 +85,7 @@
   const auto found = m_teams.find(ticket.team);
   const TeamQueue& team = found == m_teams.end() ? kNewTeam : found->second;
   const std::size_t ahead = ticket.urgent ? team.urgent.size() : team.Queued();
-  return FindObjection(team, ahead, ticket, rate, now);
+  return FindObjection(team, ahead, ticket, rate, now, m_options.admit_part);
 }
 
 std::optional<RequestTicket> AdmissionQueue::TakeNext() {
@@ -132,7 +133,8 @@
     for (std::deque<RequestTicket>* queue : {&team.urgent, &team.normal}) {
       std::deque<RequestTicket> kept;
       for (RequestTicket& ticket : *queue) {
-        const auto objection = FindObjection(team, ahead, ticket, rate, now);
+        const auto objection =
+            FindObjection(team, ahead, ticket, rate, now, m_options.keep_part);
         if (objection) {
           refusals.push_back(Refuse(ticket, *objection, rate, random));
           continue;
@@ -272,7 +274,8 @@
     std::size_t ahead,
     const RequestTicket& ticket,
     const ServiceRate& rate,
-    base::TimePoint now) const {
+    base::TimePoint now,
+    double part) const {
   if (now >= ticket.deadline) {
     return RefusalReason::kWaitTooLong;
   }
@@ -284,7 +287,7 @@
     return patient ? std::nullopt : std::optional(RefusalReason::kTeamLimit);
   }
   const double left =
-      SecondsOf(ticket.deadline - now - rate.service_time) * m_options.safety;
+      SecondsOf(ticket.deadline - now - rate.service_time) * part;
   if (ExpectedWait(team, ahead, rate) <= left) {
     return std::nullopt;
   }
