--- /dev/null
+++ b/include/cassiastile/member/member_settings.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/config/settings.hpp"
+#include "cassiastile/member/member.hpp"
+
+namespace cassiastile::member {
+
+// Reads "name", "zone", "member_listen" (IP:PORT for UDP and TCP), "peers" (a
+// list of IP:PORT) and "fleet_secret_file". The incarnation is the wall clock's
+// milliseconds, so that it grows with each start.
+MemberOptions ReadMemberOptions(config::Settings& settings,
+                                const base::Clock& clock);
+
+}  // namespace cassiastile::member
--- /dev/null
+++ b/src/cassiastile/control/status_service.cpp
@@ -0,0 +1,37 @@
+#include "cassiastile/control/status_service.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/control/access.hpp"
+#include "cassiastile/wire/problem.hpp"
+
+namespace cassiastile::control {
+
+StatusService::StatusService(const config::FleetSource& source,
+                             std::map<std::string, Part> parts)
+    : m_source(source), m_parts(std::move(parts)) {}
+
+void StatusService::Register(wire::Router& router) {
+  router.Add(
+      "GET", "/v1/status",
+      [this](const wire::HttpRequest& request,
+             const wire::HttpResponder& respond) { respond(Answer(request)); });
+}
+
+wire::HttpResponse StatusService::Answer(
+    const wire::HttpRequest& request) const {
+  constexpr int kOk = 200;
+  const auto reader = OperatorOf(m_source, request);
+  if (!reader) {
+    return wire::MakeErrorResponse(reader.error());
+  }
+  nlohmann::json status = nlohmann::json::object();
+  for (const auto& [name, part] : m_parts) {
+    status[name] = part();
+  }
+  return wire::MakeJsonResponse(kOk, status);
+}
+
+}  // namespace cassiastile::control
