--- a/src/cassiastile/operator/cassiactl_test.cpp
+++ b/src/cassiastile/operator/cassiactl_test.cpp
@@ -26,7 +26,7 @@
 }
 
 std::string WriteFile(const std::string& name, const std::string& text) {
-  const std::string path =
+  std::string path =
       testing::TempDir() + "/cassiactl-" +
       testing::UnitTest::GetInstance()->current_test_info()->name() + "-" +
       name;
