--- /dev/null
+++ b/include/cassiastile/standin/worker_agent.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/base/log.hpp"
+#include "cassiastile/standin/worker.hpp"
+#include "cassiastile/wire/http_client.hpp"
+#include "cassiastile/wire/router.hpp"
+
+namespace cassiastile::standin {
+
+struct WorkerAgentOptions {
+  WorkerOptions worker;
+  std::vector<std::string> control;  // IP:PORT of control processes.
+  std::chrono::milliseconds poll_timeout{2000};
+  // How long a stop waits for runs that can't be given back.
+  std::chrono::milliseconds stop_deadline{20000};
+};
+
+// Runs a stand-in worker against control processes over HTTP. Each start and
+// end is logged as one line. Safe for use by several threads.
+class WorkerAgent {
+ public:
+  // The clock outlives the agent.
+  static std::unique_ptr<WorkerAgent> Start(const base::Clock& clock,
+                                            WorkerAgentOptions options);
+  ~WorkerAgent();
+  WorkerAgent(const WorkerAgent&) = delete;
+  WorkerAgent& operator=(const WorkerAgent&) = delete;
+
+  // Adds POST /v1/faults, which takes {"paused", "failing", "restart"}.
+  void Register(wire::Router& router);
+
+  // Asks for no new tasks, gives back what can be checkpointed, waits for the
+  // rest up to the deadline, and ends.
+  void Stop();
+
+ private:
+  WorkerAgent(const base::Clock& clock, WorkerAgentOptions options);
+
+  void Tick();
+  void PollUntilStopped();
+  void PollOnce();
+  bool PollPool(const std::string& pool);
+  wire::HttpResponse SetFaults(const std::string& body);
+  void LogLine(const WorkerLogLine& line) const;
+
+  const base::Clock& m_clock;
+  const WorkerAgentOptions m_options;
+  base::Log m_log{"worker"};
+  std::unique_ptr<wire::HttpClient> m_client;
+  std::size_t m_control = 0;  // Which of them is asked next.
+
+  std::mutex m_mutex;  // Guards what follows.
+  std::condition_variable m_changed;
+  Worker m_worker;
+  base::Duration m_poll_after{};
+  bool m_stopping = false;
+  std::thread m_ticker;
+  std::thread m_poller;
+};
+
+}  // namespace cassiastile::standin
--- a/src/cassiastile/control/task_pump.cpp
+++ b/src/cassiastile/control/task_pump.cpp
@@ -67,24 +67,17 @@
 }
 
 void TaskPump::Push(Item item) {
-  PumpRefusal refusal = PumpRefusal::kNone;
-  {
-    const std::lock_guard lock(m_mutex);
-    if (m_stopping) {
-      refusal = PumpRefusal::kStopping;
-    } else if (m_items.size() >= m_options.max_waiting) {
-      refusal = PumpRefusal::kFull;
-    } else {
-      m_items.push_back(std::move(item));
-    }
-  }
-  if (refusal != PumpRefusal::kNone) {
-    PumpResult result;
-    result.refusal = refusal;
-    item.completion(std::move(result));
+  std::unique_lock lock(m_mutex);
+  if (!m_stopping && m_items.size() < m_options.max_waiting) {
+    m_items.push_back(std::move(item));
+    lock.unlock();
+    m_changed.notify_all();
     return;
   }
-  m_changed.notify_all();
+  PumpResult result;
+  result.refusal = m_stopping ? PumpRefusal::kStopping : PumpRefusal::kFull;
+  lock.unlock();
+  item.completion(std::move(result));
 }
 
 void TaskPump::Run() {
--- a/src/cassiastile/control/task_service.cpp
+++ b/src/cassiastile/control/task_service.cpp
@@ -253,14 +253,15 @@
     return;
   }
   const work::TaskShardOptions& shard = m_options.pump.owner.shard;
-  const auto renew_without_owner = [respond, pool, lease = shard.lease,
-                                    poll_after = shard.poll_after](
-                                       wire::HttpResponse response) {
-    respond(SaysNoOwner(response) ? MakeRenewalResponse(pool, lease, poll_after)
-                                  : std::move(response));
-  };
+  auto renew_without_owner =
+      [respond = std::move(respond), pool, lease = shard.lease,
+       poll_after = shard.poll_after](wire::HttpResponse response) {
+        respond(SaysNoOwner(response)
+                    ? MakeRenewalResponse(pool, lease, poll_after)
+                    : std::move(response));
+      };
   m_forwarder.Handle(
-      pool, std::move(request), renew_without_owner,
+      pool, std::move(request), std::move(renew_without_owner),
       [this, poll = *poll, home](const member::ShardGrip& grip,
                                  const wire::HttpRequest&,
                                  const wire::HttpResponder& answer) {
