Read again only the hosts whose pools have changed

Each change to a host writes its pool's row, which now names the host, so that a round reads the pools' and waves' rows and few hosts instead of all.

--- a/include/cassiastile/fleet/records.hpp
+++ b/include/cassiastile/fleet/records.hpp
@@ -62,6 +62,7 @@
   std::string pool;
   std::uint64_t epoch = 0;             // Grows with every write.
   std::uint64_t document_version = 0;  // The document last decided from.
+  std::string last_host;               // The host changed by the last write.
   std::map<std::string, OutEntry> out;
 
   bool operator==(const PoolRecord&) const = default;
--- a/include/cassiastile/fleet/state.hpp
+++ b/include/cassiastile/fleet/state.hpp
@@ -36,18 +36,27 @@
 Stored<WaveRecord> FindWaveRecord(const FleetState& state,
                                   const std::string& wave);
 
-// Reads the state, parsing only rows that have changed since the last read. Not
-// safe for use by several threads.
+// Reads the state and keeps reads small: every change to a host writes its
+// pool's row, so that only the hosts of pools whose row has changed are read
+// again. Not safe for use by several threads.
 class StateReader {
  public:
   explicit StateReader(platform::Table& table);
 
-  // Fails when the table does not answer or a row can't be read.
-  base::Result<FleetState> Read();
+  // Brings a state up to date; it may hold what the caller itself has changed
+  // since. Fails, leaving the state as it is, when the table does not answer or
+  // a row can't be read.
+  base::Result<void> Read(FleetState& state);
+
+  // Reads everything at the next read.
+  void Forget();
 
  private:
+  base::Result<void> ReadHosts(FleetState& next, const FleetState& last);
+  base::Result<bool> ReadChangedHosts(FleetState& next, const FleetState& last);
+
   platform::Table& m_table;
-  FleetState m_last;
+  bool m_whole = false;  // Whether the state has all hosts.
 };
 
 }  // namespace cassiastile::fleet
--- a/src/cassiastile/fleet/change.cpp
+++ b/src/cassiastile/fleet/change.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 Stored<PoolRecord> NextPool(const ChangeContext& context,
-                            Stored<PoolRecord> pool) {
+                            Stored<PoolRecord> pool,
+                            const std::string& host) {
   ++pool.record.epoch;
+  pool.record.last_host = host;
   pool.record.document_version = context.document_version;
   return pool;
 }
@@ -121,7 +123,7 @@
   Explain(change, context, "budget", "pools", Describe(count));
   Explain(change, context, std::string(NameOf(order.reason)), "waves",
           order.detail);
-  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record, name);
   next_pool.record.out[name] = {order.reason, {}};
   Stored<HostRecord> next =
       NextHost(context, host, HostState::kDraining, order.detail);
@@ -149,7 +151,7 @@
   stored.record.epoch = 1;
   change.hosts.push_back(
       NextInService(context, std::move(stored), "added by the document"));
-  change.pools.push_back(NextPool(context, pool_record));
+  change.pools.push_back(NextPool(context, pool_record, host));
   return change;
 }
 
@@ -160,7 +162,7 @@
   const std::string& name = host.record.host;
   Change change = StartChange(context, name, "failed");
   Explain(change, context, "failure", "", order.evidence);
-  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record, name);
   next_pool.record.out[name].reason = OutReason::kFailed;
   Stored<HostRecord> next =
       NextHost(context, host, HostState::kFailed, order.evidence);
@@ -203,7 +205,7 @@
                                      "drained; the reboot is asked for");
   next.record.boots = boots;
   change.hosts.push_back(std::move(next));
-  change.pools.push_back(NextPool(context, pool_record));
+  change.pools.push_back(NextPool(context, pool_record, host.record.host));
   return change;
 }
 
@@ -214,7 +216,7 @@
   Explain(change, context, "probe", "", "the machine is up");
   change.hosts.push_back(
       NextHost(context, host, HostState::kProbing, "up again; being probed"));
-  change.pools.push_back(NextPool(context, pool_record));
+  change.pools.push_back(NextPool(context, pool_record, host.record.host));
   return change;
 }
 
@@ -226,7 +228,7 @@
   const std::string& name = host.record.host;
   Change change = StartChange(context, name, "in service");
   Explain(change, context, "return", "", detail);
-  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record, name);
   next_pool.record.out.erase(name);
   const bool maintained = IsMaintained(host.record);
   Stored<HostRecord> next = NextInService(context, host, std::move(detail));
@@ -249,14 +251,14 @@
   Change change = StartChange(context, name, "moved to " + to.record.pool);
   change.preconditions.push_back(context.head);
   Explain(change, context, "move", "pools", host.record.detail);
-  Stored<PoolRecord> next_from = NextPool(context, from);
+  Stored<PoolRecord> next_from = NextPool(context, from, name);
   next_from.record.out.erase(name);
   for (auto& [other, entry] : next_from.record.out) {
     if (entry.replaced_by == name) {
       entry.replaced_by.clear();
     }
   }
-  Stored<PoolRecord> next_to = NextPool(context, to);
+  Stored<PoolRecord> next_to = NextPool(context, to, name);
   const auto replaced = next_to.record.out.find(host.record.stands_in_for);
   if (replaced != next_to.record.out.end()) {
     replaced->second.replaced_by = name;
@@ -283,7 +285,7 @@
   change.preconditions.push_back(context.head);
   Explain(change, context, "pool membership", "pools",
           "the document no longer has it");
-  Stored<PoolRecord> next_pool = NextPool(context, pool_record);
+  Stored<PoolRecord> next_pool = NextPool(context, pool_record, name);
   next_pool.record.out.erase(name);
   change.pools.push_back(std::move(next_pool));
   change.removed_hosts.push_back(host);
--- a/src/cassiastile/fleet/fake_fleet.hpp
+++ b/src/cassiastile/fleet/fake_fleet.hpp
@@ -118,7 +118,11 @@
     return m_table.FindNonce(nonce);
   }
 
-  FleetState State() { return *StateReader(m_table).Read(); }
+  FleetState State() {
+    FleetState state;
+    static_cast<void>(StateReader(m_table).Read(state));
+    return state;
+  }
   platform::MemoryTable& Rows() { return m_table; }
 
   bool down = false;
--- a/src/cassiastile/fleet/reconciler.cpp
+++ b/src/cassiastile/fleet/reconciler.cpp
@@ -51,12 +51,7 @@
     m_document = std::move(document);
     m_index = MakeFleetIndex(m_document->fleet);
   }
-  base::Result<FleetState> state = m_reader.Read();
-  if (!state) {
-    return tl::unexpected(state.error());
-  }
-  m_state = std::move(*state);
-  return {};
+  return m_reader.Read(m_state);
 }
 
 void Reconciler::Tick(const std::string& pool,
@@ -102,6 +97,7 @@
   const auto commit =
       m_ports.table.Apply(MakeTransaction(change, base::MakeId(m_random)));
   if (!commit) {
+    m_reader.Forget();
     return tl::unexpected(commit.error());
   }
   ApplyChange(change, m_state);
--- a/src/cassiastile/fleet/records.cpp
+++ b/src/cassiastile/fleet/records.cpp
@@ -84,6 +84,7 @@
   record.pool = json.at("pool").get<std::string>();
   record.epoch = json.at("epoch").get<std::uint64_t>();
   record.document_version = json.at("document_version").get<std::uint64_t>();
+  record.last_host = json.value("last_host", "");
   for (const auto& [host, entry] : json.at("out").items()) {
     OutEntry& out = record.out[host];
     out.reason = ReadName<OutReason>(entry, "reason", FindOutReason);
@@ -191,6 +192,7 @@
   return nlohmann::json{{"pool", record.pool},
                         {"epoch", record.epoch},
                         {"document_version", record.document_version},
+                        {"last_host", record.last_host},
                         {"out", out}}
       .dump();
 }
--- a/src/cassiastile/fleet/state.cpp
+++ b/src/cassiastile/fleet/state.cpp
@@ -1,5 +1,6 @@
 #include "cassiastile/fleet/state.hpp"
 
+#include <set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -86,29 +87,97 @@
 
 StateReader::StateReader(platform::Table& table) : m_table(table) {}
 
-base::Result<FleetState> StateReader::Read() {
-  FleetState state;
-  const base::Result<void> head = ReadHead(m_table, state);
+base::Result<void> StateReader::Read(FleetState& state) {
+  FleetState next;
+  base::Result<void> head = ReadHead(m_table, next);
   if (!head) {
-    return tl::unexpected(head.error());
+    return head;
   }
-  auto pools = ReadRecords(m_table, "pool/", m_last.pools, ParsePoolRecord);
+  auto pools = ReadRecords(m_table, "pool/", state.pools, ParsePoolRecord);
   if (!pools) {
     return tl::unexpected(pools.error());
   }
-  auto hosts = ReadRecords(m_table, "host/", m_last.hosts, ParseHostRecord);
+  auto waves = ReadRecords(m_table, "wave/", state.waves, ParseWaveRecord);
+  if (!waves) {
+    return tl::unexpected(waves.error());
+  }
+  next.pools = std::move(*pools);
+  next.waves = std::move(*waves);
+  base::Result<void> hosts = ReadHosts(next, state);
+  if (!hosts) {
+    return hosts;
+  }
+  if (m_whole) {
+    for (auto& [host, stored] : next.hosts) {
+      state.hosts[host] = std::move(stored);
+    }
+    next.hosts = std::move(state.hosts);
+  }
+  state = std::move(next);
+  std::erase_if(state.hosts,
+                [](const auto& entry) { return entry.second.version == 0; });
+  m_whole = true;
+  return {};
+}
+
+void StateReader::Forget() {
+  m_whole = false;
+}
+
+// Fills in all hosts, or, while m_whole holds, only those that have changed; a
+// deleted one is at version zero.
+base::Result<void> StateReader::ReadHosts(FleetState& next,
+                                          const FleetState& last) {
+  if (m_whole) {
+    const base::Result<bool> changed = ReadChangedHosts(next, last);
+    if (!changed) {
+      return tl::unexpected(changed.error());
+    }
+    m_whole = *changed;
+  }
+  if (m_whole) {
+    return {};
+  }
+  auto hosts = ReadRecords(m_table, "host/", last.hosts, ParseHostRecord);
   if (!hosts) {
     return tl::unexpected(hosts.error());
   }
-  auto waves = ReadRecords(m_table, "wave/", m_last.waves, ParseWaveRecord);
-  if (!waves) {
-    return tl::unexpected(waves.error());
+  next.hosts = std::move(*hosts);
+  return {};
+}
+
+// False when more than one change to a pool was missed, so that it can't be
+// told which hosts to read.
+base::Result<bool> StateReader::ReadChangedHosts(FleetState& next,
+                                                 const FleetState& last) {
+  std::set<std::string> changed;
+  for (const auto& [name, pool] : next.pools) {
+    const auto known = last.pools.find(name);
+    if (known != last.pools.end() && known->second.version == pool.version) {
+      continue;
+    }
+    if (known == last.pools.end() ||
+        pool.record.epoch != known->second.record.epoch + 1) {
+      return false;
+    }
+    changed.insert(pool.record.last_host);
+  }
+  for (const std::string& host : changed) {
+    const auto row = m_table.Get(HostKey(host));
+    if (!row) {
+      return tl::unexpected(row.error());
+    }
+    if (!*row) {
+      next.hosts[host] = {};
+      continue;
+    }
+    base::Result<HostRecord> parsed = ParseHostRecord((*row)->value);
+    if (!parsed) {
+      return tl::unexpected(parsed.error());
+    }
+    next.hosts[host] = {std::move(*parsed), (*row)->version};
   }
-  state.pools = std::move(*pools);
-  state.hosts = std::move(*hosts);
-  state.waves = std::move(*waves);
-  m_last = state;
-  return state;
+  return true;
 }
 
 }  // namespace cassiastile::fleet
