--- a/include/cassiastile/entry/entry_service.hpp
+++ b/include/cassiastile/entry/entry_service.hpp
@@ -40,6 +40,7 @@
   std::size_t connections_per_runner = 8;  // Of this host, kept ones included.
   std::chrono::milliseconds tick{20};
   std::chrono::milliseconds listing{500};
+  std::chrono::milliseconds member_reading{5000};
   std::chrono::milliseconds credit_step{250};
   std::chrono::milliseconds credit_jitter{100};
 };
@@ -120,6 +121,7 @@
   void AddService(const config::Service& service);
   void CheckKeys();
   void List();
+  void ReadIncarnations();
   void StepCredits();
   std::vector<std::pair<CreditAccount*, std::shared_ptr<ServiceShard>>>
   AllAccounts();
--- a/include/cassiastile/entry/holder_watch.hpp
+++ b/include/cassiastile/entry/holder_watch.hpp
@@ -25,17 +25,22 @@
 work::HolderName MakeHolderName(const std::string& host,
                                 std::uint64_t incarnation);
 
-// Finds out which holders of credits are gone for good, from the list of
-// hosts: one whose host runs under a newer incarnation, or whose host has long
-// been missing while this one is listed.
+// Finds out which holders of credits are gone for good: one whose process was
+// replaced by a newer incarnation, or whose host has long been missing from the
+// list of hosts while this one is listed.
 class HolderWatch {
  public:
   HolderWatch(std::string own_name, HolderWatchOptions options);
 
-  // Takes in a list that was read.
+  // Takes in a list of hosts that was read.
   void Observe(const std::vector<platform::ListedHost>& listed,
                base::TimePoint now);
 
+  // Takes in that a process runs, or ran, under an incarnation.
+  void ObserveIncarnation(const std::string& host,
+                          std::uint64_t incarnation,
+                          base::TimePoint now);
+
   // Whether the holder is known to have nothing running any more. Asking about
   // it starts the watch for a host that was never listed.
   bool IsGone(const work::HolderName& holder, base::TimePoint now);
--- /dev/null
+++ b/src/bin/cassia_entry.cpp
@@ -0,0 +1,74 @@
+#include "cassiastile/base/random.hpp"
+#include "cassiastile/daemon/run_daemon.hpp"
+#include "cassiastile/entry/entry_host.hpp"
+#include "cassiastile/member/member_settings.hpp"
+
+namespace {
+
+using namespace cassiastile;
+
+constexpr std::uint16_t kDefaultPort = 7200;
+constexpr std::int64_t kMostThreads = 64;
+constexpr std::int64_t kMostBodyBytes = 64 << 20;
+
+class EntryDaemon final : public daemon::Daemon {
+ public:
+  static base::Result<std::unique_ptr<EntryDaemon>> Start(
+      entry::EntryHostOptions options) {
+    auto host = entry::EntryHost::Start(std::move(options));
+    if (!host) {
+      return tl::unexpected(host.error());
+    }
+    auto running = std::make_unique<EntryDaemon>();
+    running->m_host = std::move(*host);
+    return running;
+  }
+
+  void Stop() override { m_host->Stop(); }
+
+ private:
+  std::unique_ptr<entry::EntryHost> m_host;
+};
+
+void ReadLimits(config::Settings& settings, entry::IntakeLimits& limits) {
+  limits.max_body_bytes = static_cast<std::size_t>(settings.Number(
+      "max_body_bytes", static_cast<std::int64_t>(limits.max_body_bytes), 1,
+      kMostBodyBytes));
+  limits.longest_timeout =
+      settings.Milliseconds("longest_timeout_ms", limits.longest_timeout);
+}
+
+entry::EntryHostOptions ReadOptions(config::Settings& settings) {
+  entry::EntryHostOptions options;
+  options.listen = settings.Address("listen", {"127.0.0.1", kDefaultPort});
+  options.http_threads = static_cast<std::size_t>(
+      settings.Number("http_threads", 4, 1, kMostThreads));
+  options.member = member::ReadMemberOptions(settings, base::SystemClock());
+  options.member.role = member::MemberRole::kEntry;
+  options.member.http_address = config::FormatAddress(options.listen);
+  options.platform = daemon::ReadPlatformOptions(settings);
+  options.platform.process =
+      options.member.name + "-" + std::to_string(options.member.incarnation);
+  options.entry.name = options.member.name;
+  options.entry.zone = options.member.zone;
+  options.entry.incarnation = options.member.incarnation;
+  options.entry.seed = base::MakeRandom()();
+  ReadLimits(settings, options.entry.limits);
+  options.entry.watch.longest_request = options.entry.limits.longest_timeout;
+  options.drain_notice =
+      settings.Milliseconds("drain_notice_ms", options.drain_notice);
+  options.drain_deadline =
+      settings.Milliseconds("drain_deadline_ms", options.drain_deadline);
+  return options;
+}
+
+}  // namespace
+
+// The request process of an entry host.
+int main(int argc, char** argv) {
+  const daemon::Program program{
+      "cassia-entry",
+      "takes callers' requests and brings back the answers of the runners"};
+  return daemon::RunDaemon(program, argc, argv, ReadOptions,
+                           EntryDaemon::Start);
+}
--- a/src/cassiastile/entry/entry_threads.cpp
+++ b/src/cassiastile/entry/entry_threads.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cassiastile/entry/entry_service.hpp"
+#include "cassiastile/member/member_rows.hpp"
 
 // What an entry service does beside answering requests: it follows the
 // configuration and the host list, and keeps its credits.
@@ -64,8 +65,13 @@
 }
 
 void EntryService::RunListing() {
+  base::TimePoint next_members{};
   do {
     List();
+    if (m_ports.clock.Now() >= next_members) {
+      ReadIncarnations();
+      next_members = m_ports.clock.Now() + m_options.member_reading;
+    }
   } while (Sleep(m_options.listing));
 }
 
@@ -170,6 +176,19 @@
   }
 }
 
+// Learns from the members' rows which processes were replaced.
+void EntryService::ReadIncarnations() {
+  const auto members = member::ReadMembers(m_ports.table);
+  if (!members) {
+    return;
+  }
+  const base::TimePoint now = m_ports.clock.Now();
+  const std::lock_guard lock(m_list_mutex);
+  for (const member::MemberRecord& record : *members) {
+    m_watch.ObserveIncarnation(record.name, record.incarnation, now);
+  }
+}
+
 void EntryService::StepCredits() {
   const std::lock_guard lock(m_credits_mutex);
   if (m_returned) {
--- a/src/cassiastile/entry/holder_watch.cpp
+++ b/src/cassiastile/entry/holder_watch.cpp
@@ -46,12 +46,7 @@
       continue;
     }
     present.insert(host.name);
-    Seen& seen = m_hosts[host.name];
-    if (host.incarnation > seen.incarnation) {
-      seen.incarnation = host.incarnation;
-      seen.incarnation_since = now;
-    }
-    seen.missing_since.reset();
+    m_hosts[host.name].missing_since.reset();
   }
   m_self_listed = present.contains(m_own_name);
   m_self_seen = m_self_listed ? now : m_self_seen;
@@ -62,6 +57,16 @@
   }
 }
 
+void HolderWatch::ObserveIncarnation(const std::string& host,
+                                     std::uint64_t incarnation,
+                                     base::TimePoint now) {
+  Seen& seen = m_hosts[host];
+  if (incarnation > seen.incarnation) {
+    seen.incarnation = incarnation;
+    seen.incarnation_since = now;
+  }
+}
+
 bool HolderWatch::IsGone(const work::HolderName& holder, base::TimePoint now) {
   const auto parts = SplitHolderName(holder);
   if (!parts) {
--- a/src/cassiastile/standin/backend_simulation.cpp
+++ b/src/cassiastile/standin/backend_simulation.cpp
@@ -211,13 +211,16 @@
       platform::ListedHost entry;
       entry.name = HostName(i);
       entry.role = platform::ListedRole::kEntry;
-      entry.incarnation = m_hosts[i].incarnation;
       listed.push_back(std::move(entry));
     }
   }
   for (Host& host : m_hosts) {
     if (host.shard) {
       host.watch->Observe(listed, m_now);
+      for (std::uint32_t i = 0; i < m_hosts.size(); ++i) {
+        host.watch->ObserveIncarnation(HostName(i), m_hosts[i].incarnation,
+                                       m_now);
+      }
       ListRunners(host);
     }
   }
