--- /dev/null
+++ b/src/cassiastile/control/pool_acts.cpp
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/control/access.hpp"
+#include "cassiastile/control/pool_service.hpp"
+#include "cassiastile/wire/problem.hpp"
+#include "pool_status.hpp"
+
+namespace cassiastile::control {
+
+void PoolService::Register(wire::Router& router) {
+  for (const std::string act : {"drain", "return"}) {
+    router.Add("POST", "/v1/hosts/:host/" + act,
+               [this, act](const wire::HttpRequest& request,
+                           const wire::HttpResponder& respond) {
+                 TakeHostAct(request, respond, act);
+               });
+  }
+  router.Add("GET", "/v1/waves/:wave",
+             [this](const wire::HttpRequest& request,
+                    const wire::HttpResponder& respond) {
+               AnswerWave(request, respond);
+             });
+  router.Add("POST", "/v1/waves/:wave/:act",
+             [this](const wire::HttpRequest& request,
+                    const wire::HttpResponder& respond) {
+               TakeWaveAct(request, respond);
+             });
+}
+
+base::Result<std::string> PoolService::OperatorOwning(
+    const wire::HttpRequest& request,
+    config::SectionName section) const {
+  base::Result<std::string> name = OperatorOf(m_ports.source, request);
+  if (!name) {
+    return name;
+  }
+  const auto document = m_ports.source.Current();
+  const auto& ownership = document->fleet.ownership;
+  const bool owns =
+      std::any_of(ownership.begin(), ownership.end(), [&](const auto& entry) {
+        return entry.section == section && entry.owner == *name;
+      });
+  if (!owns) {
+    return base::Fail(base::ErrorCode::kDenied,
+                      "The operator " + *name + " does not own the section " +
+                          std::string(config::NameOf(section)) + ".");
+  }
+  return name;
+}
+
+void PoolService::TakeHostAct(const wire::HttpRequest& request,
+                              const wire::HttpResponder& respond,
+                              const std::string& act) {
+  const auto name = OperatorOwning(request, config::SectionName::kPools);
+  if (!name) {
+    respond(wire::MakeErrorResponse(name.error()));
+    return;
+  }
+  const std::string host = request.path_parameters.at("host");
+  const std::string& actor = *name;
+  const bool drain = act == "drain";
+  Act next;
+  next.entry = {"host " + host + " " + act, actor, m_ports.clock.WallNow(), ""};
+  next.run = [this, host, actor, drain](const fleet::AuditAddition& audit) {
+    return drain ? m_reconciler.DrainHost(host, actor, audit)
+                 : m_reconciler.ReturnHostBy(host, actor, audit);
+  };
+  next.answer = [this, host]() -> nlohmann::json {
+    const fleet::HostRecord& record =
+        m_reconciler.State().hosts.at(host).record;
+    return {{"host", host},
+            {"pool", record.pool},
+            {"state", fleet::NameOf(record.state)},
+            {"detail", record.detail}};
+  };
+  next.respond = respond;
+  Enqueue(std::move(next));
+}
+
+void PoolService::TakeWaveAct(const wire::HttpRequest& request,
+                              const wire::HttpResponder& respond) {
+  const auto name = OperatorOwning(request, config::SectionName::kWaves);
+  if (!name) {
+    respond(wire::MakeErrorResponse(name.error()));
+    return;
+  }
+  const std::string wave = request.path_parameters.at("wave");
+  const auto act = fleet::FindWaveAct(request.path_parameters.at("act"));
+  if (!act) {
+    respond(wire::MakeErrorResponse(
+        {base::ErrorCode::kNotFound,
+         "A wave takes start, pause, resume and abort."}));
+    return;
+  }
+  const std::string& actor = *name;
+  Act next;
+  next.entry = {"wave " + wave + " " + std::string(fleet::NameOf(*act)), actor,
+                m_ports.clock.WallNow(), ""};
+  next.run = [this, wave, actor, act](const fleet::AuditAddition& audit) {
+    return m_reconciler.ActOn(wave, actor, *act, audit);
+  };
+  next.answer = [this, wave] {
+    PoolSnapshot snapshot;
+    snapshot.document = m_document;
+    snapshot.state = m_reconciler.State();
+    const config::Wave* declared = config::FindWave(m_document->fleet, wave);
+    snapshot.forecasts[wave] = m_reconciler.Forecast(*declared);
+    return MakeWaveJson(snapshot, *declared);
+  };
+  next.respond = respond;
+  Enqueue(std::move(next));
+}
+
+void PoolService::AnswerWave(const wire::HttpRequest& request,
+                             const wire::HttpResponder& respond) const {
+  const auto name = OperatorOf(m_ports.source, request);
+  if (!name) {
+    respond(wire::MakeErrorResponse(name.error()));
+    return;
+  }
+  const auto latest = Latest();
+  const config::Wave* wave =
+      latest == nullptr ? nullptr
+                        : config::FindWave(latest->document->fleet,
+                                           request.path_parameters.at("wave"));
+  if (wave == nullptr) {
+    respond(wire::MakeErrorResponse(
+        {base::ErrorCode::kNotFound,
+         "No such wave: " + request.path_parameters.at("wave")}));
+    return;
+  }
+  constexpr int kOk = 200;
+  respond(wire::MakeJsonResponse(kOk, MakeWaveJson(*latest, *wave)));
+}
+
+}  // namespace cassiastile::control
--- /dev/null
+++ b/src/cassiastile/control/pool_service.cpp
@@ -0,0 +1,223 @@
+#include "cassiastile/control/pool_service.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/control/access.hpp"
+#include "cassiastile/wire/problem.hpp"
+#include "pool_status.hpp"
+
+namespace cassiastile::control {
+
+namespace {
+
+// How often an act is decided anew when others change its rows.
+constexpr int kActAttempts = 4;
+
+fleet::ReconcilerPorts MakePorts(const PoolServicePorts& ports) {
+  return {ports.table,  ports.machines, ports.work,
+          ports.demand, ports.clock,    ports.decisions};
+}
+
+}  // namespace
+
+base::Result<std::unique_ptr<PoolService>> PoolService::Create(
+    PoolServicePorts ports,
+    PoolServiceOptions options) {
+  if (options.name.empty()) {
+    return base::Fail(base::ErrorCode::kInvalid,
+                      "The pool service needs the process's name.");
+  }
+  return std::unique_ptr<PoolService>(
+      new PoolService(ports, std::move(options)));
+}
+
+PoolService::PoolService(PoolServicePorts ports, PoolServiceOptions options)
+    : m_ports(ports),
+      m_options(std::move(options)),
+      m_reconciler(m_options.name,
+                   MakePorts(ports),
+                   m_options.seed,
+                   m_options.reconciler) {}
+
+PoolService::~PoolService() {
+  Stop();
+}
+
+void PoolService::Start() {
+  m_thread = std::thread([this] {
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+      lock.unlock();
+      RunOnce();
+      lock.lock();
+      m_wake.wait_for(lock, m_options.interval,
+                      [this] { return m_stopping || !m_acts.empty(); });
+    }
+  });
+}
+
+void PoolService::Stop() {
+  std::deque<Act> refused;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+    refused.swap(m_acts);
+  }
+  m_wake.notify_all();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+  for (const Act& act : refused) {
+    act.respond(wire::MakeErrorResponse(
+        {base::ErrorCode::kUnavailable, "This host is stopping."}));
+  }
+}
+
+void PoolService::RunOnce() {
+  const std::lock_guard round(m_round_mutex);
+  m_document = m_ports.source.Current();
+  if (m_document == nullptr) {
+    return;
+  }
+  RunActs();
+  const base::Result<void> read = m_reconciler.Refresh(m_document);
+  if (!read) {
+    m_log.Warn("The rows can't be read: " + read.error().message);
+    return;
+  }
+  TickOwnedPools();
+  TickOrphans();
+  Publish();
+}
+
+void PoolService::TickOwnedPools() {
+  for (const config::Pool& pool : m_document->fleet.pools) {
+    const auto grip = m_ports.owner.Grip(pool.name, m_ports.clock.Now());
+    if (grip) {
+      m_reconciler.Tick(pool.name, grip->fence);
+    }
+  }
+}
+
+// The hosts of pools that the document no longer has are drained by the owner
+// of its first pool.
+void PoolService::TickOrphans() {
+  const config::Fleet& fleet = m_document->fleet;
+  if (fleet.pools.empty() ||
+      !m_ports.owner.Grip(fleet.pools.front().name, m_ports.clock.Now())) {
+    return;
+  }
+  std::vector<std::string> orphans;
+  for (const auto& [pool, stored] : m_reconciler.State().pools) {
+    if (config::FindPool(fleet, pool) == nullptr) {
+      orphans.push_back(pool);
+    }
+  }
+  for (const std::string& pool : orphans) {
+    m_reconciler.Tick(pool, std::nullopt);
+  }
+}
+
+void PoolService::Publish() {
+  auto published = std::make_shared<PoolSnapshot>();
+  published->document = m_document;
+  published->state = m_reconciler.State();
+  published->drain_times = m_reconciler.DrainTimes();
+  published->overdue = m_reconciler.Overdue();
+  for (const config::Wave& wave : m_document->fleet.waves) {
+    published->forecasts[wave.name] = m_reconciler.Forecast(wave);
+  }
+  published->views = MakeHostViews(*published);
+  const std::lock_guard lock(m_mutex);
+  m_published = std::move(published);
+}
+
+std::shared_ptr<const PoolSnapshot> PoolService::Latest() const {
+  const std::lock_guard lock(m_mutex);
+  return m_published;
+}
+
+std::vector<fleet::HostView> PoolService::Hosts(const std::string& pool) const {
+  const auto latest = Latest();
+  if (latest == nullptr) {
+    return {};
+  }
+  const auto found = latest->views.find(pool);
+  return found == latest->views.end() ? std::vector<fleet::HostView>()
+                                      : found->second;
+}
+
+nlohmann::json PoolService::StatusJson() const {
+  nlohmann::json body{{"pools", nlohmann::json::array()},
+                      {"waves", nlohmann::json::array()}};
+  const auto latest = Latest();
+  if (latest == nullptr) {
+    return body;
+  }
+  for (const config::Pool& pool : latest->document->fleet.pools) {
+    body["pools"].push_back(MakePoolJson(*latest, pool));
+  }
+  for (const config::Wave& wave : latest->document->fleet.waves) {
+    body["waves"].push_back(MakeWaveJson(*latest, wave));
+  }
+  return body;
+}
+
+void PoolService::Enqueue(Act act) {
+  base::Error refusal{base::ErrorCode::kUnavailable, "This host is stopping."};
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!m_stopping && m_acts.size() < m_options.max_waiting_acts) {
+      m_acts.push_back(std::move(act));
+      m_wake.notify_all();
+      return;
+    }
+    if (!m_stopping) {
+      refusal = {base::ErrorCode::kOverloaded,
+                 "Too many acts wait on this host."};
+    }
+  }
+  act.respond(wire::MakeErrorResponse(refusal));
+}
+
+void PoolService::RunActs() {
+  std::deque<Act> acts;
+  {
+    const std::lock_guard lock(m_mutex);
+    acts.swap(m_acts);
+  }
+  for (const Act& act : acts) {
+    const base::Result<void> done = RunAct(act);
+    if (done) {
+      m_log.Info(fmt::format("{} by {}.", act.entry.what, act.entry.who));
+      constexpr int kOk = 200;
+      act.respond(wire::MakeJsonResponse(kOk, act.answer()));
+    } else {
+      act.respond(wire::MakeErrorResponse(done.error()));
+    }
+  }
+}
+
+base::Result<void> PoolService::RunAct(const Act& act) {
+  base::Result<void> done;
+  for (int attempt = 0; attempt < kActAttempts; ++attempt) {
+    done = m_reconciler.Refresh(m_document);
+    if (!done) {
+      return done;
+    }
+    const auto audit = m_ports.audit.Append(act.entry);
+    if (!audit) {
+      return tl::unexpected(audit.error());
+    }
+    done = act.run(*audit);
+    if (done || done.error().code != base::ErrorCode::kConflict) {
+      return done;
+    }
+  }
+  return done;
+}
+
+}  // namespace cassiastile::control
