Test the parts of request handling one by one

Found by them: after a pause of the process the time it was noticed was not kept, so slots read before the pause were used again.

The stand-in runner uses a thread for each connection in place of coroutines, which the linter's compiler can't read.

--- a/include/cassiastile/entry/claim_store.hpp
+++ b/include/cassiastile/entry/claim_store.hpp
@@ -62,7 +62,9 @@
   void Take(std::string key, work::Claim claim, ClaimCallback callback);
 
   // Records how a request ended whose claim was taken.
-  void End(std::string key, work::Claim claim, work::Outcome outcome);
+  void End(std::string key,
+           const work::Claim& claim,
+           const work::Outcome& outcome);
 
  private:
   struct Waiting {
@@ -83,6 +85,7 @@
   std::vector<Waiting> NextClaims();
   std::vector<Ended> NextEnded();
   void CommitClaims(std::vector<Waiting> batch);
+  static std::vector<Waiting> TakeTwins(std::vector<Waiting>& batch);
   void Resolve(std::vector<Waiting>& batch);
   void CommitEnded(const std::vector<Ended>& batch);
   void WriteEnded(const Ended& ended);
--- a/include/cassiastile/entry/entry_service.hpp
+++ b/include/cassiastile/entry/entry_service.hpp
@@ -94,7 +94,7 @@
   void Start();
   void Handle(wire::HttpRequest request, wire::HttpResponder respond);
   void HandleGood(Intake intake,
-                  std::shared_ptr<const wire::HttpRequest> request,
+                  const std::shared_ptr<const wire::HttpRequest>& request,
                   wire::HttpResponder respond);
   void Claim(const Intake& intake,
              const std::string& key,
--- a/src/cassiastile/entry/claim_store.cpp
+++ b/src/cassiastile/entry/claim_store.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/entry/claim_store.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -72,8 +73,8 @@
 }
 
 void ClaimStore::End(std::string key,
-                     work::Claim claim,
-                     work::Outcome outcome) {
+                     const work::Claim& claim,
+                     const work::Outcome& outcome) {
   const std::lock_guard lock(m_mutex);
   if (m_ended.size() < m_options.max_waiting) {
     m_ended.push_back({std::move(key), claim.nonce, EndClaim(claim, outcome)});
@@ -143,21 +144,12 @@
   for (int round = 0; round < kMaxRounds && !batch.empty(); ++round) {
     platform::Transaction transaction;
     transaction.nonce = NewNonce();
-    std::set<std::string> keys;
-    std::vector<Waiting> twins;
-    for (Waiting& waiting : batch) {
-      if (keys.insert(waiting.key).second) {
-        transaction.preconditions.push_back({waiting.key, 0});
-        transaction.writes.push_back(
-            {waiting.key, work::FormatClaim(waiting.claim)});
-      } else {
-        twins.push_back(std::move(waiting));
-        waiting.callback = nullptr;
-      }
+    std::vector<Waiting> twins = TakeTwins(batch);
+    for (const Waiting& waiting : batch) {
+      transaction.preconditions.push_back({waiting.key, 0});
+      transaction.writes.push_back(
+          {waiting.key, work::FormatClaim(waiting.claim)});
     }
-    std::erase_if(batch, [](const Waiting& waiting) {
-      return waiting.callback == nullptr;
-    });
     const auto commit = m_table.Apply(transaction);
     if (commit) {
       for (Waiting& waiting : batch) {
@@ -176,6 +168,20 @@
   FailAll(batch, false);
 }
 
+// Takes out the claims whose key another claim of the batch has too.
+std::vector<ClaimStore::Waiting> ClaimStore::TakeTwins(
+    std::vector<Waiting>& batch) {
+  std::set<std::string> keys;
+  const auto twins = std::stable_partition(
+      batch.begin(), batch.end(), [&keys](const Waiting& waiting) {
+        return keys.insert(waiting.key).second;
+      });
+  std::vector<Waiting> taken(std::make_move_iterator(twins),
+                             std::make_move_iterator(batch.end()));
+  batch.erase(twins, batch.end());
+  return taken;
+}
+
 // Answers the claims that have a row already and takes them out.
 void ClaimStore::Resolve(std::vector<Waiting>& batch) {
   std::vector<Waiting> free;
--- /dev/null
+++ b/src/cassiastile/entry/credit_account_test.cpp
@@ -0,0 +1,149 @@
+#include "cassiastile/entry/credit_account.hpp"
+
+#include <gtest/gtest.h>
+
+#include "cassiastile/entry/holder_watch.hpp"
+#include "cassiastile/platform/memory_platform.hpp"
+
+namespace cassiastile::entry {
+namespace {
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+const std::string kKey = "ledger/slots/draw";
+
+// Wants a fixed number of slots on one runner.
+class FixedUser final : public CreditUser {
+ public:
+  CreditNeeds Needs(const work::LedgerRow&, base::TimePoint) override {
+    return {{"r1", {8, in_use, wanted}}};
+  }
+  Grants Allow(const Grants& grants, base::TimePoint) override {
+    const auto found = grants.find("r1");
+    allowed = found == grants.end() ? 0 : found->second;
+    return {{"r1", in_use}};
+  }
+
+  std::uint32_t in_use = 0;
+  std::uint32_t wanted = 8;
+  std::uint32_t allowed = 0;
+};
+
+std::set<work::HolderName> Nobody(const std::set<work::HolderName>&) {
+  return {};
+}
+
+class CreditAccountTest : public testing::Test {
+ protected:
+  std::uint32_t GrantedIn(const std::string& holder) {
+    const auto row = m_table.Get(kKey).value();
+    const auto ledgers = work::ParseLedgerRow(row->value).value();
+    const auto& holdings = ledgers.at("r1").holdings;
+    const auto found = holdings.find(holder);
+    return found == holdings.end() ? 0 : found->second.granted;
+  }
+
+  platform::MemoryTable m_table;
+  FixedUser m_user;
+  CreditAccount m_account{m_table, kKey, "e1#1", 1};
+  FixedUser m_other;
+  CreditAccount m_other_account{m_table, kKey, "e2#1", 1};
+};
+
+TEST_F(CreditAccountTest, CreditsAreUsedAfterTheWriteThatGrantsThem) {
+  EXPECT_EQ(m_account.Step(m_user, Nobody, kStart), CreditStep::kWritten);
+  EXPECT_EQ(m_user.allowed, 8U);
+}
+
+TEST_F(CreditAccountTest, LostAnswerGrantsNothingUntilItIsResolved) {
+  m_table.SetFaults({.delay_apply = 1});
+  EXPECT_EQ(m_account.Step(m_user, Nobody, kStart), CreditStep::kUnreachable);
+  EXPECT_EQ(m_user.allowed, 0U);
+  // The other host's write comes first; the delayed one then does not apply.
+  m_table.SetFaults({});
+  m_other_account.Step(m_other, Nobody, kStart);
+  while (m_account.Step(m_user, Nobody, kStart) == CreditStep::kUnreachable) {
+  }
+  EXPECT_LE(m_user.allowed + m_other.allowed, 8U);
+}
+
+TEST_F(CreditAccountTest, GivingBackStopsUseEvenWhenTheAnswerIsLost) {
+  m_account.Step(m_user, Nobody, kStart);
+  m_user.wanted = 2;
+  m_table.SetFaults({.lose_answer = 1});
+  m_account.Step(m_user, Nobody, kStart);
+  EXPECT_EQ(m_user.allowed, 2U);
+  EXPECT_EQ(GrantedIn("e1#1"), 2U);
+}
+
+TEST_F(CreditAccountTest, HeldCreditsServeWhileTheStoreIsDown) {
+  m_account.Step(m_user, Nobody, kStart);
+  m_table.SetFaults({.down = true});
+  m_user.wanted = 0;
+  EXPECT_EQ(m_account.Step(m_user, Nobody, kStart), CreditStep::kUnreachable);
+  EXPECT_EQ(m_user.allowed, 8U);
+}
+
+TEST_F(CreditAccountTest, WhatIsInUseIsNotGivenBack) {
+  m_account.Step(m_user, Nobody, kStart);
+  m_user.in_use = 5;
+  ReturningUser returning(m_user);
+  m_account.Step(returning, Nobody, kStart);
+  EXPECT_EQ(GrantedIn("e1#1"), 5U);
+}
+
+TEST_F(CreditAccountTest, LittleChangesAreNotWritten) {
+  m_user.wanted = 3;
+  m_account.Step(m_user, Nobody, kStart);
+  const auto writes = m_table.Counts().writes;
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(m_account.Step(m_user, Nobody, kStart), CreditStep::kUnchanged);
+  }
+  EXPECT_EQ(m_table.Counts().writes, writes);
+}
+
+TEST_F(CreditAccountTest, HolderThatIsGoneLosesItsCredits) {
+  m_other_account.Step(m_other, Nobody, kStart);
+  const auto gone = [](const std::set<work::HolderName>&) {
+    return std::set<work::HolderName>{"e2#1"};
+  };
+  m_account.Step(m_user, gone, kStart);
+  EXPECT_EQ(GrantedIn("e1#1"), 8U);
+  EXPECT_EQ(GrantedIn("e2#1"), 0U);
+}
+
+platform::ListedHost ListEntry(const std::string& name) {
+  platform::ListedHost host;
+  host.name = name;
+  host.role = platform::ListedRole::kEntry;
+  return host;
+}
+
+TEST(HolderWatchTest, ReplacedProcessIsGoneAfterItsLongestRequest) {
+  HolderWatch watch("e1", {});
+  watch.ObserveIncarnation("e2", 2, kStart);
+  EXPECT_FALSE(watch.IsGone("e2#1", kStart + std::chrono::seconds(59)));
+  EXPECT_TRUE(watch.IsGone("e2#1", kStart + std::chrono::seconds(60)));
+  EXPECT_FALSE(watch.IsGone("e2#2", kStart + std::chrono::hours(1)));
+}
+
+TEST(HolderWatchTest, AbsenceCountsOnlyWhileThisHostIsListed) {
+  HolderWatch watch("e1", {});
+  watch.Observe({ListEntry("e2")}, kStart);
+  watch.Observe({}, kStart);
+  const base::TimePoint later = kStart + std::chrono::minutes(11);
+  EXPECT_FALSE(watch.IsGone("e2#1", later));
+  watch.Observe({ListEntry("e1")}, later);
+  EXPECT_TRUE(watch.IsGone("e2#1", later));
+  watch.Observe({ListEntry("e1"), ListEntry("e2")}, later);
+  EXPECT_FALSE(watch.IsGone("e2#1", later));
+}
+
+TEST(HolderWatchTest, CutOffHostStopsBeforeOthersTakeItsCredits) {
+  HolderWatch watch("e1", {});
+  watch.Observe({ListEntry("e1")}, kStart);
+  EXPECT_FALSE(watch.MayBeForfeited(kStart, kStart + std::chrono::minutes(7)));
+  EXPECT_TRUE(watch.MayBeForfeited(kStart, kStart + std::chrono::minutes(8)));
+}
+
+}  // namespace
+}  // namespace cassiastile::entry
--- a/src/cassiastile/entry/entry_service.cpp
+++ b/src/cassiastile/entry/entry_service.cpp
@@ -130,12 +130,13 @@
            work::Outcome(intake.error()), respond);
     return;
   }
-  HandleGood(std::move(*intake), std::move(shared), std::move(respond));
+  HandleGood(std::move(*intake), shared, std::move(respond));
 }
 
-void EntryService::HandleGood(Intake intake,
-                              std::shared_ptr<const wire::HttpRequest> request,
-                              wire::HttpResponder respond) {
+void EntryService::HandleGood(
+    Intake intake,
+    const std::shared_ptr<const wire::HttpRequest>& request,
+    wire::HttpResponder respond) {
   intake.ticket.id = m_next_id.fetch_add(1);
   GatewayRequest accepted;
   accepted.ticket = intake.ticket;
--- a/src/cassiastile/standin/backend.cpp
+++ b/src/cassiastile/standin/backend.cpp
@@ -1,14 +1,17 @@
 #include "cassiastile/standin/backend.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
-#include <map>
+#include <condition_variable>
+#include <list>
 #include <mutex>
 #include <optional>
 #include <thread>
 #include <utility>
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
 
@@ -101,7 +104,7 @@
 
 }  // namespace
 
-class Backend::Impl : public std::enable_shared_from_this<Impl> {
+class Backend::Impl {
  public:
   explicit Impl(BackendOptions options)
       : m_options(std::move(options)), m_acceptor(m_context) {}
@@ -120,14 +123,24 @@
           base::ErrorCode::kUnavailable,
           std::string("The runner can't listen: ") + error.what());
     }
-    asio::co_spawn(m_context, Accept(), asio::detached);
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { Accept(); });
     return {};
   }
 
   void Close() {
-    m_context.stop();
+    {
+      const std::lock_guard lock(m_mutex);
+      m_stopping = true;
+    }
+    m_wake.notify_all();
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
     m_thread.join();
+    for (Connection& connection : m_open) {
+      ::shutdown(connection.socket.native_handle(), SHUT_RDWR);
+    }
+    for (Connection& connection : m_open) {
+      connection.thread.join();
+    }
   }
 
   std::string Address() const {
@@ -161,15 +174,41 @@
   }
 
  private:
-  asio::awaitable<void> Accept() {
+  // A connection with the thread that serves it.
+  struct Connection {
+    explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+
+    tcp::socket socket;
+    std::uint64_t number = 0;
+    std::atomic<bool> done{false};
+    std::thread thread;
+  };
+
+  void Accept() {
     while (true) {
-      tcp::socket socket =
-          co_await m_acceptor.async_accept(asio::use_awaitable);
-      asio::co_spawn(m_context, Serve(std::move(socket), OpenConnection()),
-                     asio::detached);
+      asio::error_code error;
+      tcp::socket socket(m_context);
+      m_acceptor.accept(socket, error);
+      if (error) {
+        return;
+      }
+      RemoveDone();
+      Connection& opened = m_open.emplace_back(std::move(socket));
+      opened.number = OpenConnection();
+      opened.thread = std::thread([this, &opened] { Serve(opened); });
     }
   }
 
+  void RemoveDone() {
+    m_open.remove_if([](Connection& connection) {
+      if (!connection.done.load()) {
+        return false;
+      }
+      connection.thread.join();
+      return true;
+    });
+  }
+
   // Counts a connection and numbers it.
   std::uint64_t OpenConnection() {
     const std::lock_guard lock(m_mutex);
@@ -189,52 +228,50 @@
     return connection < m_silent_before;
   }
 
-  asio::awaitable<void> Serve(tcp::socket socket, std::uint64_t connection) {
+  void Serve(Connection& connection) {
+    tcp::socket& socket = connection.socket;
     try {
       std::string buffer;
-      while (true) {
-        Received received = co_await Receive(socket, buffer);
-        if (IsSilent(connection)) {
-          co_await Swallow(socket);
-        }
-        const bool kept = co_await Answer(socket, std::move(received));
-        if (!kept) {
-          break;
+      bool kept = true;
+      while (kept) {
+        const Received received = Receive(socket, buffer);
+        if (IsSilent(connection.number)) {
+          Swallow(socket);
         }
+        kept = Answer(socket, received);
       }
     } catch (const std::system_error&) {
       // The other end has closed the connection.
     }
     CloseConnection();
+    ::shutdown(socket.native_handle(), SHUT_RDWR);
+    connection.done.store(true);
   }
 
-  static asio::awaitable<void> Swallow(tcp::socket& socket) {
+  // Reads until the other end closes the connection, which throws.
+  static void Swallow(tcp::socket& socket) {
     constexpr std::size_t kChunk = 4096;
     std::string ignored(kChunk, '\0');
     while (true) {
-      co_await socket.async_read_some(asio::buffer(ignored),
-                                      asio::use_awaitable);
+      socket.read_some(asio::buffer(ignored));
     }
   }
 
-  static asio::awaitable<Received> Receive(tcp::socket& socket,
-                                           std::string& buffer) {
-    const std::size_t header_end = co_await asio::async_read_until(
-        socket, asio::dynamic_buffer(buffer, kMaxHeaderBytes), kHeaderEnd,
-        asio::use_awaitable);
+  static Received Receive(tcp::socket& socket, std::string& buffer) {
+    const std::size_t header_end = asio::read_until(
+        socket, asio::dynamic_buffer(buffer, kMaxHeaderBytes), kHeaderEnd);
     Received received;
     ParseHeader(std::string_view(buffer).substr(0, header_end - 2), received);
     buffer.erase(0, header_end);
     const auto length = static_cast<std::size_t>(
         NumberOf(wire::FindHeader(received.headers, "Content-Length"), 0));
     if (buffer.size() < length) {
-      co_await asio::async_read(socket, asio::dynamic_buffer(buffer),
-                                asio::transfer_exactly(length - buffer.size()),
-                                asio::use_awaitable);
+      asio::read(socket, asio::dynamic_buffer(buffer),
+                 asio::transfer_exactly(length - buffer.size()));
     }
     received.body = buffer.substr(0, length);
     buffer.erase(0, length);
-    co_return received;
+    return received;
   }
 
   // Ends a request's work however it is left.
@@ -247,59 +284,61 @@
   };
 
   // Answers a request; false when the connection is to be closed.
-  asio::awaitable<bool> Answer(tcp::socket& socket, Received received) {
+  bool Answer(tcp::socket& socket, const Received& received) {
     if (received.path == "/healthz") {
-      co_return co_await Write(socket, MakeAnswer("", "ok"));
+      return Write(socket, MakeAnswer("", "ok"));
     }
     if (received.path.starts_with("/admin/")) {
-      co_return co_await Write(socket, MakeAnswer("", Administer(received)));
+      return Write(socket, MakeAnswer("", Administer(received)));
     }
     const BackendFault fault = StartWork(received);
     const WorkEnd end(*this);
-    co_return co_await Work(socket, received, fault);
+    return Work(socket, received, fault);
   }
 
-  asio::awaitable<bool> Work(tcp::socket& socket,
-                             const Received& received,
-                             BackendFault fault) {
+  bool Work(tcp::socket& socket, const Received& received, BackendFault fault) {
     const std::chrono::milliseconds stop(
         NumberOf(wire::FindHeader(received.headers, "Request-Timeout-Ms"),
                  std::chrono::milliseconds(kLongestWork).count()));
     const std::chrono::milliseconds service = ServiceTime();
     if (fault == BackendFault::kStall || service >= stop) {
-      co_await Wait(stop);
-      co_return false;
+      Wait(stop);
+      return false;
     }
     if (fault == BackendFault::kReset) {
       Reset(socket);
     }
-    co_await Wait(fault == BackendFault::kLate ? stop + kLateness : service);
+    Wait(fault == BackendFault::kLate ? stop + kLateness : service);
     const std::string id =
         wire::FindHeader(received.headers, "X-Request-Id").value_or("");
     if (fault == BackendFault::kNone || fault == BackendFault::kLate) {
-      co_return co_await Write(socket, MakeAnswer(id, received.body));
+      return Write(socket, MakeAnswer(id, received.body));
     }
     const std::string answer = MakeFaultyAnswer(fault, id, received.body);
-    if (socket.is_open() && !answer.empty()) {
-      co_await Write(socket, answer);
+    if (!answer.empty()) {
+      Write(socket, answer);
     }
-    co_return fault == BackendFault::kOverLong;
+    return fault == BackendFault::kOverLong;
   }
 
+  // Makes the kernel send a reset. The descriptor stays open for Close.
   static void Reset(tcp::socket& socket) {
     socket.set_option(asio::socket_base::linger(true, 0));
-    socket.close();
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    static_cast<void>(
+        ::connect(socket.native_handle(), &unspecified, sizeof unspecified));
   }
 
-  static asio::awaitable<bool> Write(tcp::socket& socket, std::string bytes) {
-    co_await asio::async_write(socket, asio::buffer(bytes),
-                               asio::use_awaitable);
-    co_return true;
+  static bool Write(tcp::socket& socket, const std::string& bytes) {
+    asio::write(socket, asio::buffer(bytes));
+    return true;
   }
 
-  asio::awaitable<void> Wait(std::chrono::milliseconds length) {
-    asio::steady_timer timer(m_context, length);
-    co_await timer.async_wait(asio::use_awaitable);
+  // Waits, but not beyond the runner's own end.
+  void Wait(std::chrono::milliseconds length) {
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_for(lock, length, [this] { return m_stopping; });
   }
 
   std::chrono::milliseconds ServiceTime() const {
@@ -368,9 +407,12 @@
   asio::io_context m_context;
   tcp::acceptor m_acceptor;
   std::thread m_thread;
+  std::list<Connection> m_open;  // For the accepting thread, then Close.
   std::uint16_t m_port = 0;
 
   mutable std::mutex m_mutex;
+  std::condition_variable m_wake;
+  bool m_stopping = false;
   std::vector<LoggedExecution> m_log;
   BackendCounts m_counts;
   BackendFault m_fault = BackendFault::kNone;
--- a/src/cassiastile/work/admission.cpp
+++ b/src/cassiastile/work/admission.cpp
@@ -81,9 +81,9 @@
     const RequestTicket& ticket,
     const ServiceRate& rate,
     base::TimePoint now) const {
-  static const TeamQueue kNewTeam;
+  static const TeamQueue new_team;
   const auto found = m_teams.find(ticket.team);
-  const TeamQueue& team = found == m_teams.end() ? kNewTeam : found->second;
+  const TeamQueue& team = found == m_teams.end() ? new_team : found->second;
   const std::size_t ahead = ticket.urgent ? team.urgent.size() : team.Queued();
   return FindObjection(team, ahead, ticket, rate, now, m_options.admit_part);
 }
--- a/src/cassiastile/work/request_dispatcher.cpp
+++ b/src/cassiastile/work/request_dispatcher.cpp
@@ -460,9 +460,11 @@
 
 void RequestDispatcher::NoteTime(base::TimePoint now) {
   const bool first = m_last_seen == base::TimePoint{};
-  m_paused =
-      m_paused || (!first && now - m_last_seen > m_options.longest_pause);
-  m_last_seen = now;
+  if (!first && now - m_last_seen > m_options.longest_pause) {
+    m_paused = true;
+    m_paused_at = now;
+  }
+  m_last_seen = std::max(m_last_seen, now);
 }
 
 void RequestDispatcher::Refuse(std::vector<Refusal> refusals,
