Run the control process; tell cassiactl that there is no document yet

Cause: cassiactl put asks for the version in force first, and a control process without one called its operator unknown, so that no first document could be put; found by the first run of three control processes by hand. Change: without a document GET /v1/config answers 404, or 503 where one was accepted and is not here yet; the test's fixture asks before the first document.

--- /dev/null
+++ b/src/bin/cassia_control.cpp
@@ -0,0 +1,58 @@
+#include "cassiastile/control/control_host.hpp"
+#include "cassiastile/daemon/run_daemon.hpp"
+#include "cassiastile/member/member_settings.hpp"
+
+namespace {
+
+using namespace cassiastile;
+
+constexpr std::uint16_t kDefaultPort = 7100;
+constexpr std::int64_t kMostThreads = 64;
+
+class ControlDaemon final : public daemon::Daemon {
+ public:
+  static base::Result<std::unique_ptr<ControlDaemon>> Start(
+      control::ControlHostOptions options) {
+    auto host = control::ControlHost::Start(std::move(options));
+    if (!host) {
+      return tl::unexpected(host.error());
+    }
+    auto running = std::make_unique<ControlDaemon>();
+    running->m_host = std::move(*host);
+    return running;
+  }
+
+  void Stop() override { m_host->Stop(); }
+
+ private:
+  std::unique_ptr<control::ControlHost> m_host;
+};
+
+control::ControlHostOptions ReadOptions(config::Settings& settings) {
+  control::ControlHostOptions options;
+  options.listen = settings.Address("listen", {"127.0.0.1", kDefaultPort});
+  options.http_threads = static_cast<std::size_t>(
+      settings.Number("http_threads", 4, 1, kMostThreads));
+  options.member = member::ReadMemberOptions(settings, base::SystemClock());
+  options.member.role = member::MemberRole::kControl;
+  options.member.http_address = config::FormatAddress(options.listen);
+  options.platform = daemon::ReadPlatformOptions(settings);
+  options.platform.process =
+      options.member.name + "-" + std::to_string(options.member.incarnation);
+  options.drain_notice =
+      settings.Milliseconds("drain_notice_ms", options.drain_notice);
+  options.drain_deadline =
+      settings.Milliseconds("drain_deadline_ms", options.drain_deadline);
+  return options;
+}
+
+}  // namespace
+
+// The control process of an entry host.
+int main(int argc, char** argv) {
+  const daemon::Program program{
+      "cassia-control",
+      "takes operators' edits and callers' tasks, owns pools and runs waves"};
+  return daemon::RunDaemon(program, argc, argv, ReadOptions,
+                           ControlDaemon::Start);
+}
--- a/src/cassiastile/control/config_service.cpp
+++ b/src/cassiastile/control/config_service.cpp
@@ -116,6 +116,11 @@
     router.Add(
         "GET", path,
         [this, answer](wire::HttpRequest request, wire::HttpResponder respond) {
+          if (!m_parts.member.Current()) {
+            Post(m_reads, &Impl::AnswerWithoutDocument, std::move(request),
+                 std::move(respond));
+            return;
+          }
           if (!IsOperator(KeyOf(request))) {
             respond(MakeDenied());
             return;
@@ -154,6 +159,22 @@
            config::FindOperator(fleet->fleet, key) != nullptr;
   }
 
+  // Without a document there are no operators to tell apart, and nothing to
+  // show.
+  wire::HttpResponse AnswerWithoutDocument(const wire::HttpRequest&) {
+    const auto head = m_parts.store.Head();
+    if (!head) {
+      return wire::MakeErrorResponse(head.error());
+    }
+    if (head->head.version == 0) {
+      return wire::MakeErrorResponse(
+          {base::ErrorCode::kNotFound, "No document was accepted yet."});
+    }
+    return wire::MakeErrorResponse(
+        {base::ErrorCode::kUnavailable,
+         "This host does not have the accepted document yet."});
+  }
+
   wire::HttpResponse AnswerConfig(const wire::HttpRequest& request) {
     const auto asked = wire::FindQueryParameter(request, "version");
     const auto head = m_parts.store.Head();
--- a/src/cassiastile/control/config_service_test.cpp
+++ b/src/cassiastile/control/config_service_test.cpp
@@ -42,6 +42,8 @@
     m_service = ConfigService::Create(
         {*m_store, *m_member, m_table, m_clock, nullptr, {}});
     m_service->Register(m_router);
+    Get("/v1/config", kBoardKey);
+    EXPECT_EQ(m_status, 404) << "no document was accepted yet";
     const auto body = Post("/v1/config", kBoardKey,
                            {{"text", ExampleText()}, {"base_version", 0}});
     ASSERT_EQ(body.value("state", ""), "accepted") << body.dump();
--- /dev/null
+++ b/src/cassiastile/control/control_host.cpp
@@ -0,0 +1,241 @@
+#include "cassiastile/control/control_host.hpp"
+
+#include <map>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/base/log.hpp"
+#include "cassiastile/control/chain_appender.hpp"
+#include "cassiastile/control/config_answers.hpp"
+#include "cassiastile/control/config_service.hpp"
+#include "cassiastile/control/decision_service.hpp"
+#include "cassiastile/control/pool_service.hpp"
+#include "cassiastile/control/status_service.hpp"
+#include "cassiastile/control/task_service.hpp"
+#include "cassiastile/daemon/health.hpp"
+#include "cassiastile/member/config_store.hpp"
+#include "cassiastile/member/shard_keeper.hpp"
+
+namespace cassiastile::control {
+
+namespace {
+
+using nlohmann::json;
+
+// Stands for the tasks towards the pools, since each is made with the other.
+class LateHostWork final : public fleet::HostWorkSource {
+ public:
+  void Set(fleet::HostWorkSource& source) { m_source = &source; }
+
+  fleet::HostWork WorkOn(const std::string& host) const override {
+    return m_source->WorkOn(host);
+  }
+  void AskToLeave(const std::string& host) override {
+    m_source->AskToLeave(host);
+  }
+
+ private:
+  fleet::HostWorkSource* m_source = nullptr;
+};
+
+std::vector<std::string> PoolNames(const config::FleetSource& source) {
+  std::vector<std::string> names;
+  const auto accepted = source.Current();
+  if (accepted) {
+    for (const config::Pool& pool : accepted->fleet.pools) {
+      names.push_back(pool.name);
+    }
+  }
+  return names;
+}
+
+json TroublesToJson(const std::vector<TaskTrouble>& troubles) {
+  json list = json::array();
+  for (const TaskTrouble& trouble : troubles) {
+    list.push_back(
+        {{"subject", trouble.subject}, {"evidence", trouble.evidence}});
+  }
+  return list;
+}
+
+json TasksToJson(const std::vector<TaskPoolStatus>& pools) {
+  json list = json::array();
+  for (const TaskPoolStatus& pool : pools) {
+    if (!pool.owned) {
+      continue;
+    }
+    list.push_back({{"pool", pool.pool},
+                    {"tasks", pool.tasks},
+                    {"waiting", pool.waiting},
+                    {"running", pool.runs},
+                    {"in_doubt", TroublesToJson(pool.in_doubt)},
+                    {"quarantined", TroublesToJson(pool.quarantined)}});
+  }
+  return list;
+}
+
+json MembersToJson(const member::Member& member) {
+  return json::parse(MakeMembersAnswer(member.Status()).body);
+}
+
+}  // namespace
+
+struct ControlHost::Parts {
+  Parts(ControlHostOptions given, std::uint64_t first_seed)
+      : options(std::move(given)),
+        seed(first_seed),
+        access(clock, options.platform),
+        client(wire::HttpClient::Create()),
+        audit(access.Table()) {}
+
+  base::Result<void> Create();
+  void CreateServices();
+  base::Result<void> Serve();
+  wire::Router MakeRouter();
+  std::map<std::string, StatusService::Part> StatusParts();
+
+  ControlHostOptions options;
+  std::uint64_t seed;
+  base::Log log{"control"};
+  base::SystemClock clock;
+  wire::Metrics metrics;
+  std::atomic<bool> draining{false};
+  daemon::PlatformAccess access;
+  std::unique_ptr<wire::HttpClient> client;
+  ChainAppender audit;
+  LateHostWork host_work;
+  std::unique_ptr<member::Member> member;
+  std::unique_ptr<member::ShardKeeper> shards;
+  std::unique_ptr<ShardForwarder> forwarder;
+  std::unique_ptr<PoolService> pools;
+  std::unique_ptr<TaskService> tasks;
+  std::unique_ptr<member::ConfigStore> config_store;
+  std::unique_ptr<ConfigService> config;
+  std::unique_ptr<DecisionService> decisions;
+  std::unique_ptr<StatusService> status;
+  std::unique_ptr<wire::HttpServer> server;
+};
+
+base::Result<void> ControlHost::Parts::Create() {
+  auto joined = member::Member::Create(options.member, access.Table(), clock);
+  if (!joined) {
+    return tl::unexpected(joined.error());
+  }
+  member = std::move(*joined);
+  member::ShardLeaseOptions lease;
+  lease.owner = member->OwnerId();
+  lease.address = config::FormatAddress(options.listen);
+  shards = std::make_unique<member::ShardKeeper>(
+      lease, access.Table(), clock,
+      member::ShardKeeper::Sources{[this] { return PoolNames(*member); },
+                                   [this] { return member->LiveControls(); }},
+      seed + 1);
+  forwarder = std::make_unique<ShardForwarder>(clock, *shards, *client);
+  PoolServiceOptions pool_options;
+  pool_options.name = member->OwnerId();
+  pool_options.seed = seed + 2;
+  auto pool_service = PoolService::Create(
+      {clock, *member, *shards, access.Table(), access.Machines(), host_work,
+       nullptr, audit, access.Decisions()},
+      pool_options);
+  if (!pool_service) {
+    return tl::unexpected(pool_service.error());
+  }
+  pools = std::move(*pool_service);
+  CreateServices();
+  return {};
+}
+
+void ControlHost::Parts::CreateServices() {
+  TaskServiceOptions task_options;
+  task_options.seed = seed + 3;
+  tasks = TaskService::Create(
+      {access.Table(), *member, *shards, *pools, access.Decisions(), clock},
+      *forwarder, task_options);
+  host_work.Set(*tasks);
+  config_store = std::make_unique<member::ConfigStore>(access.Table(), clock,
+                                                       *member, seed + 4);
+  config = ConfigService::Create(
+      {*config_store, *member, access.Table(), clock, &access.Decisions(), {}});
+  decisions = std::make_unique<DecisionService>(
+      clock, *member, access.Decisions(), access.Objects());
+  status = std::make_unique<StatusService>(*member, StatusParts());
+}
+
+std::map<std::string, StatusService::Part> ControlHost::Parts::StatusParts() {
+  return {
+      {"configuration", [this] { return MembersToJson(*member); }},
+      {"pools", [this] { return pools->StatusJson(); }},
+      {"tasks", [this] { return TasksToJson(tasks->Status()); }},
+      {"shards", [this] { return json(shards->Owned(clock.Now())); }},
+  };
+}
+
+wire::Router ControlHost::Parts::MakeRouter() {
+  wire::Router router;
+  daemon::AddHealthRoutes(
+      router, [this] { return !draining.load() && member->Current(); }, metrics,
+      [this] { access.UpdateMetrics(metrics); });
+  config->Register(router);
+  tasks->Register(router);
+  pools->Register(router);
+  decisions->Register(router);
+  status->Register(router);
+  return router;
+}
+
+base::Result<void> ControlHost::Parts::Serve() {
+  wire::HttpServerOptions http;
+  http.address = options.listen.ip;
+  http.port = options.listen.port;
+  http.threads = options.http_threads;
+  auto started = wire::HttpServer::Start(http, MakeRouter());
+  if (!started) {
+    return tl::unexpected(started.error());
+  }
+  server = std::move(*started);
+  return {};
+}
+
+ControlHost::ControlHost(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts)) {}
+
+ControlHost::~ControlHost() = default;
+
+base::Result<std::unique_ptr<ControlHost>> ControlHost::Start(
+    ControlHostOptions options) {
+  auto parts =
+      std::make_unique<Parts>(std::move(options), base::MakeRandom()());
+  const base::Result<void> created = parts->Create();
+  if (!created) {
+    return tl::unexpected(created.error());
+  }
+  const base::Result<void> serving = parts->Serve();
+  if (!serving) {
+    return tl::unexpected(serving.error());
+  }
+  parts->member->Start();
+  parts->shards->Start();
+  parts->pools->Start();
+  parts->tasks->Start();
+  parts->log.Info("The control process " + parts->member->OwnerId() +
+                  " listens on " +
+                  config::FormatAddress(parts->options.listen) + ".");
+  return std::unique_ptr<ControlHost>(new ControlHost(std::move(parts)));
+}
+
+void ControlHost::Stop() {
+  Parts& parts = *m_parts;
+  parts.draining.store(true);
+  const std::size_t cut = parts.server->Drain(parts.options.drain_notice,
+                                              parts.options.drain_deadline);
+  parts.tasks->Stop();
+  parts.pools->Stop();
+  parts.shards->Stop();
+  parts.member->Stop();
+  parts.log.Info("The control process has stopped; " + std::to_string(cut) +
+                 " calls were cut off.");
+}
+
+}  // namespace cassiastile::control
