Bound the values of a document and read files in chunks

A text of eight million tiny values would have taken hundreds of MB, on hosts that give control 64 MB.

--- a/include/cassiastile/config/placed_json.hpp
+++ b/include/cassiastile/config/placed_json.hpp
@@ -52,9 +52,11 @@
   base::Findings duplicates;
 };
 
-// Texts that are larger or nested deeper are refused.
+// Texts that are larger, nested deeper or made of more values are refused. The
+// last bounds the memory, as each value takes up to 100 bytes or so.
 constexpr std::size_t kMaxDocumentBytes = 8U << 20U;
 constexpr std::size_t kMaxDocumentDepth = 64;
+constexpr std::size_t kMaxDocumentValues = 200000;
 
 // Parses JSON in which both kinds of C++ comments are ignored. Any text gives
 // either a document or findings; syntax is read up to the first error.
--- a/src/cassiastile/config/placed_json.cpp
+++ b/src/cassiastile/config/placed_json.cpp
@@ -136,6 +136,12 @@
   // Ends a value where the cursor stands and puts it where it belongs.
   bool Finish(PlacedValue value) {
     value.end = m_cursor.Offset();
+    if (++m_values > kMaxDocumentValues) {
+      m_errors.push_back(FindingHere(
+          fmt::format("the text holds more than the {} values allowed",
+                      kMaxDocumentValues)));
+      return false;
+    }
     if (m_open.empty()) {
       m_document.root = std::move(value);
       return true;
@@ -176,6 +182,7 @@
   std::vector<Frame> m_open;
   PlacedDocument m_document;
   base::Findings m_errors;
+  std::size_t m_values = 0;
 };
 
 tl::unexpected<base::Findings> RefuseText(std::string_view text,
--- a/src/cassiastile/config/placed_json_test.cpp
+++ b/src/cassiastile/config/placed_json_test.cpp
@@ -65,6 +65,12 @@
   const std::string deep(1000000, '[');
   EXPECT_NE(FindingOf(deep).find("nested deeper than the 64 levels"),
             std::string::npos);
+  std::string many = "[";
+  for (std::size_t i = 0; i <= kMaxDocumentValues; ++i) {
+    many += "0,";
+  }
+  EXPECT_NE(FindingOf(many + "0]").find("more than the 200000 values"),
+            std::string::npos);
   const std::string allowed =
       std::string(kMaxDocumentDepth, '[') + std::string(kMaxDocumentDepth, ']');
   EXPECT_TRUE(ParsePlacedJson(allowed, "f"));
--- a/src/cassiastile/config/text_file.cpp
+++ b/src/cassiastile/config/text_file.cpp
@@ -1,5 +1,6 @@
 #include "cassiastile/config/text_file.hpp"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <system_error>
@@ -10,10 +11,22 @@
 
 namespace cassiastile::config {
 
+namespace {
+
+constexpr std::size_t kReadBytes = 64U << 10U;
+
+}  // namespace
+
 std::string ReadText(std::istream& stream) {
-  std::string text(kMaxDocumentBytes + 1, '\0');
-  stream.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(stream.gcount()));
+  std::string text;
+  while (stream && text.size() <= kMaxDocumentBytes) {
+    const std::size_t size = text.size();
+    const std::size_t wanted =
+        std::min(kReadBytes, kMaxDocumentBytes + 1 - size);
+    text.resize(size + wanted);
+    stream.read(text.data() + size, static_cast<std::streamsize>(wanted));
+    text.resize(size + static_cast<std::size_t>(stream.gcount()));
+  }
   return text;
 }
 
