--- a/src/cassiastile/work/request_dispatcher.cpp
+++ b/src/cassiastile/work/request_dispatcher.cpp
@@ -32,33 +32,28 @@
 RequestActions RequestDispatcher::Arrive(const RequestTicket& ticket,
                                          base::TimePoint now) {
   RequestActions actions;
-  if (m_stopping) {
-    actions.emplace_back(
-        FinishRequest{ticket, NotRun{RefusalReason::kStopping,
-                                     m_options.admission.min_retry_after, ""}});
-    return actions;
-  }
+  NoteTime(now);
   Refuse(m_queue.Offer(ticket, Rate(), now, m_random), actions);
-  NoteDemand();
+  NoteDemand(ticket.team);
   Dispatch(now, actions);
   return actions;
 }
 
-std::vector<Refusal> RequestDispatcher::Preview(const RequestTicket& ticket,
-                                                base::TimePoint now) const {
-  AdmissionQueue queue = m_queue;
-  base::Random random = m_random;
-  std::vector<Refusal> refusals = queue.Offer(ticket, Rate(), now, random);
-  std::erase_if(refusals, [&ticket](const Refusal& refusal) {
-    return refusal.ticket.id != ticket.id;
-  });
-  return refusals;
+std::optional<NotRun> RequestDispatcher::Preview(const RequestTicket& ticket,
+                                                 base::TimePoint now) {
+  const ServiceRate rate = Rate();
+  const auto reason = m_queue.Preview(ticket, rate, now);
+  if (!reason) {
+    return std::nullopt;
+  }
+  return NotRun{*reason, m_queue.DrawRetryAfter(rate, m_random), ""};
 }
 
 RequestActions RequestDispatcher::EndTry(TryId try_id,
                                          TryResult result,
                                          base::TimePoint now) {
   RequestActions actions;
+  NoteTime(now);
   const auto found = m_tries.find(try_id);
   if (found == m_tries.end()) {
     return actions;
@@ -94,6 +89,7 @@
 
 RequestActions RequestDispatcher::Tick(base::TimePoint now) {
   RequestActions actions;
+  NoteTime(now);
   ReleaseHeld(now);
   Hedge(now);
   EjectSlow(m_runners, m_options.routing, now);
@@ -104,7 +100,6 @@
   Dispatch(now, actions);
   FinishOverdue(now, actions);
   Refuse(m_queue.GiveUp(Rate(), now, m_random), actions);
-  NoteDemand();
   return actions;
 }
 
@@ -141,45 +136,41 @@
   return actions;
 }
 
-RequestActions RequestDispatcher::SetSlots(
+void RequestDispatcher::SetSlots(
     const std::map<std::string, std::uint32_t>& granted,
-    base::TimePoint now) {
+    base::TimePoint read_at) {
+  m_paused = m_paused && read_at <= m_paused_at;
   for (Runner& runner : m_runners) {
     const auto found = granted.find(runner.name);
     runner.granted = found == granted.end() ? 0 : found->second;
   }
-  RequestActions actions;
-  Dispatch(now, actions);
-  return actions;
 }
 
-RequestActions RequestDispatcher::SetTerms(
-    const std::map<std::string, TeamTerms>& terms,
-    base::TimePoint now) {
+void RequestDispatcher::SetTerms(
+    const std::map<std::string, TeamTerms>& terms) {
   for (const auto& [team, its_terms] : terms) {
     m_queue.SetTerms(team, its_terms);
   }
-  RequestActions actions;
-  Dispatch(now, actions);
-  return actions;
 }
 
-RequestActions RequestDispatcher::Stop(base::TimePoint) {
-  m_stopping = true;
+RequestActions RequestDispatcher::Withdraw(
+    const std::set<std::string>& valid_keys,
+    RefusalReason reason) {
+  const auto withdrawn = [&valid_keys](const RequestTicket& ticket) {
+    return !ticket.key_id.empty() && !valid_keys.contains(ticket.key_id);
+  };
   RequestActions actions;
-  Refuse(m_queue.Clear(RefusalReason::kStopping, Rate(), m_random), actions);
+  Refuse(m_queue.TakeOut(withdrawn, reason, Rate(), m_random), actions);
   return actions;
 }
 
-std::map<std::string, AdmissionQueue::TeamCount> RequestDispatcher::TeamCounts()
-    const {
-  return m_queue.Counts();
-}
-
 Demand RequestDispatcher::TakeDemand() {
-  NoteDemand();
   Demand demand = std::exchange(m_demand, Demand{});
-  NoteDemand();
+  for (const auto& [team, count] : m_queue.Counts()) {
+    if (count.queued + count.running > 0) {
+      NoteDemand(team);
+    }
+  }
   return demand;
 }
 
@@ -193,6 +184,9 @@
 ServiceRate RequestDispatcher::Rate() const {
   ServiceRate rate;
   rate.service_time = m_service_time;
+  if (m_paused) {
+    return rate;
+  }
   for (const Runner& runner : m_runners) {
     rate.slots += IsUsable(runner) ? runner.granted : 0;
   }
@@ -207,6 +201,9 @@
 }
 
 void RequestDispatcher::Dispatch(base::TimePoint now, RequestActions& actions) {
+  if (m_paused) {
+    return;
+  }
   DispatchRetries(now, actions);
   while (HasFreeSlot()) {
     const std::optional<RequestTicket> ticket = m_queue.TakeNext();
@@ -231,8 +228,11 @@
       continue;
     }
     Flight& flight = found->second;
-    const auto runner =
+    auto runner =
         PickRunner(m_runners, flight.tried, m_options.routing, m_random);
+    if (!runner && !HasUntried(flight)) {
+      runner = PickRunner(m_runners, {}, m_options.routing, m_random);
+    }
     if (!runner || !m_queue.StartAgain(flight.ticket.team)) {
       m_retries.push_back(id);
       continue;
@@ -242,6 +242,16 @@
   }
 }
 
+// Whether there is a runner that may be waited for, other than those tried.
+bool RequestDispatcher::HasUntried(const Flight& flight) const {
+  return std::any_of(
+      m_runners.begin(), m_runners.end(), [&flight](const Runner& runner) {
+        return IsUsable(runner) && runner.granted > 0 &&
+               std::find(flight.tried.begin(), flight.tried.end(),
+                         runner.name) == flight.tried.end();
+      });
+}
+
 void RequestDispatcher::Send(Flight& flight,
                              std::size_t runner,
                              base::TimePoint now,
@@ -365,15 +375,17 @@
          actions);
 }
 
-// Ends the requests whose deadline passed without a word from any try.
+// Ends the requests whose deadline passed without a word from any try, and
+// those that no runner is left for.
 void RequestDispatcher::FinishOverdue(base::TimePoint now,
                                       RequestActions& actions) {
   for (auto next = m_flights.begin(); next != m_flights.end();) {
     const auto flight = next++;
     Flight& late = flight->second;
-    const bool in_time = late.active > 0
-                             ? now < late.ticket.deadline + kOverdueMargin
-                             : now + m_service_time < late.ticket.deadline;
+    const bool in_time =
+        late.active > 0
+            ? now < late.ticket.deadline + kOverdueMargin
+            : now + m_service_time < late.ticket.deadline && Rate().slots > 0;
     if (in_time) {
       continue;
     }
@@ -438,15 +450,19 @@
   }
 }
 
-void RequestDispatcher::NoteDemand() {
-  std::uint32_t requests = static_cast<std::uint32_t>(m_retries.size());
-  for (const auto& [team, count] : m_queue.Counts()) {
-    const std::uint32_t wanted = count.queued + count.running;
-    std::uint32_t& most = m_demand.by_team[team];
-    most = std::max(most, wanted);
-    requests += wanted;
-  }
-  m_demand.requests = std::max(m_demand.requests, requests);
+void RequestDispatcher::NoteDemand(const std::string& team) {
+  const AdmissionQueue::TeamCount count = m_queue.CountOf(team);
+  std::uint32_t& most = m_demand.by_team[team];
+  most = std::max(most, count.queued + count.running);
+  const auto waiting = static_cast<std::uint32_t>(Waiting());
+  m_demand.requests = std::max(m_demand.requests, waiting + m_queue.Running());
+}
+
+void RequestDispatcher::NoteTime(base::TimePoint now) {
+  const bool first = m_last_seen == base::TimePoint{};
+  m_paused =
+      m_paused || (!first && now - m_last_seen > m_options.longest_pause);
+  m_last_seen = now;
 }
 
 void RequestDispatcher::Refuse(std::vector<Refusal> refusals,
