Measure the tasks' part and take submissions while reading

A new owner reads its shard page by page and takes submissions meanwhile. A run's end reports what it used, and the team's account is corrected by it.

--- a/include/cassiastile/standin/worker.hpp
+++ b/include/cassiastile/standin/worker.hpp
@@ -32,7 +32,8 @@
   std::uint64_t epoch = 0;
   std::string team;
   bool idempotent = false;
-  work::Resources usage;
+  work::Resources usage;  // At full speed.
+  double seconds = 0;     // At full speed that the run went on for.
 };
 
 struct WorkerOptions {
@@ -86,8 +87,9 @@
     work::StartOrder order;
     std::string pool;
     work::Resources usage;
-    double seconds = 0;  // Real run time.
-    double done = 0;     // Of these.
+    double seconds = 0;      // Real run time.
+    double done = 0;         // Of these.
+    double done_before = 0;  // Of these, up to the checkpoint it began from.
     double throttle = 1;
     bool fails = false;
     bool checkpointing = false;
--- a/include/cassiastile/work/task_book.hpp
+++ b/include/cassiastile/work/task_book.hpp
@@ -27,6 +27,8 @@
   std::uint64_t version = 0;  // Of its row; zero when it has none.
   Resources placed;           // What it takes of its host.
   Resources charged;          // What its team is charged for.
+  Resources accounted;        // Of that, resources times seconds so far.
+  base::TimePoint accounted_at{};
   base::TimePoint started{};
   bool measured = false;  // Whether its usage was reported.
   double throttle = 1;
@@ -76,6 +78,8 @@
   // part of the batch's rows.
   void Put(TaskEntry entry, bool write);
   void Erase(const std::string& key);
+  // Notes how far a run is; not part of a batch.
+  void SetProgress(const std::string& key, double progress);
 
   std::vector<TaskRowChange> Rows() const;
   void Confirm();
--- a/include/cassiastile/work/task_owner.hpp
+++ b/include/cassiastile/work/task_owner.hpp
@@ -27,6 +27,8 @@
   // Waits between tries while the table fails.
   base::Duration first_backoff = std::chrono::milliseconds(100);
   base::Duration longest_backoff = std::chrono::seconds(2);
+  // Whether submissions are taken while the table is still being read.
+  bool open_while_reading = true;
 };
 
 // What became of an event.
@@ -51,8 +53,10 @@
 };
 
 // Runs a shard on its rows: decides, writes, and answers only what is written.
-// Reads everything again when the epoch changes or a precondition failed.
-// While the table fails it goes on renewing workers' leases. Calls block on the
+// Reads everything again when the epoch changes or a precondition failed, a
+// page with each call; meanwhile it takes submissions of ids that the table
+// does not have, renews workers' leases, and refuses the rest as not run. While
+// the table fails it goes on renewing workers' leases. Calls block on the
 // table; one thread at a time.
 class TaskOwner {
  public:
@@ -82,8 +86,12 @@
 
  private:
   bool Prepare(Moment moment, const OwnerGrip& grip);
+  std::vector<TaskResult> HandleWhileReading(
+      const std::vector<TaskEvent>& events,
+      Moment moment);
   bool ResolvePending();
   bool ReadIfNeeded(Moment moment);
+  void BeginRead();
   void ExchangeCredits(Moment moment);
   std::map<std::string, LimitNeed> LimitNeeds() const;
   bool WaitsForCredit() const;
@@ -105,6 +113,7 @@
   OwnerGrip m_grip;
   std::vector<base::Decision> m_pending_decisions;
   bool m_must_read = true;
+  std::optional<std::string> m_read_after;  // The last key of a read begun.
   std::uint64_t m_batches_written = 0;
   base::TimePoint m_credits_at{};
   base::TimePoint m_retry_at{};
--- a/include/cassiastile/work/task_poll.hpp
+++ b/include/cassiastile/work/task_poll.hpp
@@ -36,6 +36,8 @@
   std::uint64_t epoch = 0;
   RunEnd end = RunEnd::kStopped;
   double seconds = 0;  // How long it ran.
+  // Resources times seconds; zero where they were not measured.
+  Resources used;
   std::string checkpoint;
   std::string message;
 };
--- a/include/cassiastile/work/task_shard.hpp
+++ b/include/cassiastile/work/task_shard.hpp
@@ -171,9 +171,13 @@
   struct UsageLesson {
     TaskSpec spec;
     Resources usage;
-    Resources correction;  // Resources times seconds.
   };
-  using Lesson = std::variant<EndLesson, UsageLesson>;
+  // Resources times seconds that a team was charged too little.
+  struct ChargeLesson {
+    std::string team;
+    Resources correction;
+  };
+  using Lesson = std::variant<EndLesson, UsageLesson, ChargeLesson>;
 
   enum class PlaceResult : std::uint8_t { kPlaced, kNoRoom, kAtLimit, kNone };
 
@@ -189,9 +193,11 @@
   TaskReply On(const WorkerPoll& poll);
   void Learn(const EndLesson& lesson);
   void Learn(const UsageLesson& lesson);
+  void Learn(const ChargeLesson& lesson);
   void OnNewIncarnation(const WorkerPoll& poll);
   void OnHeld(const WorkerPoll& poll, const HeldTask& held);
-  void OnMeasured(TaskEntry& entry, const HeldTask& held);
+  void OnMeasured(TaskEntry& entry, const Resources& usage);
+  void Account(TaskEntry& entry) const;
   void OnEnded(const WorkerPoll& poll, const EndedRun& ended);
   void OnRunEnd(TaskEntry entry, const EndedRun& ended);
   void OnFailed(TaskEntry entry, const EndedRun& ended);
--- a/include/cassiastile/work/task_store.hpp
+++ b/include/cassiastile/work/task_store.hpp
@@ -18,6 +18,12 @@
   std::uint64_t version = 0;
 };
 
+struct StoredPage {
+  std::vector<StoredTask> tasks;
+  std::string last_key;
+  bool is_last = false;
+};
+
 // What a shard has in use of a team's upper limit, and what it could use.
 struct LimitNeed {
   std::uint32_t limit = 0;
@@ -43,7 +49,8 @@
   // kConflict: it did not and will not apply. kUnknown: still not known.
   base::Result<void> Resolve();
 
-  base::Result<std::vector<StoredTask>> ReadAll();
+  // The tasks whose rows come after the key; an empty one begins.
+  base::Result<StoredPage> ReadPage(const std::string& after);
 
   // States the shard's needs in the ledger of upper limits and returns what it
   // is granted. When the answer is lost it returns, for each team, the lower
--- a/src/bin/cassia_worker.cpp
+++ b/src/bin/cassia_worker.cpp
@@ -20,7 +20,7 @@
 class WorkerDaemon final : public daemon::Daemon {
  public:
   static base::Result<std::unique_ptr<WorkerDaemon>> Start(
-      WorkerDaemonOptions options) {
+      const WorkerDaemonOptions& options) {
     auto running = std::make_unique<WorkerDaemon>();
     running->m_agent =
         standin::WorkerAgent::Start(running->m_clock, options.agent);
--- /dev/null
+++ b/src/bin/measure_tasks_faults.hpp
@@ -0,0 +1,276 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include "measure_tasks_run.hpp"
+
+namespace measure {
+
+inline double Percentile(std::vector<double> values, double part) {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(std::ceil(part * last))];
+}
+
+constexpr seconds kUrgentRun{600};
+constexpr seconds kUrgentWarmUp{60};
+constexpr milliseconds kFineStep{50};
+constexpr std::size_t kSweeps = 6000;
+
+inline work::TaskSpec MakeSweep(std::size_t number, bool checkpointable) {
+  work::TaskSpec spec;
+  spec.id = "s" + std::to_string(number);
+  spec.queue = "sweeps";
+  spec.team = "team" + std::to_string(number % 5);
+  spec.kind = "sweep";
+  spec.idempotent = checkpointable;
+  spec.checkpointable = checkpointable;
+  spec.declared = {1.0 + static_cast<double>(number % 3), 2, 0};
+  spec.seconds = checkpointable ? 600 : 20 + static_cast<double>(number % 40);
+  return spec;
+}
+
+inline work::TaskSpec MakePush(std::size_t number, bool urgent) {
+  work::TaskSpec spec;
+  spec.id = "p" + std::to_string(number);
+  spec.queue = "push";
+  spec.team = "push";
+  spec.kind = "push" + std::to_string(number % 4);
+  spec.urgent = urgent;
+  spec.declared = {1.0 + static_cast<double>(number % 4), 2, 0};
+  spec.seconds = 3;
+  return spec;
+}
+
+struct UrgentTimes {
+  double p50 = 0;
+  double p99 = 0;
+  double idle = 0;  // Percent of the cores.
+};
+
+// Sweeps fill ten workers and pushes come at random, three seconds apart in the
+// mean. Without urgency pushes wait as any other task.
+inline UrgentTimes RunUrgentShard(bool checkpointable, bool urgent) {
+  Scenario scenario;
+  config::AcceptedFleet accepted = MakeFleet(scenario);
+  accepted.fleet.queues = {{"push", "p", "push", urgent}};
+  std::map<std::string, TimePoint> submitted;
+  std::map<std::string, std::pair<TimePoint, double>> running;
+  std::vector<double> waits;
+  double busy = 0;
+  TimePoint from{};
+  const auto log = [&](const standin::WorkerLogLine& line) {
+    if (line.act == standin::WorkerAct::kStarted) {
+      running[line.key] = {line.at, line.usage.cores};
+      const auto push = submitted.find(line.key);
+      if (push != submitted.end()) {
+        waits.push_back(
+            std::chrono::duration<double>(line.at - push->second).count());
+        submitted.erase(push);
+      }
+      return;
+    }
+    const auto& [start, cores] = running[line.key];
+    const base::Duration counted = line.at - std::max(start, from);
+    busy +=
+        cores * std::max(0.0, std::chrono::duration<double>(counted).count());
+    running.erase(line.key);
+  };
+  ShardRun run(accepted, {}, log);
+  from = run.clock.Now() + kUrgentWarmUp;
+  std::vector<work::TaskEvent> events;
+  for (std::size_t number = 0; number < kSweeps; ++number) {
+    events.emplace_back(work::SubmitEvent{MakeSweep(number, checkpointable)});
+  }
+  Random random(kSeed);
+  std::exponential_distribution<double> gap(1.0 / 3);
+  double next = static_cast<double>(kUrgentWarmUp.count());
+  std::size_t pushes = 0;
+  for (base::Duration passed{}; passed < kUrgentRun; passed += kFineStep) {
+    if (std::chrono::duration<double>(passed).count() >= next) {
+      next += gap(random);
+      const work::TaskSpec push = MakePush(pushes++, urgent);
+      submitted[work::KeyOf(push)] = run.clock.Now() + kFineStep;
+      events.emplace_back(work::SubmitEvent{push});
+    }
+    run.Step(kFineStep, std::move(events));
+    events.clear();
+  }
+  for (const auto& [key, at] : submitted) {
+    waits.push_back(
+        std::chrono::duration<double>(run.clock.Now() - at).count());
+  }
+  for (std::size_t index = 0; index < run.workers.Count(); ++index) {
+    run.workers.At(index).Restart(run.clock.Now());
+  }
+  const auto time = static_cast<double>((kUrgentRun - kUrgentWarmUp).count());
+  const double cores = CapacityOf(scenario).cores;
+  return {Percentile(waits, 0.5), Percentile(waits, 0.99),
+          100 * (1 - busy / (time * cores))};
+}
+
+// How long a push waits behind all the sweeps in the order of submission, the
+// run's length at most.
+inline double FirstComeWait(bool checkpointable) {
+  double work = 0;
+  for (std::size_t number = 0; number < kSweeps; ++number) {
+    const work::TaskSpec sweep = MakeSweep(number, checkpointable);
+    work += sweep.declared.cores * sweep.seconds;
+  }
+  const double cores = CapacityOf(Scenario{}).cores;
+  const auto most = static_cast<double>((kUrgentRun - kUrgentWarmUp).count());
+  return std::min(most, work / cores);
+}
+
+struct LimitResult {
+  double overruns = 0;
+  double overruns_forgetful = 0;
+  double stranded = 0;
+  double stranded_static = 0;
+};
+
+constexpr std::uint32_t kLimit = 100;
+
+// Workers pause past their leases, restart and lose messages while a team is at
+// its limit. A scheduler that forgot runs it gave up would exceed the limit by
+// as many as are not confirmed as stopped.
+inline void RunOverruns(LimitResult& result) {
+  Scenario scenario;
+  config::AcceptedFleet accepted = MakeFleet(scenario);
+  accepted.fleet.limits = {{"a", 0, kLimit}};
+  std::int64_t running = 0;
+  std::int64_t most = 0;
+  const auto log = [&](const standin::WorkerLogLine& line) {
+    const bool starts = line.act == standin::WorkerAct::kStarted;
+    const bool ends = line.act != standin::WorkerAct::kNotStarted;
+    running += starts ? 1 : (ends ? -1 : 0);
+    most = std::max(most, running);
+  };
+  ShardRun run(accepted, {}, log);
+  run.workers.SetFaults({.lose_poll = 0.05, .lose_answer = 0.05});
+  Random random(kSeed);
+  std::vector<work::TaskEvent> events;
+  for (std::size_t number = 0; number < kSweeps; ++number) {
+    work::TaskSpec spec = MakeSweep(number, true);
+    spec.team = "a";
+    spec.seconds = 15;
+    spec.declared.cores = 1;
+    events.emplace_back(work::SubmitEvent{spec});
+  }
+  std::size_t unconfirmed = 0;
+  for (base::Duration passed{}; passed < seconds(600); passed += kFineStep) {
+    run.Step(kFineStep, std::move(events));
+    events.clear();
+    run.table.SetFaults({.fail_before = 0.02, .lose_answer = 0.02});
+    standin::Worker& worker = run.workers.At(random() % scenario.hosts);
+    switch (random() % 200) {
+      case 0:
+        worker.SetPaused(true);
+        break;
+      case 1:
+      case 2:
+        worker.SetPaused(false);
+        break;
+      case 3:
+        worker.Restart(run.clock.Now());
+        break;
+      default:
+        break;
+    }
+    std::size_t now = 0;
+    for (const auto& [name, tasks] : run.owner.Shard().Book().Workers()) {
+      now += tasks.unconfirmed.size();
+    }
+    unconfirmed = std::max(unconfirmed, now);
+  }
+  result.overruns = std::max(0.0, static_cast<double>(most) - kLimit);
+  result.overruns_forgetful = static_cast<double>(unconfirmed);
+}
+
+// A team's demand moves from five pools to one of them. What it can't use of
+// its limit ten seconds later is stranded.
+inline void RunStranded(LimitResult& result) {
+  constexpr std::size_t kPools = 5;
+  constexpr std::size_t kTasksEach = 60;
+  Scenario scenario;
+  platform::MemoryTable table;
+  NoDecisions decisions;
+  ManualClock clock;
+  std::vector<std::unique_ptr<work::TaskOwner>> owners;
+  std::vector<std::unique_ptr<standin::WorkerFleet>> fleets;
+  std::array<std::int64_t, kPools> running{};
+  for (std::size_t index = 0; index < kPools; ++index) {
+    config::AcceptedFleet accepted = MakeFleet(scenario);
+    const std::string name = "p" + std::to_string(index);
+    accepted.fleet.pools[0].name = name;
+    accepted.fleet.limits = {{"a", 0, kLimit}};
+    owners.push_back(std::make_unique<work::TaskOwner>(
+        name, work::TaskOwnerOptions{}, table, decisions, Random(index)));
+    owners[index]->SetFleet(accepted);
+    owners[index]->SetHosts(ViewsOf(accepted.fleet.pools[0]));
+    fleets.push_back(std::make_unique<standin::WorkerFleet>(
+        accepted.fleet.pools[0].hosts, Random(index),
+        [&running, index](const standin::WorkerLogLine& line) {
+          running[index] += line.act == standin::WorkerAct::kStarted ? 1 : -1;
+        }));
+  }
+  const auto run = [&](seconds length, std::vector<work::TaskEvent> first) {
+    for (base::Duration passed{}; passed < length; passed += kFineStep) {
+      clock.Advance(kFineStep);
+      for (std::size_t index = 0; index < kPools; ++index) {
+        const work::Moment moment{clock.Now(), clock.WallNow()};
+        const work::OwnerGrip grip{1, {"lease/p" + std::to_string(index), 0}};
+        if (passed == base::Duration{} && (index == 0 || !first.empty())) {
+          owners[index]->Handle(first, moment, grip);
+        }
+        const auto polls = fleets[index]->CollectPolls(clock.Now());
+        std::vector<work::TaskEvent> events;
+        for (const auto& poll : polls) {
+          events.emplace_back(poll.poll);
+        }
+        const auto results = owners[index]->Handle(events, moment, grip);
+        for (std::size_t each = 0; each < polls.size(); ++each) {
+          fleets[index]->Deliver(polls[each], results[each].answer,
+                                 clock.Now());
+        }
+      }
+    }
+  };
+  std::vector<work::TaskEvent> everywhere;
+  for (std::size_t number = 0; number < kTasksEach; ++number) {
+    work::TaskSpec spec = MakeSweep(number, true);
+    spec.team = "a";
+    spec.seconds = 5;
+    spec.declared.cores = 1;
+    everywhere.emplace_back(work::SubmitEvent{spec});
+  }
+  run(seconds(40), everywhere);
+  std::vector<work::TaskEvent> many;
+  for (std::size_t number = 0; number < 5 * kTasksEach; ++number) {
+    work::TaskSpec spec = MakeSweep(number, true);
+    spec.id = "late" + std::to_string(number);
+    spec.team = "a";
+    spec.seconds = 30;
+    spec.declared.cores = 1;
+    many.emplace_back(work::SubmitEvent{spec});
+  }
+  const work::Moment moment{clock.Now(), clock.WallNow()};
+  owners[0]->Handle(many, moment, {1, {"lease/p0", 0}});
+  run(seconds(10), {});
+  result.stranded = 100.0 * (kLimit - static_cast<double>(running[0])) / kLimit;
+  result.stranded_static = 100.0 * (kPools - 1) / kPools;
+}
+
+inline LimitResult RunLimits() {
+  LimitResult result;
+  RunOverruns(result);
+  RunStranded(result);
+  return result;
+}
+
+}  // namespace measure
--- a/src/cassiastile/standin/worker.cpp
+++ b/src/cassiastile/standin/worker.cpp
@@ -228,6 +228,7 @@
   run.seconds = payload.value("seconds", order.spec.seconds);
   run.fails = payload.value("fail", false);
   run.done = ParseProgress(order.checkpoint);
+  run.done_before = run.done;
   run.started = now;
   Note(WorkerAct::kStarted, run);
   m_runs.emplace(key, std::move(run));
@@ -242,6 +243,7 @@
   ended.epoch = run.order.epoch;
   ended.end = end;
   ended.seconds = run.done;
+  ended.used = run.usage * (run.done - run.done_before);
   ended.checkpoint =
       end == RunEnd::kCheckpointed ? std::to_string(run.done) : "";
   ended.message = std::move(message);
@@ -327,6 +329,7 @@
   line.team = run.order.spec.team;
   line.idempotent = run.order.spec.idempotent;
   line.usage = run.usage;
+  line.seconds = run.done - run.done_before;
   m_log(line);
 }
 
--- a/src/cassiastile/work/task_book.cpp
+++ b/src/cassiastile/work/task_book.cpp
@@ -88,6 +88,10 @@
   Replace(key, std::nullopt);
 }
 
+void TaskBook::SetProgress(const std::string& key, double progress) {
+  m_entries.at(key).task.progress = progress;
+}
+
 std::vector<TaskRowChange> TaskBook::Rows() const {
   std::vector<TaskRowChange> rows;
   for (const std::string& key : m_written) {
--- a/src/cassiastile/work/task_owner.cpp
+++ b/src/cassiastile/work/task_owner.cpp
@@ -55,6 +55,9 @@
   if (!Prepare(moment, grip)) {
     return AnswerNothing(events, moment.now);
   }
+  if (m_must_read) {
+    return HandleWhileReading(events, moment);
+  }
   ExchangeCredits(moment);
   TaskBatch batch = m_shard.Propose(events, moment);
   const Effect effect = WriteBatch(batch);
@@ -98,7 +101,7 @@
   if (grip.epoch != m_grip.epoch ||
       grip.fence.version != m_grip.fence.version) {
     m_grip = grip;
-    m_must_read = true;
+    BeginRead();
     m_retry_at = {};
   }
   if (moment.now < m_retry_at) {
@@ -126,23 +129,61 @@
   }
   RecordRefusals(std::move(m_pending_decisions));
   m_shard.TakeBack();
-  m_must_read = true;
+  BeginRead();
   return true;
 }
 
+std::vector<TaskResult> TaskOwner::HandleWhileReading(
+    const std::vector<TaskEvent>& events,
+    Moment moment) {
+  std::vector<TaskResult> results = AnswerNothing(events, moment.now);
+  if (!m_options.open_while_reading) {
+    return results;
+  }
+  std::vector<TaskEvent> submissions;
+  std::vector<std::size_t> places;
+  for (std::size_t index = 0; index < events.size(); ++index) {
+    if (std::holds_alternative<SubmitEvent>(events[index])) {
+      submissions.push_back(events[index]);
+      places.push_back(index);
+    }
+  }
+  TaskBatch batch = m_shard.Propose(submissions, moment);
+  const Effect effect = WriteBatch(batch);
+  for (std::size_t index = 0; index < places.size(); ++index) {
+    TaskResult& result = results[places[index]];
+    result.reply = std::move(batch.replies[index]);
+    result.effect = NeedsRows(result.reply) ? effect : Effect::kCommitted;
+  }
+  return results;
+}
+
+void TaskOwner::BeginRead() {
+  m_must_read = true;
+  m_read_after.reset();
+}
+
 bool TaskOwner::ReadIfNeeded(Moment moment) {
   if (!m_must_read) {
     return true;
   }
-  auto tasks = m_store.ReadAll();
-  if (!tasks) {
+  if (!m_read_after) {
+    m_shard.BeginLoad();
+    m_read_after = "";
+  }
+  auto page = m_store.ReadPage(*m_read_after);
+  if (!page) {
     return false;
   }
-  m_shard.BeginLoad();
-  for (StoredTask& stored : *tasks) {
+  for (StoredTask& stored : page->tasks) {
     m_shard.Load(std::move(stored.task), stored.version);
   }
+  m_read_after = page->last_key;
+  if (!page->is_last) {
+    return true;
+  }
   m_shard.EndLoad(moment);
+  m_read_after.reset();
   m_shard.SetGrants({});
   m_grants.clear();
   m_credits_at = {};
@@ -213,7 +254,11 @@
   }
   RecordRefusals(std::move(batch.decisions));
   m_shard.TakeBack();
-  m_must_read = written.error().code == base::ErrorCode::kConflict;
+  // A conflict while reading may only mean that an id submitted again is in a
+  // page not read yet.
+  if (written.error().code == base::ErrorCode::kConflict && !m_must_read) {
+    BeginRead();
+  }
   return Effect::kNotRun;
 }
 
--- a/src/cassiastile/work/task_poll.cpp
+++ b/src/cassiastile/work/task_poll.cpp
@@ -71,6 +71,9 @@
           {"epoch", ended.epoch},
           {"end", NameOf(ended.end)},
           {"seconds", ended.seconds},
+          {"core_seconds", ended.used.cores},
+          {"memory_gb_seconds", ended.used.memory_gb},
+          {"accelerator_seconds", ended.used.accelerators},
           {"checkpoint", ended.checkpoint},
           {"message", ended.message}};
 }
@@ -83,6 +86,9 @@
       base::FindValue(kEndNames, json.at("end").get_ref<const std::string&>())
           .value_or(RunEnd::kStopped);
   ended.seconds = json.value("seconds", 0.0);
+  ended.used = {json.value("core_seconds", 0.0),
+                json.value("memory_gb_seconds", 0.0),
+                json.value("accelerator_seconds", 0.0)};
   ended.checkpoint = json.value("checkpoint", "");
   ended.message = json.value("message", "");
   return ended;
--- a/src/cassiastile/work/task_shard_dispatch.cpp
+++ b/src/cassiastile/work/task_shard_dispatch.cpp
@@ -170,6 +170,8 @@
   entry.placed = size.size;
   entry.charged = size.size;
   entry.started = m_moment.now;
+  entry.accounted = {};
+  entry.accounted_at = m_moment.now;
   entry.measured = false;
   entry.throttle = 1;
   entry.request = RunRequest::kNone;
--- a/src/cassiastile/work/task_shard_poll.cpp
+++ b/src/cassiastile/work/task_shard_poll.cpp
@@ -98,7 +98,10 @@
 
 void TaskShard::Learn(const UsageLesson& lesson) {
   m_sizes.ObserveUsage(lesson.spec, lesson.usage);
-  m_shares.Correct(lesson.spec.team, lesson.correction);
+}
+
+void TaskShard::Learn(const ChargeLesson& lesson) {
+  m_shares.Correct(lesson.team, lesson.correction);
 }
 
 void TaskShard::OnNewIncarnation(const WorkerPoll& poll) {
@@ -125,10 +128,18 @@
   if (found == nullptr || !IsRunOf(found->task, poll, held.epoch)) {
     return;
   }
+  const Resources usage{held.usage.cores, held.usage.memory_gb,
+                        found->task.spec.declared.accelerators};
+  const bool news =
+      held.measured && (!found->measured || found->charged != usage);
+  if (found->task.state == TaskState::kRunning && !news) {
+    m_book.SetProgress(held.key, held.progress);
+    return;
+  }
   TaskEntry entry = *found;
   entry.task.progress = held.progress;
-  if (held.measured) {
-    OnMeasured(entry, held);
+  if (news) {
+    OnMeasured(entry, usage);
   }
   const bool was_in_doubt = entry.task.state == TaskState::kInDoubt;
   entry.task.state = TaskState::kRunning;
@@ -139,20 +150,27 @@
   }
 }
 
-void TaskShard::OnMeasured(TaskEntry& entry, const HeldTask& held) {
-  const Resources usage{held.usage.cores, held.usage.memory_gb,
-                        entry.task.spec.declared.accelerators};
+void TaskShard::OnMeasured(TaskEntry& entry, const Resources& usage) {
+  Account(entry);
   if (!entry.measured) {
-    const double since = Seconds(m_moment.now - entry.started);
+    const Resources used = usage * Seconds(m_moment.now - entry.started);
+    m_lessons.emplace_back(UsageLesson{entry.task.spec, usage});
     m_lessons.emplace_back(
-        UsageLesson{entry.task.spec, usage, (usage - entry.charged) * since});
+        ChargeLesson{entry.task.spec.team, used - entry.accounted});
+    entry.accounted = used;
     entry.measured = true;
-    m_changed = true;
   }
+  m_changed = true;
   entry.charged = usage;
   entry.placed = usage;
 }
 
+void TaskShard::Account(TaskEntry& entry) const {
+  const double passed = Seconds(m_moment.now - entry.accounted_at);
+  entry.accounted = entry.accounted + entry.charged * passed;
+  entry.accounted_at = m_moment.now;
+}
+
 void TaskShard::OnEnded(const WorkerPoll& poll, const EndedRun& ended) {
   const TaskEntry* found = m_book.Find(ended.key);
   if (found == nullptr) {
@@ -167,6 +185,11 @@
 
 void TaskShard::OnRunEnd(TaskEntry entry, const EndedRun& ended) {
   const std::string worker = entry.task.lease.worker;
+  if (ended.used != Resources{} || ended.end == RunEnd::kNotStarted) {
+    Account(entry);
+    m_lessons.emplace_back(
+        ChargeLesson{entry.task.spec.team, ended.used - entry.accounted});
+  }
   switch (ended.end) {
     case RunEnd::kSucceeded:
       m_lessons.emplace_back(
--- a/src/cassiastile/work/task_store.cpp
+++ b/src/cassiastile/work/task_store.cpp
@@ -10,6 +10,8 @@
 
 using base::ErrorCode;
 
+constexpr std::size_t kRowsPerPage = 500;
+
 HolderName HolderOf(const std::string& pool) {
   return "shard/" + pool;
 }
@@ -89,13 +91,14 @@
   return base::Fail(ErrorCode::kUnknown, applied.error().message);
 }
 
-base::Result<std::vector<StoredTask>> TaskStore::ReadAll() {
-  const auto rows = platform::ScanAll(m_table, "task/" + m_pool + "/");
+base::Result<StoredPage> TaskStore::ReadPage(const std::string& after) {
+  const auto rows = m_table.Scan("task/" + m_pool + "/", after, kRowsPerPage);
   if (!rows) {
     return tl::unexpected(rows.error());
   }
-  std::vector<StoredTask> tasks;
-  tasks.reserve(rows->size());
+  StoredPage page;
+  page.is_last = rows->size() < kRowsPerPage;
+  page.tasks.reserve(rows->size());
   for (const platform::Row& row : *rows) {
     auto task = DecodeTask(row.value);
     if (!task) {
@@ -103,9 +106,10 @@
           ErrorCode::kInternal,
           "The row " + row.key + " can't be read: " + task.error().message);
     }
-    tasks.push_back({std::move(*task), row.version});
+    page.tasks.push_back({std::move(*task), row.version});
+    page.last_key = row.key;
   }
-  return tasks;
+  return page;
 }
 
 base::Result<TeamGrants> TaskStore::ExchangeCredits(
