--- a/src/cassiastile/control/pool_acts.cpp
+++ b/src/cassiastile/control/pool_acts.cpp
@@ -105,6 +105,7 @@
   next.answer = [this, wave] {
     PoolSnapshot snapshot;
     snapshot.document = m_document;
+    snapshot.wall = m_ports.clock.WallNow();
     snapshot.state = m_reconciler.State();
     const config::Wave* declared = config::FindWave(m_document->fleet, wave);
     snapshot.forecasts[wave] = m_reconciler.Forecast(*declared);
--- a/src/cassiastile/control/pool_service.cpp
+++ b/src/cassiastile/control/pool_service.cpp
@@ -124,6 +124,7 @@
 void PoolService::Publish() {
   auto published = std::make_shared<PoolSnapshot>();
   published->document = m_document;
+  published->wall = m_ports.clock.WallNow();
   published->state = m_reconciler.State();
   published->drain_times = m_reconciler.DrainTimes();
   published->overdue = m_reconciler.Overdue();
--- a/src/cassiastile/control/pool_status.cpp
+++ b/src/cassiastile/control/pool_status.cpp
@@ -5,6 +5,7 @@
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/fleet/budget.hpp"
 #include "cassiastile/fleet/fleet_index.hpp"
+#include "cassiastile/fleet/schedule.hpp"
 #include "cassiastile/fleet/window.hpp"
 
 namespace cassiastile::control {
@@ -152,6 +153,8 @@
           base::FormatWallTime(*forecast->second.finish);
     }
   }
+  body["obstacles"] = fleet::FindWaveObstacles(snapshot.document->fleet, wave,
+                                               snapshot.wall, {});
   return body;
 }
 
--- a/src/cassiastile/control/pool_status.hpp
+++ b/src/cassiastile/control/pool_status.hpp
@@ -15,6 +15,7 @@
 // What one round of the pool service saw, kept for readers.
 struct PoolSnapshot {
   std::shared_ptr<const config::AcceptedFleet> document;
+  base::WallTime wall{};
   fleet::FleetState state;
   std::map<std::string, fleet::WaveForecast> forecasts;       // By wave.
   std::map<std::string, base::TimePoint> drain_times;         // By host.
--- a/src/cassiastile/fleet/property_test.cpp
+++ b/src/cassiastile/fleet/property_test.cpp
@@ -4,176 +4,22 @@
 #include <cstdlib>
 #include <tuple>
 
-#include "fake_fleet.hpp"
+#include "fake_race.hpp"
 
 namespace cassiastile::fleet {
 namespace {
 
-using std::chrono::seconds;
+using fake::Event;
+using fake::kEvents;
+using fake::Race;
+using fake::Step;
 
-constexpr std::uint32_t kPools = 3;
-constexpr std::uint32_t kHosts = 4;
 // The same cases on every run, unless RC_PARAMS is set from outside.
 [[maybe_unused]] const bool kSeeded =
     setenv("RC_PARAMS", "seed=20261203 max_success=300 max_size=120", 0) == 0;
 
 constexpr int kFaultSteps = 4;
 
-enum class Event : std::uint8_t {
-  kFirstReads,
-  kSecondReads,
-  kFirstTicks,
-  kSecondTicks,
-  kBothRound,
-  kTimePasses,
-  kHostFails,
-  kHostsRepaired,
-  kOperatorDrains,
-  kOperatorReturns,
-  kBudgetEdited,
-  kHostMovedByEdit,
-  kHostRemovedByEdit,
-  kWaveStarts,
-  kWavePauses,
-  kWaveAborts,
-  kStoreGoes,
-  kStoreComes,
-  kWorkComes,
-  kWorkEnds,
-};
-
-constexpr int kEvents = static_cast<int>(Event::kWorkEnds) + 1;
-
-// One event and the host or pool that it strikes.
-using Step = std::tuple<int, std::uint32_t>;
-
-// Two control processes that race over everything, with no fence to help them.
-class Race {
- public:
-  Race(std::uint64_t seed, double faults)
-      : m_world(fake::MakeDocument(m_shape), seed, seconds(5)),
-        m_first(m_world.MakeReconciler("control-1", seed + 1)),
-        m_second(m_world.MakeReconciler("control-2", seed + 2)) {
-    Read(m_first);
-    Read(m_second);
-    m_world.Start(m_first);
-    m_world.table.lose_answer = faults;
-    m_world.table.delay_apply = faults;
-  }
-
-  void Take(const Step& step) {
-    const std::uint32_t pick = std::get<1>(step);
-    const auto event = static_cast<Event>(std::get<0>(step));
-    if (!TakeEdit(event, pick) && !TakeFault(event, pick)) {
-      TakeAct(event, pick);
-    }
-  }
-
-  const fake::CheckedTable& Table() const { return m_world.table; }
-
- private:
-  static std::string HostName(std::uint32_t pick) {
-    return fmt::format("p{}-h{}", pick % kPools, pick / kPools % kHosts);
-  }
-
-  static std::string PoolName(std::uint32_t pick) {
-    return fmt::format("p{}", pick % kPools);
-  }
-
-  void Read(Reconciler& reconciler) {
-    static_cast<void>(reconciler.Refresh(m_world.document));
-  }
-
-  bool TakeEdit(Event event, std::uint32_t pick) {
-    auto next = std::make_shared<config::AcceptedFleet>(*m_world.document);
-    ++next->version;
-    config::Pool& pool = next->fleet.pools[pick % kPools];
-    config::Pool& other = next->fleet.pools[(pick + 1) % kPools];
-    if (event == Event::kBudgetEdited) {
-      pool.budget.max_out = pick / kPools % kHosts;
-    } else if (event == Event::kHostMovedByEdit && !pool.hosts.empty()) {
-      other.hosts.push_back(pool.hosts.back());
-      pool.hosts.pop_back();
-    } else if (event == Event::kHostRemovedByEdit && !pool.hosts.empty()) {
-      pool.hosts.pop_back();
-    } else {
-      return false;
-    }
-    m_world.Accept(next);
-    return true;
-  }
-
-  bool TakeFault(Event event, std::uint32_t pick) {
-    switch (event) {
-      case Event::kTimePasses:
-        m_world.clock.Advance(seconds(pick % 30));
-        return true;
-      case Event::kHostFails:
-        m_world.machines.Fail(HostName(pick));
-        return true;
-      case Event::kHostsRepaired:
-        for (std::uint32_t i = 0; i < kPools * kHosts; ++i) {
-          m_world.machines.Repair(HostName(i));
-        }
-        return true;
-      case Event::kStoreGoes:
-      case Event::kStoreComes:
-        m_world.table.down = event == Event::kStoreGoes;
-        return true;
-      case Event::kWorkComes:
-        m_world.work.work[HostName(pick)].running = 1;
-        return true;
-      case Event::kWorkEnds:
-        m_world.work.work.clear();
-        return true;
-      default:
-        return false;
-    }
-  }
-
-  void TakeAct(Event event, std::uint32_t pick) {
-    switch (event) {
-      case Event::kFirstReads:
-        return Read(m_first);
-      case Event::kSecondReads:
-        return Read(m_second);
-      case Event::kFirstTicks:
-        return m_first.Tick(PoolName(pick), std::nullopt);
-      case Event::kSecondTicks:
-        return m_second.Tick(PoolName(pick), std::nullopt);
-      case Event::kBothRound:
-        m_world.Round(m_first);
-        return m_world.Round(m_second);
-      case Event::kOperatorDrains:
-        static_cast<void>(m_second.DrainHost(HostName(pick), "anna", {}));
-        return;
-      case Event::kOperatorReturns:
-        static_cast<void>(m_second.ReturnHostBy(HostName(pick), "anna", {}));
-        return;
-      case Event::kWaveStarts:
-        static_cast<void>(m_second.ActOn("wave", "anna", WaveAct::kStart, {}));
-        return;
-      case Event::kWavePauses:
-        static_cast<void>(m_second.ActOn("wave", "anna", WaveAct::kPause, {}));
-        return;
-      case Event::kWaveAborts:
-        static_cast<void>(m_second.ActOn("wave", "anna", WaveAct::kAbort, {}));
-        return;
-      default:
-        return;
-    }
-  }
-
-  fake::DocumentOptions m_shape{.pools = kPools,
-                                .hosts = kHosts,
-                                .max_out = 1,
-                                .parallel = 2,
-                                .spare = true};
-  fake::World m_world;
-  Reconciler m_first;
-  Reconciler m_second;
-};
-
 RC_GTEST_PROP(RacingOwnersProperty,
               BudgetsHoldAndEveryHostIsInOnePool,
               (std::uint64_t seed)) {
