--- a/include/cassiastile/member/membership.hpp
+++ b/include/cassiastile/member/membership.hpp
@@ -26,8 +26,9 @@
   base::Duration list_read_period = std::chrono::milliseconds(5000);
   base::Duration body_retry = std::chrono::milliseconds(250);
   base::Duration prepare_retry = std::chrono::milliseconds(100);
-  // A process younger than this may have forgotten what it promised before it
-  // started anew, so that it does not yet speak for the head.
+  // The longest time from the first promise to the commit. A process that
+  // started anew may have forgotten promises; it speaks for the head only once
+  // the head was confirmed to it at a time this long after its start.
   base::Duration voter_delay = std::chrono::milliseconds(10000);
 };
 
@@ -156,7 +157,7 @@
     base::TimePoint sent_at;
   };
 
-  Message MakeMessage(MessageKind kind, base::TimePoint now);
+  Message MakeMessage(MessageKind kind);
   Message MakeAck(const Message& ping,
                   base::TimePoint now,
                   base::Random& random);
@@ -176,7 +177,7 @@
                                const std::string& from,
                                base::TimePoint now,
                                base::Random& random);
-  Message AnswerPrepare(const Message& prepare, base::TimePoint now);
+  Message AnswerPrepare(const Message& prepare);
   void Count(PacketFault fault);
 
   void AddPings(MemberActions& actions,
@@ -202,7 +203,8 @@
                                           base::TimePoint now) const;
   void ForgetOldPings(base::TimePoint now);
   MemberState StateOf(const Peer& peer, base::TimePoint now) const;
-  bool Agrees(base::TimePoint now) const;
+  bool Agrees() const;
+  void BecomeVoter(base::TimePoint now);
   std::optional<base::TimePoint> HeadConfirmedAt(base::TimePoint now) const;
   std::optional<base::TimePoint> MajorityAgreedAt(base::TimePoint now) const;
   std::size_t Majority() const { return m_list.size() / 2 + 1; }
@@ -231,6 +233,7 @@
   base::TimePoint m_next_pull;
   bool m_reaches_store = false;
   bool m_refused = false;
+  bool m_voter = false;  // Whether this process speaks for the head.
   bool m_spread = false;
   PacketFaultCounts m_faults{};
   std::uint64_t m_received = 0;
--- /dev/null
+++ b/spec/grant.h
@@ -0,0 +1,72 @@
+/* Grant accounting: two holders share a limit through one row of the table.
+   Answers are lost; holders die with work running, whose end must be confirmed
+   before their grants are given to others. */
+
+#define LIMIT 2
+#define CREDITS 2         /* the most that one holder asks for */
+
+mtype = { idle, acquire, release };
+
+byte granted[2];          /* the row */
+byte known[2];            /* what the holder takes itself to hold */
+byte running[2];          /* its work */
+bool dead[2];
+mtype op[2] = idle;
+bool applied[2];
+bool done[2];
+byte deaths;
+
+inline apply(i) {
+  done[i] = true;
+  if
+  :: op[i] == acquire && granted[0] + granted[1] < LIMIT ->
+     granted[i]++; applied[i] = true
+  :: op[i] == release && granted[i] > 0 -> granted[i]--; applied[i] = true
+  :: else
+  fi
+}
+
+inline answer(i) {
+  if
+  :: op[i] == acquire && applied[i] -> known[i]++
+  :: else
+  fi;
+  finish(i)
+}
+
+inline finish(i) {
+  op[i] = idle; applied[i] = false; done[i] = false
+}
+
+inline reclaim(i) {
+  granted[i] = 0; known[i] = 0; dead[i] = false
+}
+
+active proctype fleet() {
+  byte i = 0;
+  do
+  :: atomic {
+     if
+     :: i = 0
+     :: i = 1
+     fi;
+     if
+     :: d_step { (!dead[i] && op[i] == idle && known[i] < CREDITS) ->
+          op[i] = acquire }
+     :: d_step { (!dead[i] && op[i] == idle && running[i] < known[i]) ->
+          known[i]--; op[i] = release }
+     :: d_step { (op[i] != idle && !done[i]) -> apply(i) }
+     :: d_step { done[i] && !dead[i] -> answer(i) }
+     :: d_step { done[i] && !dead[i] -> LOST(i) }
+     :: d_step { (!dead[i] && running[i] < known[i]) -> running[i]++ }
+     :: d_step { running[i] > 0 -> running[i]-- }
+     :: d_step { (!dead[i] && deaths < 2) -> dead[i] = true; deaths++ }
+     :: d_step { (dead[i] && (op[i] == idle || done[i]) && MAY_RECLAIM(i)) ->
+          finish(i); reclaim(i) }
+     :: else
+     fi;
+     i = 0;
+     assert(running[0] + running[1] <= LIMIT);
+     assert(known[0] + known[1] <= LIMIT) }
+  od
+}
--- /dev/null
+++ b/spec/shard_lease.h
@@ -0,0 +1,121 @@
+/* Shard leases: two processes, one shard. An owner may be paused between its
+   check and its write, a write may be delayed in the table, and its answer may
+   be lost. Ages count ticks and saturate. */
+
+#define L 2               /* the lease, in ticks */
+#define OLD (L + 1)
+#define MAX_EPOCH 3
+
+mtype = { idle, take, renew, work };
+
+/* the table */
+byte owner;               /* 0 none, 1 or 2 */
+byte epoch;
+
+/* each process, by index 1 and 2 */
+byte seen_owner[3];
+byte seen_epoch[3];
+bool unseen[3];           /* the renewal row changed since the last scan */
+byte watched[3];          /* age of the last change seen */
+byte renewed[3];          /* age of the start of the last renewal known good */
+
+/* one write under way for each process */
+mtype op[3] = idle;
+byte op_epoch[3];
+bool op_stale[3];         /* the renewal row changed since the write was made */
+byte op_age[3];
+bool applied[3];
+bool done[3];             /* the table has answered */
+
+#define OTHER(i) (3 - (i))
+#define GRIP(i) (seen_owner[i] == i && renewed[i] < L)
+
+inline touch_renewal(i) {
+  unseen[1] = true; unseen[2] = true;
+  op_stale[OTHER(i)] = true
+}
+
+inline begin(i, kind) {
+  op[i] = kind; op_epoch[i] = seen_epoch[i]; op_stale[i] = unseen[i];
+  op_age[i] = 0; applied[i] = false; done[i] = false
+}
+
+inline finish(i) {
+  op[i] = idle; op_epoch[i] = 0; op_stale[i] = false;
+  op_age[i] = 0; applied[i] = false; done[i] = false
+}
+
+inline apply(i) {
+  done[i] = true;
+  if
+  :: op[i] == take && op_epoch[i] == epoch && !op_stale[i] ->
+     owner = i; epoch++; applied[i] = true; touch_renewal(i)
+  :: op[i] == renew && op_epoch[i] == epoch ->
+     applied[i] = true; touch_renewal(i)
+  :: op[i] == work && FENCE(i) ->
+     assert(owner == i);      /* only the owner's work takes effect */
+     applied[i] = true
+  :: else
+  fi
+}
+
+inline answer(i) {
+  if
+  :: applied[i] && op[i] == take ->
+     seen_owner[i] = i; seen_epoch[i] = op_epoch[i] + 1; renewed[i] = op_age[i]
+  :: applied[i] && op[i] == renew && seen_epoch[i] == op_epoch[i] ->
+     renewed[i] = op_age[i]
+  :: else
+  fi;
+  finish(i)
+}
+
+inline scan(i) {
+  if
+  :: seen_epoch[i] != epoch -> watched[i] = 0; renewed[i] = OLD
+  :: seen_epoch[i] == epoch && unseen[i] -> watched[i] = 0
+  :: else
+  fi;
+  seen_epoch[i] = epoch; seen_owner[i] = owner; unseen[i] = false
+}
+
+inline older(age) {
+  age = (age < OLD -> age + 1 : OLD)
+}
+
+inline tick() {
+  for (n : 1 .. 2) {
+    older(watched[n]); older(renewed[n]);
+    if
+    :: op[n] != idle -> older(op_age[n])
+    :: else
+    fi
+  }
+  n = 0
+}
+
+active proctype fleet() {
+  byte i = 0; byte n = 0;
+  renewed[1] = OLD; renewed[2] = OLD;
+  do
+  :: atomic {
+     if
+     :: i = 1
+     :: i = 2
+     fi;
+     if
+     :: d_step { true -> scan(i) }
+     :: d_step { (op[i] == idle && seen_owner[i] != i && epoch < MAX_EPOCH &&
+                  (seen_owner[i] == 0 || watched[i] >= L)) -> begin(i, take) }
+     :: d_step { (op[i] == idle && seen_owner[i] == i) -> begin(i, renew) }
+     :: d_step { (op[i] == idle && GRIP(i)) -> begin(i, work) }
+     :: d_step { (op[i] != idle && !done[i]) -> apply(i) }
+     :: d_step { done[i] -> answer(i) }
+     :: d_step { done[i] -> finish(i) }   /* the answer is lost */
+     :: else
+     fi;
+     i = 0;
+     assert(!(GRIP(1) && GRIP(2))) }
+  :: d_step { true -> tick() }
+  od
+}
--- a/src/cassiastile/member/config_store.cpp
+++ b/src/cassiastile/member/config_store.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr int kMaxAttempts = 5;
+// Members that start anew wait longer than this and the table's deadline
+// before they speak for the head.
+constexpr base::Duration kPromiseLife = std::chrono::milliseconds(4000);
 constexpr const char* kFileName = "fleet";
 constexpr const char* kAcceptedWhat = "config accepted";
 
@@ -254,12 +257,18 @@
   transaction.writes.push_back({kConfigHeadKey, ToText(row)});
   transaction.writes.push_back({BodyKey(version), candidate.after});
 
+  const base::TimePoint asked = m_clock.Now();
   const auto prepared = m_quorum.Prepare(version, m_random());
   if (!prepared) {
     m_quorum.Withdraw();
     return Refuse(prepared.error());
   }
   const base::TimePoint started = m_clock.Now();
+  if (started - asked > kPromiseLife) {
+    m_quorum.Withdraw();
+    return Refuse(base::Error{base::ErrorCode::kConflict,
+                              "The promises were too old to commit on."});
+  }
   const auto committed = ApplySurely(transaction, audit);
   if (!committed) {
     // While it is unknown, the promises must stand.
--- a/src/cassiastile/member/config_store_test.cpp
+++ b/src/cassiastile/member/config_store_test.cpp
@@ -177,6 +177,13 @@
   EXPECT_EQ(m_quorum.withdrawn, 1);
 }
 
+TEST_F(ConfigStoreTest, OldPromisesAreNotCommittedOn) {
+  m_quorum.between = [&] { m_clock.Advance(std::chrono::seconds(9)); };
+  const EditResult result = m_store.Accept(LimitsEdit("late"));
+  ASSERT_TRUE(result) << Describe(result);
+  EXPECT_EQ(m_quorum.withdrawn, 1);  // Asked for again before the commit.
+}
+
 TEST_F(ConfigStoreTest, DryRunChangesNothing) {
   ConfigEdit edit = LimitsEdit("dry");
   edit.dry_run = true;
--- a/src/cassiastile/member/membership.cpp
+++ b/src/cassiastile/member/membership.cpp
@@ -138,7 +138,7 @@
   std::vector<base::TimePoint> times;
   for (const MemberRecord& record : m_list) {
     if (record.name == m_options.self.name) {
-      if (Agrees(now)) {
+      if (Agrees()) {
         times.push_back(now);
       }
       continue;
@@ -151,13 +151,21 @@
   if (times.size() < Majority()) {
     return std::nullopt;
   }
-  std::sort(times.begin(), times.end(), std::greater<>());
-  return times[Majority() - 1];
+  const auto last = times.begin() + static_cast<std::ptrdiff_t>(Majority()) - 1;
+  std::nth_element(times.begin(), last, times.end(), std::greater<>());
+  return *last;
 }
 
-bool Membership::Agrees(base::TimePoint now) const {
-  return m_promises.empty() && !m_refused &&
-         now - m_started >= m_options.times.voter_delay;
+bool Membership::Agrees() const {
+  return m_voter && m_promises.empty() && !m_refused;
+}
+
+void Membership::BecomeVoter(base::TimePoint now) {
+  if (m_voter) {
+    return;
+  }
+  const auto confirmed = HeadConfirmedAt(now);
+  m_voter = confirmed && *confirmed - m_started >= m_options.times.voter_delay;
 }
 
 MemberState Membership::StateOf(const Peer& peer, base::TimePoint now) const {
--- a/src/cassiastile/member/membership_receive.cpp
+++ b/src/cassiastile/member/membership_receive.cpp
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-Message Membership::MakeMessage(MessageKind kind, base::TimePoint now) {
+Message Membership::MakeMessage(MessageKind kind) {
   Message message;
   message.kind = kind;
   message.sender = m_options.self.name;
@@ -41,7 +41,7 @@
   message.head = m_head;
   message.in_force = m_in_force;
   message.reaches_store = m_reaches_store;
-  message.agrees = Agrees(now);
+  message.agrees = Agrees();
   message.list_hash = m_list_hash;
   return message;
 }
@@ -53,7 +53,7 @@
 Message Membership::MakeAck(const Message& ping,
                             base::TimePoint now,
                             base::Random& random) {
-  Message ack = MakeMessage(MessageKind::kAck, now);
+  Message ack = MakeMessage(MessageKind::kAck);
   ack.echo = ping.sequence;
   if (m_head_read_at) {
     const std::int64_t age = base::Milliseconds(now - *m_head_read_at) + 1;
@@ -110,7 +110,7 @@
   }
   if (!IsCurrentIncarnation(*message)) {
     Count(PacketFault::kOldIncarnation);
-    Message refused = MakeMessage(MessageKind::kRefused, now);
+    Message refused = MakeMessage(MessageKind::kRefused);
     refused.echo = m_peers.at(message->sender).record.incarnation;
     return {{from, Encode(refused)}};
   }
@@ -146,7 +146,7 @@
     case MessageKind::kPing:
       return {{from, Encode(MakeAck(message, now, random))}};
     case MessageKind::kPrepare:
-      return {{from, Encode(AnswerPrepare(message, now))}};
+      return {{from, Encode(AnswerPrepare(message))}};
     case MessageKind::kPromise:
       if (m_proposal && m_proposal->id == message.promise_id) {
         m_proposal->promised.insert(message.sender);
@@ -164,13 +164,13 @@
   return {};
 }
 
-Message Membership::AnswerPrepare(const Message& prepare, base::TimePoint now) {
+Message Membership::AnswerPrepare(const Message& prepare) {
   const bool room = m_promises.size() < kMaxPromises ||
                     m_promises.contains(prepare.promise_id);
   if (prepare.promise_version > m_head.version && room) {
     m_promises[prepare.promise_id] = prepare.promise_version;
   }
-  Message promise = MakeMessage(MessageKind::kPromise, now);
+  Message promise = MakeMessage(MessageKind::kPromise);
   if (m_promises.contains(prepare.promise_id)) {
     promise.promise_version = prepare.promise_version;
     promise.promise_id = prepare.promise_id;
--- a/src/cassiastile/member/membership_test.cpp
+++ b/src/cassiastile/member/membership_test.cpp
@@ -156,9 +156,12 @@
   m_network.Run(seconds(1));
   CutOff(others);
   CommitVersion(m_network, 2);
-  m_network.Run(seconds(3));
-  for (const std::string& name : others) {
-    EXPECT_FALSE(m_network.At(name).IsFresh(m_network.Now())) << name;
+  for (int i = 0; i < 30; ++i) {
+    m_network.Run(seconds(1));
+    for (const std::string& name : others) {
+      EXPECT_FALSE(i >= 2 && m_network.At(name).IsFresh(m_network.Now()))
+          << name << " after second " << i;
+    }
   }
 }
 
--- a/src/cassiastile/member/membership_tick.cpp
+++ b/src/cassiastile/member/membership_tick.cpp
@@ -35,6 +35,7 @@
   if (m_refused) {
     return actions;
   }
+  BecomeVoter(now);
   AddPings(actions, now, random);
   AddPrepares(actions, now);
   AddSpread(actions, now);
@@ -84,7 +85,7 @@
                          const std::string& address,
                          bool introduce,
                          base::TimePoint now) {
-  Message ping = MakeMessage(MessageKind::kPing, now);
+  Message ping = MakeMessage(MessageKind::kPing);
   if (introduce) {
     ping.records.push_back(m_options.self);
   }
@@ -184,7 +185,7 @@
   const bool withdrawn = !m_proposal;
   proposal->sent_at = now;
   Message message =
-      MakeMessage(withdrawn ? MessageKind::kAbort : MessageKind::kPrepare, now);
+      MakeMessage(withdrawn ? MessageKind::kAbort : MessageKind::kPrepare);
   message.promise_version = proposal->version;
   message.promise_id = proposal->id;
   for (const MemberRecord& record : m_list) {
