--- /dev/null
+++ b/examples/work/request_fairness.cpp
@@ -0,0 +1,30 @@
+#include <cstdio>
+#include <map>
+
+#include "cassiastile/work/admission.hpp"
+
+// Two teams with weights 3 and 1 fill a queue; prints how many of each are
+// among the first 40 that start.
+int main() {
+  using namespace cassiastile;
+  constexpr int kEach = 40;
+  const base::TimePoint now{std::chrono::hours(1)};
+  const work::ServiceRate rate{8, std::chrono::milliseconds(50)};
+  base::Random random(1);
+  work::AdmissionQueue queue({});
+  queue.SetTerms("large", {.weight = 3, .granted = {}});
+  for (work::RequestId id = 0; id < 2 * kEach; ++id) {
+    work::RequestTicket ticket;
+    ticket.id = id;
+    ticket.team = id % 2 == 0 ? "large" : "small";
+    ticket.arrived = now;
+    ticket.deadline = now + std::chrono::seconds(10);
+    queue.Offer(ticket, rate, now, random);
+  }
+  std::map<std::string, int> started;
+  for (int i = 0; i < kEach; ++i) {
+    ++started[queue.TakeNext()->team];
+  }
+  std::printf("large %d, small %d\n", started["large"], started["small"]);
+  return 0;
+}
