--- a/examples/work/request_fairness.cpp
+++ b/examples/work/request_fairness.cpp
@@ -7,7 +7,7 @@
 // among the first 40 that start.
 int main() {
   using namespace cassiastile;
-  constexpr int kEach = 40;
+  constexpr work::RequestId kEach = 40;
   const base::TimePoint now{std::chrono::hours(1)};
   const work::ServiceRate rate{8, std::chrono::milliseconds(50)};
   base::Random random(1);
@@ -22,7 +22,7 @@
     queue.Offer(ticket, rate, now, random);
   }
   std::map<std::string, int> started;
-  for (int i = 0; i < kEach; ++i) {
+  for (work::RequestId i = 0; i < kEach; ++i) {
     ++started[queue.TakeNext()->team];
   }
   std::printf("large %d, small %d\n", started["large"], started["small"]);
