Let the first document be put, and an unchanged one be put again

It now sends version zero then, which the server refuses if there is a document after all. A text in force already is not sent again, so put may be repeated after an unknown outcome.

--- a/src/cassiastile/operator/cassiactl_test.cpp
+++ b/src/cassiastile/operator/cassiactl_test.cpp
@@ -146,7 +146,7 @@
 }
 
 TEST_F(CassiactlTest, PutOverAVersionInForceNamesTheOneItWasReadAt) {
-  m_control.SetDocument(7, ReadAll(kExample));
+  m_control.SetDocument(7, ReadAll(kExample) + "\n");
   const Outcome refused = Call({"put", kExample});
   EXPECT_EQ(refused.code, ExitCode::kUsage);
   EXPECT_TRUE(Contains(refused.err, "--base N"));
@@ -162,6 +162,24 @@
   EXPECT_TRUE(Contains(conflict.err, "the version in force is 8\n-a\n+b?[2J"));
 }
 
+TEST_F(CassiactlTest, TheFirstDocumentIsPutBeforeAnybodyIsAnOperator) {
+  m_control.Set("GET /v1/config", 403, {{"title", "Not an operator."}});
+  m_control.Set("POST /v1/config", 200,
+                {{"version", 1},
+                 {"state", "accepted"},
+                 {"missing", nlohmann::json::array()}});
+  const Outcome outcome = Call({"put", kExample});
+  EXPECT_EQ(outcome.code, ExitCode::kDone) << outcome.err;
+  EXPECT_EQ(outcome.out, "version 1 is accepted and in force everywhere\n");
+  EXPECT_EQ(LastBody().at("base_version"), 0);
+}
+
+TEST_F(CassiactlTest, ATextInForceIsNotSentAgain) {
+  m_control.SetDocument(7, ReadAll(kExample));
+  EXPECT_EQ(Call({"put", kExample}).out, "version 7 has this text already\n");
+  EXPECT_EQ(LastTarget(), "GET /v1/config");
+}
+
 TEST_F(CassiactlTest, ABadDocumentIsNotSent) {
   EXPECT_EQ(Call({"put", "-"}, "{}").code, ExitCode::kRefused);
   EXPECT_TRUE(m_control.Calls().empty());
@@ -239,10 +257,12 @@
                   {{{"line", 3},
                     {"column", 4},
                     {"path", "keys"},
-                    {"message", "the section is owned by \"x\""}}}}});
+                    {"message", "the section is owned by \"x\""}}}},
+                 {"decision_id", "d7"}});
   const Outcome findings = Call({"put", kExample});
   EXPECT_EQ(findings.code, ExitCode::kRefused);
   EXPECT_TRUE(Contains(findings.out, ":3:4: error: keys: the section is"));
+  EXPECT_TRUE(Contains(findings.err, "cassiactl explain d7\n"));
   m_control.Set("GET /v1/status", 403, {{"title", "The key is not known."}});
   const Outcome denied = Call({"status"});
   EXPECT_EQ(denied.code, ExitCode::kRefused);
--- a/src/cassiastile/operator/documents.cpp
+++ b/src/cassiastile/operator/documents.cpp
@@ -87,12 +87,19 @@
     return FormatChange(body);
   }
   const std::uint64_t version = NumberOf(body, "version");
+  const bool some_missing =
+      body.contains("missing") && !body["missing"].empty();
+  const std::string missing =
+      some_missing ? FormatCell(body["missing"]) : "nobody";
   if (TextOf(body, "state") != "pending") {
-    return fmt::format("version {} is accepted and in force everywhere\n",
-                       version);
+    return some_missing
+               ? fmt::format(
+                     "version {} is accepted; {} did not acknowledge "
+                     "it in time and may act on no older one\n",
+                     version, missing)
+               : fmt::format("version {} is accepted and in force everywhere\n",
+                             version);
   }
-  const std::string missing =
-      body.contains("missing") ? FormatCell(body["missing"]) : "-";
   return fmt::format(
       "version {} is committed and pending: not yet acknowledged by {}\n",
       version, missing);
--- a/src/cassiastile/operator/edit_commands.cpp
+++ b/src/cassiastile/operator/edit_commands.cpp
@@ -15,6 +15,9 @@
 
 namespace po = boost::program_options;
 
+constexpr int kStatusForbidden = 403;
+constexpr int kStatusNotFound = 404;
+
 void AddEditOptions(po::options_description& options) {
   options.add_options()("dry-run", po::bool_switch(),
                         "show what the fleet would do and change nothing")(
@@ -33,24 +36,49 @@
                         "an earlier version in place of the one in force");
 }
 
+// What `put` found in force.
+struct PutBase {
+  std::uint64_t version = 0;
+  bool is_same = false;  // The text in force is the one to put.
+};
+
 // The version that a whole document replaces: as given, or zero when there is
-// no document yet.
-tl::expected<std::uint64_t, ExitCode> FindBase(const Invocation& invocation) {
+// no document yet. Until there is one, nobody is an operator and reading it is
+// denied; the server refuses version zero if there is one after all.
+tl::expected<PutBase, ExitCode> FindBase(const Invocation& invocation,
+                                         const std::string& text) {
   if (const auto base = invocation.Option<std::uint64_t>("base")) {
-    return *base;
+    return PutBase{*base, false};
   }
-  const auto document = FetchDocument(invocation);
-  if (!document) {
-    return tl::make_unexpected(document.error());
+  const ApiOutcome outcome = invocation.Api().Get("/v1/config");
+  if (outcome && (outcome->status == kStatusForbidden ||
+                  outcome->status == kStatusNotFound)) {
+    return PutBase{};
   }
-  if (document->version != 0) {
+  const ExitCode code = ReportOutcome(invocation, outcome);
+  if (code != ExitCode::kDone) {
+    return tl::make_unexpected(code);
+  }
+  const PutBase found{NumberOf(outcome->body, "version"),
+                      TextOf(outcome->body, "text") == text};
+  if (found.version != 0 && !found.is_same) {
     return tl::make_unexpected(ReportUsage(
         invocation,
         fmt::format("version {} is in force: give --base N, the version that "
                     "your file was read at, so that no other edit is undone",
-                    document->version)));
+                    found.version)));
+  }
+  return found;
+}
+
+ExitCode ReportSame(const Invocation& invocation, std::uint64_t version) {
+  if (invocation.WantsJson()) {
+    PrintJson(invocation, {{"version", version}, {"state", "accepted"}});
+  } else {
+    invocation.Streams().out
+        << fmt::format("version {} has this text already\n", version);
   }
-  return 0;
+  return ExitCode::kDone;
 }
 
 ExitCode RunPut(const Invocation& invocation) {
@@ -63,8 +91,12 @@
   if (!fleet) {
     return ReportFindings(invocation, fleet.error());
   }
-  const auto base = FindBase(invocation);
-  return base ? SendDocument(invocation, *text, *base) : base.error();
+  const auto base = FindBase(invocation, *text);
+  if (!base) {
+    return base.error();
+  }
+  return base->is_same ? ReportSame(invocation, base->version)
+                       : SendDocument(invocation, *text, base->version);
 }
 
 tl::expected<config::SectionName, ExitCode> ReadSectionName(
--- a/src/cassiastile/operator/history_commands.cpp
+++ b/src/cassiastile/operator/history_commands.cpp
@@ -115,15 +115,15 @@
 
 void AddAuditOptions(po::options_description& options) {
   options.add_options()("since", po::value<std::string>(),
-                        "only changes from this sequence number or time on")(
-      "section", po::value<std::string>(), "only changes of this section")(
-      "team", po::value<std::string>(), "only changes about this team");
+                        "only changes from this time on, in UTC, such as "
+                        "2026-12-03T21:00")("section", po::value<std::string>(),
+                                            "only changes of this section");
 }
 
 std::string AuditPath(const Invocation& invocation) {
   std::string path = "/v1/audit";
   char separator = '?';
-  for (const char* name : {"since", "section", "team"}) {
+  for (const char* name : {"since", "section"}) {
     const std::string value = invocation.Text(name);
     if (!value.empty()) {
       path += fmt::format("{}{}={}", separator, name, EncodeSegment(value));
@@ -169,7 +169,7 @@
   audit.name = "audit";
   audit.summary = "print the chain of changes and whether it is unbroken";
   audit.examples =
-      "  cassiactl audit --since 120 --section keys\n"
+      "  cassiactl audit --since 2026-12-03T21:00 --section keys\n"
       "  cassiactl audit --json\n"
       "Ends with 1 when the chain is broken.\n";
   audit.add_options = AddAuditOptions;
--- a/src/cassiastile/operator/report.cpp
+++ b/src/cassiastile/operator/report.cpp
@@ -42,12 +42,12 @@
 }
 
 ExitCode ReportRefusal(const Invocation& invocation, const ApiAnswer& answer) {
-  if (HasFindings(answer.body)) {
-    return ReportFindings(invocation, ReadFindings(answer.body, "document"));
-  }
   if (invocation.WantsJson()) {
     PrintJson(invocation, answer.body);
   } else {
+    if (HasFindings(answer.body)) {
+      ReportFindings(invocation, ReadFindings(answer.body, "document"));
+    }
     invocation.Streams().err << FormatProblem(answer);
   }
   const bool unknown = TextOf(answer.body, "execution") == "unknown";
