--- a/src/cassiastile/operator/cassiactl_test.cpp
+++ b/src/cassiastile/operator/cassiactl_test.cpp
@@ -385,6 +385,19 @@
   const Outcome broken = Call({"audit"});
   EXPECT_EQ(broken.code, ExitCode::kRefused);
   EXPECT_TRUE(Contains(broken.out, "chain: broken at 4"));
+  m_control.Set("GET /v1/audit", 200,
+                {{"rows",
+                  {{{"sequence", 5},
+                    {"at", "now"},
+                    {"who", "ann"},
+                    {"what", "host drained"},
+                    {"version", 7},
+                    {"detail", "entries-03"},
+                    {"hash", std::string(64, 'a')}}}},
+                 {"chain", "ok"}});
+  EXPECT_TRUE(Contains(Call({"audit"}).out,
+                       "5         now  ann  host drained  7        -         "
+                       "entries-03  aaaaaaaaaaaa\n"));
 }
 
 TEST_F(CassiactlTest, ShowsDifferencesAndHistory) {
--- a/src/cassiastile/operator/documents.cpp
+++ b/src/cassiastile/operator/documents.cpp
@@ -77,7 +77,11 @@
 std::string FormatChange(const nlohmann::json& body) {
   std::string text = "nothing was changed; the fleet would do this:\n";
   if (body.contains("change")) {
-    text += FormatJson(body["change"]);
+    for (const auto& member : body["change"].items()) {
+      const bool says_something = !member.value().empty();
+      text +=
+          says_something ? FormatJson({{member.key(), member.value()}}) : "";
+    }
   }
   return text + Printable(TextOf(body, "diff"), true);
 }
--- a/src/cassiastile/operator/history_commands.cpp
+++ b/src/cassiastile/operator/history_commands.cpp
@@ -16,6 +16,7 @@
 
 namespace po = boost::program_options;
 
+constexpr std::size_t kDigestDigits = 64;
 constexpr std::size_t kShownDigits = 12;  // Of a digest, in tables.
 
 std::optional<std::uint64_t> ReadVersion(const std::string& word) {
@@ -26,6 +27,14 @@
   return whole && version > 0 ? std::optional(version) : std::nullopt;
 }
 
+// A digest cut for tables; any other text stays.
+std::string ShortenDigest(const std::string& text) {
+  const bool is_digest =
+      text.size() == kDigestDigits &&
+      text.find_first_not_of("0123456789abcdef") == std::string::npos;
+  return is_digest ? text.substr(0, kShownDigits) : text;
+}
+
 // A document under the label that a diff shows.
 struct LabelledDocument {
   std::string label;
@@ -134,10 +143,20 @@
 }
 
 std::string FormatAudit(const nlohmann::json& body) {
-  std::string text = body.is_object() && body.contains("rows")
-                         ? FormatJson(body["rows"])
-                         : FormatJson(body);
-  return text + fmt::format("chain: {}\n", Printable(TextOf(body, "chain")));
+  Table table({"sequence", "at", "who", "what", "version", "sections", "detail",
+               "hash"});
+  if (body.is_object() && body.contains("rows")) {
+    for (const auto& row : body["rows"]) {
+      table.Add({std::to_string(NumberOf(row, "sequence")), TextOf(row, "at"),
+                 TextOf(row, "who"), TextOf(row, "what"),
+                 std::to_string(NumberOf(row, "version")),
+                 row.contains("sections") ? FormatCell(row["sections"]) : "-",
+                 ShortenDigest(TextOf(row, "detail")),
+                 ShortenDigest(TextOf(row, "hash"))});
+    }
+  }
+  return table.Format() +
+         fmt::format("chain: {}\n", Printable(TextOf(body, "chain")));
 }
 
 // A broken chain means that the history of changes was edited.
--- a/src/cassiastile/operator/report.cpp
+++ b/src/cassiastile/operator/report.cpp
@@ -16,10 +16,10 @@
 // What a refusal says, in one or more lines.
 std::string FormatProblem(const ApiAnswer& answer) {
   const nlohmann::json& body = answer.body;
-  std::string text = fmt::format("refused with status {}", answer.status);
+  std::string text = fmt::format("refused with status {}:", answer.status);
   for (const char* member : {"title", "detail"}) {
     const std::string sentence = TextOf(body, member);
-    text += sentence.empty() ? "" : ": " + Printable(sentence);
+    text += sentence.empty() ? "" : " " + Printable(sentence);
   }
   text += '\n';
   if (!answer.retry_after.empty()) {
