Account shares by resource and spread by numbers

A team whose tasks are bound now by cores, now by memory was charged for the largest part at each moment, and fell behind. What a team had is now summed by resource for a minute before the largest part is taken. Zones and racks are numbered, which takes string maps out of placement.

--- a/include/cassiastile/work/placement.hpp
+++ b/include/cassiastile/work/placement.hpp
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,8 +14,8 @@
 // A host as a place for tasks.
 struct PlacementHost {
   std::string name;
-  std::string zone;
-  std::string rack;
+  std::size_t zone = 0;  // Numbers that zones and racks have for the counts.
+  std::size_t rack = 0;
   Resources capacity;
   Resources placed;  // Taken by the tasks on it.
   // Kept free for urgent tasks.
@@ -33,8 +32,8 @@
 
 // How many tasks of the team run in each zone and rack.
 struct TeamSpread {
-  std::map<std::string, std::uint32_t> zones;
-  std::map<std::string, std::uint32_t> racks;
+  std::vector<std::uint32_t> zones;
+  std::vector<std::uint32_t> racks;
 };
 
 struct PlacementRequest {
--- a/include/cassiastile/work/share_account.hpp
+++ b/include/cassiastile/work/share_account.hpp
@@ -53,9 +53,15 @@
     double weight = 1;
     Resources use;
     Demand demand = Demand::kNone;
-    double had = 0;  // Dominant share times seconds, by weight.
+    // Dominant share times seconds, by weight, up to the last fold.
+    double folded = 0;
+    Resources since_fold;  // Resources times seconds.
+    base::TimePoint fold_at{};
   };
 
+  double Had(const Account& account) const;
+  void Fold(Account& account, base::TimePoint now) const;
+
   void LiftThoseBehind();
 
   base::Duration m_horizon;
--- a/include/cassiastile/work/task_shard.hpp
+++ b/include/cassiastile/work/task_shard.hpp
@@ -220,7 +220,7 @@
   void PrepareHost(PlacementHost& host) const;
   void DispatchUrgency(bool urgent);
   PlaceResult PlaceNext(const std::string& team, bool urgent);
-  bool PlaceOne(const TaskEntry& entry);
+  bool PlaceOne(const TaskEntry& entry, const TeamSpread& spread);
   void Lease(TaskEntry entry, PlacementHost& host, const SizeEstimate& size);
   PlacementRequest MakeRequest(const TaskEntry& entry,
                                const SizeEstimate& estimate,
@@ -262,6 +262,8 @@
   std::map<std::string, WorkerState> m_workers;
   std::vector<PlacementHost> m_hosts;
   std::map<std::string, std::size_t> m_host_index;
+  std::map<std::string, std::size_t> m_zones;
+  std::map<std::string, std::size_t> m_racks;
   Resources m_largest;  // The most of each resource that one host has.
   std::map<std::string, TeamWait> m_waits;
   std::map<std::string, base::TimePoint> m_held_until;  // For urgent tasks.
--- a/src/bin/measure_tasks_run.hpp
+++ b/src/bin/measure_tasks_run.hpp
@@ -77,6 +77,7 @@
 
 struct ShareResult {
   double error = 0;
+  double error_in_warm_up = 0;
   double utilisation = 0;
   double tasks = 0;
   double reads_per_task = 0;
@@ -134,6 +135,7 @@
   const platform::MemoryCounts counts = run->table.Counts();
   ShareResult result;
   result.error = meter.LargestError();
+  result.error_in_warm_up = meter.LargestError(true);
   result.utilisation = meter.Utilisation();
   result.tasks = ended;
   result.reads_per_task = static_cast<double>(counts.reads) / ended;
@@ -193,6 +195,7 @@
   }
   ShareResult result;
   result.error = meter.LargestError();
+  result.error_in_warm_up = meter.LargestError(true);
   result.utilisation = meter.Utilisation();
   return result;
 }
--- a/src/cassiastile/work/placement.cpp
+++ b/src/cassiastile/work/placement.cpp
@@ -2,16 +2,16 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <tuple>
 
 namespace cassiastile::work {
 
 namespace {
 
-std::uint32_t CountIn(const std::map<std::string, std::uint32_t>& counts,
-                      const std::string& name) {
-  const auto found = counts.find(name);
-  return found == counts.end() ? 0 : found->second;
+std::uint32_t CountIn(const std::vector<std::uint32_t>& counts,
+                      std::size_t index) {
+  return index < counts.size() ? counts[index] : 0;
 }
 
 bool EndsBeforeDrain(const PlacementHost& host,
@@ -81,7 +81,7 @@
 double SpreadReserve(std::vector<PlacementHost>& hosts,
                      double cores,
                      const Resources& piece) {
-  std::map<std::string, std::uint32_t> in_zone;
+  std::map<std::size_t, std::uint32_t> in_zone;
   double reserved = 0;
   for (PlacementHost& host : hosts) {
     host.reserve = {};
--- a/src/cassiastile/work/share_account.cpp
+++ b/src/cassiastile/work/share_account.cpp
@@ -13,11 +13,10 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-double LargestPart(const Resources& amount, const Resources& capacity) {
-  const double positive = DominantShare(amount, capacity);
-  const double negative = DominantShare(amount * -1, capacity);
-  return positive >= negative ? positive : -negative;
-}
+// What a team had is summed by resource for so long before the largest part is
+// taken, so that a team whose tasks differ is not charged for the largest part
+// of each.
+constexpr base::Duration kFoldInterval = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -36,7 +35,7 @@
                           Demand demand) {
   Account& account = m_accounts[team];
   if (account.demand == Demand::kNone && demand != Demand::kNone) {
-    account.had = std::max(account.had, m_floor);
+    account.folded += std::max(0.0, m_floor - Had(account));
   }
   account.use = use;
   account.demand = demand;
@@ -47,8 +46,8 @@
       m_last == base::TimePoint{} ? 0 : Seconds(now - m_last);
   m_last = now;
   for (auto& [team, account] : m_accounts) {
-    const double part = DominantShare(account.use, m_capacity);
-    account.had += part * seconds / account.weight;
+    account.since_fold = account.since_fold + account.use * seconds;
+    Fold(account, now);
   }
   LiftThoseBehind();
 }
@@ -56,7 +55,7 @@
 void ShareAccount::Correct(const std::string& team,
                            const Resources& resource_seconds) {
   Account& account = m_accounts[team];
-  account.had += LargestPart(resource_seconds, m_capacity) / account.weight;
+  account.since_fold = account.since_fold + resource_seconds;
 }
 
 double ShareAccount::Standing(const std::string& team) const {
@@ -65,8 +64,8 @@
     return m_floor;
   }
   const Account& account = found->second;
-  const double now = DominantShare(account.use, m_capacity) / account.weight;
-  return account.had + now * Seconds(m_horizon);
+  const Resources soon = account.since_fold + account.use * Seconds(m_horizon);
+  return account.folded + DominantShare(soon, m_capacity) / account.weight;
 }
 
 double ShareAccount::Entitlement(const std::string& team) const {
@@ -87,11 +86,25 @@
              : DominantShare(found->second.use, m_capacity);
 }
 
+double ShareAccount::Had(const Account& account) const {
+  const double part = DominantShare(account.since_fold, m_capacity);
+  return account.folded + part / account.weight;
+}
+
+void ShareAccount::Fold(Account& account, base::TimePoint now) const {
+  if (now - account.fold_at < kFoldInterval) {
+    return;
+  }
+  account.folded = Had(account);
+  account.since_fold = {};
+  account.fold_at = now;
+}
+
 void ShareAccount::LiftThoseBehind() {
   double floor = std::numeric_limits<double>::infinity();
   for (const auto& [team, account] : m_accounts) {
     if (account.demand == Demand::kWaiting) {
-      floor = std::min(floor, account.had);
+      floor = std::min(floor, Had(account));
     }
   }
   if (std::isinf(floor)) {
@@ -99,7 +112,7 @@
   }
   m_floor = floor;
   for (auto& [team, account] : m_accounts) {
-    account.had = std::max(account.had, m_floor);
+    account.folded += std::max(0.0, m_floor - Had(account));
   }
 }
 
--- a/src/cassiastile/work/task_shard.cpp
+++ b/src/cassiastile/work/task_shard.cpp
@@ -42,8 +42,6 @@
 PlacementHost MakePlacementHost(const fleet::HostView& view) {
   PlacementHost host;
   host.name = view.host.name;
-  host.zone = view.host.zone;
-  host.rack = view.host.rack;
   host.capacity = CapacityOf(view.host);
   host.draining = view.state == fleet::HostState::kDraining;
   host.in_service = view.state == fleet::HostState::kInService;
@@ -51,6 +49,12 @@
   return host;
 }
 
+// The number of a name, a new one where it has none yet.
+std::size_t NumberOf(std::map<std::string, std::size_t>& numbers,
+                     const std::string& name) {
+  return numbers.try_emplace(name, numbers.size()).first->second;
+}
+
 }  // namespace
 
 std::string_view NameOf(Verdict verdict) {
@@ -111,11 +115,15 @@
 void TaskShard::SetHosts(const std::vector<fleet::HostView>& hosts) {
   m_hosts.clear();
   m_host_index.clear();
+  m_zones.clear();
+  m_racks.clear();
   m_largest = {};
   Resources capacity;
   for (const fleet::HostView& view : hosts) {
     m_host_index[view.host.name] = m_hosts.size();
     m_hosts.push_back(MakePlacementHost(view));
+    m_hosts.back().zone = NumberOf(m_zones, view.host.zone);
+    m_hosts.back().rack = NumberOf(m_racks, view.host.rack);
     capacity = capacity + m_hosts.back().capacity;
     m_largest = Largest(m_largest, m_hosts.back().capacity);
   }
--- a/src/cassiastile/work/task_shard_dispatch.cpp
+++ b/src/cassiastile/work/task_shard_dispatch.cpp
@@ -21,7 +21,7 @@
 // How long room that was made for an urgent task is kept for it.
 constexpr base::Duration kRoomHeld = std::chrono::seconds(5);
 // A team's first task that waits for longer has a host kept for it.
-constexpr base::Duration kHoldAfter = std::chrono::seconds(2);
+constexpr base::Duration kHoldAfter = std::chrono::milliseconds(500);
 // Below this part of its entitlement a team has room made for it.
 constexpr double kFarBelow = 0.5;
 
@@ -133,8 +133,9 @@
         team, tasks.in_use, m_pool);
     return PlaceResult::kAtLimit;
   }
+  const TeamSpread spread = SpreadOf(team);
   for (const std::string& key : FirstOf(order, kHeadsTried)) {
-    if (PlaceOne(*m_book.Find(key))) {
+    if (PlaceOne(*m_book.Find(key), spread)) {
       return PlaceResult::kPlaced;
     }
   }
@@ -147,8 +148,7 @@
   return PlaceResult::kNoRoom;
 }
 
-bool TaskShard::PlaceOne(const TaskEntry& entry) {
-  const TeamSpread spread = SpreadOf(entry.task.spec.team);
+bool TaskShard::PlaceOne(const TaskEntry& entry, const TeamSpread& spread) {
   const SizeEstimate estimate = EstimateFor(entry.task.spec);
   const auto index =
       PickHost(m_hosts, MakeRequest(entry, estimate, spread), m_moment.now);
@@ -185,9 +185,10 @@
                           100 * m_shares.Entitlement(task.spec.team))});
   decision.reasons.push_back(
       {"spread over zones and racks", "pools", m_version,
-       fmt::format("zone {}, rack {}, {} size {:.1f} cores {:.1f} GB",
-                   host.zone, host.rack, size.learned ? "learnt" : "declared",
-                   size.size.cores, size.size.memory_gb)});
+       fmt::format("fewest of the team's runs in its zone and rack, {} size "
+                   "{:.1f} cores {:.1f} GB",
+                   size.learned ? "learnt" : "declared", size.size.cores,
+                   size.size.memory_gb)});
   Write(std::move(entry), "given to worker " + host.name);
 }
 
@@ -222,6 +223,8 @@
 
 TeamSpread TaskShard::SpreadOf(const std::string& team) const {
   TeamSpread spread;
+  spread.zones.resize(m_zones.size());
+  spread.racks.resize(m_racks.size());
   for (const auto& [worker, count] : m_book.TeamOf(team).on_worker) {
     const auto index = m_host_index.find(worker);
     if (index != m_host_index.end()) {
