--- a/src/cassiastile/standin/worker_task_test.cpp
+++ b/src/cassiastile/standin/worker_task_test.cpp
@@ -298,5 +298,36 @@
   EXPECT_EQ(world.CountLog("u/push", WorkerAct::kStarted), 0U);
 }
 
+TEST(RecoveryTest, TakesSubmissionsWhileReadingAndLosesNothing) {
+  TaskWorld world;
+  constexpr int kTasks = 1200;
+  for (int index = 0; index < kTasks; ++index) {
+    world.Submit(MakeSpec(std::to_string(index), 600));
+  }
+  world.TakeOver(1);
+  EXPECT_EQ(world.Submit(MakeSpec("new", 600)).effect, Effect::kCommitted);
+  EXPECT_NE(world.Submit(MakeSpec("0", 600)).effect, Effect::kUnknown);
+  world.Run(seconds(2));
+  EXPECT_EQ(world.Owner().Shard().Book().Size(), kTasks + 1U);
+  EXPECT_EQ(world.Submit(MakeSpec("0", 600)).reply.verdict, Verdict::kSame);
+}
+
+TEST(CancelTest, WaveOfThousandsDoesNotDelayAStart) {
+  TaskWorld world;
+  for (int index = 0; index < 3000; ++index) {
+    world.Submit(MakeSpec(std::to_string(index), 600));
+  }
+  for (int index = 100; index < 3000; ++index) {
+    world.Send(work::CancelEvent{"q/" + std::to_string(index)});
+  }
+  work::TaskSpec push = MakeSpec("push", 5);
+  push.queue = "u";
+  push.urgent = true;
+  world.Submit(push);
+  world.Run(seconds(5));
+  EXPECT_EQ(world.CountLog("u/push", WorkerAct::kStarted), 1U);
+  EXPECT_EQ(world.Stored("q/2999")->outcome, TaskOutcome::kCancelled);
+}
+
 }  // namespace
 }  // namespace cassiastile::standin
--- /dev/null
+++ b/src/cassiastile/work/task_policy_test.cpp
@@ -0,0 +1,132 @@
+#include <gtest/gtest.h>
+
+#include "cassiastile/work/placement.hpp"
+#include "cassiastile/work/share_account.hpp"
+#include "cassiastile/work/size_estimate.hpp"
+#include "cassiastile/work/worker_health.hpp"
+
+namespace cassiastile::work {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Resources kPool{100, 400, 0};
+
+TaskSpec MakeSpec(const std::string& team, const std::string& kind) {
+  TaskSpec spec;
+  spec.team = team;
+  spec.kind = kind;
+  spec.declared = {8, 16, 0};
+  spec.seconds = 100;
+  return spec;
+}
+
+TEST(SizeEstimateTest, LearnsWhatADeclarationHides) {
+  SizeEstimator sizes;
+  EXPECT_EQ(sizes.Estimate(MakeSpec("a", "k")).size.cores, 8);
+  for (int run = 0; run < 5; ++run) {
+    sizes.ObserveUsage(MakeSpec("a", "k"), {2, 4, 0});
+    sizes.ObserveSeconds(MakeSpec("a", "k"), 25);
+  }
+  const SizeEstimate estimate = sizes.Estimate(MakeSpec("a", "k"));
+  EXPECT_NEAR(estimate.size.cores, 2, 0.01);
+  EXPECT_NEAR(estimate.seconds, 25, 0.1);
+}
+
+TEST(SizeEstimateTest, RenamingAKindGainsNothing) {
+  SizeEstimator sizes;
+  for (int run = 0; run < 5; ++run) {
+    sizes.ObserveUsage(MakeSpec("a", "k"), {32, 64, 0});
+  }
+  EXPECT_NEAR(sizes.Estimate(MakeSpec("a", "new")).size.cores, 32, 0.1);
+  EXPECT_NEAR(sizes.Estimate(MakeSpec("b", "new")).size.cores, 8, 0.1);
+}
+
+TEST(ShareAccountTest, BorrowedIdleCapacityIsNotHeldAgainstTheBorrower) {
+  ShareAccount shares;
+  base::ManualClock clock;
+  shares.SetCapacity(kPool);
+  shares.SetUse("a", {100, 0, 0}, Demand::kWaiting);
+  shares.Advance(clock.Now());
+  clock.Advance(seconds(600));
+  shares.Advance(clock.Now());
+  shares.SetUse("b", {}, Demand::kWaiting);
+  EXPECT_LT(shares.Standing("b"), shares.Standing("a"));
+  shares.SetUse("a", {50, 0, 0}, Demand::kWaiting);
+  shares.SetUse("b", {50, 0, 0}, Demand::kWaiting);
+  EXPECT_NEAR(shares.Standing("a"), shares.Standing("b"), 1e-6);
+  EXPECT_EQ(shares.Entitlement("a"), 0.5);
+}
+
+TEST(ShareAccountTest, WeighsTheDominantResource) {
+  ShareAccount shares;
+  shares.SetCapacity(kPool);
+  shares.SetWeight("a", 4);
+  shares.SetUse("a", {40, 0, 0}, Demand::kWaiting);
+  shares.SetUse("b", {1, 40, 0}, Demand::kWaiting);
+  EXPECT_NEAR(shares.Standing("a"), shares.Standing("b"), 1e-9);
+}
+
+PlacementHost MakeHost(const std::string& name, std::size_t zone) {
+  PlacementHost host;
+  host.name = name;
+  host.zone = zone;
+  host.rack = zone;
+  host.capacity = {16, 64, 0};
+  host.open = true;
+  return host;
+}
+
+TEST(PlacementTest, SpreadsAndKeepsLongTasksOffHostsAboutToDrain) {
+  base::ManualClock clock;
+  std::vector<PlacementHost> hosts{MakeHost("w0", 0), MakeHost("w1", 1)};
+  const TeamSpread spread{{3, 0}, {3, 0}};
+  PlacementRequest request;
+  request.size = {4, 4, 0};
+  request.seconds_upper = 100;
+  request.spread = &spread;
+  EXPECT_EQ(PickHost(hosts, request, clock.Now()), 1U);
+  hosts[1].drain_expected = clock.Now() + seconds(50);
+  EXPECT_EQ(PickHost(hosts, request, clock.Now()), 0U);
+  request.seconds_upper = 20;
+  EXPECT_EQ(PickHost(hosts, request, clock.Now()), 1U);
+}
+
+TEST(PlacementTest, ReserveIsForUrgentTasks) {
+  base::ManualClock clock;
+  std::vector<PlacementHost> hosts{MakeHost("w0", 0)};
+  EXPECT_EQ(SpreadReserve(hosts, 1, {4, 16, 0}), 4);
+  hosts[0].placed = {12, 12, 0};
+  PlacementRequest request;
+  request.size = {2, 2, 0};
+  EXPECT_FALSE(PickHost(hosts, request, clock.Now()).has_value());
+  request.urgent = true;
+  EXPECT_TRUE(PickHost(hosts, request, clock.Now()).has_value());
+}
+
+TEST(WorkerHealthTest, TaskThatFailsEverywhereQuarantinesNobody) {
+  WorkerHealthBook health;
+  base::ManualClock clock;
+  for (const std::string worker : {"w0", "w1", "w2"}) {
+    for (int run = 0; run < 5; ++run) {
+      EXPECT_FALSE(health.RecordEnd(worker, "poison", false, clock.Now()));
+    }
+  }
+}
+
+TEST(WorkerHealthTest, QuarantineNeedsCrossEvidenceAndEndsByProbing) {
+  WorkerHealthBook health;
+  base::ManualClock clock;
+  health.RecordEnd("w1", "k", true, clock.Now());
+  EXPECT_FALSE(health.RecordEnd("w0", "k", false, clock.Now()));
+  EXPECT_FALSE(health.RecordEnd("w0", "k", false, clock.Now()));
+  EXPECT_TRUE(health.RecordEnd("w0", "k", false, clock.Now()));
+  EXPECT_EQ(health.TrustIn("w0", clock.Now()), WorkerTrust::kQuarantined);
+  clock.Advance(seconds(31));
+  EXPECT_EQ(health.TrustIn("w0", clock.Now()), WorkerTrust::kProbing);
+  health.RecordEnd("w0", "k", true, clock.Now());
+  EXPECT_EQ(health.TrustIn("w0", clock.Now()), WorkerTrust::kTrusted);
+}
+
+}  // namespace
+}  // namespace cassiastile::work
