--- a/include/cassiastile/fleet/reconciler.hpp
+++ b/include/cassiastile/fleet/reconciler.hpp
@@ -33,7 +33,8 @@
   DemandOptions demand;
   // How often the machine of a host in service is asked about.
   std::chrono::seconds observe_interval{5};
-  // How long a host stays failed before the spare stands in for it.
+  // How long a host stays failed before the spare stands in for it; one that
+  // did not come back from its reboot is replaced at once.
   std::chrono::seconds replace_after{300};
   // A host that fails within this time of its return counts as its wave's.
   std::chrono::seconds correlation_time{1800};
@@ -110,6 +111,11 @@
     std::uint64_t version = 0;
     base::TimePoint time;
   };
+  // The reboots that a wave has had.
+  struct RebootTimes {
+    std::uint32_t count = 0;
+    std::chrono::seconds longest{0};
+  };
   struct Round;     // What one tick of one pool works on.
   class StepTaker;  // Visits the step of one host.
 
@@ -152,8 +158,11 @@
                           const std::string& pool) const;
   void NoteDrainTimes(const Round& round, const WaveInput& input);
   void NoteService(const HostRecord& host);
+  void NoteReboot(const HostRecord& host, base::Duration took);
+  ProgressOptions ProgressFor(const HostRecord& host) const;
   std::chrono::seconds ServiceTime(const std::string& wave) const;
   std::set<std::string> NeededStandIns(const config::Pool& pool);
+  bool HasWaited(const Stored<HostRecord>& host);
   base::Duration FailedFor(const std::string& host, std::uint64_t version);
   std::int32_t ShiftOf(const std::string& pool);
 
@@ -167,6 +176,7 @@
   FleetIndex m_index;
   FleetState m_state;
   std::map<std::string, std::chrono::seconds> m_service;  // By wave, learnt.
+  std::map<std::string, RebootTimes> m_reboots;           // By wave, learnt.
   std::map<std::string, base::TimePoint> m_drain_times;
   std::map<std::string, std::string> m_overdue;
   std::map<std::string, DemandHistory> m_demand;  // By pool.
--- a/src/cassiastile/fleet/change.cpp
+++ b/src/cassiastile/fleet/change.cpp
@@ -111,7 +111,11 @@
                       "The host " + name + " is not in service.");
   }
   const BudgetCount count = CountBudget(pool, pool_record.record, unseen);
-  if (count.Free() == 0) {
+  // Counted with the host out: a stand-in that goes leaves the failed host
+  // that it replaces uncovered.
+  PoolRecord after = pool_record.record;
+  after.out[name] = {order.reason, {}};
+  if (CountBudget(pool, after, unseen).Excess() > 0) {
     return base::Fail(base::ErrorCode::kOverloaded,
                       "The budget of the pool " + host.record.pool +
                           " has no room: " + Describe(count) + ".");
--- a/src/cassiastile/fleet/moves_test.cpp
+++ b/src/cassiastile/fleet/moves_test.cpp
@@ -59,6 +59,19 @@
   EXPECT_EQ(count.failed, 2U);
 }
 
+TEST_F(MovesTest, StandInIsNotTakenWhenThatUncoversTheHostItReplaces) {
+  m_world.document->fleet.pools[0].budget.max_out = 1;
+  Run(1);
+  m_world.machines.Fail("p0-h0");
+  Run(350);
+  ASSERT_EQ(m_world.Pool("p0").out.at("p0-h0").replaced_by, "p1-h0");
+  ASSERT_TRUE(m_reconciler.Refresh(m_world.document));
+  EXPECT_FALSE(m_reconciler.DrainHost("p1-h0", "anna", {}));
+  EXPECT_TRUE(m_reconciler.DrainHost("p0-h1", "anna", {}));
+  EXPECT_EQ(m_world.table.budget_violations, 0U)
+      << m_world.table.first_violation;
+}
+
 TEST_F(MovesTest, BurstOfSecondsMovesNobody) {
   for (int round = 0; round < 30; ++round) {
     m_world.demand.demand["p0"] = 5 * 2.0;
--- a/src/cassiastile/fleet/reconciler_hosts.cpp
+++ b/src/cassiastile/fleet/reconciler_hosts.cpp
@@ -43,6 +43,8 @@
   }
 
   bool operator()(const ProbeIt& /*step*/) const {
+    m_reconciler.NoteReboot(m_host.record,
+                            m_round.seen[m_host.record.host].in_state);
     return m_reconciler.CommitIn(m_round,
                                  StartProbe(m_round.context, Pool(), m_host));
   }
--- a/src/cassiastile/fleet/reconciler_moves.cpp
+++ b/src/cassiastile/fleet/reconciler_moves.cpp
@@ -52,6 +52,12 @@
   return now - found->second.time;
 }
 
+bool Reconciler::HasWaited(const Stored<HostRecord>& host) {
+  // A host that did not come back from its reboot was waited for already.
+  return host.record.boots.has_value() ||
+         FailedFor(host.record.host, host.version) >= m_options.replace_after;
+}
+
 std::set<std::string> Reconciler::NeededStandIns(const config::Pool& pool) {
   std::set<std::string> needed;
   const PoolRecord record = FindPoolRecord(m_state, pool.name).record;
@@ -60,7 +66,7 @@
     if (entry.reason == OutReason::kFailed && entry.replaced_by.empty() &&
         found != m_state.hosts.end() &&
         found->second.record.state == HostState::kFailed &&
-        FailedFor(host, found->second.version) >= m_options.replace_after) {
+        HasWaited(found->second)) {
       needed.insert(host);
     }
   }
--- a/src/cassiastile/fleet/reconciler_waves.cpp
+++ b/src/cassiastile/fleet/reconciler_waves.cpp
@@ -14,6 +14,10 @@
 // The weight of the latest host in the learnt service time, as a divisor.
 constexpr int kServiceSmoothing = 4;
 
+constexpr std::uint32_t kRebootsToLearn = 3;
+constexpr int kRebootPatience = 2;  // Times the longest reboot seen.
+constexpr std::chrono::seconds kShortestRebootTimeout(120);
+
 bool IsLeftOut(const HostRecord& host) {
   return host.state == HostState::kFailed ||
          host.reason == OutReason::kOperator ||
@@ -130,7 +134,7 @@
     order.detail = fmt::format("next of the wave {}; {}", wave.name, step.why);
     base::Result<Change> change = PlanTake(round, host, order);
     if (!change) {
-      return true;
+      continue;
     }
     for (const SkippedHost& skipped : step.skipped) {
       change->decision.reasons.push_back({"not " + skipped.host, "waves",
@@ -219,6 +223,30 @@
   }
 }
 
+void Reconciler::NoteReboot(const HostRecord& host, base::Duration took) {
+  if (host.state != HostState::kRebooting || host.wave.empty()) {
+    return;
+  }
+  RebootTimes& times = m_reboots[host.wave];
+  ++times.count;
+  times.longest =
+      std::max(times.longest, std::chrono::ceil<std::chrono::seconds>(took));
+}
+
+// Once a wave has had a few reboots, one that takes much longer than the
+// longest of them is given up before the general timeout.
+ProgressOptions Reconciler::ProgressFor(const HostRecord& host) const {
+  ProgressOptions options = m_options.progress;
+  const auto found = m_reboots.find(host.wave);
+  if (found != m_reboots.end() && found->second.count >= kRebootsToLearn) {
+    options.reboot_timeout =
+        std::min(options.reboot_timeout,
+                 std::max(kRebootPatience * found->second.longest,
+                          kShortestRebootTimeout));
+  }
+  return options;
+}
+
 std::chrono::seconds Reconciler::ServiceTime(const std::string& wave) const {
   const auto found = m_service.find(wave);
   return found == m_service.end() ? m_options.assumed_service : found->second;
