--- a/src/bin/measure_fleet.cpp
+++ b/src/bin/measure_fleet.cpp
@@ -3,6 +3,11 @@
 #include <cmath>
 #include <cstdio>
 #include <fstream>
+#include <limits>
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -244,6 +249,35 @@
   return demand;
 }
 
+// The least idle hosts, summed over the hours, that keep to the same misses
+// when each hour's demand is known before it comes.
+double LeastBuffer(std::span<const double> demand,
+                   std::size_t hour,
+                   double mean,
+                   double misses) {
+  constexpr int kTargets = 200;
+  constexpr double kLargestTarget = 0.05;
+  const std::size_t hours = demand.size() / hour;
+  double least = std::numeric_limits<double>::max();
+  for (int step = 0; step <= kTargets; ++step) {
+    fleet::BufferOptions options;
+    options.miss_target = kLargestTarget * step / kTargets;
+    double held = 0;
+    double missed = 0;
+    for (std::size_t i = 0; i < hours; ++i) {
+      const auto next = demand.subspan(i * hour, hour);
+      const std::uint32_t hosts = fleet::HostsForDemand(next, options);
+      held += hosts - mean;
+      missed +=
+          fleet::MissRatio(next, hosts, options) / static_cast<double>(hours);
+    }
+    if (missed <= misses) {
+      least = std::min(least, held);
+    }
+  }
+  return least;
+}
+
 void MeasureBuffer() {
   constexpr int kHour = 3600;
   constexpr int kHours = 40;
@@ -264,23 +298,18 @@
   const fleet::BufferOptions options;
   double held = 0;
   double held_misses = 0;
-  double least = 0;
   double fixed_misses = 0;
-  for (int hour = 1; hour <= kHours; ++hour) {
-    const auto seen =
-        all.subspan(static_cast<std::size_t>((hour - 1) * kHour), kHour);
-    const auto next =
-        all.subspan(static_cast<std::size_t>(hour * kHour), kHour);
+  for (std::size_t hour = 1; hour <= kHours; ++hour) {
+    const auto seen = all.subspan((hour - 1) * kHour, kHour);
+    const auto next = all.subspan(hour * kHour, kHour);
     const fleet::BufferPlan plan = fleet::PlanBuffer(seen, options);
     held += plan.for_demand - kMean;
-    const double misses = fleet::MissRatio(next, plan.for_demand, options);
-    held_misses += misses / kHours;
-    fleet::BufferOptions equal = options;
-    equal.miss_target = misses;
-    least += fleet::HostsForDemand(next, equal) - kMean;
+    held_misses += fleet::MissRatio(next, plan.for_demand, options) / kHours;
     fixed_misses +=
         fleet::MissRatio(next, kMean * kFixedSpare, options) / kHours;
   }
+  const double least =
+      LeastBuffer(all.subspan(kHour), kHour, kMean, held_misses);
   Print({"buffer_over_least", held / least, "ratio", "lower",
          kMean * (kFixedSpare - 1) * kHours / least});
   Print(
--- a/src/cassiastile/fleet/reconciler_waves.cpp
+++ b/src/cassiastile/fleet/reconciler_waves.cpp
@@ -83,8 +83,10 @@
                   round.Unseen(m_state));
   input.wall = round.context.wall;
   for (const auto& [host, stored] : m_state.hosts) {
-    const DeclaredHost* declared = FindHost(m_index, host);
-    if (declared != nullptr && stored.record.state != HostState::kInService) {
+    if (stored.record.state == HostState::kInService) {
+      continue;
+    }
+    if (const DeclaredHost* declared = FindHost(m_index, host)) {
       ++input.rack_out[RackOf(*declared->host)];
     }
   }
--- a/src/cassiastile/fleet/wave_plan.cpp
+++ b/src/cassiastile/fleet/wave_plan.cpp
@@ -105,10 +105,12 @@
   step.why = why;
   step.canary = IsCanaryPhase(input);
   std::map<std::string, std::uint32_t> rack_out = input.rack_out;
+  const std::string held_back =
+      allowed == 0 ? why : fmt::format("{} go before it; {}", allowed, why);
   for (const WaveHost* host : OrderHosts(input)) {
     std::uint32_t& rack = rack_out[RackOf(host->host)];
     if (step.take.size() >= allowed) {
-      step.skipped.push_back({host->host.name, why});
+      step.skipped.push_back({host->host.name, held_back});
     } else if (rack >= input.wave->per_rack) {
       step.skipped.push_back(
           {host->host.name, fmt::format("its rack has {} of {} out", rack,
