--- a/include/cassiastile/fleet/reconciler.hpp
+++ b/include/cassiastile/fleet/reconciler.hpp
@@ -154,8 +154,8 @@
                                                 base::Duration in_state) const;
   std::vector<platform::Precondition> Neighbours(const std::string& host) const;
   WaveInput MakeWaveInput(const Round& round, const config::Wave& wave) const;
-  PoolRemainder Remainder(const config::Wave& wave,
-                          const std::string& pool) const;
+  std::map<std::string, PoolRemainder> Remainders(
+      const config::Wave& wave) const;
   void NoteDrainTimes(const Round& round, const WaveInput& input);
   void NoteService(const HostRecord& host);
   void NoteReboot(const HostRecord& host, base::Duration took);
--- a/src/cassiastile/fleet/reconciler.cpp
+++ b/src/cassiastile/fleet/reconciler.cpp
@@ -20,15 +20,18 @@
   return unseen;
 }
 
-std::vector<std::string> Reconciler::Round::Members(
+const std::vector<std::string>& Reconciler::Round::Members(
     const FleetState& state) const {
-  std::vector<std::string> members;
+  if (members) {
+    return *members;
+  }
+  members.emplace();
   for (const auto& [host, stored] : state.hosts) {
     if (stored.record.pool == pool) {
-      members.push_back(host);
+      members->push_back(host);
     }
   }
-  return members;
+  return *members;
 }
 
 Reconciler::Reconciler(std::string name,
@@ -107,6 +110,7 @@
 }
 
 bool Reconciler::CommitIn(Round& round, Change change) {
+  round.members.reset();
   for (const auto& host : change.hosts) {
     m_observer.Forget(host.record.host);
     round.seen.try_emplace(host.record.host);
--- a/src/cassiastile/fleet/reconciler_hosts.cpp
+++ b/src/cassiastile/fleet/reconciler_hosts.cpp
@@ -111,7 +111,8 @@
 };
 
 bool Reconciler::StepHosts(Round& round) {
-  for (const std::string& host : round.Members(m_state)) {
+  const std::vector<std::string> members = round.Members(m_state);
+  for (const std::string& host : members) {
     m_overdue.erase(host);
     if (!StepHost(round, host)) {
       return false;
@@ -168,7 +169,8 @@
   if (!round.may_take) {
     return true;
   }
-  for (const std::string& host : round.Members(m_state)) {
+  const std::vector<std::string> members = round.Members(m_state);
+  for (const std::string& host : members) {
     const Stored<HostRecord> stored = m_state.hosts.at(host);
     const DeclaredHost* declared = FindHost(m_index, host);
     const bool here = declared != nullptr && declared->pool->name == round.pool;
--- a/src/cassiastile/fleet/reconciler_moves.cpp
+++ b/src/cassiastile/fleet/reconciler_moves.cpp
@@ -131,7 +131,8 @@
 }
 
 bool Reconciler::LendHost(Round& round, const TakeOrder& order) {
-  for (const std::string& host : round.Members(m_state)) {
+  const std::vector<std::string> members = round.Members(m_state);
+  for (const std::string& host : members) {
     if (m_state.hosts.at(host).record.state != HostState::kInService ||
         !IsKnownUp(round.seen[host])) {
       continue;
@@ -149,12 +150,13 @@
   const std::int32_t shift = ShiftOf(round.pool);
   const bool measured = m_ports.demand != nullptr &&
                         m_ports.demand->Demand(round.pool).has_value();
-  const auto members =
+  const auto size =
       static_cast<std::int32_t>(CountMembers(m_state, round.pool));
-  std::int32_t surplus = measured ? -shift : members;
+  std::int32_t surplus = measured ? -shift : size;
   surplus -= CountLeaving(m_state, round.pool);
   const PoolRecord record = FindPoolRecord(m_state, round.pool).record;
-  for (const std::string& host : round.Members(m_state)) {
+  const std::vector<std::string> members = round.Members(m_state);
+  for (const std::string& host : members) {
     const HostRecord& stored = m_state.hosts.at(host).record;
     const DeclaredHost* declared = FindHost(m_index, host);
     const bool lent = declared != nullptr && declared->pool->spare &&
--- a/src/cassiastile/fleet/reconciler_round.hpp
+++ b/src/cassiastile/fleet/reconciler_round.hpp
@@ -22,7 +22,10 @@
 
   // Members that are in service by their rows but not known to be up.
   std::set<std::string> Unseen(const FleetState& state) const;
-  std::vector<std::string> Members(const FleetState& state) const;
+  // The pool's hosts by name, kept until the next change.
+  const std::vector<std::string>& Members(const FleetState& state) const;
+
+  mutable std::optional<std::vector<std::string>> members;
 };
 
 }  // namespace cassiastile::fleet
--- a/src/cassiastile/fleet/reconciler_waves.cpp
+++ b/src/cassiastile/fleet/reconciler_waves.cpp
@@ -166,33 +166,35 @@
                              forecast.total, forecast.left_out)));
 }
 
-PoolRemainder Reconciler::Remainder(const config::Wave& wave,
-                                    const std::string& pool) const {
-  PoolRemainder remainder;
+std::map<std::string, PoolRemainder> Reconciler::Remainders(
+    const config::Wave& wave) const {
+  std::map<std::string, PoolRemainder> remainders;
+  for (const std::string& pool : wave.pools) {
+    const BudgetCount count = CountBudget(
+        FindPool(m_index, pool), FindPoolRecord(m_state, pool).record, {});
+    remainders[pool].max_out = count.max_out;
+    remainders[pool].failed = count.failed;
+  }
   const WaveRecord record = FindWaveRecord(m_state, wave.name).record;
   for (const auto& [host, stored] : m_state.hosts) {
-    if (stored.record.pool != pool) {
+    const auto found = remainders.find(stored.record.pool);
+    if (found == remainders.end()) {
       continue;
     }
-    ++remainder.total;
+    ++found->second.total;
     if (IsDone(record, stored.record)) {
-      ++remainder.done;
+      ++found->second.done;
     } else if (IsLeftOut(stored.record)) {
-      ++remainder.left_out;
+      ++found->second.left_out;
     }
   }
-  const BudgetCount count = CountBudget(
-      FindPool(m_index, pool), FindPoolRecord(m_state, pool).record, {});
-  remainder.max_out = count.max_out;
-  remainder.failed = count.failed;
-  return remainder;
+  return remainders;
 }
 
 WaveForecast Reconciler::Forecast(const config::Wave& wave) const {
   std::vector<PoolRemainder> pools;
-  pools.reserve(wave.pools.size());
-  for (const std::string& pool : wave.pools) {
-    pools.push_back(Remainder(wave, pool));
+  for (const auto& [pool, remainder] : Remainders(wave)) {
+    pools.push_back(remainder);
   }
   return ForecastWave(wave, pools, ServiceTime(wave.name),
                       m_service.contains(wave.name), m_ports.clock.WallNow());
