--- a/include/cassiastile/fleet/reconciler.hpp
+++ b/include/cassiastile/fleet/reconciler.hpp
@@ -100,6 +100,12 @@
     return m_drain_times;
   }
 
+  // The rule that set how many hosts each wave took last, by wave and pool.
+  const std::map<std::string, std::map<std::string, std::string>>& Limits()
+      const {
+    return m_limits;
+  }
+
   // The hosts whose work runs past their drain deadline, and what runs.
   const std::map<std::string, std::string>& Overdue() const {
     return m_overdue;
@@ -179,6 +185,7 @@
   std::map<std::string, RebootTimes> m_reboots;           // By wave, learnt.
   std::map<std::string, base::TimePoint> m_drain_times;
   std::map<std::string, std::string> m_overdue;
+  std::map<std::string, std::map<std::string, std::string>> m_limits;
   std::map<std::string, DemandHistory> m_demand;  // By pool.
   std::map<std::string, FailedSince> m_failed_since;
 };
--- a/src/cassiastile/control/pool_service.cpp
+++ b/src/cassiastile/control/pool_service.cpp
@@ -128,6 +128,7 @@
   published->state = m_reconciler.State();
   published->drain_times = m_reconciler.DrainTimes();
   published->overdue = m_reconciler.Overdue();
+  published->limits = m_reconciler.Limits();
   for (const config::Wave& wave : m_document->fleet.waves) {
     published->forecasts[wave.name] = m_reconciler.Forecast(wave);
   }
--- a/src/cassiastile/control/pool_service_test.cpp
+++ b/src/cassiastile/control/pool_service_test.cpp
@@ -117,6 +117,10 @@
   Run(1);
   const auto started = Call("POST", "/v1/waves/wave/start", kBertsKey);
   ASSERT_EQ(started.status, 200) << started.body;
+  Run(5);
+  const auto running = Call("GET", "/v1/waves/wave", kAnnasKey);
+  EXPECT_EQ(nlohmann::json::parse(running.body)["limits"]["p0"],
+            "2 of 2 at once are out");
   Run(400);
   const auto shown = Call("GET", "/v1/waves/wave", kAnnasKey);
   const auto body = nlohmann::json::parse(shown.body);
--- a/src/cassiastile/control/pool_status.cpp
+++ b/src/cassiastile/control/pool_status.cpp
@@ -153,6 +153,10 @@
           base::FormatWallTime(*forecast->second.finish);
     }
   }
+  const auto limits = snapshot.limits.find(wave.name);
+  if (limits != snapshot.limits.end()) {
+    body["limits"] = limits->second;
+  }
   body["obstacles"] = fleet::FindWaveObstacles(snapshot.document->fleet, wave,
                                                snapshot.wall, {});
   return body;
--- a/src/cassiastile/control/pool_status.hpp
+++ b/src/cassiastile/control/pool_status.hpp
@@ -17,9 +17,11 @@
   std::shared_ptr<const config::AcceptedFleet> document;
   base::WallTime wall{};
   fleet::FleetState state;
-  std::map<std::string, fleet::WaveForecast> forecasts;       // By wave.
-  std::map<std::string, base::TimePoint> drain_times;         // By host.
-  std::map<std::string, std::string> overdue;                 // By host.
+  std::map<std::string, fleet::WaveForecast> forecasts;  // By wave.
+  std::map<std::string, base::TimePoint> drain_times;    // By host.
+  std::map<std::string, std::string> overdue;            // By host.
+  // What set the number of hosts taken last, by wave and pool.
+  std::map<std::string, std::map<std::string, std::string>> limits;
   std::map<std::string, std::vector<fleet::HostView>> views;  // By pool.
 };
 
--- a/src/cassiastile/fleet/reconciler_waves.cpp
+++ b/src/cassiastile/fleet/reconciler_waves.cpp
@@ -128,6 +128,7 @@
     return true;
   }
   const WaveStep step = PlanWaveStep(input);
+  m_limits[wave.name][round.pool] = step.why;
   for (const std::string& host : step.take) {
     TakeOrder order;
     order.wave = m_state.waves.at(wave.name);
