--- a/src/cassiastile/fleet/reconciler_waves.cpp
+++ b/src/cassiastile/fleet/reconciler_waves.cpp
@@ -14,6 +14,10 @@
 // The weight of the latest host in the learnt service time, as a divisor.
 constexpr int kServiceSmoothing = 4;
 
+constexpr std::uint32_t kRebootsToLearn = 3;
+constexpr int kRebootPatience = 2;  // Times the longest reboot seen.
+constexpr std::chrono::seconds kShortestRebootTimeout(120);
+
 bool IsLeftOut(const HostRecord& host) {
   return host.state == HostState::kFailed ||
          host.reason == OutReason::kOperator ||
@@ -79,8 +83,10 @@
                   round.Unseen(m_state));
   input.wall = round.context.wall;
   for (const auto& [host, stored] : m_state.hosts) {
-    const DeclaredHost* declared = FindHost(m_index, host);
-    if (declared != nullptr && stored.record.state != HostState::kInService) {
+    if (stored.record.state == HostState::kInService) {
+      continue;
+    }
+    if (const DeclaredHost* declared = FindHost(m_index, host)) {
       ++input.rack_out[RackOf(*declared->host)];
     }
   }
@@ -122,6 +128,7 @@
     return true;
   }
   const WaveStep step = PlanWaveStep(input);
+  m_limits[wave.name][round.pool] = step.why;
   for (const std::string& host : step.take) {
     TakeOrder order;
     order.wave = m_state.waves.at(wave.name);
@@ -130,7 +137,7 @@
     order.detail = fmt::format("next of the wave {}; {}", wave.name, step.why);
     base::Result<Change> change = PlanTake(round, host, order);
     if (!change) {
-      return true;
+      continue;
     }
     for (const SkippedHost& skipped : step.skipped) {
       change->decision.reasons.push_back({"not " + skipped.host, "waves",
@@ -160,33 +167,35 @@
                              forecast.total, forecast.left_out)));
 }
 
-PoolRemainder Reconciler::Remainder(const config::Wave& wave,
-                                    const std::string& pool) const {
-  PoolRemainder remainder;
+std::map<std::string, PoolRemainder> Reconciler::Remainders(
+    const config::Wave& wave) const {
+  std::map<std::string, PoolRemainder> remainders;
+  for (const std::string& pool : wave.pools) {
+    const BudgetCount count = CountBudget(
+        FindPool(m_index, pool), FindPoolRecord(m_state, pool).record, {});
+    remainders[pool].max_out = count.max_out;
+    remainders[pool].failed = count.failed;
+  }
   const WaveRecord record = FindWaveRecord(m_state, wave.name).record;
   for (const auto& [host, stored] : m_state.hosts) {
-    if (stored.record.pool != pool) {
+    const auto found = remainders.find(stored.record.pool);
+    if (found == remainders.end()) {
       continue;
     }
-    ++remainder.total;
+    ++found->second.total;
     if (IsDone(record, stored.record)) {
-      ++remainder.done;
+      ++found->second.done;
     } else if (IsLeftOut(stored.record)) {
-      ++remainder.left_out;
+      ++found->second.left_out;
     }
   }
-  const BudgetCount count = CountBudget(
-      FindPool(m_index, pool), FindPoolRecord(m_state, pool).record, {});
-  remainder.max_out = count.max_out;
-  remainder.failed = count.failed;
-  return remainder;
+  return remainders;
 }
 
 WaveForecast Reconciler::Forecast(const config::Wave& wave) const {
   std::vector<PoolRemainder> pools;
-  pools.reserve(wave.pools.size());
-  for (const std::string& pool : wave.pools) {
-    pools.push_back(Remainder(wave, pool));
+  for (const auto& [pool, remainder] : Remainders(wave)) {
+    pools.push_back(remainder);
   }
   return ForecastWave(wave, pools, ServiceTime(wave.name),
                       m_service.contains(wave.name), m_ports.clock.WallNow());
@@ -219,6 +228,30 @@
   }
 }
 
+void Reconciler::NoteReboot(const HostRecord& host, base::Duration took) {
+  if (host.state != HostState::kRebooting || host.wave.empty()) {
+    return;
+  }
+  RebootTimes& times = m_reboots[host.wave];
+  ++times.count;
+  times.longest =
+      std::max(times.longest, std::chrono::ceil<std::chrono::seconds>(took));
+}
+
+// Once a wave has had a few reboots, one that takes much longer than the
+// longest of them is given up before the general timeout.
+ProgressOptions Reconciler::ProgressFor(const HostRecord& host) const {
+  ProgressOptions options = m_options.progress;
+  const auto found = m_reboots.find(host.wave);
+  if (found != m_reboots.end() && found->second.count >= kRebootsToLearn) {
+    options.reboot_timeout =
+        std::min(options.reboot_timeout,
+                 std::max(kRebootPatience * found->second.longest,
+                          kShortestRebootTimeout));
+  }
+  return options;
+}
+
 std::chrono::seconds Reconciler::ServiceTime(const std::string& wave) const {
   const auto found = m_service.find(wave);
   return found == m_service.end() ? m_options.assumed_service : found->second;
