Remove long-dead members from the list, answer reads without the table

One host, the first control process alive, removes one row a minute, and only while it hears a majority, so that majorities of a list and of the next one overlap. GET /v1/config gives the version in force when the table does not answer; audits start from a sequence or a time.

--- a/include/cassiastile/member/member_rows.hpp
+++ b/include/cassiastile/member/member_rows.hpp
@@ -36,5 +36,9 @@
 base::Result<void> WriteMember(platform::Table& table,
                                const MemberRecord& record,
                                const std::string& nonce);
+// Removes a member's row unless it is of a later incarnation by now.
+base::Result<void> RemoveMember(platform::Table& table,
+                                const MemberRecord& record,
+                                const std::string& nonce);
 
 }  // namespace cassiastile::member
--- a/include/cassiastile/member/membership.hpp
+++ b/include/cassiastile/member/membership.hpp
@@ -24,6 +24,10 @@
   base::Duration dead_after = std::chrono::milliseconds(8000);
   base::Duration head_read_period = std::chrono::milliseconds(500);
   base::Duration list_read_period = std::chrono::milliseconds(5000);
+  // A listed member not heard of for so long is taken off the list, one in each
+  // period, so that majorities of a list and the next one overlap.
+  base::Duration remove_after = std::chrono::minutes(10);
+  base::Duration remove_period = std::chrono::minutes(1);
   base::Duration body_retry = std::chrono::milliseconds(250);
   base::Duration prepare_retry = std::chrono::milliseconds(100);
   // The longest time from the first promise to the commit. A process that
@@ -123,6 +127,11 @@
   const PacketFaultCounts& Faults() const { return m_faults; }
   std::uint64_t MessagesReceived() const { return m_received; }
 
+  // The listed member whose row this host should remove now, if any. Only one
+  // host, the first control process that is alive, removes rows, and only while
+  // it hears a majority.
+  std::optional<MemberRecord> NextRemoval(base::TimePoint now);
+
   // Starts to ask all members to promise a version that is about to be
   // committed; the asking goes on in Tick until it is withdrawn or known.
   void Prepare(std::uint64_t version, std::uint64_t id);
@@ -231,6 +240,7 @@
   base::TimePoint m_next_head_read;
   base::TimePoint m_next_list_read;
   base::TimePoint m_next_pull;
+  base::TimePoint m_next_removal;
   bool m_reaches_store = false;
   bool m_refused = false;
   bool m_voter = false;  // Whether this process speaks for the head.
--- a/src/cassiastile/control/config_answers.cpp
+++ b/src/cassiastile/control/config_answers.cpp
@@ -94,13 +94,21 @@
   return nlohmann::json::parse(member::ToText(row));
 }
 
+bool IsNumber(const std::string& text) {
+  return !text.empty() && text.size() < 19 &&
+         text.find_first_not_of("0123456789") == std::string::npos;
+}
+
+// `since` is a sequence or a time.
 bool Matches(const member::AuditRow& row,
              const std::string& since,
              const std::string& section) {
+  const bool in_time =
+      IsNumber(since) ? row.sequence >= std::stoull(since) : row.at >= since;
   const bool in_section =
       section.empty() || std::find(row.sections.begin(), row.sections.end(),
                                    section) != row.sections.end();
-  return row.at >= since && in_section;
+  return in_time && in_section;
 }
 
 }  // namespace
--- a/src/cassiastile/control/config_service.cpp
+++ b/src/cassiastile/control/config_service.cpp
@@ -51,6 +51,13 @@
                                              : std::nullopt;
 }
 
+wire::HttpResponse MakeTextAnswer(std::uint64_t version,
+                                  const std::string& text) {
+  return wire::MakeJsonResponse(200, {{"version", version},
+                                      {"digest", base::Sha256Hex(text)},
+                                      {"text", text}});
+}
+
 // Reads the body of an edit; the section, if any, comes from the path.
 base::Result<member::ConfigEdit> ReadEdit(const wire::HttpRequest& request) {
   const auto body = wire::ParseJsonBody(request.body);
@@ -158,7 +165,12 @@
     const auto asked = wire::FindQueryParameter(request, "version");
     const auto head = m_parts.store.Head();
     if (!head) {
-      return wire::MakeErrorResponse(head.error());
+      // Without the table, what is in force here is known all the same.
+      const auto fleet = m_parts.member.Current();
+      const bool same =
+          fleet && (!asked || ParseVersion(*asked) == fleet->version);
+      return same ? MakeTextAnswer(fleet->version, fleet->text)
+                  : wire::MakeErrorResponse(head.error());
     }
     const auto version =
         asked ? ParseVersion(*asked) : std::optional(head->head.version);
@@ -170,9 +182,7 @@
     if (!text) {
       return wire::MakeErrorResponse(text.error());
     }
-    return wire::MakeJsonResponse(200, {{"version", *version},
-                                        {"digest", base::Sha256Hex(*text)},
-                                        {"text", *text}});
+    return MakeTextAnswer(*version, *text);
   }
 
   wire::HttpResponse AnswerHistory(const wire::HttpRequest&) {
--- a/src/cassiastile/control/config_service_test.cpp
+++ b/src/cassiastile/control/config_service_test.cpp
@@ -33,6 +33,7 @@
     options.name = "a";
     options.incarnation = 1;
     options.fleet_secret = "secret";
+    options.times.freshness = std::chrono::hours(1);
     auto created = member::Member::Create(options, m_table, m_clock);
     ASSERT_TRUE(created);
     m_member = std::move(*created);
@@ -104,9 +105,18 @@
   const auto audit = Get("/v1/audit", kBoardKey);
   EXPECT_EQ(audit.at("chain"), "ok");
   EXPECT_EQ(audit.at("rows").size(), 1U);
+  EXPECT_TRUE(Get("/v1/audit?since=2", kBoardKey).at("rows").empty());
+  EXPECT_EQ(Get("/v1/audit?since=1&section=keys", kBoardKey).at("chain"), "ok");
   EXPECT_EQ(Get("/v1/members", kBoardKey).at("members").size(), 1U);
 }
 
+TEST_F(ConfigServiceTest, GivesWhatIsInForceWithoutTheTable) {
+  m_table.SetFaults({true, 0, 0, 0});
+  EXPECT_EQ(Get("/v1/config", kBoardKey).at("version"), 1);
+  Get("/v1/config/history", kBoardKey);
+  EXPECT_EQ(m_status, 503);
+}
+
 TEST_F(ConfigServiceTest, RefusesWithoutAnOperatorsKey) {
   Get("/v1/config", "wrong");
   EXPECT_EQ(m_status, 403);
--- a/src/cassiastile/member/member.cpp
+++ b/src/cassiastile/member/member.cpp
@@ -285,9 +285,23 @@
         membership.ObserveList(*list, m_clock.Now());
         return true;
       });
+      const auto removal = With([&](Membership& membership) {
+        return membership.NextRemoval(m_clock.Now());
+      });
+      if (removal && RemoveMember(m_table, *removal, NextNonce())) {
+        m_log.Info("Member " + removal->name + " is off the list.");
+      }
+      m_joined = IsListed(*list);
     }
   }
 
+  // A row that was removed while this process was cut off is written again.
+  bool IsListed(const std::vector<MemberRecord>& list) const {
+    return std::any_of(list.begin(), list.end(), [this](const auto& record) {
+      return record.name == m_self.name;
+    });
+  }
+
   std::string NextNonce() {
     const std::lock_guard lock(m_mutex);
     return base::MakeId(m_random);
--- a/src/cassiastile/member/member_rows.cpp
+++ b/src/cassiastile/member/member_rows.cpp
@@ -129,4 +129,24 @@
   return {};
 }
 
+base::Result<void> RemoveMember(platform::Table& table,
+                                const MemberRecord& record,
+                                const std::string& nonce) {
+  const std::string key = kMemberPrefix + record.name;
+  const auto row = table.Get(key);
+  if (!row) {
+    return tl::unexpected(row.error());
+  }
+  const auto present = *row ? ReadRecord(**row) : std::nullopt;
+  if (!present || present->incarnation != record.incarnation) {
+    return {};
+  }
+  const auto applied =
+      table.Apply({nonce, {{key, (*row)->version}}, {{key, std::nullopt}}});
+  if (!applied) {
+    return tl::unexpected(applied.error());
+  }
+  return {};
+}
+
 }  // namespace cassiastile::member
--- a/src/cassiastile/member/membership.cpp
+++ b/src/cassiastile/member/membership.cpp
@@ -46,7 +46,8 @@
       m_next_ping(now),
       m_next_head_read(now),
       m_next_list_read(now),
-      m_next_pull(now) {}
+      m_next_pull(now),
+      m_next_removal(now) {}
 
 void Membership::ObserveHead(const ConfigHead& head, base::TimePoint started) {
   m_reaches_store = true;
@@ -239,6 +240,37 @@
   }
 }
 
+std::optional<MemberRecord> Membership::NextRemoval(base::TimePoint now) {
+  std::size_t alive = 0;
+  std::optional<MemberRecord> longest;
+  for (const MemberRecord& record : m_list) {
+    const auto found = m_peers.find(record.name);
+    if (found == m_peers.end()) {
+      alive += record.name == m_options.self.name ? 1 : 0;
+      continue;
+    }
+    const Peer& peer = found->second;
+    const bool is_alive = StateOf(peer, now) == MemberState::kAlive;
+    const bool is_before_self = record.name < m_options.self.name;
+    if (is_alive && is_before_self && record.role == MemberRole::kControl) {
+      return std::nullopt;
+    }
+    alive += is_alive ? 1 : 0;
+    const base::Duration age = now - peer.heard_at.value_or(peer.known_since);
+    if (age >= m_options.times.remove_after) {
+      longest = record;
+    }
+  }
+  const bool may_remove = longest && alive >= Majority() && m_reaches_store &&
+                          m_options.self.role == MemberRole::kControl &&
+                          now >= m_next_removal;
+  if (!may_remove) {
+    return std::nullopt;
+  }
+  m_next_removal = now + m_options.times.remove_period;
+  return longest;
+}
+
 void Membership::Prepare(std::uint64_t version, std::uint64_t id) {
   m_proposal = Proposal{version, id, {m_options.self.name}, {}};
   m_promises[id] = version;
--- a/src/cassiastile/member/membership_test.cpp
+++ b/src/cassiastile/member/membership_test.cpp
@@ -187,6 +187,19 @@
   EXPECT_EQ(StateSeenBy("h00-0", "h05-0"), MemberState::kAlive);
 }
 
+TEST_F(FleetTest, FirstLiveControlRemovesTheLongDeadOneAMinute) {
+  m_network.Stop("h00-1");
+  m_network.Stop("h05-0");
+  m_network.Stop("h05-1");
+  m_network.Run(std::chrono::minutes(9));
+  EXPECT_FALSE(m_network.At("h01-1").NextRemoval(m_network.Now()));
+  m_network.Run(std::chrono::minutes(2));
+  EXPECT_FALSE(m_network.At("h01-0").NextRemoval(m_network.Now()));
+  EXPECT_FALSE(m_network.At("h02-1").NextRemoval(m_network.Now()));
+  EXPECT_TRUE(m_network.At("h01-1").NextRemoval(m_network.Now()));
+  EXPECT_FALSE(m_network.At("h01-1").NextRemoval(m_network.Now()));
+}
+
 TEST_F(FleetTest, OldIncarnationIsRefused) {
   // A process is paused, replaced under its name, and goes on.
   const std::vector<MemberRecord> records = m_network.Records();
