--- a/src/cassiastile/operator/report.cpp
+++ b/src/cassiastile/operator/report.cpp
@@ -16,10 +16,10 @@
 // What a refusal says, in one or more lines.
 std::string FormatProblem(const ApiAnswer& answer) {
   const nlohmann::json& body = answer.body;
-  std::string text = fmt::format("refused with status {}", answer.status);
+  std::string text = fmt::format("refused with status {}:", answer.status);
   for (const char* member : {"title", "detail"}) {
     const std::string sentence = TextOf(body, member);
-    text += sentence.empty() ? "" : ": " + Printable(sentence);
+    text += sentence.empty() ? "" : " " + Printable(sentence);
   }
   text += '\n';
   if (!answer.retry_after.empty()) {
@@ -42,12 +42,12 @@
 }
 
 ExitCode ReportRefusal(const Invocation& invocation, const ApiAnswer& answer) {
-  if (HasFindings(answer.body)) {
-    return ReportFindings(invocation, ReadFindings(answer.body, "document"));
-  }
   if (invocation.WantsJson()) {
     PrintJson(invocation, answer.body);
   } else {
+    if (HasFindings(answer.body)) {
+      ReportFindings(invocation, ReadFindings(answer.body, "document"));
+    }
     invocation.Streams().err << FormatProblem(answer);
   }
   const bool unknown = TextOf(answer.body, "execution") == "unknown";
