--- a/src/bin/measure_member.cpp
+++ b/src/bin/measure_member.cpp
@@ -226,10 +226,12 @@
   std::set<std::string> dead;
   std::map<std::string, std::unique_ptr<ShardKeeper>> keepers;
   std::vector<std::string> shards;
+  shards.reserve(25);
   for (int i = 0; i < 25; ++i) {
     shards.push_back(fmt::format("pool-{:02}", i));
   }
   std::vector<std::string> names;
+  names.reserve(14);
   for (int i = 0; i < 14; ++i) {
     names.push_back(fmt::format("h{:02}#1", i));
   }
