--- a/src/cassiastile/fleet/reconciler_hosts.cpp
+++ b/src/cassiastile/fleet/reconciler_hosts.cpp
@@ -43,6 +43,8 @@
   }
 
   bool operator()(const ProbeIt& /*step*/) const {
+    m_reconciler.NoteReboot(m_host.record,
+                            m_round.seen[m_host.record.host].in_state);
     return m_reconciler.CommitIn(m_round,
                                  StartProbe(m_round.context, Pool(), m_host));
   }
@@ -109,7 +111,8 @@
 };
 
 bool Reconciler::StepHosts(Round& round) {
-  for (const std::string& host : round.Members(m_state)) {
+  const std::vector<std::string> members = round.Members(m_state);
+  for (const std::string& host : members) {
     m_overdue.erase(host);
     if (!StepHost(round, host)) {
       return false;
@@ -166,7 +169,8 @@
   if (!round.may_take) {
     return true;
   }
-  for (const std::string& host : round.Members(m_state)) {
+  const std::vector<std::string> members = round.Members(m_state);
+  for (const std::string& host : members) {
     const Stored<HostRecord> stored = m_state.hosts.at(host);
     const DeclaredHost* declared = FindHost(m_index, host);
     const bool here = declared != nullptr && declared->pool->name == round.pool;
