Keep members fresh through an edit

Ruled out: the store's budget (first seconds of the load), slow pulls. A head learnt by gossip forgot when the one before was known to be the head, so that each member waited for its next read of the store. Change: the new head inherits that time, which is a true lower bound.

--- a/include/cassiastile/member/membership.hpp
+++ b/include/cassiastile/member/membership.hpp
@@ -228,7 +228,9 @@
   std::uint32_t m_list_hash = 0;
 
   ConfigHead m_head;
-  std::optional<base::TimePoint> m_head_read_at;
+  // The latest time at which the head is known to have been the head, by reads
+  // of the store here or at peers, or by the version before it.
+  std::optional<base::TimePoint> m_head_known_at;
   std::uint64_t m_in_force = 0;
   // Kept while the version in force is not the head.
   std::optional<base::TimePoint> m_in_force_confirmed_at;
--- a/src/cassiastile/member/membership.cpp
+++ b/src/cassiastile/member/membership.cpp
@@ -53,7 +53,7 @@
   m_reaches_store = true;
   LearnHead(head, started);
   if (head == m_head) {
-    RaiseTo(m_head_read_at, started);
+    RaiseTo(m_head_known_at, started);
   }
 }
 
@@ -123,7 +123,7 @@
 
 std::optional<base::TimePoint> Membership::HeadConfirmedAt(
     base::TimePoint now) const {
-  std::optional<base::TimePoint> confirmed = m_head_read_at;
+  std::optional<base::TimePoint> confirmed = m_head_known_at;
   if (const auto agreed = MajorityAgreedAt(now)) {
     RaiseTo(confirmed, *agreed);
   }
@@ -200,11 +200,14 @@
   if (head.version <= m_head.version) {
     return;
   }
+  // The newer version was committed after the older one was last known to be
+  // the head, so that it was the head itself at some time since then.
+  const std::optional<base::TimePoint> known_at = HeadConfirmedAt(now);
   if (m_in_force == m_head.version) {
-    m_in_force_confirmed_at = HeadConfirmedAt(now);
+    m_in_force_confirmed_at = known_at;
   }
   m_head = head;
-  m_head_read_at.reset();
+  m_head_known_at = known_at;
   for (auto& [name, peer] : m_peers) {
     peer.agreed_at.reset();
   }
--- a/src/cassiastile/member/membership_receive.cpp
+++ b/src/cassiastile/member/membership_receive.cpp
@@ -55,8 +55,8 @@
                             base::Random& random) {
   Message ack = MakeMessage(MessageKind::kAck);
   ack.echo = ping.sequence;
-  if (m_head_read_at) {
-    const std::int64_t age = base::Milliseconds(now - *m_head_read_at) + 1;
+  if (m_head_known_at) {
+    const std::int64_t age = base::Milliseconds(now - *m_head_known_at) + 1;
     ack.store_age = static_cast<std::uint16_t>(
         std::min<std::int64_t>(age, kStoreAgeUnknown));
   }
@@ -232,7 +232,7 @@
 
 void Membership::LearnStoreAge(const Message& ack, base::TimePoint as_of) {
   if (ack.head == m_head && ack.store_age != kStoreAgeUnknown) {
-    RaiseTo(m_head_read_at, as_of - std::chrono::milliseconds(ack.store_age));
+    RaiseTo(m_head_known_at, as_of - std::chrono::milliseconds(ack.store_age));
   }
 }
 
--- a/src/cassiastile/member/membership_test.cpp
+++ b/src/cassiastile/member/membership_test.cpp
@@ -81,6 +81,25 @@
   }
 }
 
+// Otherwise keyed work would be refused for a moment at every edit.
+TEST_F(FleetTest, EditLeavesEveryMemberFresh) {
+  std::size_t fewest = CountFresh();
+  for (std::uint64_t version = 2; version < 12; ++version) {
+    Membership& committer = m_network.At("h00-1");
+    committer.Prepare(version, version);
+    m_network.RunUntil(seconds(2), [&] { return committer.IsPrepared(); });
+    CommitVersion(m_network, version);
+    committer.ObserveHead(m_network.Store().head, m_network.Now());
+    committer.SpreadHead();
+    m_network.RunUntil(seconds(3), [&] {
+      fewest = std::min(fewest, CountFresh());
+      return false;
+    });
+    EXPECT_TRUE(IsInForceEverywhere(m_network, version));
+  }
+  EXPECT_EQ(fewest, 14U);
+}
+
 TEST_F(FleetTest, NewVersionSpreadsByPeersWhereMostLostTheStore) {
   for (const std::string& name : m_network.Names()) {
     m_network.Store().cut_off.insert(name);
