Name a task's placement, so that it can be explained

Cause: the story could not ask why a task was placed where it was: the task showed no decision. Change: a task's record keeps the id of the decision that last placed it. The rounds of the pools' service can be set.

--- a/include/cassiastile/control/control_host.hpp
+++ b/include/cassiastile/control/control_host.hpp
@@ -19,6 +19,7 @@
   std::size_t http_threads = 4;
   member::MemberOptions member;
   daemon::PlatformAccessOptions platform;
+  std::chrono::milliseconds pool_round{1000};  // Between looks at the pools.
   std::chrono::milliseconds drain_notice{500};
   std::chrono::milliseconds drain_deadline{30000};
 };
--- a/include/cassiastile/work/task.hpp
+++ b/include/cassiastile/work/task.hpp
@@ -88,6 +88,7 @@
   std::string checkpoint;
   double progress = 0;          // From 0 to 1, as of the last write.
   std::string reason;           // Why it waits, is in doubt or ended.
+  std::string placement;        // Id of the decision that last placed it.
   std::int64_t changed_ms = 0;  // Wall clock, milliseconds since 1970.
 
   bool operator==(const Task&) const = default;
--- a/src/cassiastile/control/control_host.cpp
+++ b/src/cassiastile/control/control_host.cpp
@@ -135,6 +135,7 @@
   PoolServiceOptions pool_options;
   pool_options.name = member->OwnerId();
   pool_options.seed = seed + 2;
+  pool_options.interval = options.pool_round;
   auto pool_service = PoolService::Create(
       {clock, *member, *shards, access.Table(), access.Machines(), host_work,
        nullptr, audit, access.Decisions()},
--- a/src/cassiastile/control/task_http.cpp
+++ b/src/cassiastile/control/task_http.cpp
@@ -120,6 +120,9 @@
   if (!task.lease.worker.empty()) {
     json["worker"] = task.lease.worker;
   }
+  if (!task.placement.empty()) {
+    json["decision"] = task.placement;
+  }
   return json;
 }
 
--- a/src/cassiastile/work/task.cpp
+++ b/src/cassiastile/work/task.cpp
@@ -101,6 +101,7 @@
   task.checkpoint = json.at("checkpoint").get<std::string>();
   task.progress = json.at("progress").get<double>();
   task.reason = json.at("reason").get<std::string>();
+  task.placement = json.value("placement", "");
   task.changed_ms = json.at("changed_ms").get<std::int64_t>();
   return task;
 }
@@ -195,6 +196,7 @@
                   {"checkpoint", task.checkpoint},
                   {"progress", task.progress},
                   {"reason", task.reason},
+                  {"placement", task.placement},
                   {"changed_ms", task.changed_ms}};
   return json.dump();
 }
--- a/src/cassiastile/work/task_shard_dispatch.cpp
+++ b/src/cassiastile/work/task_shard_dispatch.cpp
@@ -189,6 +189,7 @@
                    "{:.1f} cores {:.1f} GB",
                    size.learned ? "learnt" : "declared", size.size.cores,
                    size.size.memory_gb)});
+  task.placement = decision.id;
   Write(std::move(entry), "given to worker " + host.name);
 }
 
