--- a/include/cassiastile/control/control_host.hpp
+++ b/include/cassiastile/control/control_host.hpp
@@ -20,6 +20,8 @@
   member::MemberOptions member;
   daemon::PlatformAccessOptions platform;
   std::chrono::milliseconds pool_round{1000};  // Between looks at the pools.
+  // How long a rebooted host must stay up before it is trusted with work.
+  std::chrono::milliseconds probe_time{10000};
   std::chrono::milliseconds drain_notice{500};
   std::chrono::milliseconds drain_deadline{30000};
 };
--- a/include/cassiastile/fleet/progress.hpp
+++ b/include/cassiastile/fleet/progress.hpp
@@ -16,7 +16,8 @@
 // How long the steps of maintenance may take.
 struct ProgressOptions {
   std::chrono::seconds reboot_timeout{900};
-  std::chrono::seconds probe_time{10};  // Up all along before it is trusted.
+  std::chrono::milliseconds probe_time{
+      10000};  // Up all along before it is trusted.
 };
 
 // What is seen of a host.
--- a/src/bin/measure_fleet.cpp
+++ b/src/bin/measure_fleet.cpp
@@ -186,8 +186,9 @@
 
 void MeasureRollOut() {
   const double service =
-      static_cast<double>(kReboot.count()) +
-      static_cast<double>(fleet::ProgressOptions().probe_time.count());
+      std::chrono::duration<double>(kReboot).count() +
+      std::chrono::duration<double>(fleet::ProgressOptions().probe_time)
+          .count();
   const double bound = kWaveHosts * service / kWaveBudget;
   const double one_by_one = WaveRun({.parallel = 1}).Run() / bound;
   Print({"rollout_over_bound", WaveRun({}).Run() / bound, "ratio", "lower",
--- a/src/cassiastile/control/control_host.cpp
+++ b/src/cassiastile/control/control_host.cpp
@@ -136,6 +136,7 @@
   pool_options.name = member->OwnerId();
   pool_options.seed = seed + 2;
   pool_options.interval = options.pool_round;
+  pool_options.reconciler.progress.probe_time = options.probe_time;
   auto pool_service = PoolService::Create(
       {clock, *member, *shards, access.Table(), access.Machines(), host_work,
        nullptr, audit, access.Decisions()},
--- a/src/cassiastile/fleet/progress.cpp
+++ b/src/cassiastile/fleet/progress.cpp
@@ -114,7 +114,7 @@
     return Stay{};
   }
   return ReturnIt{
-      fmt::format("up for {} s of probing", options.probe_time.count())};
+      fmt::format("up for {} ms of probing", options.probe_time.count())};
 }
 
 HostStep StepFailed(const HostRecord& host, const HostObservation& seen) {
