--- a/src/cassiastile/control/control_host.cpp
+++ b/src/cassiastile/control/control_host.cpp
@@ -129,7 +129,11 @@
   shards = std::make_unique<member::ShardKeeper>(
       lease, access.Table(), clock,
       member::ShardKeeper::Sources{[this] { return PoolNames(*member); },
-                                   [this] { return member->LiveControls(); }},
+                                   [this] {
+            const auto owned = shards->Owned(clock.Now()).size();
+            member->SetShards(static_cast<std::uint16_t>(owned));
+            return member->LiveControls();
+          }},
       seed + 1);
   forwarder = std::make_unique<ShardForwarder>(clock, *shards, *client);
   PoolServiceOptions pool_options;
