Check operators' keys in one place, and only where they are fresh

Cause: bearer keys were read in three places and operators' keys checked in two, one of which took a key without knowing whether it was withdrawn; a host that is not fresh answered 403 where 503 is true. Change: wire::FindBearerSecret, control::OperatorOf with the time.

--- a/include/cassiastile/control/status_service.hpp
+++ b/include/cassiastile/control/status_service.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "cassiastile/base/clock.hpp"
 #include "cassiastile/config/fleet_source.hpp"
 #include "cassiastile/wire/router.hpp"
 
@@ -17,8 +18,9 @@
   // Returns a part's status; called on a thread of the server.
   using Part = std::function<nlohmann::json()>;
 
-  // The source outlives the service.
-  StatusService(const config::FleetSource& source,
+  // The clock and the source outlive the service.
+  StatusService(const base::Clock& clock,
+                const config::FleetSource& source,
                 std::map<std::string, Part> parts);
 
   void Register(wire::Router& router);
@@ -26,6 +28,7 @@
  private:
   wire::HttpResponse Answer(const wire::HttpRequest& request) const;
 
+  const base::Clock& m_clock;
   const config::FleetSource& m_source;
   std::map<std::string, Part> m_parts;
 };
--- a/include/cassiastile/wire/http_types.hpp
+++ b/include/cassiastile/wire/http_types.hpp
@@ -33,6 +33,9 @@
 std::optional<std::string> FindQueryParameter(const HttpRequest& request,
                                               std::string_view name);
 
+// The secret in `Authorization: Bearer SECRET`, or nothing.
+std::optional<std::string> FindBearerSecret(const HttpRequest& request);
+
 // Encodes text for use as a segment of a path or a value of a query.
 std::string EncodePercent(std::string_view text);
 
--- a/src/cassiastile/control/access.cpp
+++ b/src/cassiastile/control/access.cpp
@@ -1,35 +1,32 @@
 #include "cassiastile/control/access.hpp"
 
-#include <string_view>
-
 namespace cassiastile::control {
 
 namespace {
 
-constexpr std::string_view kScheme = "Bearer ";
-
 tl::unexpected<base::Error> NoDocument() {
   return base::Fail(base::ErrorCode::kUnavailable,
                     "No fleet document is in force on this host.");
 }
 
-}  // namespace
-
-std::optional<std::string> BearerSecret(const wire::HttpRequest& request) {
-  const auto value = wire::FindHeader(request.headers, "Authorization");
-  if (!value || !value->starts_with(kScheme)) {
-    return std::nullopt;
-  }
-  return value->substr(kScheme.size());
+tl::unexpected<base::Error> NotFresh() {
+  return base::Fail(base::ErrorCode::kUnavailable,
+                    "This host can't tell whether keys were withdrawn.");
 }
 
+}  // namespace
+
 base::Result<std::string> OperatorOf(const config::FleetSource& source,
-                                     const wire::HttpRequest& request) {
+                                     const wire::HttpRequest& request,
+                                     base::TimePoint now) {
   const auto accepted = source.Current();
   if (!accepted) {
     return NoDocument();
   }
-  const auto secret = BearerSecret(request);
+  if (!source.IsFresh(now)) {
+    return NotFresh();
+  }
+  const auto secret = wire::FindBearerSecret(request);
   const config::Operator* found =
       secret ? config::FindOperator(accepted->fleet, *secret) : nullptr;
   if (found == nullptr) {
@@ -43,7 +40,7 @@
 base::Result<std::string> TeamOf(const config::FleetSource& source,
                                  const wire::HttpRequest& request,
                                  base::TimePoint now) {
-  const auto secret = BearerSecret(request);
+  const auto secret = wire::FindBearerSecret(request);
   if (!secret) {
     return std::string();
   }
@@ -52,8 +49,7 @@
     return NoDocument();
   }
   if (!source.IsFresh(now)) {
-    return base::Fail(base::ErrorCode::kUnavailable,
-                      "This host can't tell whether keys were withdrawn.");
+    return NotFresh();
   }
   const config::Key* key = config::FindKey(accepted->fleet, *secret);
   if (key == nullptr) {
--- a/src/cassiastile/control/config_service.cpp
+++ b/src/cassiastile/control/config_service.cpp
@@ -11,6 +11,7 @@
 
 #include "cassiastile/base/hash.hpp"
 #include "cassiastile/base/random.hpp"
+#include "cassiastile/control/access.hpp"
 #include "cassiastile/control/config_answers.hpp"
 #include "cassiastile/member/member_rows.hpp"
 #include "cassiastile/wire/problem.hpp"
@@ -22,22 +23,6 @@
 constexpr std::size_t kReadThreads = 2;
 constexpr std::size_t kEditThreads = 1;
 constexpr std::size_t kMaxWaiting = 64;
-constexpr std::string_view kBearer = "Bearer ";
-
-std::string KeyOf(const wire::HttpRequest& request) {
-  const auto value = wire::FindHeader(request.headers, "Authorization");
-  return value && value->starts_with(kBearer) ? value->substr(kBearer.size())
-                                              : "";
-}
-
-wire::HttpResponse MakeDenied() {
-  wire::Problem problem;
-  problem.status = 403;
-  problem.type = "not-an-operator";
-  problem.title = "The key is not that of an operator.";
-  return wire::MakeProblemResponse(problem);
-}
-
 wire::HttpResponse MakeBusy() {
   return wire::MakeErrorResponse(
       {base::ErrorCode::kOverloaded, "Too many calls wait for the table."});
@@ -80,7 +65,7 @@
   edit.text = text->get<std::string>();
   edit.base_version = base->get<std::uint64_t>();
   edit.dry_run = dry != body->end() && dry->get<bool>();
-  edit.key = KeyOf(request);
+  edit.key = wire::FindBearerSecret(request).value_or("");
   const auto named = request.path_parameters.find("section");
   if (named != request.path_parameters.end()) {
     edit.section = config::FindSection(named->second);
@@ -128,8 +113,10 @@
                  std::move(respond));
             return;
           }
-          if (!IsOperator(KeyOf(request))) {
-            respond(MakeDenied());
+          const auto reader =
+              OperatorOf(m_parts.member, request, m_parts.clock.Now());
+          if (!reader) {
+            respond(wire::MakeErrorResponse(reader.error()));
             return;
           }
           Post(m_reads, answer, std::move(request), std::move(respond));
@@ -160,12 +147,6 @@
     });
   }
 
-  bool IsOperator(const std::string& key) const {
-    const auto fleet = m_parts.member.Current();
-    return fleet && m_parts.member.IsFresh(m_parts.clock.Now()) &&
-           config::FindOperator(fleet->fleet, key) != nullptr;
-  }
-
   // Without a document there are no operators to tell apart, and nothing to
   // show.
   wire::HttpResponse AnswerWithoutDocument(const wire::HttpRequest&) {
--- a/src/cassiastile/control/control_host.cpp
+++ b/src/cassiastile/control/control_host.cpp
@@ -128,8 +128,9 @@
   lease.address = config::FormatAddress(options.listen);
   shards = std::make_unique<member::ShardKeeper>(
       lease, access.Table(), clock,
-      member::ShardKeeper::Sources{[this] { return PoolNames(*member); },
-                                   [this] {
+      member::ShardKeeper::Sources{
+          [this] { return PoolNames(*member); },
+          [this] {
             const auto owned = shards->Owned(clock.Now()).size();
             member->SetShards(static_cast<std::uint16_t>(owned));
             return member->LiveControls();
@@ -166,7 +167,7 @@
       {*config_store, *member, access.Table(), clock, &access.Decisions(), {}});
   decisions = std::make_unique<DecisionService>(
       clock, *member, access.Decisions(), access.Objects());
-  status = std::make_unique<StatusService>(*member, StatusParts());
+  status = std::make_unique<StatusService>(clock, *member, StatusParts());
 }
 
 std::map<std::string, StatusService::Part> ControlHost::Parts::StatusParts() {
--- a/src/cassiastile/control/decision_service.cpp
+++ b/src/cassiastile/control/decision_service.cpp
@@ -50,7 +50,7 @@
 
 wire::HttpResponse DecisionService::AnswerGaps(
     const wire::HttpRequest& request) {
-  const auto reader = OperatorOf(m_source, request);
+  const auto reader = OperatorOf(m_source, request, m_clock.Now());
   if (!reader) {
     return wire::MakeErrorResponse(reader.error());
   }
@@ -82,7 +82,7 @@
 base::Result<void> DecisionService::CheckReader(
     const wire::HttpRequest& request,
     const base::Decision& decision) const {
-  const auto reader = OperatorOf(m_source, request);
+  const auto reader = OperatorOf(m_source, request, m_clock.Now());
   if (reader) {
     return {};
   }
--- a/src/cassiastile/control/decision_service_test.cpp
+++ b/src/cassiastile/control/decision_service_test.cpp
@@ -78,10 +78,10 @@
   EXPECT_EQ(Ask("d2", "ann-1"), 404);
 }
 
-TEST_F(DecisionServiceTest, TeamKeysNeedAFreshConfiguration) {
+TEST_F(DecisionServiceTest, KeysNeedAFreshConfiguration) {
   m_source.fresh = false;
-  EXPECT_EQ(Ask("d1", "brno-1"), 403);
-  EXPECT_EQ(Ask("d1", "ann-1"), 200);
+  EXPECT_EQ(Ask("d1", "brno-1"), 503);
+  EXPECT_EQ(Ask("d1", "ann-1"), 503);
 }
 
 TEST_F(DecisionServiceTest, FindsWhatAnotherProcessStored) {
--- a/src/cassiastile/control/pool_acts.cpp
+++ b/src/cassiastile/control/pool_acts.cpp
@@ -33,7 +33,8 @@
 base::Result<std::string> PoolService::OperatorOwning(
     const wire::HttpRequest& request,
     config::SectionName section) const {
-  base::Result<std::string> name = OperatorOf(m_ports.source, request);
+  base::Result<std::string> name =
+      OperatorOf(m_ports.source, request, m_ports.clock.Now());
   if (!name) {
     return name;
   }
@@ -117,7 +118,7 @@
 
 void PoolService::AnswerWave(const wire::HttpRequest& request,
                              const wire::HttpResponder& respond) const {
-  const auto name = OperatorOf(m_ports.source, request);
+  const auto name = OperatorOf(m_ports.source, request, m_ports.clock.Now());
   if (!name) {
     respond(wire::MakeErrorResponse(name.error()));
     return;
--- a/src/cassiastile/control/status_service.cpp
+++ b/src/cassiastile/control/status_service.cpp
@@ -9,9 +9,10 @@
 
 namespace cassiastile::control {
 
-StatusService::StatusService(const config::FleetSource& source,
+StatusService::StatusService(const base::Clock& clock,
+                             const config::FleetSource& source,
                              std::map<std::string, Part> parts)
-    : m_source(source), m_parts(std::move(parts)) {}
+    : m_clock(clock), m_source(source), m_parts(std::move(parts)) {}
 
 void StatusService::Register(wire::Router& router) {
   router.Add(
@@ -23,7 +24,7 @@
 wire::HttpResponse StatusService::Answer(
     const wire::HttpRequest& request) const {
   constexpr int kOk = 200;
-  const auto reader = OperatorOf(m_source, request);
+  const auto reader = OperatorOf(m_source, request, m_clock.Now());
   if (!reader) {
     return wire::MakeErrorResponse(reader.error());
   }
--- a/src/cassiastile/control/task_service.cpp
+++ b/src/cassiastile/control/task_service.cpp
@@ -209,7 +209,7 @@
 
 void TaskService::HandleResolve(wire::HttpRequest request,
                                 wire::HttpResponder respond) {
-  const auto who = OperatorOf(m_parts.fleet, request);
+  const auto who = OperatorOf(m_parts.fleet, request, m_parts.clock.Now());
   if (!who) {
     RespondWithError(respond, who.error());
     return;
--- a/src/cassiastile/entry/intake.cpp
+++ b/src/cassiastile/entry/intake.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::array<std::string_view, 7> kMethods{
     "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"};
 constexpr std::array<std::string_view, 5> kIdempotentMethods{
@@ -110,14 +109,6 @@
   return header && (header->starts_with("u=0") || header->starts_with("u=1"));
 }
 
-std::optional<std::string> FindSecret(const wire::HttpRequest& request) {
-  const auto header = wire::FindHeader(request.headers, "Authorization");
-  if (!header || !header->starts_with(kBearer)) {
-    return std::nullopt;
-  }
-  return header->substr(kBearer.size());
-}
-
 // Sets the team that the request's key stands for. Only open services take
 // requests without a key.
 std::optional<work::NotRun> CheckKey(const wire::HttpRequest& request,
@@ -125,7 +116,7 @@
                                      const IntakeContext& context,
                                      work::RequestTicket& ticket) {
   constexpr std::chrono::seconds kFreshAgain{2};
-  const auto secret = FindSecret(request);
+  const auto secret = wire::FindBearerSecret(request);
   if (!secret && service.open) {
     return std::nullopt;
   }
--- a/src/cassiastile/wire/http_types.cpp
+++ b/src/cassiastile/wire/http_types.cpp
@@ -44,6 +44,15 @@
 
 }  // namespace
 
+std::optional<std::string> FindBearerSecret(const HttpRequest& request) {
+  constexpr std::string_view kScheme = "Bearer ";
+  const auto value = FindHeader(request.headers, "Authorization");
+  if (!value || !value->starts_with(kScheme)) {
+    return std::nullopt;
+  }
+  return value->substr(kScheme.size());
+}
+
 std::string EncodePercent(std::string_view text) {
   std::string encoded;
   for (const unsigned char character : text) {
