--- a/src/bin/cassia_platform.cpp
+++ b/src/bin/cassia_platform.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "cassiastile/base/log.hpp"
 #include "cassiastile/daemon/run_daemon.hpp"
 #include "cassiastile/standin/platform_server.hpp"
@@ -14,7 +16,8 @@
   static base::Result<std::unique_ptr<PlatformDaemon>> Start(
       standin::PlatformServerOptions options) {
     auto running = std::make_unique<PlatformDaemon>();
-    auto server = standin::PlatformServer::Start(running->m_clock, options);
+    auto server =
+        standin::PlatformServer::Start(running->m_clock, std::move(options));
     if (!server) {
       return tl::unexpected(server.error());
     }
