--- a/src/cassiastile/control/control_host.cpp
+++ b/src/cassiastile/control/control_host.cpp
@@ -129,13 +129,18 @@
   shards = std::make_unique<member::ShardKeeper>(
       lease, access.Table(), clock,
       member::ShardKeeper::Sources{[this] { return PoolNames(*member); },
-                                   [this] { return member->LiveControls(); }},
+                                   [this] {
+            const auto owned = shards->Owned(clock.Now()).size();
+            member->SetShards(static_cast<std::uint16_t>(owned));
+            return member->LiveControls();
+          }},
       seed + 1);
   forwarder = std::make_unique<ShardForwarder>(clock, *shards, *client);
   PoolServiceOptions pool_options;
   pool_options.name = member->OwnerId();
   pool_options.seed = seed + 2;
   pool_options.interval = options.pool_round;
+  pool_options.reconciler.progress.probe_time = options.probe_time;
   auto pool_service = PoolService::Create(
       {clock, *member, *shards, access.Table(), access.Machines(), host_work,
        nullptr, audit, access.Decisions()},
