--- a/include/cassiastile/daemon/run_daemon.hpp
+++ b/include/cassiastile/daemon/run_daemon.hpp
@@ -18,6 +18,28 @@
   virtual void Stop() = 0;
 };
 
+// A daemon that is one object with a static Start(Options), which returns a
+// base::Result of a std::unique_ptr, and a Stop().
+template <typename Host>
+class HostDaemon final : public Daemon {
+ public:
+  template <typename Options>
+  static base::Result<std::unique_ptr<HostDaemon>> Start(Options options) {
+    auto host = Host::Start(std::move(options));
+    if (!host) {
+      return tl::unexpected(host.error());
+    }
+    auto running = std::make_unique<HostDaemon>();
+    running->m_host = std::move(*host);
+    return running;
+  }
+
+  void Stop() override { m_host->Stop(); }
+
+ private:
+  std::unique_ptr<Host> m_host;
+};
+
 // Loads the settings that the command line names and starts the log, or says on
 // standard error what is wrong.
 std::variant<config::Settings, Answered> LoadSettings(
--- a/src/bin/cassia_control.cpp
+++ b/src/bin/cassia_control.cpp
@@ -9,25 +9,6 @@
 constexpr std::uint16_t kDefaultPort = 7100;
 constexpr std::int64_t kMostThreads = 64;
 
-class ControlDaemon final : public daemon::Daemon {
- public:
-  static base::Result<std::unique_ptr<ControlDaemon>> Start(
-      control::ControlHostOptions options) {
-    auto host = control::ControlHost::Start(std::move(options));
-    if (!host) {
-      return tl::unexpected(host.error());
-    }
-    auto running = std::make_unique<ControlDaemon>();
-    running->m_host = std::move(*host);
-    return running;
-  }
-
-  void Stop() override { m_host->Stop(); }
-
- private:
-  std::unique_ptr<control::ControlHost> m_host;
-};
-
 control::ControlHostOptions ReadOptions(config::Settings& settings) {
   control::ControlHostOptions options;
   options.listen = settings.Address("listen", {"127.0.0.1", kDefaultPort});
@@ -57,5 +38,6 @@
       "cassia-control",
       "takes operators' edits and callers' tasks, owns pools and runs waves"};
   return daemon::RunDaemon(program, argc, argv, ReadOptions,
-                           ControlDaemon::Start);
+                           daemon::HostDaemon<control::ControlHost>::Start<
+                               control::ControlHostOptions>);
 }
--- a/src/bin/cassia_entry.cpp
+++ b/src/bin/cassia_entry.cpp
@@ -11,25 +11,6 @@
 constexpr std::int64_t kMostThreads = 64;
 constexpr std::int64_t kMostBodyBytes = 64 << 20;
 
-class EntryDaemon final : public daemon::Daemon {
- public:
-  static base::Result<std::unique_ptr<EntryDaemon>> Start(
-      entry::EntryHostOptions options) {
-    auto host = entry::EntryHost::Start(std::move(options));
-    if (!host) {
-      return tl::unexpected(host.error());
-    }
-    auto running = std::make_unique<EntryDaemon>();
-    running->m_host = std::move(*host);
-    return running;
-  }
-
-  void Stop() override { m_host->Stop(); }
-
- private:
-  std::unique_ptr<entry::EntryHost> m_host;
-};
-
 void ReadLimits(config::Settings& settings, entry::IntakeLimits& limits) {
   limits.max_body_bytes = static_cast<std::size_t>(settings.Number(
       "max_body_bytes", static_cast<std::int64_t>(limits.max_body_bytes), 1,
@@ -69,6 +50,7 @@
   const daemon::Program program{
       "cassia-entry",
       "takes callers' requests and brings back the answers of the runners"};
-  return daemon::RunDaemon(program, argc, argv, ReadOptions,
-                           EntryDaemon::Start);
+  return daemon::RunDaemon(
+      program, argc, argv, ReadOptions,
+      daemon::HostDaemon<entry::EntryHost>::Start<entry::EntryHostOptions>);
 }
