--- a/src/cassiastile/operator/table.cpp
+++ b/src/cassiastile/operator/table.cpp
@@ -80,6 +80,35 @@
   return fmt::format("{}: {}\n", label, FormatCell(value));
 }
 
+// An object in a cell stands by its name where it has one.
+std::string FormatObject(const nlohmann::json& object) {
+  for (const char* name : {"name", "host", "subject", "id"}) {
+    if (object.contains(name)) {
+      return FormatCell(object.at(name));
+    }
+  }
+  std::string text;
+  for (const auto& [name, value] : object.items()) {
+    text += text.empty() ? "" : ", ";
+    text += Printable(name) + " " + FormatCell(value);
+  }
+  return text;
+}
+
+// The first items of a list and how many more there are; --json shows all.
+std::string FormatList(const nlohmann::json& list) {
+  constexpr std::size_t kMostItems = 6;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(list.size(), kMostItems); ++i) {
+    text += text.empty() ? "" : ", ";
+    text += FormatCell(list[i]);
+  }
+  if (list.size() > kMostItems) {
+    text += fmt::format(" and {} more", list.size() - kMostItems);
+  }
+  return text;
+}
+
 }  // namespace
 
 Table::Table(std::vector<std::string> header) {
@@ -149,15 +178,13 @@
   if (value.is_boolean()) {
     return value.get<bool>() ? "yes" : "no";
   }
-  if (!value.is_array()) {
-    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (value.is_array()) {
+    return FormatList(value);
   }
-  std::string text;
-  for (const auto& item : value) {
-    text += text.empty() ? "" : ", ";
-    text += FormatCell(item);
-  }
-  return text;
+  return value.is_object()
+             ? FormatObject(value)
+             : value.dump(-1, ' ', false,
+                          nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace cassiastile::operators
