--- a/include/cassiastile/control/control_host.hpp
+++ b/include/cassiastile/control/control_host.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -37,7 +38,8 @@
   ControlHost& operator=(const ControlHost&) = delete;
 
   // Answers what was taken, then gives up the shards and leaves the members.
-  void Stop();
+  // Returns the number of calls cut off, zero when all were answered.
+  std::size_t Stop();
 
  private:
   struct Parts;
--- a/src/cassiastile/control/control_host.cpp
+++ b/src/cassiastile/control/control_host.cpp
@@ -232,7 +232,7 @@
   return std::unique_ptr<ControlHost>(new ControlHost(std::move(parts)));
 }
 
-void ControlHost::Stop() {
+std::size_t ControlHost::Stop() {
   Parts& parts = *m_parts;
   parts.draining.store(true);
   const std::size_t cut = parts.server->Drain(parts.options.drain_notice,
@@ -243,6 +243,7 @@
   parts.member->Stop();
   parts.log.Info("The control process has stopped; " + std::to_string(cut) +
                  " calls were cut off.");
+  return cut;
 }
 
 }  // namespace cassiastile::control
--- a/src/cassiastile/entry/entry_hosts_test.cpp
+++ b/src/cassiastile/entry/entry_hosts_test.cpp
@@ -111,6 +111,28 @@
   EXPECT_EQ(m_runner->Log().size(), 1U);
 }
 
+TEST_F(EntryHostsTest, TwoHostsNeverExceedATeamsLimit) {
+  constexpr std::uint32_t kLimit = 3;
+  m_shared.fleet.Edit([](config::Fleet& fleet) {
+    fleet.limits = {{"brass", kLimit, 10}};
+  });
+  m_runner->SetServiceTime(std::chrono::milliseconds(20));
+  Answers answers;
+  for (int i = 0; i < 60; ++i) {
+    answers.push_back(
+        Start(MakeCall(i % 2 == 0 ? m_first : m_second, "entry")));
+  }
+  std::size_t answered = 0;
+  for (auto& answer : answers) {
+    const wire::HttpOutcome outcome = answer.get();
+    ASSERT_TRUE(outcome.has_value());
+    answered += outcome->status == 200 ? 1 : 0;
+  }
+  EXPECT_LE(m_runner->Counts().most_running, kLimit);
+  EXPECT_EQ(m_runner->Log().size(), answered);
+  EXPECT_GT(answered, 0U);
+}
+
 TEST_F(EntryHostsTest, TwoHostsNeverExceedARunnersSlots) {
   m_runner->SetServiceTime(std::chrono::milliseconds(20));
   Answers answers;
