Split the request dispatcher's tries from its events

How a try is sent, ends, is repeated and gives back its slot stands in request_dispatcher_tries.cpp now; the events, the settings and the dispatch stay.

--- a/src/cassiastile/work/request_dispatcher.cpp
+++ b/src/cassiastile/work/request_dispatcher.cpp
@@ -8,9 +8,7 @@
 
 namespace {
 
-constexpr double kServiceTimeGain = 0.05;
 constexpr std::chrono::milliseconds kOverdueMargin{100};
-constexpr int kServerError = 500;
 
 template <typename... Visitors>
 struct Overloaded : Visitors... {
@@ -252,108 +250,6 @@
       });
 }
 
-void RequestDispatcher::Send(Flight& flight,
-                             std::size_t runner,
-                             base::TimePoint now,
-                             RequestActions& actions) {
-  Runner& chosen = m_runners[runner];
-  ++chosen.in_use;
-  ++flight.active;
-  const bool again = !flight.tried.empty();
-  flight.tried.push_back(chosen.name);
-  Try& started = m_tries[m_next_try];
-  started.request_id = flight.ticket.id;
-  started.team = flight.ticket.team;
-  started.runner = chosen.name;
-  started.sent = now;
-  started.stop = flight.ticket.deadline;
-  SendTry send;
-  send.try_id = m_next_try++;
-  send.request_id = flight.ticket.id;
-  send.runner = chosen.name;
-  send.address = chosen.address;
-  send.timeout = flight.ticket.deadline - now;
-  send.fresh_connection =
-      !flight.ticket.idempotent || again || now < chosen.fresh_until;
-  actions.emplace_back(std::move(send));
-}
-
-void RequestDispatcher::TakeAnswer(const Try& ended,
-                                   TryAnswered answer,
-                                   base::TimePoint now,
-                                   RequestActions& actions) {
-  const base::Duration took = now - ended.sent;
-  const double cost =
-      static_cast<double>(took.count()) /
-      static_cast<double>(std::max<std::int64_t>(1, m_service_time.count()));
-  const auto step =
-      static_cast<double>((took - m_service_time).count()) * kServiceTimeGain;
-  m_service_time += base::Duration(static_cast<std::int64_t>(step));
-  m_budget.Earn();
-  ReleaseSlot(ended.runner, ended.team, cost);
-  if (answer.response.status >= kServerError) {
-    RecordFailureAt(ended.runner, now);
-  } else if (Runner* runner = FindRunner(ended.runner)) {
-    RecordAnswer(*runner, took, now);
-  }
-  const auto flight = m_flights.find(ended.request_id);
-  if (flight != m_flights.end()) {
-    Finish(flight, Answered{std::move(answer.response), ended.runner}, actions);
-  }
-}
-
-void RequestDispatcher::TakeNotSent(const Try& ended,
-                                    base::TimePoint now,
-                                    RequestActions& actions) {
-  ReleaseSlot(ended.runner, ended.team, 0);
-  RecordFailureAt(ended.runner, now);
-  const auto flight = m_flights.find(ended.request_id);
-  if (flight == m_flights.end() || flight->second.active > 0 ||
-      flight->second.waiting) {
-    return;
-  }
-  if (MayTryAgain(flight->second, now)) {
-    Retry(flight->second);
-  } else {
-    FinishFailed(flight, actions);
-  }
-}
-
-void RequestDispatcher::TakeLoss(const Try& ended,
-                                 const TryLost& loss,
-                                 base::TimePoint now,
-                                 RequestActions& actions) {
-  m_held.push_back(
-      {ended.runner, ended.team, ended.stop + m_options.stop_margin});
-  RecordFailureAt(ended.runner, now);
-  const auto found = m_flights.find(ended.request_id);
-  if (found == m_flights.end()) {
-    return;
-  }
-  Flight& flight = found->second;
-  flight.maybe_ran = true;
-  flight.doubt = loss.reason;
-  if (flight.active > 0 || flight.waiting) {
-    return;
-  }
-  if (flight.ticket.idempotent && MayTryAgain(flight, now)) {
-    Retry(flight);
-  } else {
-    FinishFailed(found, actions);
-  }
-}
-
-// Whether another try is allowed and of use; takes it from the budget.
-bool RequestDispatcher::MayTryAgain(const Flight& flight, base::TimePoint now) {
-  return flight.tried.size() < m_options.max_tries &&
-         now + m_service_time < flight.ticket.deadline && m_budget.Spend();
-}
-
-void RequestDispatcher::Retry(Flight& flight) {
-  flight.waiting = true;
-  m_retries.push_back(flight.ticket.id);
-}
-
 void RequestDispatcher::Finish(Flights::iterator flight,
                                Outcome outcome,
                                RequestActions& actions) {
@@ -397,59 +293,6 @@
   }
 }
 
-// Looks for tries that are overdue. Kept connections to their runners are not
-// trusted for a while, runners that answer nobody are ejected, and requests
-// that may run twice are tried elsewhere too.
-void RequestDispatcher::Hedge(base::TimePoint now) {
-  for (auto& [id, pending] : m_tries) {
-    Runner* runner = FindRunner(pending.runner);
-    if (runner == nullptr || pending.hedged ||
-        now - pending.sent < SilenceLimit(*runner, m_options.routing)) {
-      continue;
-    }
-    pending.hedged = true;
-    runner->fresh_until = now + m_options.distrust;
-    if (runner->last_answer < pending.sent) {
-      const auto index = static_cast<std::size_t>(runner - m_runners.data());
-      Eject(m_runners, index, m_options.routing, now);
-    }
-    const auto found = m_flights.find(pending.request_id);
-    if (found != m_flights.end() && found->second.ticket.idempotent &&
-        !found->second.waiting && MayTryAgain(found->second, now)) {
-      Retry(found->second);
-    }
-  }
-}
-
-void RequestDispatcher::ReleaseHeld(base::TimePoint now) {
-  std::vector<HeldSlot> still_held;
-  for (HeldSlot& held : m_held) {
-    if (now < held.until) {
-      still_held.push_back(std::move(held));
-    } else {
-      ReleaseSlot(held.runner, held.team, 1);
-    }
-  }
-  m_held = std::move(still_held);
-}
-
-void RequestDispatcher::ReleaseSlot(const std::string& runner,
-                                    const std::string& team,
-                                    double cost) {
-  if (Runner* freed = FindRunner(runner)) {
-    freed->in_use -= freed->in_use > 0 ? 1 : 0;
-  }
-  m_queue.Release(team, cost);
-}
-
-void RequestDispatcher::RecordFailureAt(const std::string& runner,
-                                        base::TimePoint now) {
-  if (const Runner* failed = FindRunner(runner)) {
-    const auto index = static_cast<std::size_t>(failed - m_runners.data());
-    RecordFailure(m_runners, index, m_options.routing, now);
-  }
-}
-
 void RequestDispatcher::NoteDemand(const std::string& team) {
   const AdmissionQueue::TeamCount count = m_queue.CountOf(team);
   std::uint32_t& most = m_demand.by_team[team];
