Let stops and acts not wait for thousands of new hosts; say when to come back

Change: 32 new hosts a round and pool, a look at the stop between pools, a plain sentence for requests refused on arrival, Retry-After of 1 s.

--- a/include/cassiastile/control/pool_service.hpp
+++ b/include/cassiastile/control/pool_service.hpp
@@ -100,6 +100,7 @@
   void RunActs();
   base::Result<void> RunAct(const Act& act);
   void TickOwnedPools();
+  bool IsStopping() const;
   void TickOrphans();
   void Publish();
   std::shared_ptr<const PoolSnapshot> Latest() const;
--- a/include/cassiastile/fleet/reconciler.hpp
+++ b/include/cassiastile/fleet/reconciler.hpp
@@ -38,6 +38,9 @@
   std::chrono::seconds replace_after{300};
   // A host that fails within this time of its return counts as its wave's.
   std::chrono::seconds correlation_time{1800};
+  // New hosts that one round of a pool writes down; the others wait for the
+  // next, so that waves, acts and stops don't wait for thousands of them.
+  std::size_t registrations_per_round = 32;
   // What a wave's host takes until it has been measured.
   std::chrono::seconds assumed_service{900};
   // The drain of a host that moves or goes for good.
--- a/src/cassiastile/control/pool_service.cpp
+++ b/src/cassiastile/control/pool_service.cpp
@@ -93,8 +93,16 @@
   Publish();
 }
 
+bool PoolService::IsStopping() const {
+  const std::lock_guard lock(m_mutex);
+  return m_stopping;
+}
+
 void PoolService::TickOwnedPools() {
   for (const config::Pool& pool : m_document->fleet.pools) {
+    if (IsStopping()) {
+      return;
+    }
     const auto grip = m_ports.owner.Grip(pool.name, m_ports.clock.Now());
     if (grip) {
       m_reconciler.Tick(pool.name, grip->fence);
--- a/src/cassiastile/entry/refusal_decision.cpp
+++ b/src/cassiastile/entry/refusal_decision.cpp
@@ -26,7 +26,14 @@
   }
 }
 
+bool WasTakenIn(const RefusalContext& context) {
+  return context.ticket.id != 0;
+}
+
 std::string Observe(const RefusalContext& context) {
+  if (!WasTakenIn(context)) {
+    return "refused on arrival, before it was queued";
+  }
   const ServiceShard::Figures& figures = context.figures;
   return fmt::format(
       "{} waiting, {} of {} slots in use, {} runners ejected; {} ms after it "
@@ -59,8 +66,11 @@
   base::Decision decision;
   decision.id = context.id;
   decision.kind = base::DecisionKind::kRefusal;
-  decision.subject = fmt::format("request {} for service {}", context.ticket.id,
-                                 context.service);
+  decision.subject =
+      WasTakenIn(context)
+          ? fmt::format("request {} for service {}", context.ticket.id,
+                        context.service)
+          : fmt::format("a request for service {}", context.service);
   decision.team = context.ticket.team;
   decision.outcome =
       std::holds_alternative<work::NotRun>(outcome) ? "not run" : "unknown";
--- a/src/cassiastile/fleet/reconciler_hosts.cpp
+++ b/src/cassiastile/fleet/reconciler_hosts.cpp
@@ -152,10 +152,14 @@
   if (round.declared == nullptr || !round.may_take) {
     return true;
   }
+  std::size_t registered = 0;
   for (const config::Host& host : round.declared->hosts) {
     if (m_state.hosts.contains(host.name)) {
       continue;
     }
+    if (++registered > m_options.registrations_per_round) {
+      return true;
+    }
     if (!CommitIn(round, RegisterHost(round.context,
                                       FindPoolRecord(m_state, round.pool),
                                       host.name))) {
--- a/src/cassiastile/wire/http_test.cpp
+++ b/src/cassiastile/wire/http_test.cpp
@@ -146,6 +146,16 @@
   answering.join();
 }
 
+TEST(HttpTest, ErrorsThatPassSayWhenToComeBack) {
+  const auto retry_after = [](base::ErrorCode code) {
+    return FindHeader(MakeErrorResponse({code, "It is busy."}).headers,
+                      "Retry-After");
+  };
+  EXPECT_EQ(retry_after(base::ErrorCode::kOverloaded), "1");
+  EXPECT_EQ(retry_after(base::ErrorCode::kUnavailable), "1");
+  EXPECT_EQ(retry_after(base::ErrorCode::kInvalid), std::nullopt);
+}
+
 TEST(HttpTest, ProblemCarriesExecutionAndRetryAfter) {
   Problem problem;
   problem.status = 429;
--- a/src/cassiastile/wire/problem.cpp
+++ b/src/cassiastile/wire/problem.cpp
@@ -14,6 +14,9 @@
     {Execution::kRan, "ran"},
 }};
 
+// When to come back after an error that passes by itself.
+constexpr std::chrono::milliseconds kErrorRetryAfter{1000};
+
 int StatusOf(base::ErrorCode code) {
   switch (code) {
     case base::ErrorCode::kInvalid:
@@ -81,6 +84,10 @@
       error.code == base::ErrorCode::kInternal) {
     problem.execution = Execution::kUnknown;
   }
+  if (error.code == base::ErrorCode::kOverloaded ||
+      error.code == base::ErrorCode::kUnavailable) {
+    problem.retry_after = kErrorRetryAfter;
+  }
   return MakeProblemResponse(problem);
 }
 
