--- a/include/cassiastile/control/task_service.hpp
+++ b/include/cassiastile/control/task_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -50,9 +51,17 @@
               const ShardForwarder& forwarder,
               TaskServiceOptions options);
 
+  // What a caller's call on one task asks of the owner's pump.
+  using TaskCall = std::function<
+      void(TaskPump&, const std::string& key, const wire::HttpResponder&)>;
+
   void HandleSubmit(wire::HttpRequest request, wire::HttpResponder respond);
   void HandleRead(wire::HttpRequest request, wire::HttpResponder respond);
   void HandleCancel(wire::HttpRequest request, wire::HttpResponder respond);
+  // Runs the call on the owner of the task that the request names.
+  void OnTask(wire::HttpRequest request,
+              wire::HttpResponder respond,
+              TaskCall call);
   void HandleResolve(wire::HttpRequest request, wire::HttpResponder respond);
   void HandlePoll(wire::HttpRequest request, wire::HttpResponder respond);
 
--- a/src/bin/measure_store.cpp
+++ b/src/bin/measure_store.cpp
@@ -37,6 +37,20 @@
   std::cout << line.dump() << '\n';
 }
 
+// Makes calls to a table that is down for a minute and for the seconds after.
+// `run` makes them for a length of time and returns how many failed.
+template <typename Run>
+OutageCounts MeasureOutage(platform::MemoryTable& table, const Run& run) {
+  OutageCounts counts;
+  table.SetFaults({.down = true});
+  run(kOutage);
+  counts.during = table.Counts().reads;
+  table.SetFaults({});
+  counts.failed_after = run(kAfter);
+  counts.after = table.Counts().reads - counts.during;
+  return counts;
+}
+
 // Each host makes a call every 50 ms of virtual time through its own guard.
 OutageCounts MeasureGuarded() {
   platform::MemoryTable table(kSeed);
@@ -47,48 +61,40 @@
     guards.push_back(std::make_unique<platform::StoreGuard>(
         table, clock, [](base::Duration) {}, kSeed + host));
   }
-  const auto run = [&](base::Duration time, std::uint64_t& failed) {
+  return MeasureOutage(table, [&](base::Duration time) {
+    std::uint64_t failed = 0;
     for (base::Duration spent{}; spent < time; spent += kCallEvery) {
       for (auto& guard : guards) {
         failed += guard->Get("config/head") ? 0 : 1;
       }
       clock.Advance(kCallEvery);
     }
-  };
-  OutageCounts counts;
-  std::uint64_t failed_during = 0;
-  table.SetFaults({.down = true});
-  run(kOutage, failed_during);
-  counts.during = table.Counts().reads;
-  table.SetFaults({});
-  run(kAfter, counts.failed_after);
-  counts.after = table.Counts().reads - counts.during;
-  return counts;
+    return failed;
+  });
+}
+
+// Whether a call is answered when it is retried at once, up to twenty times.
+bool CallBlindly(platform::MemoryTable& table) {
+  for (int retry = 0; retry <= kBlindRetries; ++retry) {
+    if (table.Get("config/head")) {
+      return true;
+    }
+  }
+  return false;
 }
 
-// The same calls, each retried up to twenty times at once.
+// The same calls with blind retry.
 OutageCounts MeasureBlindRetry() {
   platform::MemoryTable table(kSeed);
-  const auto run = [&](base::Duration time, std::uint64_t& failed) {
+  return MeasureOutage(table, [&table](base::Duration time) {
+    std::uint64_t failed = 0;
     for (base::Duration spent{}; spent < time; spent += kCallEvery) {
       for (int host = 0; host < kHosts; ++host) {
-        bool answered = false;
-        for (int retry = 0; retry <= kBlindRetries && !answered; ++retry) {
-          answered = table.Get("config/head").has_value();
-        }
-        failed += answered ? 0 : 1;
+        failed += CallBlindly(table) ? 0 : 1;
       }
     }
-  };
-  OutageCounts counts;
-  std::uint64_t failed_during = 0;
-  table.SetFaults({.down = true});
-  run(kOutage, failed_during);
-  counts.during = table.Counts().reads;
-  table.SetFaults({});
-  run(kAfter, counts.failed_after);
-  counts.after = table.Counts().reads - counts.during;
-  return counts;
+    return failed;
+  });
 }
 
 }  // namespace
--- a/src/cassiastile/control/control_host_test.cpp
+++ b/src/cassiastile/control/control_host_test.cpp
@@ -130,6 +130,7 @@
 TEST_F(ControlHostTest, StopAnswersWhatItTookAndKeepsWhatItAcknowledged) {
   constexpr int kCallers = 4;
   std::vector<std::future<std::vector<std::string>>> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.push_back(std::async(std::launch::async, [this, caller] {
       std::vector<std::string> acknowledged;
--- a/src/cassiastile/control/task_service.cpp
+++ b/src/cassiastile/control/task_service.cpp
@@ -176,22 +176,25 @@
 
 void TaskService::HandleRead(wire::HttpRequest request,
                              wire::HttpResponder respond) {
-  const auto queue = AdmitCaller(request);
-  if (!queue) {
-    RespondWithError(respond, queue.error());
-    return;
-  }
-  const std::string key = TaskKeyOf(request);
-  m_forwarder.Handle(
-      queue->pool, std::move(request), std::move(respond),
-      [this, key](const member::ShardGrip& grip, const wire::HttpRequest&,
-                  const wire::HttpResponder& answer) {
-        PumpOf(grip.shard)->Read(key, AnswerWithTask(answer));
-      });
+  OnTask(std::move(request), std::move(respond),
+         [](TaskPump& pump, const std::string& key,
+            const wire::HttpResponder& answer) {
+           pump.Read(key, AnswerWithTask(answer));
+         });
 }
 
 void TaskService::HandleCancel(wire::HttpRequest request,
                                wire::HttpResponder respond) {
+  OnTask(std::move(request), std::move(respond),
+         [](TaskPump& pump, const std::string& key,
+            const wire::HttpResponder& answer) {
+           pump.Submit(work::CancelEvent{key}, key, AnswerWithTask(answer));
+         });
+}
+
+void TaskService::OnTask(wire::HttpRequest request,
+                         wire::HttpResponder respond,
+                         TaskCall call) {
   const auto queue = AdmitCaller(request);
   if (!queue) {
     RespondWithError(respond, queue.error());
@@ -200,10 +203,10 @@
   const std::string key = TaskKeyOf(request);
   m_forwarder.Handle(
       queue->pool, std::move(request), std::move(respond),
-      [this, key](const member::ShardGrip& grip, const wire::HttpRequest&,
-                  const wire::HttpResponder& answer) {
-        PumpOf(grip.shard)
-            ->Submit(work::CancelEvent{key}, key, AnswerWithTask(answer));
+      [this, key, call = std::move(call)](const member::ShardGrip& grip,
+                                          const wire::HttpRequest&,
+                                          const wire::HttpResponder& answer) {
+        call(*PumpOf(grip.shard), key, answer);
       });
 }
 
