Put a team's limit in force before the test's hosts start

The test added the limit while both hosts ran without one and sent at once; a host takes a new document in at its next look (50 ms in the test), and until then the team has no limit in that host, which is allowed: an edit is in force within seconds. Change: the test sets the limit first; its bound and its other checks are as they were.

--- a/src/cassiastile/entry/entry_hosts_test.cpp
+++ b/src/cassiastile/entry/entry_hosts_test.cpp
@@ -111,16 +111,21 @@
   EXPECT_EQ(m_runner->Log().size(), 1U);
 }
 
+// The limit is in force before the hosts start: one that is edited in between
+// takes hold with the document, a moment later.
 TEST_F(EntryHostsTest, TwoHostsNeverExceedATeamsLimit) {
   constexpr std::uint32_t kLimit = 3;
-  m_shared.fleet.Edit([](config::Fleet& fleet) {
+  TestPlatform limited;
+  limited.fleet.Edit([](config::Fleet& fleet) {
     fleet.limits = {{"brass", kLimit, 10}};
   });
-  m_runner->SetServiceTime(std::chrono::milliseconds(20));
+  const auto runner = StartRunner(limited, "r1");
+  runner->SetServiceTime(std::chrono::milliseconds(20));
+  const TestHost first(limited, "e1");
+  const TestHost second(limited, "e2");
   Answers answers;
   for (int i = 0; i < 60; ++i) {
-    answers.push_back(
-        Start(MakeCall(i % 2 == 0 ? m_first : m_second, "entry")));
+    answers.push_back(Start(MakeCall(i % 2 == 0 ? first : second, "entry")));
   }
   std::size_t answered = 0;
   for (auto& answer : answers) {
@@ -128,8 +133,8 @@
     ASSERT_TRUE(outcome.has_value());
     answered += outcome->status == 200 ? 1 : 0;
   }
-  EXPECT_LE(m_runner->Counts().most_running, kLimit);
-  EXPECT_EQ(m_runner->Log().size(), answered);
+  EXPECT_LE(runner->Counts().most_running, kLimit);
+  EXPECT_EQ(runner->Log().size(), answered);
   EXPECT_GT(answered, 0U);
 }
 
