--- a/cmake/cassiastile_options.cmake
+++ b/cmake/cassiastile_options.cmake
@@ -3,8 +3,11 @@
 set(CMAKE_CXX_EXTENSIONS OFF)
 set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
 
+# OFF builds the programs alone, without what only tests need.
+option(CASSIASTILE_TESTS "Build tests, examples and measurements" ON)
+
 find_program(CCACHE_PROGRAM ccache)
-if(CCACHE_PROGRAM)
+if(CCACHE_PROGRAM AND CASSIASTILE_TESTS)
   set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
 endif()
 
@@ -19,11 +22,13 @@
 find_package(OpenSSL REQUIRED)
 find_package(Boost REQUIRED COMPONENTS program_options)
 find_package(prometheus-cpp CONFIG REQUIRED)
-find_package(GTest REQUIRED)
-find_package(benchmark REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(fmt REQUIRED)
-find_package(rapidcheck CONFIG REQUIRED)
+if(CASSIASTILE_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(benchmark REQUIRED)
+  find_package(rapidcheck CONFIG REQUIRED)
+endif()
 
 # The settings that every target of the project is built with.
 add_library(cassiastile_common INTERFACE)
--- /dev/null
+++ b/include/cassiastile/host/asio_loop.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "cassiastile/host/loop.hpp"
+
+namespace asio {
+class io_context;
+}
+
+namespace cassiastile::host {
+
+// The loop of a real process.
+class AsioLoop final : public Loop {
+ public:
+  AsioLoop(asio::io_context& context, const base::Clock& clock)
+      : m_context(context), m_clock(clock) {}
+
+  const base::Clock& GetClock() const override { return m_clock; }
+  void After(base::Duration delay, std::function<void()> run) override;
+
+ private:
+  asio::io_context& m_context;
+  const base::Clock& m_clock;
+};
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/include/cassiastile/host/host_node.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cassiastile/base/random.hpp"
+#include "cassiastile/host/config_watch.hpp"
+#include "cassiastile/host/dispatcher.hpp"
+#include "cassiastile/host/front.hpp"
+#include "cassiastile/host/peer_message.hpp"
+
+namespace cassiastile::host {
+
+// Calls between hosts.
+class PeerPort {
+ public:
+  struct Failure {
+    bool refused = false;  // No process listens there; nothing was done.
+  };
+  template <typename Value>
+  using Done = std::function<void(tl::expected<Value, Failure>)>;
+
+  virtual ~PeerPort() = default;
+  virtual void Greet(const std::string& endpoint,
+                     const Greeting& greeting,
+                     Done<Greeting> done) = 0;
+  virtual void Ask(const std::string& endpoint,
+                   const JobRequest& request,
+                   std::chrono::milliseconds timeout,
+                   Done<JobAnswer> done) = 0;
+};
+
+// One entry host: takes callers' requests, follows the configuration and, when
+// it holds the office, gives the orders. Any host may hold it; who does is a
+// row in the platform's table.
+class HostNode {
+ public:
+  HostNode(HostPorts ports,
+           PeerPort& peers,
+           Loop& loop,
+           EventLog& log,
+           HostSettings settings,
+           FrontFormat format,
+           base::Random random);
+
+  void Begin();
+  void Handle(const wire::HttpRequest& request,
+              const wire::HttpResponder& respond);
+  Greeting Greeted(const Greeting& greeting);
+  void Asked(const JobRequest& request, std::function<void(JobAnswer)> respond);
+  bool IsReady() const;
+
+  // Stops taking part: not ready any more, the office passes on.
+  void BeginStop();
+  // Whether all that was taken is answered and the office has passed on.
+  bool MayEnd() const;
+
+  const Dispatcher* Office() const { return m_dispatcher.get(); }
+  const ConfigWatch& Config() const { return m_config; }
+  const HostSettings& Settings() const { return m_settings; }
+
+ private:
+  struct Peer {
+    std::string endpoint;
+    base::TimePoint heard{};
+  };
+
+  void Announce();
+  void FindPeers();
+  void KeepGreeting();
+  void Greet();
+  void HolderRefused();
+  void SendGreeting(const std::string& endpoint);
+  Greeting MakeGreeting(std::uint64_t known_version) const;
+  void TakeGreeting(const Greeting& greeting);
+  void TakeNotice(const OfficeNotice& notice);
+  void WatchOffice();
+  void CheckOffice();
+  void SawOffice(const OfficeSight& sight);
+  void TakeOffice(const OfficeSight& sight);
+  void Elected();
+  void OfficeLost();
+  void AskOffice(JobRequest request,
+                 std::chrono::milliseconds timeout,
+                 std::function<void(JobAnswer)> respond);
+  std::string OwnEndpoint() const;
+  bool IsOffice() const { return m_dispatcher != nullptr; }
+
+  HostPorts m_ports;
+  PeerPort& m_peers;
+  Loop& m_loop;
+  EventLog& m_log;
+  HostSettings m_settings;
+  base::Random m_random;
+  std::string m_life;
+  ConfigWatch m_config;
+  Front m_front;
+  std::map<std::string, Peer> m_known;  // By host.
+  OfficeNotice m_office;
+  std::uint32_t m_refusals = 0;  // Of connections to the holder, in a row.
+  std::string m_holder_gone;     // A holder whose process is gone.
+  base::TimePoint m_office_heard{};
+  OfficeSight m_sight;
+  base::TimePoint m_sight_changed{};
+  bool m_checking = false;
+  bool m_taking = false;
+  std::unique_ptr<CommitChain> m_candidate;
+  std::unique_ptr<Dispatcher> m_dispatcher;
+  bool m_had_predecessor = false;
+  bool m_stopping = false;
+  bool m_resigning = false;
+  Lifetime m_lifetime;
+};
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/include/cassiastile/host/peer_message.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "cassiastile/base/error.hpp"
+
+// What hosts say to each other, as cereal archives in HTTP bodies.
+namespace cassiastile::host {
+
+// The host that gives orders, as another host knows it.
+struct OfficeNotice {
+  std::uint64_t fence = 0;  // Grows with each term; 0: none known.
+  std::string host;         // Empty once it has resigned.
+  std::string endpoint;     // Of its peer interface.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(fence, host, endpoint);
+  }
+};
+
+// Exchanged regularly between hosts.
+struct Greeting {
+  std::string host;
+  std::string endpoint;
+  std::uint64_t config_version = 0;
+  std::string config;  // As the operators wrote it; empty if not newer.
+  OfficeNotice office;
+  bool in_office = false;
+  bool store_answers = false;  // The sender has lately reached the store.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(host, endpoint, config_version, config, office, in_office,
+            store_answers);
+  }
+};
+
+enum class JobVerb : std::uint8_t { kSubmit, kState, kCancel, kCount };
+
+// A caller's request on its way to the host in office.
+struct JobRequest {
+  JobVerb verb = JobVerb::kState;
+  std::string queue;
+  std::string customer;  // Empty on open queues.
+  std::string job;
+  std::string spec;  // As the caller wrote it; decoded again there.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(verb, queue, customer, job, spec);
+  }
+};
+
+enum class JobAnswerKind : std::uint8_t {
+  kOk,
+  kInvalid,  // The specification is wrong; `detail` says where.
+  kNoSuchJob,
+  kForbidden,    // The job is another customer's.
+  kRefused,      // Not taken and not run; `retry_after` says when to return.
+  kNotInOffice,  // Ask another host; nothing was done.
+  kUndecided,    // Taken or not is not known yet.
+};
+
+struct JobAnswer {
+  JobAnswerKind kind = JobAnswerKind::kUndecided;
+  std::uint8_t phase = 0;   // A jobs::JobPhase, for kState.
+  std::uint64_t count = 0;  // For kCount.
+  std::uint8_t reason = 0;  // A jobs::RefusalReason, for kRefused.
+  std::int64_t retry_after_ms = 0;
+  std::string detail = {};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(kind, phase, count, reason, retry_after_ms, detail);
+  }
+};
+
+std::string Encode(const Greeting& message);
+std::string Encode(const JobRequest& message);
+std::string Encode(const JobAnswer& message);
+base::Result<Greeting> DecodeGreeting(const std::string& bytes);
+base::Result<JobRequest> DecodeJobRequest(const std::string& bytes);
+base::Result<JobAnswer> DecodeJobAnswer(const std::string& bytes);
+
+// The record of who holds the office, in the platform's table.
+struct OfficeRecord {
+  std::string host;  // Empty once resigned.
+  std::string endpoint;
+  std::string life;          // Unique to the process.
+  std::uint64_t commit = 0;  // Counts the commits of all terms.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(host, endpoint, life, commit);
+  }
+  friend bool operator==(const OfficeRecord&, const OfficeRecord&) = default;
+};
+
+std::string Encode(const OfficeRecord& record);
+base::Result<OfficeRecord> DecodeOfficeRecord(const std::string& bytes);
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/include/cassiastile/host/settings.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cassiastile/base/error.hpp"
+
+namespace cassiastile::host {
+
+// An IPv4 address and a port.
+struct Endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  std::string Text() const { return address + ":" + std::to_string(port); }
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+};
+
+// Fails with kInvalid for text that is not "ADDRESS:PORT".
+base::Result<Endpoint> ParseEndpoint(std::string_view text);
+
+// The settings of one host, from a JSON file. Unknown members are ignored.
+struct HostSettings {
+  std::string host;
+  std::string availability_zone;
+  std::string address;
+  std::uint16_t peer_port = 0;
+  std::uint16_t metrics_port = 0;
+  Endpoint client_endpoint;
+  Endpoint ready_endpoint;
+  Endpoint table_endpoint;
+  Endpoint machines_endpoint;
+  std::string advice_endpoint;  // Empty where no queue takes advice.
+  std::chrono::milliseconds max_worker_lease{10000};
+  std::chrono::milliseconds stop_grace{6000};
+  std::chrono::milliseconds finished_state{120000};
+  std::chrono::milliseconds unavailable_notice{4500};
+  std::chrono::milliseconds disturbance{4000};
+  std::chrono::milliseconds machine_order_lease{3000};
+  std::chrono::milliseconds machine_move{1500};
+  std::chrono::milliseconds machine_upkeep{2000};
+  double away_from_data_factor = 1.5;
+
+  friend bool operator==(const HostSettings&, const HostSettings&) = default;
+};
+
+// Fails with kInvalid; the message lists all findings with their members.
+base::Result<HostSettings> ParseHostSettings(const std::string& text);
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/include/cassiastile/jobs/admission.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include "cassiastile/base/enum_names.hpp"
+
+namespace cassiastile::jobs {
+
+enum class RefusalReason : std::uint8_t {
+  kNone,
+  kOverload,     // It could not be done in time behind the work before it.
+  kStoreAway,    // Jobs can't be recorded now.
+  kNoScheduler,  // No host is in office.
+  kTooLarge,     // No worker of the pool is large enough.
+};
+
+inline constexpr std::array<base::EnumName<RefusalReason>, 5> kRefusalNames{{
+    {RefusalReason::kNone, "none"},
+    {RefusalReason::kOverload, "overload"},
+    {RefusalReason::kStoreAway, "store away"},
+    {RefusalReason::kNoScheduler, "no scheduler"},
+    {RefusalReason::kTooLarge, "too large"},
+}};
+
+// What admission knows of a pool and of the job at its door.
+struct AdmissionInput {
+  double backlog_core_ms = 0;          // Work ahead of the job, not yet done.
+  double pool_cores = 0;               // Cores that jobs can use.
+  std::chrono::milliseconds chain{0};  // Longest chain of the job.
+  std::chrono::milliseconds objective{0};  // From its first request on.
+};
+
+struct AdmissionVerdict {
+  bool admitted = true;
+  std::chrono::milliseconds retry_after{0};
+};
+
+// Answers demand of several times the pool: a job that could not meet its
+// objective behind the work already taken is turned away at once, with the
+// time after which it could. Taking it would make it and those behind it late.
+AdmissionVerdict Admit(const AdmissionInput& input);
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -0,0 +1,290 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/jobs/admission.hpp"
+#include "cassiastile/jobs/duration_model.hpp"
+#include "cassiastile/jobs/fleet_config.hpp"
+#include "cassiastile/jobs/job.hpp"
+#include "cassiastile/jobs/scheduler_options.hpp"
+#include "cassiastile/jobs/worker_health.hpp"
+#include "cassiastile/jobs/worker_view.hpp"
+
+namespace cassiastile::jobs {
+
+struct StartOrder {
+  WorkerId worker;
+  TaskId task;
+  std::uint32_t run = 0;
+  std::string payload;
+  std::string checkpoint;
+  std::string ticket;
+};
+
+struct StopOrder {
+  WorkerId worker;
+  TaskId task;
+  std::uint32_t run = 0;
+};
+
+struct PaceOrder {
+  WorkerId worker;
+  TaskId task;
+  std::uint32_t run = 0;
+  int percent = 100;
+};
+
+// Asks the placement advisor of a queue which workers may run a step.
+struct AdviceRequest {
+  std::string job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::vector<std::string> workers;
+  std::chrono::milliseconds validity{0};
+};
+
+// What the caller must carry out. Starts come only out of Confirm.
+struct Orders {
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::vector<PaceOrder> paces;
+  std::vector<AdviceRequest> advice;
+};
+
+// A row to write; no bytes means that the row goes.
+struct JobRow {
+  std::string job;
+  bool is_record = false;  // The record, else the progress.
+  std::optional<std::string> bytes;
+};
+
+// What one transaction makes last, and what may happen once it is committed.
+struct Batch {
+  std::vector<JobRow> rows;
+  std::vector<std::pair<TaskRef, std::uint32_t>> starts;
+  std::vector<std::string> accepted;
+  std::vector<std::pair<std::string, JobPhase>> phases;
+  // Sequence of the last end that the rows cover, by worker.
+  std::vector<std::pair<WorkerId, std::uint64_t>> ends;
+};
+
+// What became of a job that was handed in.
+struct Submission {
+  enum class Verdict : std::uint8_t {
+    kNew,      // Taken; acknowledge once its record is committed.
+    kPending,  // Handed in before; its record is not committed yet.
+    kKnown,    // Handed in before and committed.
+    kRefused,  // Not taken; it will not run unless handed in again.
+  };
+  Verdict verdict = Verdict::kNew;
+  RefusalReason reason = RefusalReason::kNone;
+  std::chrono::milliseconds retry_after{0};
+};
+
+// A worker as the scheduler knows it.
+struct WorkerState {
+  WorkerEntry entry;
+  bool listed = false;  // In the platform's list now.
+  bool heard = false;   // Has reported in this term of the scheduler.
+  base::TimePoint last_report{};
+  // After this nothing that was ordered so far can still run there.
+  base::TimePoint lease_bound{};
+  // Earlier reports are not told from runs lost; see WorkerReported.
+  Resources used;
+  std::vector<std::pair<TaskRef, std::uint32_t>> runs;
+  std::uint64_t last_end = 0;   // Newest end seen.
+  std::uint64_t acked_end = 0;  // Newest end that the store covers.
+  WorkerHealth health;
+  bool withheld = false;      // About to move or to be maintained.
+  bool wants_report = false;  // A report sent now would decide something.
+};
+
+// Decides which tasks run where. Pure: observations and the time go in, orders
+// and rows come out. One scheduler is in office at a time; what it orders is
+// recorded in the store first, so that its successor knows each run that may
+// be alive.
+class Scheduler {
+ public:
+  explicit Scheduler(SchedulerOptions options);
+
+  void ApplyConfig(std::shared_ptr<const FleetConfig> config);
+
+  // Takes over the jobs of a predecessor. Runs at workers that do not report
+  // count as alive until `silent_bound`.
+  void Recover(std::vector<Job> jobs,
+               base::TimePoint now,
+               base::TimePoint silent_bound);
+
+  // Callers.
+  Submission Submit(const std::string& id,
+                    const QueueConfig& queue,
+                    const std::string& customer,
+                    JobSpec spec,
+                    base::TimePoint now);
+  // False when there is no such job. Acknowledge once the phase is committed.
+  bool Cancel(const std::string& id, base::TimePoint now);
+  const Job* FindJob(const std::string& id) const;
+  std::size_t QueuedJobs(const std::string& queue) const;
+
+  // Observations.
+  void WorkersListed(const std::vector<WorkerEntry>& entries,
+                     base::TimePoint now);
+  // `asked_at` is when the report was asked for.
+  void WorkerReported(const std::string& worker,
+                      const WorkerReport& report,
+                      base::TimePoint asked_at,
+                      base::TimePoint now);
+  void WorkerSilent(const std::string& worker, base::TimePoint now);
+  // An order was sent that lets the worker go on until `bound`.
+  void LeaseSent(const std::string& worker, base::TimePoint bound);
+  void StartAnswered(const WorkerId& worker,
+                     const TaskId& task,
+                     std::uint32_t run,
+                     StartResult result,
+                     base::TimePoint now);
+  // A stop was answered: the run ends soon and will not start any more.
+  void StopAnswered(const WorkerId& worker,
+                    const TaskId& task,
+                    std::uint32_t run,
+                    base::TimePoint now);
+  void AdviceAnswered(const AdviceRequest& request,
+                      std::vector<std::pair<std::string, std::string>> allowed,
+                      std::chrono::milliseconds validity,
+                      base::TimePoint now);
+
+  // Drops what can't be alive any more, begins occurrences that are due and
+  // places waiting tasks.
+  void Plan(base::TimePoint now, base::WallTime wall);
+
+  // What is to be written next, at most `max_rows` rows; empty if nothing is.
+  Batch TakeBatch(std::size_t max_rows, base::TimePoint now);
+  // Whether something waits for a write that should not be put off.
+  bool HasUrgentRows() const { return m_urgent; }
+  bool HasRows() const { return !m_dirty.empty(); }
+  void Confirm(const Batch& batch, base::TimePoint now);
+
+  // Orders since the last call.
+  Orders TakeOrders();
+
+  // Whether all that runs on a worker may be ended now without taking more
+  // tasks of a step away than it allows.
+  bool MayVacate(const std::string& worker, base::TimePoint now) const;
+  // Places nothing more on a worker that is about to be taken away.
+  void Withhold(const std::string& worker, bool withheld);
+  // What the pools' planner looks at.
+  struct PoolLoad {
+    std::int64_t capacity_cpu = 0;
+    std::int64_t used_cpu = 0;
+    std::int64_t lasting_cpu = 0;
+    std::int64_t waiting_cpu = 0;
+    double backlog_core_seconds = 0;
+    std::size_t refused = 0;  // Since the last look.
+    std::size_t workers = 0;
+  };
+  std::map<std::string, PoolLoad> LookAtPools(base::TimePoint now);
+
+  const std::map<std::string, WorkerState>& Workers() const {
+    return m_workers;
+  }
+  WorkerState* FindWorker(const std::string& id);
+  std::size_t JobCount() const { return m_jobs.size(); }
+
+ private:
+  struct Advice {
+    base::TimePoint valid_until{};
+    base::TimePoint asked_at{};
+    std::map<std::string, std::string> ticket_of_worker;
+    std::set<std::string> asked;
+  };
+
+  // scheduler.cpp
+  void MarkDirty(Job& job, bool urgent);
+  void Finish(Job& job, JobPhase phase, base::TimePoint now);
+  void StopAllRuns(Job& job, base::TimePoint now);
+  void ReleaseFinished(base::TimePoint now);
+  std::string ServiceOf(const Job& job) const;
+  const QueueConfig* QueueOf(const Job& job) const;
+  void SetObjective(Job& job, const QueueConfig& queue);
+
+  // scheduler_runs.cpp
+  Run* FindRun(const TaskRef& ref, std::uint32_t number);
+  std::optional<TaskRef> Resolve(const TaskId& id);
+  void BeginRun(const TaskRef& ref, WorkerState& worker, base::TimePoint now);
+  // Takes a run off the books and, unless its task is over, lists the task as
+  // waiting again.
+  void DropRun(const TaskRef& ref, std::uint32_t number, base::TimePoint now);
+  void DropRunsOf(WorkerState& worker, std::int64_t born, base::TimePoint now);
+  void StopRun(const TaskRef& ref, Run& run, base::TimePoint now);
+  void EndRun(const TaskRef& ref,
+              WorkerState& worker,
+              const ListedEnd& end,
+              base::TimePoint now);
+  void TaskDone(const TaskRef& ref, base::TimePoint now);
+  void TaskFailed(const TaskRef& ref,
+                  const std::string& worker,
+                  base::TimePoint now);
+  void NoteListed(WorkerState& worker,
+                  const ListedRun& listed,
+                  base::TimePoint now);
+  void ExpireRuns(base::TimePoint now);
+
+  // scheduler_place.cpp
+  void BeginDueOccurrences(base::TimePoint now, base::WallTime wall);
+  void PlaceService(const std::string& service,
+                    std::vector<Job*>& jobs,
+                    base::TimePoint now);
+  void PlaceStep(Job& job,
+                 Occurrence& occurrence,
+                 std::uint32_t step,
+                 std::vector<WorkerState*>& workers,
+                 base::TimePoint now);
+  bool PlaceGang(Job& job,
+                 Occurrence& occurrence,
+                 std::uint32_t step,
+                 std::vector<WorkerState*>& workers,
+                 base::TimePoint now);
+  WorkerState* Choose(const TaskRef& ref,
+                      const std::vector<WorkerState*>& workers,
+                      const Advice* advice) const;
+  bool WithinLimit(const Job& job, const Resources& need) const;
+  bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
+  const Advice* AdviceFor(Job& job,
+                          const Occurrence& occurrence,
+                          std::uint32_t step,
+                          const std::vector<WorkerState*>& workers,
+                          base::TimePoint now);
+
+  // scheduler_care.cpp
+  void CareForRuns(base::TimePoint now);
+  void PaceFillers(WorkerState& worker, base::TimePoint now);
+  void MoveStuckRun(const TaskRef& ref, Run& run, base::TimePoint now);
+  void LeaveDrainingWorker(WorkerState& worker, base::TimePoint now);
+
+  SchedulerOptions m_options;
+  std::shared_ptr<const FleetConfig> m_config;
+  std::map<std::string, std::unique_ptr<Job>> m_jobs;
+  std::map<std::string, WorkerState> m_workers;
+  std::map<std::string, Resources> m_used_by_customer;
+  std::map<std::string, std::size_t> m_refused_by_service;
+  std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
+  std::unordered_set<Job*> m_dirty;
+  std::vector<std::string> m_dropped_jobs;  // Rows to remove.
+  std::vector<Job*> m_to_release;
+  DurationModel m_durations;
+  bool m_urgent = false;
+  bool m_ends_to_cover = false;
+  Orders m_orders;
+  std::vector<std::pair<TaskRef, std::uint32_t>> m_planned;
+};
+
+}  // namespace cassiastile::jobs
--- a/include/cassiastile/wire/http_server.hpp
+++ b/include/cassiastile/wire/http_server.hpp
@@ -9,9 +9,16 @@
 #include "cassiastile/base/error.hpp"
 #include "cassiastile/wire/router.hpp"
 
+namespace asio {
+class io_context;
+}
+
 namespace cassiastile::wire {
 
 struct HttpServerOptions {
+  // The loop to serve on, run by the caller; null for threads of the server's
+  // own. The loop must outlive the server.
+  asio::io_context* context = nullptr;
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;  // 0 takes a free one.
   std::size_t threads = 2;
@@ -34,6 +41,9 @@
   static base::Result<std::unique_ptr<HttpServer>> Start(
       HttpServerOptions options,
       Router router);
+  static base::Result<std::unique_ptr<HttpServer>> Start(
+      HttpServerOptions options,
+      HttpHandler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -43,10 +53,14 @@
   // Requests taken and not yet answered.
   std::size_t InFlight() const;
 
-  // Stops gracefully. For `notice` new connections are still served while each
-  // answer asks its connection to close; then no new connection is taken, and
-  // the server ends once every request taken is answered or `deadline` is over.
-  // Returns the number of requests cut off, zero when all were answered.
+  // From now on each answer asks its connection to close.
+  void BeginDrain();
+
+  // Stops gracefully; not for servers on a caller's loop. For `notice` new
+  // connections are still served while each answer asks its connection to
+  // close; then no new connection is taken, and the server ends once every
+  // request taken is answered or `deadline` is over. Returns the number of
+  // requests cut off, zero when all were answered.
   std::size_t Drain(std::chrono::milliseconds notice,
                     std::chrono::milliseconds deadline);
 
--- /dev/null
+++ b/include/cassiastile/wire/loop_client.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+
+#include "cassiastile/wire/http_client.hpp"
+
+namespace asio {
+class io_context;
+}
+
+namespace cassiastile::wire {
+
+// Makes HTTP/1.1 calls on an event loop, without threads of its own. Calls and
+// completions belong to the thread that runs the loop.
+class LoopClient {
+ public:
+  // The loop must outlive the client.
+  static std::unique_ptr<LoopClient> Create(asio::io_context& context,
+                                            HttpClientOptions options = {});
+  // Drops the calls that are still under way without completing them.
+  ~LoopClient();
+  LoopClient(const LoopClient&) = delete;
+  LoopClient& operator=(const LoopClient&) = delete;
+
+  // Starts a call. The completion runs once, later, on the loop.
+  void Start(HttpCall call, HttpCompletion completion);
+
+ private:
+  class Impl;
+  explicit LoopClient(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace cassiastile::wire
--- /dev/null
+++ b/src/bin/cassia_host.cpp
@@ -0,0 +1,278 @@
+// cassia-host: one entry host. Takes callers' jobs, and gives the orders while
+// it holds the office.
+#include <csignal>
+#include <iostream>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/config/text_file.hpp"
+#include "cassiastile/host/asio_loop.hpp"
+#include "cassiastile/host/host_node.hpp"
+#include "cassiastile/host/peer_client.hpp"
+#include "cassiastile/wire/http_server.hpp"
+#include "clients.hpp"
+#include "decode.hpp"
+#include "names.hpp"
+
+namespace {
+
+using namespace cassiastile;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::chrono::milliseconds kLogFlush{100};
+constexpr std::chrono::milliseconds kStopPoll{50};
+// The balancer looks once a second and needs two misses.
+constexpr std::chrono::milliseconds kBalancerNotices{2500};
+// Kept back from the grace period for the exit itself.
+constexpr std::chrono::milliseconds kExitReserve{600};
+
+host::HostPorts MakePorts(adapter::TableClient& table,
+                          adapter::WorkerClient& workers,
+                          adapter::MachineClient& machines,
+                          adapter::AdviceClient& advice) {
+  return {.store = table,
+          .workers = workers,
+          .machines = machines,
+          .advice = advice,
+          .decode_config = adapter::DecodeConfig,
+          .decode_worker = adapter::DecodeWorker,
+          .decode_job = adapter::DecodeJob,
+          .decode_wave = adapter::DecodeWave,
+          .encode_wave_state = adapter::EncodeWaveState,
+          .worker_table = adapter::kWorkerTable,
+          .operator_table = adapter::kOperatorTable,
+          .status_table = adapter::kStatusTable,
+          .config_key = adapter::kConfigKey,
+          .wave_prefix = adapter::kWavePrefix};
+}
+
+host::FrontFormat MakeFormat() {
+  return {.key_header = adapter::kKeyHeader,
+          .timeout_header = adapter::kTimeoutHeader,
+          .encode_state = adapter::EncodeJobState,
+          .encode_count = adapter::EncodeQueueLength};
+}
+
+wire::HttpServerOptions OptionsFor(asio::io_context& context,
+                                   const std::string& address,
+                                   std::uint16_t port) {
+  wire::HttpServerOptions options;
+  options.context = &context;
+  options.address = address;
+  options.port = port;
+  return options;
+}
+
+// The process: its loop, its servers and what stops it.
+class Program {
+ public:
+  Program(host::HostSettings settings, std::string settings_path)
+      : m_settings(std::move(settings)),
+        m_settings_path(std::move(settings_path)),
+        m_loop(m_context, m_clock),
+        m_log(m_clock, m_settings.host, host::StandardOutputSink()),
+        m_client(wire::LoopClient::Create(m_context)),
+        m_table(*m_client, m_settings.table_endpoint.Text()),
+        m_workers(*m_client),
+        m_machines(*m_client, m_settings.machines_endpoint.Text()),
+        m_advice(*m_client, m_settings.advice_endpoint),
+        m_peers(*m_client),
+        m_node(MakePorts(m_table, m_workers, m_machines, m_advice),
+               m_peers,
+               m_loop,
+               m_log,
+               m_settings,
+               MakeFormat(),
+               base::MakeRandom()),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP) {}
+
+  base::Result<void> Run() {
+    for (const base::Result<void>& started :
+         {StartFront(), StartReady(), StartPeers(), StartMetrics()}) {
+      if (!started) {
+        return started;
+      }
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    AwaitSignal();
+    FlushLog();
+    m_node.Begin();
+    m_context.run();
+    m_log.Write("host.end", {});
+    m_log.Flush();
+    return {};
+  }
+
+ private:
+  base::Result<void> Listen(const std::string& address,
+                            std::uint16_t port,
+                            wire::HttpHandler handler) {
+    auto server = wire::HttpServer::Start(OptionsFor(m_context, address, port),
+                                          std::move(handler));
+    if (!server) {
+      return tl::unexpected(server.error());
+    }
+    m_servers.push_back(std::move(*server));
+    return {};
+  }
+
+  base::Result<void> StartFront() {
+    const host::Endpoint& at = m_settings.client_endpoint;
+    return Listen(at.address, at.port,
+                  [this](const wire::HttpRequest& request,
+                         const wire::HttpResponder& respond) {
+                    m_node.Handle(request, respond);
+                  });
+  }
+
+  base::Result<void> StartReady() {
+    const host::Endpoint& at = m_settings.ready_endpoint;
+    return Listen(
+        at.address, at.port,
+        [this](const wire::HttpRequest&, const wire::HttpResponder& respond) {
+          wire::HttpResponse response;
+          response.status = m_node.IsReady() ? kOk : kUnavailable;
+          respond(response);
+        });
+  }
+
+  base::Result<void> StartPeers() {
+    return Listen(m_settings.address, m_settings.peer_port,
+                  [this](const wire::HttpRequest& request,
+                         const wire::HttpResponder& respond) {
+                    host::ServePeer(m_node, request, respond);
+                  });
+  }
+
+  base::Result<void> StartMetrics() {
+    return Listen(
+        m_settings.address, m_settings.metrics_port,
+        [](const wire::HttpRequest&, const wire::HttpResponder& respond) {
+          wire::HttpResponse response;
+          response.status = kNotFound;
+          respond(response);
+        });
+  }
+
+  void FlushLog() {
+    m_log.Flush();
+    m_loop.After(kLogFlush, [this] { FlushLog(); });
+  }
+
+  void AwaitSignal() {
+    m_signals.async_wait([this](const asio::error_code& error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+      } else {
+        Stop();
+      }
+      AwaitSignal();
+    });
+  }
+
+  void Reload() {
+    const auto text = config::ReadTextFile(m_settings_path);
+    if (!text) {
+      m_log.Write("host.reload_failed", {{"error", text.error().message}});
+      return;
+    }
+    const auto settings = host::ParseHostSettings(*text);
+    if (!settings) {
+      m_log.Write("host.reload_failed", {{"error", settings.error().message}});
+      return;
+    }
+    m_log.Write("host.reload", {{"changed", !(*settings == m_settings)}});
+  }
+
+  void Stop() {
+    if (m_stopping) {
+      return;
+    }
+    m_stopping = true;
+    m_stop_at = m_clock.Now();
+    m_servers.front()->BeginDrain();
+    m_node.BeginStop();
+    AwaitEnd();
+  }
+
+  void AwaitEnd() {
+    const auto waited = m_clock.Now() - m_stop_at;
+    const bool quiet = waited > kBalancerNotices && m_node.MayEnd();
+    if (quiet || waited > m_settings.stop_grace - kExitReserve) {
+      m_context.stop();
+      return;
+    }
+    m_loop.After(kStopPoll, [this] { AwaitEnd(); });
+  }
+
+  host::HostSettings m_settings;
+  std::string m_settings_path;
+  base::SystemClock m_clock;
+  asio::io_context m_context{1};
+  host::AsioLoop m_loop;
+  host::EventLog m_log;
+  std::unique_ptr<wire::LoopClient> m_client;
+  adapter::TableClient m_table;
+  adapter::WorkerClient m_workers;
+  adapter::MachineClient m_machines;
+  adapter::AdviceClient m_advice;
+  host::PeerClient m_peers;
+  host::HostNode m_node;
+  asio::signal_set m_signals;
+  std::vector<std::unique_ptr<wire::HttpServer>> m_servers;
+  bool m_stopping = false;
+  base::TimePoint m_stop_at{};
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  po::options_description options("cassia-host");
+  options.add_options()("help", "shows this text")(
+      "settings", po::value<std::string>()->required(),
+      "path of the host's settings, JSON with comments")(
+      "check", "checks the settings and ends");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    if (values.contains("help")) {
+      std::cout << options;
+      return 0;
+    }
+    po::notify(values);
+    const auto path = values["settings"].as<std::string>();
+    const auto text = config::ReadTextFile(path);
+    if (!text) {
+      std::cerr << "cassia-host: " << text.error().message << "\n";
+      return 2;
+    }
+    auto settings = host::ParseHostSettings(*text);
+    if (!settings) {
+      std::cerr << "cassia-host: " << path << ": " << settings.error().message
+                << "\n";
+      return 2;
+    }
+    if (values.contains("check")) {
+      return 0;
+    }
+    Program program(std::move(*settings), path);
+    const auto ended = program.Run();
+    if (!ended) {
+      std::cerr << "cassia-host: " << ended.error().message << "\n";
+      return 1;
+    }
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "cassia-host: " << error.what() << "\n" << options;
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/cassiastile/host/commit_chain.cpp
@@ -0,0 +1,127 @@
+#include "cassiastile/host/commit_chain.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::host {
+
+namespace {
+
+// Long enough for a store that is slowed down by a factor of a hundred.
+constexpr std::chrono::milliseconds kCommitTimeout{1500};
+constexpr std::chrono::milliseconds kFirstRetry{30};
+constexpr std::chrono::milliseconds kMaxRetry{400};
+
+}  // namespace
+
+OfficeSight ReadOfficeRow(const Row& row) {
+  OfficeSight sight;
+  sight.version = row.version;
+  if (auto record = DecodeOfficeRecord(row.value)) {
+    sight.record = std::move(*record);
+  }
+  return sight;
+}
+
+CommitChain::CommitChain(RowStore& store,
+                         Loop& loop,
+                         EventLog& log,
+                         OfficeRecord self)
+    : m_store(store), m_loop(loop), m_log(log), m_record(std::move(self)) {}
+
+void CommitChain::Acquire(const OfficeSight& seen,
+                          std::function<void(bool)> done) {
+  m_version = seen.version;
+  m_record.commit = seen.record.commit;
+  Commit({}, {}, [this, done = std::move(done)](bool applied) {
+    m_fence = m_version;
+    done(applied);
+  });
+}
+
+void CommitChain::Commit(std::vector<Row> puts,
+                         std::vector<Row> drops,
+                         std::function<void(bool)> done) {
+  m_busy = true;
+  m_done = std::move(done);
+  ++m_record.commit;
+  m_transaction = {};
+  m_transaction.expect.push_back(
+      {kOfficeTable, kOfficePart, kOfficeKey, m_version});
+  m_transaction.puts = std::move(puts);
+  m_transaction.puts.push_back(
+      {kOfficeTable, kOfficePart, kOfficeKey, Encode(m_record), 0, false});
+  m_transaction.drops = std::move(drops);
+  m_attempts = 0;
+  Send();
+}
+
+void CommitChain::Resign(std::function<void(bool)> done) {
+  m_record.host.clear();
+  Commit({}, {}, std::move(done));
+}
+
+void CommitChain::Send() {
+  ++m_attempts;
+  const base::TimePoint sent_at = m_loop.GetClock().Now();
+  m_store.Commit(m_transaction, kCommitTimeout,
+                 m_lifetime.Guard([this, sent_at](TransactionReply reply) {
+                   Answered(std::move(reply), sent_at);
+                 }));
+}
+
+void CommitChain::Answered(TransactionReply reply, base::TimePoint sent_at) {
+  using Outcome = TransactionReply::Outcome;
+  if (reply.outcome == Outcome::kApplied) {
+    m_version = reply.version;
+    m_confirmed_at = sent_at;
+    Finish(true);
+    return;
+  }
+  if (reply.outcome == Outcome::kConflict) {
+    OfficeSight sight;
+    for (const Row& row : reply.current) {
+      if (row.key == kOfficeKey && !row.deleted) {
+        sight = ReadOfficeRow(row);
+      }
+    }
+    const bool own = sight.record == m_record;
+    if (own) {
+      // An earlier attempt was applied; its answer was lost.
+      m_version = sight.version;
+      m_confirmed_at = sent_at;
+    }
+    Finish(own);
+    return;
+  }
+  if (!m_failing_since) {
+    m_failing_since = sent_at;
+    m_log.Write("store.lost",
+                {{"attempts", m_attempts},
+                 {"unknown", reply.outcome == Outcome::kUnknown}});
+  }
+  Retry();
+}
+
+void CommitChain::Retry() {
+  const auto delay =
+      std::min(kFirstRetry * (1U << std::min(m_attempts, 5U)), kMaxRetry);
+  m_loop.After(delay, m_lifetime.Guard([this] { Send(); }));
+}
+
+void CommitChain::Finish(bool applied) {
+  if (m_failing_since && applied) {
+    m_log.Write("store.regained",
+                {{"after_ms", base::Milliseconds(m_loop.GetClock().Now() -
+                                                 *m_failing_since)},
+                 {"attempts", m_attempts}});
+    m_failing_since.reset();
+  }
+  m_busy = false;
+  const auto done = std::exchange(m_done, nullptr);
+  done(applied);
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/config_watch.cpp
@@ -0,0 +1,124 @@
+#include "cassiastile/host/config_watch.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::host {
+
+namespace {
+
+// Short, since a connection may go silent for good without notice, and a change
+// must be in force everywhere within two seconds.
+constexpr std::chrono::milliseconds kFeedWait{900};
+constexpr std::chrono::milliseconds kRetry{150};
+constexpr std::chrono::milliseconds kAnswersFor{2500};
+
+}  // namespace
+
+ConfigWatch::ConfigWatch(HostPorts& ports,
+                         Loop& loop,
+                         EventLog& log,
+                         Listener listener)
+    : m_ports(ports),
+      m_loop(loop),
+      m_log(log),
+      m_listener(std::move(listener)) {}
+
+void ConfigWatch::Begin() {
+  ReadAll();
+}
+
+std::uint64_t ConfigWatch::Version() const {
+  return m_config == nullptr ? 0 : m_config->version;
+}
+
+bool ConfigWatch::StoreAnswers() const {
+  return m_answered_at != base::TimePoint{} &&
+         m_loop.GetClock().Now() - m_answered_at < kAnswersFor;
+}
+
+void ConfigWatch::ReadAll() {
+  m_ports.store.Read(m_ports.operator_table, "", "",
+                     m_lifetime.Guard([this](base::Result<RowPage> page) {
+                       if (!page) {
+                         m_loop.After(kRetry,
+                                      m_lifetime.Guard([this] { ReadAll(); }));
+                         return;
+                       }
+                       m_answered_at = m_loop.GetClock().Now();
+                       m_position = page->version;
+                       TakeRows(page->rows);
+                       Follow();
+                     }));
+}
+
+void ConfigWatch::Follow() {
+  m_ports.store.Feed(
+      m_ports.operator_table, m_position, kFeedWait,
+      m_lifetime.Guard([this](base::Result<FeedPage> page) {
+        if (!page) {
+          if (!std::exchange(m_failing, true)) {
+            m_log.Write("config.feed_lost", {{"error", page.error().message}});
+          }
+          m_loop.After(kRetry, m_lifetime.Guard([this] { Follow(); }));
+          return;
+        }
+        if (std::exchange(m_failing, false)) {
+          m_log.Write("config.feed_regained", {{"position", m_position}});
+        }
+        m_answered_at = m_loop.GetClock().Now();
+        if (page->forgotten) {
+          m_log.Write("config.feed_forgotten", {{"position", m_position}});
+          ReadAll();
+          return;
+        }
+        m_position = std::max(m_position, page->version);
+        TakeRows(page->rows);
+        Follow();
+      }));
+}
+
+void ConfigWatch::TakeRows(const std::vector<Row>& rows) {
+  bool waves = false;
+  for (const Row& row : rows) {
+    if (row.deleted) {
+      continue;
+    }
+    if (row.key == m_ports.config_key) {
+      Offer(row.value, "table");
+    } else if (row.key.starts_with(m_ports.wave_prefix)) {
+      auto wave = m_ports.decode_wave(row.value);
+      if (!wave) {
+        m_log.Write("wave.bad", {{"error", wave.error().message}});
+        continue;
+      }
+      m_waves[wave->wave] = std::move(*wave);
+      waves = true;
+    }
+  }
+  if (waves) {
+    m_listener.on_waves();
+  }
+}
+
+void ConfigWatch::Offer(const std::string& text, std::string_view source) {
+  auto config = m_ports.decode_config(text);
+  if (!config) {
+    m_log.Write("config.bad",
+                {{"source", source}, {"error", config.error().message}});
+    return;
+  }
+  if (m_config != nullptr && config->version <= m_config->version) {
+    return;
+  }
+  m_log.Write("config.in_force", {{"version", config->version},
+                                  {"source", source},
+                                  {"queues", config->queues.size()},
+                                  {"before", Version()}});
+  m_config = std::make_shared<const jobs::FleetConfig>(std::move(*config));
+  m_text = text;
+  m_listener.on_config(m_config);
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -0,0 +1,348 @@
+#include "cassiastile/host/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::host {
+
+namespace {
+
+// Events within this time are decided together.
+constexpr std::chrono::milliseconds kPlanDelay{5};
+constexpr std::chrono::milliseconds kTick{20};
+// Rows that nobody waits for are written together with later ones.
+constexpr std::chrono::milliseconds kLazyCommit{40};
+// An idle office still rewrites its record, so that others see it alive.
+constexpr std::chrono::milliseconds kRenewal{500};
+// The store takes 100 entries in one transaction; two are the chain's own.
+constexpr std::size_t kMaxRows = 94;
+// Commits that have failed for so long count as an outage.
+constexpr std::chrono::milliseconds kOutageAfter{400};
+// An office that can't confirm its term goes on to extend leases for so long.
+// Its successor waits as long before it gives up on silent workers.
+constexpr std::chrono::milliseconds kUnconfirmedTerm{8000};
+constexpr std::chrono::milliseconds kReadRetry{200};
+constexpr std::chrono::milliseconds kWorkerFeedWait{1000};
+constexpr std::chrono::milliseconds kWorkerFeedPause{200};
+constexpr char kRecordSuffix[] = ".r";
+constexpr char kProgressSuffix[] = ".p";
+constexpr std::size_t kSuffixLength = 2;
+
+jobs::SchedulerOptions MakeOptions(const HostSettings& settings) {
+  jobs::SchedulerOptions options;
+  options.keep_finished = settings.finished_state;
+  options.notice = settings.unavailable_notice;
+  options.remote_factor = settings.away_from_data_factor;
+  options.interference = settings.disturbance;
+  return options;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(HostPorts& ports,
+                       Loop& loop,
+                       EventLog& log,
+                       const HostSettings& settings,
+                       std::unique_ptr<CommitChain> chain,
+                       std::function<void()> on_lost)
+    : m_ports(ports),
+      m_loop(loop),
+      m_log(log),
+      m_settings(settings),
+      m_chain(std::move(chain)),
+      m_on_lost(std::move(on_lost)),
+      m_config(std::make_shared<jobs::FleetConfig>()),
+      m_scheduler(MakeOptions(settings)) {}
+
+Dispatcher::~Dispatcher() {
+  // Callers must not wait for an office that is gone.
+  for (auto* waiting : {&m_await_accept, &m_await_cancel}) {
+    for (auto& [job, responders] : *waiting) {
+      for (const Responder& respond : responders) {
+        respond({.kind = JobAnswerKind::kUndecided});
+      }
+    }
+  }
+}
+
+void Dispatcher::Begin(bool had_predecessor) {
+  m_had_predecessor = had_predecessor;
+  m_committed_at = m_loop.GetClock().Now();
+  ReadJobs("");
+}
+
+void Dispatcher::ReadJobs(std::string from) {
+  m_ports.store.Read(
+      kJobTable, kOfficePart, from,
+      m_lifetime.Guard([this, from](base::Result<RowPage> page) {
+        if (!page) {
+          m_log.Write("office.read_failed", {{"error", page.error().message}});
+          m_loop.After(kReadRetry,
+                       m_lifetime.Guard([this, from] { ReadJobs(from); }));
+          return;
+        }
+        for (const Row& row : page->rows) {
+          const std::string id =
+              row.key.substr(0, row.key.size() - kSuffixLength);
+          StoredJob& job = m_recovered[id];
+          (row.key.ends_with(kRecordSuffix) ? job.record : job.progress) =
+              row.value;
+        }
+        if (page->has_more && !page->rows.empty()) {
+          ReadJobs(page->rows.back().key + '\0');
+        } else {
+          ReadWorkers();
+        }
+      }));
+}
+
+void Dispatcher::ReadWorkers() {
+  m_ports.store.Read(
+      m_ports.worker_table, "", "",
+      m_lifetime.Guard([this](base::Result<RowPage> page) {
+        if (!page) {
+          m_loop.After(kReadRetry, m_lifetime.Guard([this] { ReadWorkers(); }));
+          return;
+        }
+        m_entries.clear();
+        m_workers_version = page->version;
+        TakeWorkerRows(page->rows);
+        if (!m_serving) {
+          Serve();
+        }
+        FeedWorkers();
+      }));
+}
+
+void Dispatcher::FeedWorkers() {
+  m_ports.store.Feed(
+      m_ports.worker_table, m_workers_version, kWorkerFeedWait,
+      m_lifetime.Guard([this](base::Result<FeedPage> page) {
+        if (page && page->forgotten) {
+          ReadWorkers();
+          return;
+        }
+        if (page) {
+          m_workers_version = std::max(m_workers_version, page->version);
+          TakeWorkerRows(page->rows);
+        }
+        m_loop.After(kWorkerFeedPause,
+                     m_lifetime.Guard([this] { FeedWorkers(); }));
+      }));
+}
+
+void Dispatcher::TakeWorkerRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    if (row.deleted) {
+      m_entries.erase(row.key);
+      m_log.Write("worker.left_list", {{"worker", row.key}});
+      continue;
+    }
+    auto entry = m_ports.decode_worker(row.key, row.value);
+    if (!entry) {
+      m_log.Write("worker.bad_entry", {{"error", entry.error().message}});
+      m_entries.erase(row.key);
+      continue;
+    }
+    const auto known = m_entries.find(row.key);
+    if (known == m_entries.end() || known->second.id != entry->id ||
+        known->second.draining != entry->draining) {
+      m_log.Write("worker.listed", {{"worker", row.key},
+                                    {"born", entry->id.born},
+                                    {"service", entry->service},
+                                    {"draining", entry->draining},
+                                    {"row_version", row.version}});
+    }
+    m_entries[row.key] = std::move(*entry);
+  }
+  std::vector<jobs::WorkerEntry> entries;
+  for (const auto& [id, entry] : m_entries) {
+    entries.push_back(entry);
+  }
+  m_scheduler.WorkersListed(entries, m_loop.GetClock().Now());
+  Kick();
+}
+
+std::vector<jobs::Job> Dispatcher::DecodeRecovered() {
+  std::vector<jobs::Job> recovered;
+  for (const auto& [id, rows] : m_recovered) {
+    jobs::Job job;
+    job.id = id;
+    // The record of a finished job is dropped, its progress stays for a while.
+    base::Result<void> read;
+    if (!rows.record.empty()) {
+      auto record = jobs::DecodeRecord(id, rows.record);
+      if (record) {
+        job = std::move(*record);
+      } else {
+        read = tl::unexpected(record.error());
+      }
+    }
+    if (read) {
+      read = jobs::DecodeProgress(job, rows.progress);
+    }
+    if (read) {
+      recovered.push_back(std::move(job));
+    } else {
+      m_log.Write("office.bad_row", {{"error", read.error().message}});
+    }
+  }
+  m_recovered.clear();
+  return recovered;
+}
+
+void Dispatcher::Serve() {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  std::vector<jobs::Job> recovered = DecodeRecovered();
+  const std::size_t count = recovered.size();
+  const auto silent_bound =
+      now + kUnconfirmedTerm + 2 * m_settings.max_worker_lease / 3;
+  m_scheduler.Recover(std::move(recovered), now, silent_bound);
+  m_serving = true;
+  m_log.Write("office.serving", {{"fence", Fence()},
+                                 {"jobs", count},
+                                 {"workers", m_entries.size()},
+                                 {"config_version", m_config->version}});
+  Tick();
+}
+
+void Dispatcher::ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config) {
+  m_config = std::move(config);
+  m_scheduler.ApplyConfig(m_config);
+  Kick();
+}
+
+void Dispatcher::ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves) {
+  static_cast<void>(waves);
+}
+
+bool Dispatcher::StoreIsAway() const {
+  const auto since = m_chain->FailingSince();
+  return since && m_loop.GetClock().Now() - *since > kOutageAfter;
+}
+
+bool Dispatcher::MayGiveOrders() const {
+  return !m_resigned &&
+         m_loop.GetClock().Now() - m_chain->ConfirmedAt() < kUnconfirmedTerm;
+}
+
+void Dispatcher::Kick() {
+  if (m_plan_due || !m_serving) {
+    return;
+  }
+  m_plan_due = true;
+  m_loop.After(kPlanDelay, m_lifetime.Guard([this] {
+    m_plan_due = false;
+    Plan();
+  }));
+}
+
+void Dispatcher::Plan() {
+  if (m_resigned) {
+    return;
+  }
+  const base::Clock& clock = m_loop.GetClock();
+  m_scheduler.Plan(clock.Now(), clock.WallNow());
+  CarryOut(m_scheduler.TakeOrders());
+  Pump();
+}
+
+void Dispatcher::Tick() {
+  if (m_resigned) {
+    return;
+  }
+  ServeLinks();
+  Pump();
+  m_loop.After(kTick, m_lifetime.Guard([this] { Tick(); }));
+}
+
+void Dispatcher::Pump() {
+  if (m_chain->IsBusy() || m_resigned || !m_serving) {
+    return;
+  }
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const auto idle = now - m_committed_at;
+  const bool due = m_scheduler.HasUrgentRows() ||
+                   (m_scheduler.HasRows() && idle >= kLazyCommit) ||
+                   idle >= kRenewal;
+  if (!due) {
+    return;
+  }
+  m_committed_at = now;
+  const jobs::Batch batch = m_scheduler.TakeBatch(kMaxRows, now);
+  std::vector<Row> puts;
+  std::vector<Row> drops;
+  for (const jobs::JobRow& row : batch.rows) {
+    Row put{kJobTable,
+            kOfficePart,
+            row.job + (row.is_record ? kRecordSuffix : kProgressSuffix),
+            row.bytes.value_or(""),
+            0,
+            false};
+    (row.bytes ? puts : drops).push_back(std::move(put));
+  }
+  m_chain->Commit(std::move(puts), std::move(drops),
+                  m_lifetime.Guard([this, batch](bool applied) {
+                    if (applied) {
+                      Committed(batch);
+                    } else {
+                      Lose();
+                    }
+                  }));
+}
+
+void Dispatcher::Committed(const jobs::Batch& batch) {
+  m_scheduler.Confirm(batch, m_loop.GetClock().Now());
+  for (const std::string& job : batch.accepted) {
+    m_log.Write("job.accepted", {{"job", job}});
+    const auto waiting = m_await_accept.extract(job);
+    if (!waiting.empty()) {
+      for (const Responder& respond : waiting.mapped()) {
+        respond({.kind = JobAnswerKind::kOk});
+      }
+    }
+  }
+  for (const auto& [job, phase] : batch.phases) {
+    if (!jobs::IsFinished(phase)) {
+      continue;
+    }
+    m_log.Write(
+        "job.finished",
+        {{"job", job}, {"phase", base::FindName(jobs::kJobPhaseNames, phase)}});
+    const auto waiting = m_await_cancel.extract(job);
+    if (!waiting.empty()) {
+      for (const Responder& respond : waiting.mapped()) {
+        respond({.kind = JobAnswerKind::kOk});
+      }
+    }
+  }
+  CarryOut(m_scheduler.TakeOrders());
+  if (m_after_commit) {
+    std::exchange(m_after_commit, nullptr)();
+    return;
+  }
+  Pump();
+}
+
+void Dispatcher::Lose() {
+  m_resigned = true;
+  m_log.Write("office.lost", {{"fence", Fence()}});
+  m_on_lost();
+}
+
+void Dispatcher::Resign(std::function<void()> done) {
+  const auto resign = [this, done = std::move(done)] {
+    m_resigned = true;
+    m_log.Write("office.resigned", {{"fence", Fence()}});
+    m_chain->Resign([done](bool) { done(); });
+  };
+  if (m_chain->IsBusy()) {
+    m_after_commit = resign;
+  } else {
+    resign();
+  }
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -0,0 +1,131 @@
+// Requests on jobs.
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/host/dispatcher.hpp"
+
+namespace cassiastile::host {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetryAfterOutage{1000};
+
+JobAnswer Refuse(jobs::RefusalReason reason,
+                 std::chrono::milliseconds retry_after) {
+  return {.kind = JobAnswerKind::kRefused,
+          .reason = static_cast<std::uint8_t>(reason),
+          .retry_after_ms = retry_after.count()};
+}
+
+bool MayTouch(const jobs::Job& job, const JobRequest& request) {
+  return job.customer.empty() || request.customer.empty() ||
+         job.customer == request.customer;
+}
+
+}  // namespace
+
+void Dispatcher::Answer(const JobRequest& request,
+                        std::function<void(JobAnswer)> respond) {
+  if (!m_serving || m_resigned) {
+    respond({.kind = JobAnswerKind::kNotInOffice});
+    return;
+  }
+  switch (request.verb) {
+    case JobVerb::kSubmit:
+      Submit(request, respond);
+      return;
+    case JobVerb::kCancel:
+      Cancel(request, respond);
+      return;
+    case JobVerb::kState:
+      respond(State(request));
+      return;
+    case JobVerb::kCount:
+      respond({.kind = JobAnswerKind::kOk,
+               .count = m_scheduler.QueuedJobs(request.queue)});
+      return;
+  }
+}
+
+void Dispatcher::Submit(const JobRequest& request, const Responder& respond) {
+  const jobs::QueueConfig* queue = m_config->FindQueue(request.queue);
+  if (queue == nullptr) {
+    // The other host has a newer configuration.
+    respond({.kind = JobAnswerKind::kNotInOffice});
+    return;
+  }
+  const jobs::Job* known = m_scheduler.FindJob(request.job);
+  if (known == nullptr && StoreIsAway()) {
+    m_log.Write("job.refused", {{"job", request.job},
+                                {"queue", request.queue},
+                                {"reason", "store away"}});
+    respond(Refuse(jobs::RefusalReason::kStoreAway, kRetryAfterOutage));
+    return;
+  }
+  auto spec = m_ports.decode_job(request.spec);
+  if (!spec) {
+    m_log.Write("job.invalid",
+                {{"job", request.job}, {"error", spec.error().message}});
+    respond({.kind = JobAnswerKind::kInvalid, .detail = spec.error().message});
+    return;
+  }
+  const jobs::Submission submission =
+      m_scheduler.Submit(request.job, *queue, request.customer,
+                         std::move(*spec), m_loop.GetClock().Now());
+  switch (submission.verdict) {
+    case jobs::Submission::Verdict::kKnown:
+      respond({.kind = JobAnswerKind::kOk});
+      return;
+    case jobs::Submission::Verdict::kRefused:
+      m_log.Write(
+          "job.refused",
+          {{"job", request.job},
+           {"queue", request.queue},
+           {"customer", request.customer},
+           {"reason", base::FindName(jobs::kRefusalNames, submission.reason)},
+           {"retry_after_ms", submission.retry_after.count()}});
+      respond(Refuse(submission.reason, submission.retry_after));
+      return;
+    case jobs::Submission::Verdict::kNew:
+    case jobs::Submission::Verdict::kPending:
+      m_await_accept[request.job].push_back(respond);
+      Kick();
+      return;
+  }
+}
+
+void Dispatcher::Cancel(const JobRequest& request, const Responder& respond) {
+  const jobs::Job* job = m_scheduler.FindJob(request.job);
+  if (job == nullptr) {
+    respond({.kind = JobAnswerKind::kNoSuchJob});
+    return;
+  }
+  if (!MayTouch(*job, request)) {
+    respond({.kind = JobAnswerKind::kForbidden});
+    return;
+  }
+  if (jobs::IsFinished(job->stored_phase)) {
+    respond({.kind = JobAnswerKind::kOk});
+    return;
+  }
+  m_scheduler.Cancel(request.job, m_loop.GetClock().Now());
+  m_log.Write("job.cancel", {{"job", request.job}});
+  m_await_cancel[request.job].push_back(respond);
+  Kick();
+}
+
+JobAnswer Dispatcher::State(const JobRequest& request) const {
+  const jobs::Job* job = m_scheduler.FindJob(request.job);
+  if (job == nullptr) {
+    return {.kind = JobAnswerKind::kNoSuchJob};
+  }
+  if (!MayTouch(*job, request)) {
+    return {.kind = JobAnswerKind::kForbidden};
+  }
+  if (!job->accepted) {
+    return {.kind = JobAnswerKind::kUndecided};
+  }
+  return {.kind = JobAnswerKind::kOk,
+          .phase = static_cast<std::uint8_t>(job->stored_phase)};
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -0,0 +1,248 @@
+// Conversations with workers.
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/host/dispatcher.hpp"
+
+namespace cassiastile::host {
+
+namespace {
+
+// How long a worker goes on without hearing from the office. It outlasts a
+// change of office, and a lost worker's tasks start elsewhere after it.
+constexpr std::chrono::milliseconds kWorkerLease{5000};
+// A worker's clock may be 2 % slow.
+constexpr double kClockSlack = 1.03;
+constexpr std::chrono::milliseconds kLeaseMargin{400};
+constexpr std::chrono::milliseconds kPollWait{1000};
+// Ends that come close together are fetched together.
+constexpr std::chrono::milliseconds kPollPause{20};
+// Ends are acknowledged only once they are stored.
+constexpr std::chrono::milliseconds kUnstoredEndsPause{150};
+constexpr std::chrono::milliseconds kMaxFailurePause{500};
+constexpr std::uint32_t kSilentAfter = 2;
+
+nlohmann::json Describe(const jobs::TaskId& task, std::uint32_t run) {
+  return {{"job", task.job},
+          {"task", {task.occurrence, task.step, task.index}},
+          {"run", run}};
+}
+
+}  // namespace
+
+std::chrono::milliseconds Dispatcher::ClockOf(const Link& link) const {
+  return link.clock + std::chrono::duration_cast<std::chrono::milliseconds>(
+                          m_loop.GetClock().Now() - link.clock_at);
+}
+
+void Dispatcher::ServeLinks() {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  for (const auto& [id, worker] : m_scheduler.Workers()) {
+    if (worker.entry.endpoint.empty()) {
+      continue;
+    }
+    Link& link = m_links[id];
+    if (link.address.id != worker.entry.id ||
+        link.address.endpoint != worker.entry.endpoint) {
+      link.address = {worker.entry.id, worker.entry.endpoint};
+      link.clock_known = false;
+      link.failures = 0;
+      link.due = now;
+    }
+    if (!MayGiveOrders()) {
+      continue;
+    }
+    if (worker.wants_report && link.busy && !link.looking) {
+      Extend(link, true);
+    }
+    if (!link.busy && now >= link.due) {
+      Extend(link, false);
+    }
+  }
+  std::erase_if(m_links, [this](const auto& row) {
+    return !row.second.busy && !row.second.looking &&
+           !m_scheduler.Workers().contains(row.first);
+  });
+}
+
+void Dispatcher::Extend(Link& link, bool look) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const auto found = m_scheduler.Workers().find(link.address.id.id);
+  LeaseExtension extension;
+  extension.fence = Fence();
+  extension.acknowledged_end = found->second.acked_end;
+  extension.fresh_connection = link.failures > 0;
+  if (link.clock_known) {
+    extension.until =
+        ClockOf(link) + std::min(kWorkerLease, m_settings.max_worker_lease);
+    extension.wait =
+        look || link.failures > 0 ? std::chrono::milliseconds(0) : kPollWait;
+    m_scheduler.LeaseSent(
+        link.address.id.id,
+        now +
+            std::chrono::milliseconds(static_cast<std::int64_t>(
+                static_cast<double>(kWorkerLease.count()) * kClockSlack)) +
+            kLeaseMargin);
+  }
+  (look ? link.looking : link.busy) = true;
+  const std::string id = link.address.id.id;
+  m_ports.workers.Extend(
+      link.address, extension,
+      m_lifetime.Guard(
+          [this, id, look,
+           now](tl::expected<jobs::WorkerReport, WorkerCallFailure> result) {
+            Reported(id, look, now, std::move(result));
+          }));
+}
+
+void Dispatcher::Reported(
+    const std::string& id,
+    bool look,
+    base::TimePoint asked_at,
+    tl::expected<jobs::WorkerReport, WorkerCallFailure> result) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const auto found = m_links.find(id);
+  if (found == m_links.end() || m_resigned) {
+    return;
+  }
+  Link& link = found->second;
+  (look ? link.looking : link.busy) = false;
+  if (!result) {
+    if (look) {
+      return;
+    }
+    ++link.failures;
+    link.due = now + std::min(kMaxFailurePause, kPollPause * link.failures * 4);
+    if (link.failures == kSilentAfter) {
+      link.silent = true;
+      m_log.Write("worker.silent", {{"worker", id},
+                                    {"error", result.error().message},
+                                    {"fenced", result.error().fenced}});
+    }
+    m_scheduler.WorkerSilent(id, now);
+    if (result.error().fenced) {
+      m_committed_at = {};  // Finds out at once whether the office is lost.
+    }
+    return;
+  }
+  if (link.silent) {
+    m_log.Write("worker.heard", {{"worker", id}});
+  }
+  link.silent = false;
+  link.failures = 0;
+  if (result->born < link.address.id.born) {
+    return;
+  }
+  link.clock_known = true;
+  link.clock = result->clock;
+  link.clock_at = now;
+  for (const jobs::ListedEnd& end : result->ended) {
+    const auto worker = m_scheduler.Workers().find(id);
+    if (worker != m_scheduler.Workers().end() &&
+        end.sequence > worker->second.last_end) {
+      nlohmann::json line = Describe(end.task, end.run);
+      line["worker"] = id;
+      line["how"] = base::FindName(jobs::kRunEndNames, end.how);
+      m_log.Write("run.ended", std::move(line));
+    }
+  }
+  m_scheduler.WorkerReported(id, *result, asked_at, now);
+  const auto worker = m_scheduler.Workers().find(id);
+  if (!look && worker != m_scheduler.Workers().end()) {
+    const bool unstored = worker->second.last_end > worker->second.acked_end;
+    link.due = now + (unstored ? kUnstoredEndsPause : kPollPause);
+  }
+  Kick();
+}
+
+void Dispatcher::CarryOut(const jobs::Orders& orders) {
+  for (const jobs::StartOrder& order : orders.starts) {
+    SendStart(order);
+  }
+  for (const jobs::StopOrder& order : orders.stops) {
+    SendStop(order);
+  }
+  for (const jobs::PaceOrder& order : orders.paces) {
+    const auto link = m_links.find(order.worker.id);
+    if (link == m_links.end()) {
+      continue;
+    }
+    m_log.Write("run.paced", {{"job", order.task.job},
+                              {"worker", order.worker.id},
+                              {"percent", order.percent}});
+    m_ports.workers.Pace(link->second.address, order, Fence(), [](bool) {});
+  }
+  for (const jobs::AdviceRequest& request : orders.advice) {
+    m_ports.advice.Advise(
+        request, m_lifetime.Guard([this, request](
+                                      const base::Result<AdviceReply>& reply) {
+          if (!reply) {
+            m_log.Write("advice.failed", {{"job", request.job},
+                                          {"error", reply.error().message}});
+            return;
+          }
+          m_scheduler.AdviceAnswered(request, reply->allowed, reply->validity,
+                                     m_loop.GetClock().Now());
+          Kick();
+        }));
+  }
+}
+
+void Dispatcher::SendStart(const jobs::StartOrder& order) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const auto found = m_links.find(order.worker.id);
+  if (found == m_links.end() || !found->second.clock_known ||
+      found->second.address.id != order.worker || !MayGiveOrders()) {
+    m_scheduler.StartAnswered(order.worker, order.task, order.run,
+                              jobs::StartResult::kUnreachable, now);
+    Kick();
+    return;
+  }
+  const Link& link = found->second;
+  const auto until = ClockOf(link) + kWorkerLease;
+  m_scheduler.LeaseSent(
+      order.worker.id,
+      now +
+          std::chrono::milliseconds(static_cast<std::int64_t>(
+              static_cast<double>(kWorkerLease.count()) * kClockSlack)) +
+          kLeaseMargin);
+  m_ports.workers.Start(
+      link.address, order, Fence(), until,
+      m_lifetime.Guard([this, worker = order.worker, task = order.task,
+                        run = order.run](jobs::StartResult result) {
+        nlohmann::json line = Describe(task, run);
+        line["worker"] = worker.id;
+        line["result"] = base::FindName(jobs::kStartResultNames, result);
+        m_log.Write("run.start", std::move(line));
+        m_scheduler.StartAnswered(worker, task, run, result,
+                                  m_loop.GetClock().Now());
+        if (result == jobs::StartResult::kFenced) {
+          m_committed_at = {};
+        }
+        if (result != jobs::StartResult::kRunning) {
+          Kick();
+        }
+      }));
+}
+
+void Dispatcher::SendStop(const jobs::StopOrder& order) {
+  const auto found = m_links.find(order.worker.id);
+  if (found == m_links.end() || found->second.address.id != order.worker ||
+      !MayGiveOrders()) {
+    return;
+  }
+  nlohmann::json line = Describe(order.task, order.run);
+  line["worker"] = order.worker.id;
+  m_log.Write("run.stop", std::move(line));
+  m_ports.workers.Stop(found->second.address, order, Fence(),
+                       m_lifetime.Guard([this, order](bool answered) {
+                         if (answered) {
+                           m_scheduler.StopAnswered(order.worker, order.task,
+                                                    order.run,
+                                                    m_loop.GetClock().Now());
+                         }
+                       }));
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/event_log.cpp
@@ -0,0 +1,57 @@
+#include "cassiastile/host/event_log.hpp"
+
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::host {
+
+namespace {
+
+// About a second of lines at the highest rate seen in tests.
+constexpr std::size_t kMaxBuffered = 512U << 10U;
+
+}  // namespace
+
+EventLog::EventLog(const base::Clock& clock, std::string host, Sink sink)
+    : m_clock(clock), m_host(std::move(host)), m_sink(std::move(sink)) {}
+
+void EventLog::Write(std::string_view event, nlohmann::json fields) {
+  if (m_buffer.size() > kMaxBuffered) {
+    ++m_dropped;
+    return;
+  }
+  if (m_reported != m_dropped) {
+    const std::uint64_t lost = m_dropped - m_reported;
+    m_reported = m_dropped;
+    Write("log.dropped", {{"lines", lost}});
+  }
+  fields["at"] = base::FormatWallTime(m_clock.WallNow());
+  fields["host"] = m_host;
+  fields["event"] = event;
+  m_buffer +=
+      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  m_buffer += '\n';
+}
+
+void EventLog::Flush() {
+  if (m_buffer.empty()) {
+    return;
+  }
+  m_buffer.erase(0, m_sink(m_buffer));
+}
+
+EventLog::Sink StandardOutputSink() {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+  return [](std::string_view bytes) -> std::size_t {
+    const ssize_t written = write(STDOUT_FILENO, bytes.data(), bytes.size());
+    return written < 0 ? 0 : static_cast<std::size_t>(written);
+  };
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/front.cpp
@@ -0,0 +1,206 @@
+#include "cassiastile/host/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/jobs/admission.hpp"
+
+namespace cassiastile::host {
+
+namespace {
+
+using wire::HttpResponse;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+constexpr std::size_t kJobIdLength = 16;
+// For callers that don't say how long they wait.
+constexpr std::chrono::milliseconds kDefaultTimeout{3000};
+// A caller that asks again reaches another host; waiting longer helps nobody.
+constexpr std::chrono::milliseconds kMaxWait{1500};
+// Offices change hands in less.
+constexpr std::chrono::milliseconds kRetryWithoutOffice{1000};
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kJobIdLength && std::ranges::all_of(text, [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
+                  (c >= 'A' && c <= 'F');
+         });
+}
+
+std::string HostOf(const wire::HttpRequest& request) {
+  std::string host = wire::FindHeader(request.headers, "Host").value_or("");
+  return host.substr(0, host.find(':'));
+}
+
+std::chrono::milliseconds TimeoutOf(const wire::HttpRequest& request,
+                                    const std::string& header) {
+  const auto text = wire::FindHeader(request.headers, header);
+  std::int64_t millis = 0;
+  if (text) {
+    const char* end = text->data() + text->size();
+    if (std::from_chars(text->data(), end, millis).ec == std::errc() &&
+        millis > 0) {
+      return std::chrono::milliseconds(millis);
+    }
+  }
+  return kDefaultTimeout;
+}
+
+HttpResponse Answer(int status, std::string body = "{}") {
+  HttpResponse response;
+  response.status = status;
+  response.headers.emplace_back("Content-Type", "application/json");
+  response.body = std::move(body);
+  return response;
+}
+
+HttpResponse AnswerError(int status, std::string_view error) {
+  return Answer(status, nlohmann::json{{"error", error}}.dump());
+}
+
+HttpResponse AnswerLater(int status,
+                         std::string_view error,
+                         std::chrono::milliseconds retry_after) {
+  HttpResponse response = AnswerError(status, error);
+  // The header counts whole seconds.
+  const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(retry_after).count();
+  response.headers.emplace_back(
+      "Retry-After", std::to_string(std::max<std::int64_t>(1, seconds)));
+  return response;
+}
+
+HttpResponse Refusal(const JobAnswer& answer) {
+  const auto reason = static_cast<jobs::RefusalReason>(answer.reason);
+  const int status =
+      reason == jobs::RefusalReason::kOverload ? kTooMany : kUnavailable;
+  return AnswerLater(status, base::FindName(jobs::kRefusalNames, reason),
+                     std::chrono::milliseconds(answer.retry_after_ms));
+}
+
+}  // namespace
+
+Front::Front(FrontFormat format, Loop& loop, EventLog& log, Ask ask)
+    : m_format(std::move(format)),
+      m_loop(loop),
+      m_log(log),
+      m_ask(std::move(ask)) {}
+
+void Front::ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config) {
+  m_config = std::move(config);
+}
+
+void Front::Handle(const wire::HttpRequest& request,
+                   const wire::HttpResponder& respond) {
+  if (m_config == nullptr) {
+    respond(
+        AnswerLater(kUnavailable, "no configuration yet", kRetryWithoutOffice));
+    return;
+  }
+  const std::string host = HostOf(request);
+  const jobs::QueueConfig* queue = m_config->Route(host, request.path);
+  if (queue == nullptr) {
+    m_log.Write("request.no_queue", {{"path", request.path},
+                                     {"host_header", host},
+                                     {"config_version", m_config->version}});
+    respond(AnswerError(kNotFound, "no such queue"));
+    return;
+  }
+  JobRequest job;
+  job.queue = queue->name;
+  const auto key = wire::FindHeader(request.headers, m_format.key_header);
+  const jobs::CustomerConfig* customer =
+      key ? m_config->CustomerOfKey(*key) : nullptr;
+  if (customer == nullptr && !queue->open) {
+    m_log.Write("request.bad_key", {{"path", request.path},
+                                    {"queue", queue->name},
+                                    {"config_version", m_config->version}});
+    respond(AnswerError(kUnauthorized, "unknown key"));
+    return;
+  }
+  if (customer != nullptr) {
+    job.customer = customer->name;
+  }
+  const std::string rest = request.path.substr(queue->path_prefix.size());
+  if (rest.empty() && request.method == "GET") {
+    job.verb = JobVerb::kCount;
+  } else if (!IsJobId(rest)) {
+    respond(AnswerError(rest.empty() ? kNotAllowed : kBadRequest,
+                        "the path must end with a job id"));
+    return;
+  } else if (request.method == "POST") {
+    job.verb = JobVerb::kSubmit;
+    job.spec = request.body;
+  } else if (request.method == "GET") {
+    job.verb = JobVerb::kState;
+  } else if (request.method == "DELETE") {
+    job.verb = JobVerb::kCancel;
+  } else {
+    respond(AnswerError(kNotAllowed, "POST, GET or DELETE"));
+    return;
+  }
+  job.job = rest;
+  const auto timeout = TimeoutOf(request, m_format.timeout_header);
+  Forward(std::move(job), std::min(kMaxWait, timeout), respond);
+}
+
+void Front::Forward(JobRequest request,
+                    std::chrono::milliseconds timeout,
+                    const wire::HttpResponder& respond) {
+  ++m_in_flight;
+  const JobVerb verb = request.verb;
+  const std::string job = request.job;
+  m_ask(std::move(request), timeout,
+        [this, verb, job, respond](const JobAnswer& answer) {
+          --m_in_flight;
+          switch (answer.kind) {
+            case JobAnswerKind::kOk:
+              if (verb == JobVerb::kState) {
+                respond(Answer(kOk,
+                               m_format.encode_state(
+                                   static_cast<jobs::JobPhase>(answer.phase))));
+              } else if (verb == JobVerb::kCount) {
+                respond(Answer(kOk, m_format.encode_count(answer.count)));
+              } else {
+                respond(Answer(kOk));
+              }
+              return;
+            case JobAnswerKind::kInvalid:
+              respond(AnswerError(kBadRequest, answer.detail));
+              return;
+            case JobAnswerKind::kNoSuchJob:
+              respond(AnswerError(kGone, "no such job"));
+              return;
+            case JobAnswerKind::kForbidden:
+              respond(AnswerError(kForbidden, "another customer's job"));
+              return;
+            case JobAnswerKind::kRefused:
+              respond(Refusal(answer));
+              return;
+            case JobAnswerKind::kNotInOffice:
+              m_log.Write("request.no_office", {{"job", job}});
+              respond(AnswerLater(kUnavailable, "no host is in office",
+                                  kRetryWithoutOffice));
+              return;
+            case JobAnswerKind::kUndecided:
+              m_log.Write("request.undecided", {{"job", job}});
+              respond(AnswerError(kGatewayTimeout, "not known yet"));
+              return;
+          }
+        });
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/peer_message.cpp
@@ -0,0 +1,69 @@
+#include "cassiastile/host/peer_message.hpp"
+
+#include <sstream>
+
+#include <fmt/format.h>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
+namespace cassiastile::host {
+
+namespace {
+
+template <typename Message>
+std::string EncodeMessage(const Message& message) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(message);
+  return std::move(out).str();
+}
+
+template <typename Message>
+base::Result<Message> DecodeMessage(const std::string& bytes) {
+  try {
+    std::istringstream in(bytes);
+    cereal::PortableBinaryInputArchive archive(in);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::kInvalid,
+                      fmt::format("message between hosts: {}", error.what()));
+  }
+}
+
+}  // namespace
+
+std::string Encode(const Greeting& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const JobRequest& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const JobAnswer& message) {
+  return EncodeMessage(message);
+}
+
+std::string Encode(const OfficeRecord& record) {
+  return EncodeMessage(record);
+}
+
+base::Result<Greeting> DecodeGreeting(const std::string& bytes) {
+  return DecodeMessage<Greeting>(bytes);
+}
+
+base::Result<JobRequest> DecodeJobRequest(const std::string& bytes) {
+  return DecodeMessage<JobRequest>(bytes);
+}
+
+base::Result<JobAnswer> DecodeJobAnswer(const std::string& bytes) {
+  return DecodeMessage<JobAnswer>(bytes);
+}
+
+base::Result<OfficeRecord> DecodeOfficeRecord(const std::string& bytes) {
+  return DecodeMessage<OfficeRecord>(bytes);
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/settings.cpp
@@ -0,0 +1,164 @@
+#include "cassiastile/host/settings.hpp"
+
+#include <charconv>
+#include <cmath>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace cassiastile::host {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Reads members and collects what is wrong with them.
+class Reader {
+ public:
+  explicit Reader(const Json& json) : m_json(json) {}
+
+  void Text(const char* name, std::string& value) {
+    const Json* member = Find(name);
+    if (member == nullptr) {
+      return;
+    }
+    if (member->is_string()) {
+      value = member->get<std::string>();
+    } else {
+      Add(name, "must be text");
+    }
+  }
+
+  void Port(const char* name, std::uint16_t& value) {
+    constexpr std::int64_t kMaxPort = 65535;
+    const Json* member = Find(name);
+    if (member == nullptr) {
+      return;
+    }
+    if (member->is_number_integer() && member->get<std::int64_t>() > 0 &&
+        member->get<std::int64_t>() <= kMaxPort) {
+      value = member->get<std::uint16_t>();
+    } else {
+      Add(name, "must be a port");
+    }
+  }
+
+  void Address(const char* name, Endpoint& value) {
+    std::string text;
+    Text(name, text);
+    if (text.empty()) {
+      return;
+    }
+    const auto endpoint = ParseEndpoint(text);
+    if (endpoint) {
+      value = *endpoint;
+    } else {
+      Add(name, endpoint.error().message);
+    }
+  }
+
+  // `unit_ms` is how many milliseconds one of the member's unit has.
+  void Time(const char* name,
+            std::int64_t unit_ms,
+            std::chrono::milliseconds& value) {
+    double number = 0;
+    if (Number(name, number)) {
+      value = std::chrono::milliseconds(
+          std::llround(number * static_cast<double>(unit_ms)));
+    }
+  }
+
+  bool Number(const char* name, double& value) {
+    const Json* member = Find(name);
+    if (member == nullptr) {
+      return false;
+    }
+    if (!member->is_number() || member->get<double>() < 0) {
+      Add(name, "must be a number that is not negative");
+      return false;
+    }
+    value = member->get<double>();
+    return true;
+  }
+
+  const std::string& Findings() const { return m_findings; }
+
+ private:
+  const Json* Find(const char* name) {
+    const auto found = m_json.find(name);
+    if (found == m_json.end()) {
+      Add(name, "is missing");
+      return nullptr;
+    }
+    return &*found;
+  }
+
+  void Add(const char* name, std::string_view finding) {
+    if (!m_findings.empty()) {
+      m_findings += "; ";
+    }
+    m_findings += fmt::format("{} {}", name, finding);
+  }
+
+  const Json& m_json;
+  std::string m_findings;
+};
+
+constexpr std::int64_t kMillisecond = 1;
+constexpr std::int64_t kSecond = 1000;
+
+}  // namespace
+
+base::Result<Endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  if (colon != std::string_view::npos) {
+    endpoint.address = std::string(text.substr(0, colon));
+    const std::string_view port = text.substr(colon + 1);
+    const auto [end, error] =
+        std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    if (error == std::errc() && end == port.data() + port.size() &&
+        endpoint.port > 0 && !endpoint.address.empty()) {
+      return endpoint;
+    }
+  }
+  return base::Fail(base::ErrorCode::kInvalid,
+                    fmt::format("'{}' is not ADDRESS:PORT", text));
+}
+
+base::Result<HostSettings> ParseHostSettings(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false, true);
+  if (!json.is_object()) {
+    return base::Fail(base::ErrorCode::kInvalid,
+                      "the settings are not a JSON object");
+  }
+  HostSettings settings;
+  Reader reader(json);
+  reader.Text("host", settings.host);
+  reader.Text("availability_zone", settings.availability_zone);
+  reader.Text("address", settings.address);
+  reader.Port("peer_port", settings.peer_port);
+  reader.Port("metrics_port", settings.metrics_port);
+  reader.Address("client_endpoint", settings.client_endpoint);
+  reader.Address("ready_endpoint", settings.ready_endpoint);
+  reader.Address("table_endpoint", settings.table_endpoint);
+  reader.Address("machines_endpoint", settings.machines_endpoint);
+  reader.Text("advice_endpoint", settings.advice_endpoint);
+  reader.Time("max_worker_lease_ms", kMillisecond, settings.max_worker_lease);
+  reader.Time("stop_grace_s", kSecond, settings.stop_grace);
+  reader.Time("finished_state_s", kSecond, settings.finished_state);
+  reader.Time("unavailable_notice_ms", kMillisecond,
+              settings.unavailable_notice);
+  reader.Time("disturbance_ms", kMillisecond, settings.disturbance);
+  reader.Time("machine_order_lease_ms", kMillisecond,
+              settings.machine_order_lease);
+  reader.Time("machine_move_s", kSecond, settings.machine_move);
+  reader.Time("machine_upkeep_s", kSecond, settings.machine_upkeep);
+  reader.Number("away_from_data_factor", settings.away_from_data_factor);
+  if (!reader.Findings().empty()) {
+    return base::Fail(base::ErrorCode::kInvalid, reader.Findings());
+  }
+  return settings;
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/jobs/admission.cpp
@@ -0,0 +1,35 @@
+#include "cassiastile/jobs/admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// Estimates of single jobs are noisy, so a job is turned away only when the
+// wait is clearly more than it can bear.
+constexpr double kTolerance = 1.15;
+constexpr std::chrono::milliseconds kMinRetryAfter{1000};
+constexpr std::chrono::milliseconds kMaxRetryAfter{10000};
+
+}  // namespace
+
+AdmissionVerdict Admit(const AdmissionInput& input) {
+  if (input.pool_cores <= 0) {
+    // Workers may be on their way; the job waits for them.
+    return {};
+  }
+  const double wait_ms = input.backlog_core_ms / input.pool_cores;
+  const double slack_ms =
+      static_cast<double>((input.objective - input.chain).count());
+  const double excess_ms = wait_ms - kTolerance * std::max(0.0, slack_ms);
+  if (excess_ms <= 0) {
+    return {};
+  }
+  const std::chrono::milliseconds excess(std::llround(std::ceil(excess_ms)));
+  return {.admitted = false,
+          .retry_after = std::clamp(excess, kMinRetryAfter, kMaxRetryAfter)};
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/duration_model.cpp
@@ -0,0 +1,91 @@
+#include "cassiastile/jobs/duration_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// Weight of a new sample, once there are enough for the weight to be smaller
+// than that of a plain mean.
+constexpr double kGain = 0.05;
+constexpr std::chrono::milliseconds kUnknownTask{1000};
+
+}  // namespace
+
+void DurationModel::Observe(const std::string& queue,
+                            std::chrono::milliseconds estimate,
+                            std::chrono::milliseconds taken) {
+  const double taken_ms =
+      std::max<double>(1, static_cast<double>(taken.count()));
+  const double estimate_ms =
+      std::max<double>(1, static_cast<double>(estimate.count()));
+  Entry& entry = m_entries[queue];
+  const double gain = std::max(kGain, 1.0 / (entry.samples + 1));
+  if (entry.samples > 0) {
+    const double by_mean = std::log(taken_ms / entry.mean_ms);
+    const double by_ratio = std::log(taken_ms / (estimate_ms * entry.ratio));
+    entry.mean_error += gain * (by_mean * by_mean - entry.mean_error);
+    entry.ratio_error += gain * (by_ratio * by_ratio - entry.ratio_error);
+  }
+  if (entry.samples == 0) {
+    entry.mean_ms = taken_ms;
+    entry.ratio = taken_ms / estimate_ms;
+  } else {
+    entry.mean_ms += gain * (taken_ms - entry.mean_ms);
+    entry.ratio *=
+        std::exp(gain * std::log(taken_ms / (estimate_ms * entry.ratio)));
+  }
+  ++entry.samples;
+}
+
+std::chrono::milliseconds DurationModel::Expect(
+    const std::string& queue,
+    std::chrono::milliseconds estimate) const {
+  const auto found = m_entries.find(queue);
+  if (found == m_entries.end()) {
+    return estimate.count() > 0 ? estimate : kUnknownTask;
+  }
+  const Entry& entry = found->second;
+  const double by_ratio = static_cast<double>(estimate.count()) * entry.ratio;
+  if (estimate.count() <= 0) {
+    return std::chrono::milliseconds(std::llround(entry.mean_ms));
+  }
+  // Inverse-variance weights.
+  const double weight =
+      entry.mean_error / std::max(1e-6, entry.mean_error + entry.ratio_error);
+  const double expected = weight * by_ratio + (1 - weight) * entry.mean_ms;
+  return std::chrono::milliseconds(std::llround(expected));
+}
+
+std::chrono::milliseconds DurationModel::ExpectChain(
+    const std::string& queue,
+    const JobSpec& spec) const {
+  std::vector<std::chrono::milliseconds> ends(spec.steps.size());
+  std::chrono::milliseconds longest{0};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    std::chrono::milliseconds begin{0};
+    for (const std::uint32_t before : spec.steps[i].after) {
+      begin = std::max(begin, ends[before]);
+    }
+    ends[i] = begin + Expect(queue, spec.steps[i].estimate);
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+double DurationModel::ExpectWork(const std::string& queue,
+                                 const JobSpec& spec) const {
+  double work = 0;
+  for (const StepSpec& step : spec.steps) {
+    if (!step.long_running && !step.fills) {
+      const auto each = Expect(queue, step.estimate).count();
+      work += static_cast<double>(each) * step.count *
+              static_cast<double>(step.need.cpu) / 1000.0;
+    }
+  }
+  return work;
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -0,0 +1,208 @@
+// Jobs as bytes, by cereal's portable binary archive.
+#include <sstream>
+
+#include <fmt/format.h>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "cassiastile/jobs/job.hpp"
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// Raised when the layout changes in a way that older programs can't read.
+constexpr std::uint8_t kLayout = 1;
+
+template <typename Archive>
+void Visit(Archive& archive, Resources& value) {
+  archive(value.cpu, value.memory, value.gpus);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, std::chrono::milliseconds& value) {
+  std::int64_t count = value.count();
+  archive(count);
+  value = std::chrono::milliseconds(count);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, StepSpec& step) {
+  archive(step.count, step.after, step.checkpointing, step.gang,
+          step.single_rack, step.speculative, step.long_running, step.fills,
+          step.required_label, step.data_rack, step.max_per_worker,
+          step.max_unavailable, step.image);
+  Visit(archive, step.need);
+  Visit(archive, step.estimate);
+  Visit(archive, step.target);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, JobSpec& spec) {
+  auto count = static_cast<std::uint32_t>(spec.steps.size());
+  archive(spec.payload, spec.repeats, count);
+  Visit(archive, spec.first_due);
+  Visit(archive, spec.interval);
+  spec.steps.resize(count);
+  for (StepSpec& step : spec.steps) {
+    Visit(archive, step);
+  }
+}
+
+template <typename Archive>
+void VisitRecord(Archive& archive, Job& job) {
+  std::uint8_t layout = kLayout;
+  archive(layout, job.queue, job.service, job.customer);
+  if (layout != kLayout) {
+    throw cereal::Exception("unknown layout");
+  }
+  Visit(archive, job.spec);
+}
+
+// What a task's row of the progress holds.
+struct TaskRow {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  const Task* task = nullptr;
+};
+
+bool IsUntouched(const Task& task) {
+  return !task.done && task.last_run == 0 && task.failures == 0;
+}
+
+std::vector<TaskRow> TouchedTasks(const Occurrence& occurrence) {
+  std::vector<TaskRow> rows;
+  for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+    const auto& tasks = occurrence.steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+      if (!IsUntouched(tasks[index])) {
+        rows.push_back({step, index, &tasks[index]});
+      }
+    }
+  }
+  return rows;
+}
+
+void EncodeTask(cereal::PortableBinaryOutputArchive& archive,
+                const TaskRow& row) {
+  const Task& task = *row.task;
+  archive(row.step, row.index, task.done, task.failures, task.last_run,
+          task.checkpoint, static_cast<std::uint32_t>(task.runs.size()));
+  for (const Run& run : task.runs) {
+    archive(run.number, run.worker.id, run.worker.born);
+  }
+}
+
+void DecodeTask(cereal::PortableBinaryInputArchive& archive,
+                Occurrence& occurrence) {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  archive(step, index);
+  if (step >= occurrence.steps.size() ||
+      index >= occurrence.steps[step].tasks.size()) {
+    throw cereal::Exception("a task beyond the job's steps");
+  }
+  Task& task = occurrence.steps[step].tasks[index];
+  std::uint32_t runs = 0;
+  archive(task.done, task.failures, task.last_run, task.checkpoint, runs);
+  for (std::uint32_t i = 0; i < runs; ++i) {
+    Run& run = task.runs.emplace_back();
+    archive(run.number, run.worker.id, run.worker.born);
+    run.phase = RunPhase::kRecovered;
+    run.checkpoint = task.checkpoint;
+  }
+  if (task.done) {
+    ++occurrence.steps[step].done;
+  }
+}
+
+void DecodeOccurrence(cereal::PortableBinaryInputArchive& archive, Job& job) {
+  std::uint32_t number = 0;
+  std::uint32_t tasks = 0;
+  archive(number, tasks);
+  Occurrence& occurrence = job.occurrences.emplace_back();
+  occurrence.number = number;
+  occurrence.steps.resize(job.spec.steps.size());
+  for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+    occurrence.steps[i].tasks.resize(job.spec.steps[i].count);
+  }
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    DecodeTask(archive, occurrence);
+  }
+  for (const StepState& step : occurrence.steps) {
+    occurrence.steps_done += step.done == step.tasks.size() ? 1 : 0;
+  }
+  RefreshReadySteps(job, occurrence);
+}
+
+}  // namespace
+
+std::string EncodeRecord(const Job& job) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  // The archive takes references it does not change when it writes.
+  VisitRecord(archive, const_cast<Job&>(job));
+  return std::move(out).str();
+}
+
+base::Result<Job> DecodeRecord(const std::string& id,
+                               const std::string& bytes) {
+  try {
+    std::istringstream in(bytes);
+    cereal::PortableBinaryInputArchive archive(in);
+    Job job;
+    job.id = id;
+    VisitRecord(archive, job);
+    return job;
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::kInvalid,
+                      fmt::format("record of job {}: {}", id, error.what()));
+  }
+}
+
+std::string EncodeProgress(const Job& job) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(kLayout, static_cast<std::uint8_t>(job.phase), job.started,
+          job.next_occurrence, job.occurrences_done,
+          static_cast<std::uint32_t>(
+              IsFinished(job.phase) ? 0 : job.occurrences.size()));
+  if (!IsFinished(job.phase)) {
+    for (const Occurrence& occurrence : job.occurrences) {
+      const std::vector<TaskRow> rows = TouchedTasks(occurrence);
+      archive(occurrence.number, static_cast<std::uint32_t>(rows.size()));
+      for (const TaskRow& row : rows) {
+        EncodeTask(archive, row);
+      }
+    }
+  }
+  return std::move(out).str();
+}
+
+base::Result<void> DecodeProgress(Job& job, const std::string& bytes) {
+  try {
+    std::istringstream in(bytes);
+    cereal::PortableBinaryInputArchive archive(in);
+    std::uint8_t layout = 0;
+    std::uint8_t phase = 0;
+    std::uint32_t occurrences = 0;
+    archive(layout, phase, job.started, job.next_occurrence,
+            job.occurrences_done, occurrences);
+    if (layout != kLayout) {
+      throw cereal::Exception("unknown layout");
+    }
+    job.phase = static_cast<JobPhase>(phase);
+    job.stored_phase = job.phase;
+    for (std::uint32_t i = 0; i < occurrences; ++i) {
+      DecodeOccurrence(archive, job);
+    }
+    return {};
+  } catch (const std::exception& error) {
+    return base::Fail(
+        base::ErrorCode::kInvalid,
+        fmt::format("progress of job {}: {}", job.id, error.what()));
+  }
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/job_spec.cpp
@@ -0,0 +1,44 @@
+#include "cassiastile/jobs/job_spec.hpp"
+
+#include <fmt/format.h>
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// Bounds on what one job may make the scheduler hold in memory.
+constexpr std::size_t kMaxSteps = 256;
+constexpr std::uint32_t kMaxTasksOfStep = 10000;
+constexpr std::uint32_t kMaxRepeats = 100000;
+
+tl::unexpected<base::Error> Invalid(std::string message) {
+  return base::Fail(base::ErrorCode::kInvalid, std::move(message));
+}
+
+}  // namespace
+
+base::Result<void> CheckSpec(const JobSpec& spec) {
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
+    return Invalid(fmt::format("steps: 1 to {} are allowed, there are {}",
+                               kMaxSteps, spec.steps.size()));
+  }
+  if (spec.repeats > kMaxRepeats) {
+    return Invalid(fmt::format("more than {} repeats", kMaxRepeats));
+  }
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    if (step.count == 0 || step.count > kMaxTasksOfStep) {
+      return Invalid(fmt::format("steps[{}].count: 1 to {} are allowed", i,
+                                 kMaxTasksOfStep));
+    }
+    for (const std::uint32_t before : step.after) {
+      if (before >= i) {
+        return Invalid(fmt::format("steps[{}].after: {} is not an earlier step",
+                                   i, before));
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -0,0 +1,382 @@
+#include "cassiastile/jobs/scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// A job that is later than this many objectives is worth nothing.
+constexpr int kWorthlessFactor = 3;
+
+double RemainingWork(const Job& job, const DurationModel& durations) {
+  double work = 0;
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const StepSpec& step = job.spec.steps[i];
+      const StepState& state = occurrence.steps[i];
+      if (step.long_running || step.fills) {
+        continue;
+      }
+      const auto left = static_cast<double>(state.tasks.size() - state.done);
+      const auto each = durations.Expect(job.queue, step.estimate).count();
+      work += left * static_cast<double>(each) *
+              static_cast<double>(step.need.cpu) / 1000.0;
+    }
+  }
+  return work;
+}
+
+bool FitsSomeWorker(const StepSpec& step,
+                    const std::string& service,
+                    const std::map<std::string, WorkerState>& workers) {
+  bool any = false;
+  for (const auto& [id, worker] : workers) {
+    if (worker.entry.service != service) {
+      continue;
+    }
+    any = true;
+    if (Fits(CapacityNeed(step), worker.entry.capacity)) {
+      return true;
+    }
+  }
+  return !any;
+}
+
+}  // namespace
+
+Scheduler::Scheduler(SchedulerOptions options)
+    : m_options(options), m_config(std::make_shared<FleetConfig>()) {}
+
+void Scheduler::ApplyConfig(std::shared_ptr<const FleetConfig> config) {
+  m_config = std::move(config);
+}
+
+const QueueConfig* Scheduler::QueueOf(const Job& job) const {
+  return m_config->FindQueue(job.queue);
+}
+
+std::string Scheduler::ServiceOf(const Job& job) const {
+  const QueueConfig* queue = QueueOf(job);
+  return queue == nullptr ? job.service : queue->service;
+}
+
+void Scheduler::SetObjective(Job& job, const QueueConfig& queue) {
+  const auto chain = m_durations.ExpectChain(job.queue, job.spec);
+  const auto allowed =
+      std::chrono::milliseconds(static_cast<std::int64_t>(
+          queue.stretch * static_cast<double>(chain.count()))) +
+      queue.slack;
+  job.objective = job.accepted_at + allowed;
+  job.worthless = job.accepted_at + kWorthlessFactor * allowed;
+}
+
+void Scheduler::Recover(std::vector<Job> jobs,
+                        base::TimePoint now,
+                        base::TimePoint silent_bound) {
+  for (Job& source : jobs) {
+    auto owned = std::make_unique<Job>(std::move(source));
+    Job& job = *owned;
+    job.accepted = true;
+    job.accepted_at = now;
+    if (const QueueConfig* queue = QueueOf(job)) {
+      SetObjective(job, *queue);
+    }
+    if (IsFinished(job.phase)) {
+      job.finished_at = now;
+      m_to_release.push_back(&job);
+    }
+    for (Occurrence& occurrence : job.occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        auto& tasks = occurrence.steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+          for (Run& run : tasks[i].runs) {
+            const TaskRef ref{&job, occurrence.number, s, i};
+            WorkerState& worker = m_workers[run.worker.id];
+            if (worker.entry.id.id.empty()) {
+              worker.entry.id = run.worker;
+              worker.entry.service = ServiceOf(job);
+            }
+            worker.lease_bound = std::max(worker.lease_bound, silent_bound);
+            worker.runs.emplace_back(ref, run.number);
+            worker.used += CapacityNeed(SpecOf(ref));
+            m_used_by_customer[job.customer] += SpecOf(ref).need;
+            run.ordered_at = now;
+            ++job.runs;
+          }
+        }
+      }
+    }
+    m_jobs.emplace(job.id, std::move(owned));
+  }
+}
+
+Submission Scheduler::Submit(const std::string& id,
+                             const QueueConfig& queue,
+                             const std::string& customer,
+                             JobSpec spec,
+                             base::TimePoint now) {
+  const auto found = m_jobs.find(id);
+  if (found != m_jobs.end()) {
+    return {.verdict = found->second->accepted ? Submission::Verdict::kKnown
+                                               : Submission::Verdict::kPending};
+  }
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  job.id = id;
+  job.queue = queue.name;
+  job.service = queue.service;
+  job.customer = customer;
+  job.spec = std::move(spec);
+  job.accepted_at = now;
+  SetObjective(job, queue);
+  for (const StepSpec& step : job.spec.steps) {
+    if (!FitsSomeWorker(step, queue.service, m_workers)) {
+      return {.verdict = Submission::Verdict::kRefused,
+              .reason = RefusalReason::kTooLarge,
+              .retry_after = std::chrono::seconds(10)};
+    }
+  }
+  const bool timed = job.spec.repeats > 0;
+  const bool finite = m_durations.ExpectWork(queue.name, job.spec) > 0;
+  if (finite && !timed) {
+    AdmissionInput input;
+    for (const auto& [other_id, other] : m_jobs) {
+      if (!IsFinished(other->phase) && ServiceOf(*other) == queue.service &&
+          other->worthless > now) {
+        input.backlog_core_ms += RemainingWork(*other, m_durations);
+      }
+    }
+    for (const auto& [worker_id, worker] : m_workers) {
+      if (worker.entry.service == queue.service && IsUsable(worker, now)) {
+        std::int64_t lasting = 0;
+        for (const auto& [ref, run] : worker.runs) {
+          lasting +=
+              SpecOf(ref).long_running ? CapacityNeed(SpecOf(ref)).cpu : 0;
+        }
+        input.pool_cores +=
+            static_cast<double>(worker.entry.capacity.cpu - lasting) / 1000.0;
+      }
+    }
+    input.chain = m_durations.ExpectChain(queue.name, job.spec);
+    input.objective = std::chrono::duration_cast<std::chrono::milliseconds>(
+        job.objective - now);
+    const AdmissionVerdict verdict = Admit(input);
+    if (!verdict.admitted) {
+      ++m_refused_by_service[queue.service];
+      return {.verdict = Submission::Verdict::kRefused,
+              .reason = RefusalReason::kOverload,
+              .retry_after = verdict.retry_after};
+    }
+  }
+  if (!timed) {
+    BeginOccurrence(job, 0);
+  }
+  m_jobs.emplace(id, std::move(owned));
+  MarkDirty(job, true);
+  return {.verdict = Submission::Verdict::kNew};
+}
+
+bool Scheduler::Cancel(const std::string& id, base::TimePoint now) {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) {
+    return false;
+  }
+  if (!IsFinished(found->second->phase)) {
+    Finish(*found->second, JobPhase::kCancelled, now);
+  }
+  return true;
+}
+
+const Job* Scheduler::FindJob(const std::string& id) const {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+std::size_t Scheduler::QueuedJobs(const std::string& queue) const {
+  std::size_t count = 0;
+  for (const auto& [id, job] : m_jobs) {
+    count += job->queue == queue && job->accepted && !job->started &&
+                     !IsFinished(job->phase)
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+WorkerState* Scheduler::FindWorker(const std::string& id) {
+  const auto found = m_workers.find(id);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+void Scheduler::MarkDirty(Job& job, bool urgent) {
+  job.dirty = true;
+  m_dirty.insert(&job);
+  m_urgent = m_urgent || urgent;
+}
+
+void Scheduler::Finish(Job& job, JobPhase phase, base::TimePoint now) {
+  job.phase = phase;
+  job.finished_at = now;
+  StopAllRuns(job, now);
+  m_to_release.push_back(&job);
+  MarkDirty(job, true);
+}
+
+void Scheduler::StopAllRuns(Job& job, base::TimePoint now) {
+  for (Occurrence& occurrence : job.occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      StepState& step = occurrence.steps[s];
+      step.waiting.clear();
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        for (Run& run : step.tasks[i].runs) {
+          StopRun({&job, occurrence.number, s, i}, run, now);
+        }
+      }
+    }
+  }
+}
+
+void Scheduler::ReleaseFinished(base::TimePoint now) {
+  std::erase_if(m_to_release, [this, now](Job* job) {
+    if (now - job->finished_at < m_options.keep_finished || job->runs > 0 ||
+        job->dirty) {
+      return false;
+    }
+    m_dropped_jobs.push_back(job->id);
+    m_jobs.erase(job->id);
+    return true;
+  });
+}
+
+Batch Scheduler::TakeBatch(std::size_t max_rows, base::TimePoint now) {
+  ReleaseFinished(now);
+  Batch batch;
+  std::vector<Job*> taken;
+  for (Job* job : m_dirty) {
+    if (batch.rows.size() + 2 > max_rows) {
+      break;
+    }
+    if (IsFinished(job->phase)) {
+      batch.rows.push_back({job->id, true, std::nullopt});
+      if (!job->accepted) {
+        batch.accepted.push_back(job->id);
+      }
+    } else if (!job->accepted) {
+      batch.rows.push_back({job->id, true, EncodeRecord(*job)});
+      batch.accepted.push_back(job->id);
+    }
+    batch.rows.push_back({job->id, false, EncodeProgress(*job)});
+    batch.phases.emplace_back(job->id, job->phase);
+    taken.push_back(job);
+  }
+  for (Job* job : taken) {
+    job->dirty = false;
+    m_dirty.erase(job);
+  }
+  std::erase_if(m_planned, [&batch](const auto& planned) {
+    if (planned.first.job->dirty) {
+      return false;
+    }
+    batch.starts.push_back(planned);
+    return true;
+  });
+  while (!m_dropped_jobs.empty() && batch.rows.size() + 2 <= max_rows) {
+    batch.rows.push_back({m_dropped_jobs.back(), true, std::nullopt});
+    batch.rows.push_back({m_dropped_jobs.back(), false, std::nullopt});
+    m_dropped_jobs.pop_back();
+  }
+  if (m_dirty.empty()) {
+    m_urgent = false;
+    for (const auto& [id, worker] : m_workers) {
+      if (worker.last_end > worker.acked_end) {
+        batch.ends.emplace_back(worker.entry.id, worker.last_end);
+      }
+    }
+  }
+  return batch;
+}
+
+void Scheduler::Confirm(const Batch& batch, base::TimePoint now) {
+  for (const std::string& id : batch.accepted) {
+    if (const auto found = m_jobs.find(id); found != m_jobs.end()) {
+      found->second->accepted = true;
+    }
+  }
+  for (const auto& [id, phase] : batch.phases) {
+    if (const auto found = m_jobs.find(id); found != m_jobs.end()) {
+      found->second->stored_phase = phase;
+    }
+  }
+  for (const auto& [id, sequence] : batch.ends) {
+    WorkerState* worker = FindWorker(id.id);
+    if (worker != nullptr && worker->entry.id == id) {
+      worker->acked_end = std::max(worker->acked_end, sequence);
+    }
+  }
+  for (const auto& [ref, number] : batch.starts) {
+    Run* run = FindRun(ref, number);
+    if (run == nullptr || run->phase != RunPhase::kPlanned) {
+      continue;
+    }
+    run->phase = RunPhase::kStarting;
+    run->ordered_at = now;
+    m_orders.starts.push_back({run->worker, IdOf(ref), number,
+                               ref.job->spec.payload, run->checkpoint, ""});
+    const auto advice =
+        m_advice.find(IdOf(ref).job + "." + std::to_string(ref.occurrence) +
+                      "." + std::to_string(ref.step));
+    if (advice != m_advice.end()) {
+      const auto ticket = advice->second.ticket_of_worker.find(run->worker.id);
+      if (ticket != advice->second.ticket_of_worker.end()) {
+        m_orders.starts.back().ticket = ticket->second;
+      }
+    }
+  }
+}
+
+Orders Scheduler::TakeOrders() {
+  return std::exchange(m_orders, {});
+}
+
+std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools(
+    base::TimePoint now) {
+  std::map<std::string, PoolLoad> pools;
+  for (const auto& [id, worker] : m_workers) {
+    if (!worker.listed || worker.entry.draining) {
+      continue;
+    }
+    PoolLoad& load = pools[worker.entry.service];
+    ++load.workers;
+    load.capacity_cpu += worker.entry.capacity.cpu;
+    load.used_cpu += worker.used.cpu;
+    for (const auto& [ref, run] : worker.runs) {
+      if (SpecOf(ref).long_running) {
+        load.lasting_cpu += CapacityNeed(SpecOf(ref)).cpu;
+      }
+    }
+  }
+  for (const auto& [id, job] : m_jobs) {
+    if (IsFinished(job->phase)) {
+      continue;
+    }
+    PoolLoad& load = pools[ServiceOf(*job)];
+    if (job->worthless > now) {
+      load.backlog_core_seconds += RemainingWork(*job, m_durations) / 1000.0;
+    }
+    for (const Occurrence& occurrence : job->occurrences) {
+      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        load.waiting_cpu +=
+            CapacityNeed(job->spec.steps[i]).cpu *
+            static_cast<std::int64_t>(occurrence.steps[i].waiting.size());
+      }
+    }
+  }
+  for (auto& [service, count] : m_refused_by_service) {
+    pools[service].refused = std::exchange(count, 0);
+  }
+  return pools;
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -0,0 +1,343 @@
+// Which waiting task goes where, and in which order.
+#include <algorithm>
+#include <tuple>
+
+#include "cassiastile/jobs/scheduler.hpp"
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// Costs of a place, in thousandths of a core that another place would have to
+// offer more to be chosen instead.
+constexpr std::int64_t kFailedHereCost = 1000000;
+constexpr std::int64_t kRemoteCost = 100000;
+constexpr std::int64_t kLongRunningPack = 20000;
+constexpr std::int64_t kLongRunningDisturbs = 1000;
+
+// The advisor answers at most this many workers in one call.
+constexpr std::size_t kMaxAdvisedWorkers = 30;
+
+enum class Urgency : std::uint8_t {
+  kLongRunning,  // Serves users all the while.
+  kOnTime,       // Can still meet its objective.
+  kLate,
+  kWorthless,
+};
+
+struct Rank {
+  Urgency urgency = Urgency::kOnTime;
+  int priority = 0;
+  base::TimePoint objective{};
+  std::string_view id;
+
+  auto Key() const { return std::tie(urgency, priority, objective, id); }
+};
+
+Rank RankOf(const Job& job, const QueueConfig* queue, base::TimePoint now) {
+  Rank rank;
+  rank.priority = queue == nullptr ? 0 : queue->priority;
+  rank.objective = job.objective;
+  rank.id = job.id;
+  if (job.spec.steps.front().long_running) {
+    rank.urgency = Urgency::kLongRunning;
+  } else if (now > job.worthless) {
+    rank.urgency = Urgency::kWorthless;
+  } else if (now > job.objective) {
+    rank.urgency = Urgency::kLate;
+  }
+  return rank;
+}
+
+bool HasWaiting(const Job& job) {
+  for (const Occurrence& occurrence : job.occurrences) {
+    for (const StepState& step : occurrence.steps) {
+      if (!step.waiting.empty()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::uint32_t RunsOfStep(const WorkerState& worker, const TaskRef& ref) {
+  std::uint32_t count = 0;
+  for (const auto& [other, run] : worker.runs) {
+    count += other.job == ref.job && other.occurrence == ref.occurrence &&
+                     other.step == ref.step
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+std::int64_t LongRunningCount(const WorkerState& worker) {
+  std::int64_t count = 0;
+  for (const auto& [ref, run] : worker.runs) {
+    const StepSpec& spec = SpecOf(ref);
+    count += spec.long_running && !spec.fills ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace
+
+bool Scheduler::IsUsable(const WorkerState& worker, base::TimePoint now) const {
+  return worker.listed && worker.heard && !worker.entry.draining &&
+         !worker.withheld &&
+         now - worker.last_report < m_options.stale_report &&
+         !worker.health.IsQuarantined(now);
+}
+
+bool Scheduler::WithinLimit(const Job& job, const Resources& need) const {
+  const CustomerConfig* customer = m_config->FindCustomer(job.customer);
+  if (customer == nullptr) {
+    return true;
+  }
+  const auto used = m_used_by_customer.find(job.customer);
+  const Resources after =
+      (used == m_used_by_customer.end() ? Resources{} : used->second) + need;
+  const auto within = [](std::int64_t value, std::int64_t limit) {
+    return limit == 0 || value <= limit;
+  };
+  return within(after.cpu, customer->limit.cpu) &&
+         within(after.memory, customer->limit.memory) &&
+         within(after.gpus, customer->limit.gpus);
+}
+
+void Scheduler::BeginDueOccurrences(base::TimePoint now, base::WallTime wall) {
+  static_cast<void>(now);
+  const auto wall_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      wall.time_since_epoch());
+  for (const auto& [id, job] : m_jobs) {
+    if (job->spec.repeats == 0 || IsFinished(job->phase) || !job->accepted) {
+      continue;
+    }
+    while (job->next_occurrence < job->spec.repeats &&
+           job->spec.first_due + job->spec.interval * job->next_occurrence <=
+               wall_ms) {
+      BeginOccurrence(*job, job->next_occurrence);
+      MarkDirty(*job, false);
+    }
+  }
+}
+
+void Scheduler::Plan(base::TimePoint now, base::WallTime wall) {
+  ExpireRuns(now);
+  CareForRuns(now);
+  BeginDueOccurrences(now, wall);
+  std::map<std::string, std::vector<Job*>> waiting;
+  for (const auto& [id, job] : m_jobs) {
+    if (!IsFinished(job->phase) && HasWaiting(*job)) {
+      waiting[ServiceOf(*job)].push_back(job.get());
+    }
+  }
+  for (auto& [service, jobs] : waiting) {
+    PlaceService(service, jobs, now);
+  }
+}
+
+void Scheduler::PlaceService(const std::string& service,
+                             std::vector<Job*>& jobs,
+                             base::TimePoint now) {
+  std::vector<WorkerState*> workers;
+  for (auto& [id, worker] : m_workers) {
+    if (worker.entry.service == service && IsUsable(worker, now)) {
+      workers.push_back(&worker);
+    }
+  }
+  if (workers.empty()) {
+    return;
+  }
+  std::ranges::sort(jobs, [this, now](const Job* left, const Job* right) {
+    return RankOf(*left, QueueOf(*left), now).Key() <
+           RankOf(*right, QueueOf(*right), now).Key();
+  });
+  for (Job* job : jobs) {
+    for (Occurrence& occurrence : job->occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!occurrence.steps[step].waiting.empty()) {
+          PlaceStep(*job, occurrence, step, workers, now);
+        }
+      }
+    }
+  }
+}
+
+const Scheduler::Advice* Scheduler::AdviceFor(
+    Job& job,
+    const Occurrence& occurrence,
+    std::uint32_t step,
+    const std::vector<WorkerState*>& workers,
+    base::TimePoint now) {
+  const QueueConfig* queue = QueueOf(job);
+  const std::string key = job.id + "." + std::to_string(occurrence.number) +
+                          "." + std::to_string(step);
+  Advice& advice = m_advice[key];
+  constexpr std::chrono::milliseconds kAskAgain{2000};
+  const bool valid = now < advice.valid_until;
+  const bool asking =
+      advice.asked_at != base::TimePoint{} && now - advice.asked_at < kAskAgain;
+  if (!valid && !asking) {
+    AdviceRequest request{
+        job.id, occurrence.number, step, {}, queue->advice->validity};
+    for (const WorkerState* worker : workers) {
+      if (request.workers.size() < kMaxAdvisedWorkers &&
+          (worker->entry.kind == job.spec.steps[step].required_label ||
+           job.spec.steps[step].required_label.empty())) {
+        request.workers.push_back(worker->entry.id.id);
+      }
+    }
+    advice.asked_at = now;
+    m_orders.advice.push_back(std::move(request));
+  }
+  return valid ? &advice : nullptr;
+}
+
+void Scheduler::AdviceAnswered(
+    const AdviceRequest& request,
+    std::vector<std::pair<std::string, std::string>> allowed,
+    std::chrono::milliseconds validity,
+    base::TimePoint now) {
+  Advice& advice =
+      m_advice[request.job + "." + std::to_string(request.occurrence) + "." +
+               std::to_string(request.step)];
+  // Tickets must still be valid when the order arrives.
+  constexpr std::chrono::milliseconds kMargin{300};
+  advice.valid_until = now + std::max(validity - kMargin, kMargin);
+  advice.asked_at = {};
+  advice.ticket_of_worker.clear();
+  for (auto& [worker, ticket] : allowed) {
+    advice.ticket_of_worker.emplace(worker, std::move(ticket));
+  }
+}
+
+void Scheduler::PlaceStep(Job& job,
+                          Occurrence& occurrence,
+                          std::uint32_t step_number,
+                          std::vector<WorkerState*>& workers,
+                          base::TimePoint now) {
+  const QueueConfig* queue = QueueOf(job);
+  const Advice* advice = nullptr;
+  if (queue != nullptr && queue->advice) {
+    advice = AdviceFor(job, occurrence, step_number, workers, now);
+    if (advice == nullptr) {
+      return;
+    }
+  }
+  const StepSpec& spec = job.spec.steps[step_number];
+  if (spec.gang) {
+    PlaceGang(job, occurrence, step_number, workers, now);
+    return;
+  }
+  StepState& step = occurrence.steps[step_number];
+  std::vector<std::uint32_t> left;
+  bool full = false;
+  for (const std::uint32_t index : step.waiting) {
+    const TaskRef ref{&job, occurrence.number, step_number, index};
+    WorkerState* worker = nullptr;
+    if (!full && WithinLimit(job, spec.need)) {
+      worker = Choose(ref, workers, advice);
+    }
+    if (worker == nullptr) {
+      full = true;
+      left.push_back(index);
+      continue;
+    }
+    BeginRun(ref, *worker, now);
+  }
+  step.waiting = std::move(left);
+}
+
+bool Scheduler::PlaceGang(Job& job,
+                          Occurrence& occurrence,
+                          std::uint32_t step_number,
+                          std::vector<WorkerState*>& workers,
+                          base::TimePoint now) {
+  StepState& step = occurrence.steps[step_number];
+  if (step.waiting.size() < step.tasks.size()) {
+    // Members of the last run are still ending.
+    return false;
+  }
+  const StepSpec& spec = job.spec.steps[step_number];
+  if (!WithinLimit(job, spec.need * spec.count)) {
+    return false;
+  }
+  std::vector<WorkerState*> places;
+  const Resources need = CapacityNeed(spec);
+  for (const std::uint32_t index : step.waiting) {
+    WorkerState* place =
+        Choose({&job, occurrence.number, step_number, index}, workers, nullptr);
+    if (place == nullptr) {
+      break;
+    }
+    place->used += need;  // Held while the others are chosen.
+    places.push_back(place);
+  }
+  for (WorkerState* place : places) {
+    place->used -= need;
+  }
+  if (places.size() < step.waiting.size()) {
+    return false;
+  }
+  std::uint32_t run = 0;
+  for (const Task& task : step.tasks) {
+    run = std::max(run, task.last_run);
+  }
+  const std::vector<std::uint32_t> members = std::move(step.waiting);
+  step.waiting.clear();
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    step.tasks[members[i]].last_run = run;
+    step.tasks[members[i]].checkpoint = step.tasks.front().checkpoint;
+    BeginRun({&job, occurrence.number, step_number, members[i]}, *places[i],
+             now);
+  }
+  return true;
+}
+
+WorkerState* Scheduler::Choose(const TaskRef& ref,
+                               const std::vector<WorkerState*>& workers,
+                               const Advice* advice) const {
+  const StepSpec& spec = SpecOf(ref);
+  const Task& task = *FindTask(ref);
+  const Resources need = CapacityNeed(spec);
+  WorkerState* best = nullptr;
+  std::int64_t best_cost = 0;
+  for (WorkerState* worker : workers) {
+    const WorkerEntry& entry = worker->entry;
+    if (!Fits(worker->used + need, entry.capacity)) {
+      continue;
+    }
+    if (!spec.required_label.empty() && entry.kind != spec.required_label &&
+        entry.rack != spec.required_label) {
+      continue;
+    }
+    if (advice != nullptr && !advice->ticket_of_worker.contains(entry.id.id)) {
+      continue;
+    }
+    if (worker->health.IsOnProbation() && worker->used.cpu > 0) {
+      continue;
+    }
+    if (spec.max_per_worker > 0 &&
+        RunsOfStep(*worker, ref) >= spec.max_per_worker) {
+      continue;
+    }
+    std::int64_t cost = worker->used.cpu;
+    if (task.avoided_worker == entry.id.id) {
+      cost += kFailedHereCost;
+    }
+    if (!spec.data_rack.empty() && spec.data_rack != entry.rack) {
+      cost += kRemoteCost;
+    }
+    const std::int64_t lasting = LongRunningCount(*worker);
+    cost += spec.long_running ? -kLongRunningPack * lasting
+                              : kLongRunningDisturbs * lasting;
+    if (best == nullptr || cost < best_cost) {
+      best = worker;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -0,0 +1,440 @@
+// What becomes of runs: reports of workers, answers to orders, expiry.
+#include <algorithm>
+
+#include "cassiastile/jobs/scheduler.hpp"
+
+namespace cassiastile::jobs {
+
+namespace {
+
+// An order to start that is not answered for so long counts as doubtful even
+// when its connection has not failed.
+constexpr std::chrono::milliseconds kStartPatience{3000};
+
+}  // namespace
+
+Run* Scheduler::FindRun(const TaskRef& ref, std::uint32_t number) {
+  Task* task = FindTask(ref);
+  if (task == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::ranges::find(task->runs, number, &Run::number);
+  return found == task->runs.end() ? nullptr : &*found;
+}
+
+std::optional<TaskRef> Scheduler::Resolve(const TaskId& id) {
+  const auto found = m_jobs.find(id.job);
+  if (found == m_jobs.end()) {
+    return std::nullopt;
+  }
+  const TaskRef ref{found->second.get(), id.occurrence, id.step, id.index};
+  if (FindTask(ref) == nullptr) {
+    return std::nullopt;
+  }
+  return ref;
+}
+
+void Scheduler::BeginRun(const TaskRef& ref,
+                         WorkerState& worker,
+                         base::TimePoint now) {
+  Task& task = *FindTask(ref);
+  Run& run = task.runs.emplace_back();
+  run.number = ++task.last_run;
+  run.worker = worker.entry.id;
+  run.ordered_at = now;
+  run.progressed_at = now;
+  run.checkpoint = task.checkpoint;
+  const StepSpec& spec = SpecOf(ref);
+  worker.used += CapacityNeed(spec);
+  worker.runs.emplace_back(ref, run.number);
+  m_used_by_customer[ref.job->customer] += spec.need;
+  ++ref.job->runs;
+  if (ref.job->phase == JobPhase::kQueued) {
+    ref.job->phase = JobPhase::kRunning;
+  }
+  m_planned.emplace_back(ref, run.number);
+  MarkDirty(*ref.job, true);
+}
+
+void Scheduler::DropRun(const TaskRef& ref,
+                        std::uint32_t number,
+                        base::TimePoint now) {
+  Task* task = FindTask(ref);
+  const Run* run = FindRun(ref, number);
+  if (task == nullptr || run == nullptr) {
+    return;
+  }
+  const StepSpec& spec = SpecOf(ref);
+  const WorkerId where = run->worker;
+  const bool was_at_work = run->at_work_since != base::TimePoint{};
+  if (WorkerState* worker = FindWorker(where.id)) {
+    const auto erased = std::erase(worker->runs, std::pair(ref, number));
+    if (erased > 0) {
+      worker->used -= CapacityNeed(spec);
+    }
+  }
+  m_used_by_customer[ref.job->customer] -= spec.need;
+  --ref.job->runs;
+  if (!run->checkpoint.empty()) {
+    task->checkpoint = run->checkpoint;
+  }
+  std::erase_if(m_planned, [&](const auto& planned) {
+    return planned.first == ref && planned.second == number;
+  });
+  std::erase_if(task->runs,
+                [number](const Run& each) { return each.number == number; });
+  if (IsFinished(ref.job->phase) || task->done) {
+    return;
+  }
+  if (spec.long_running && was_at_work) {
+    task->unavailable_since = now;
+  }
+  StepState& step = FindOccurrence(*ref.job, ref.occurrence)->steps[ref.step];
+  const bool listed =
+      std::ranges::find(step.waiting, ref.index) != step.waiting.end();
+  if (step.ready && task->runs.empty() && !listed) {
+    step.waiting.push_back(ref.index);
+  }
+  MarkDirty(*ref.job, false);
+}
+
+void Scheduler::DropRunsOf(WorkerState& worker,
+                           std::int64_t born,
+                           base::TimePoint now) {
+  const auto runs = worker.runs;
+  for (const auto& [ref, number] : runs) {
+    const Run* run = FindRun(ref, number);
+    if (run != nullptr && run->worker.born != born) {
+      DropRun(ref, number, now);
+    }
+  }
+}
+
+void Scheduler::StopRun(const TaskRef& ref, Run& run, base::TimePoint now) {
+  if (run.phase == RunPhase::kStopping) {
+    return;
+  }
+  run.ordered_at = now;
+  run.confirmed_at = {};
+  run.phase = RunPhase::kStopping;
+  m_orders.stops.push_back({run.worker, IdOf(ref), run.number});
+}
+
+void Scheduler::WorkersListed(const std::vector<WorkerEntry>& entries,
+                              base::TimePoint now) {
+  for (auto& [id, worker] : m_workers) {
+    worker.listed = false;
+  }
+  for (const WorkerEntry& entry : entries) {
+    WorkerState& worker = m_workers[entry.id.id];
+    const bool other_life = entry.id.born > worker.entry.id.born;
+    if (entry.id.born < worker.entry.id.born) {
+      continue;
+    }
+    if (other_life) {
+      DropRunsOf(worker, entry.id.born, now);
+      worker.heard = false;
+      worker.last_end = 0;
+      worker.acked_end = 0;
+      worker.health = {};
+      worker.withheld = false;
+    }
+    worker.entry = entry;
+    worker.listed = true;
+  }
+  std::erase_if(m_workers, [now](const auto& row) {
+    const WorkerState& worker = row.second;
+    return !worker.listed && worker.runs.empty() && now > worker.lease_bound;
+  });
+}
+
+void Scheduler::LeaseSent(const std::string& id, base::TimePoint bound) {
+  if (WorkerState* worker = FindWorker(id)) {
+    worker->lease_bound = std::max(worker->lease_bound, bound);
+  }
+}
+
+void Scheduler::WorkerReported(const std::string& id,
+                               const WorkerReport& report,
+                               base::TimePoint asked_at,
+                               base::TimePoint now) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr || report.born < worker->entry.id.born) {
+    return;
+  }
+  if (report.born > worker->entry.id.born) {
+    DropRunsOf(*worker, report.born, now);
+    worker->entry.id.born = report.born;
+    worker->last_end = 0;
+    worker->acked_end = 0;
+    worker->health = {};
+  }
+  worker->heard = true;
+  worker->last_report = now;
+  worker->wants_report = false;
+  for (const ListedEnd& end : report.ended) {
+    if (end.sequence <= worker->last_end) {
+      continue;
+    }
+    worker->last_end = end.sequence;
+    m_ends_to_cover = true;
+    if (const auto ref = Resolve(end.task)) {
+      EndRun(*ref, *worker, end, now);
+    }
+  }
+  std::set<std::pair<TaskId, std::uint32_t>> listed;
+  for (const ListedRun& run : report.running) {
+    listed.emplace(run.task, run.run);
+    NoteListed(*worker, run, now);
+  }
+  // A run that a newer report lacks has ended without being listed, or its
+  // order will not be carried out any more.
+  const auto runs = worker->runs;
+  for (const auto& [ref, number] : runs) {
+    Run* run = FindRun(ref, number);
+    if (run == nullptr || listed.contains({IdOf(ref), number})) {
+      continue;
+    }
+    if (run->phase == RunPhase::kDoubtful && run->confirmed_at < asked_at) {
+      // The order may still arrive; a stop makes the worker refuse it.
+      StopRun(ref, *run, now);
+      continue;
+    }
+    const bool settled = run->phase == RunPhase::kRecovered ||
+                         ((run->phase == RunPhase::kRunning ||
+                           run->phase == RunPhase::kStopping) &&
+                          run->confirmed_at != base::TimePoint{} &&
+                          run->confirmed_at < asked_at);
+    if (settled) {
+      DropRun(ref, number, now);
+    }
+  }
+}
+
+void Scheduler::NoteListed(WorkerState& worker,
+                           const ListedRun& listed,
+                           base::TimePoint now) {
+  const auto ref = Resolve(listed.task);
+  Run* run = ref ? FindRun(*ref, listed.run) : nullptr;
+  if (run == nullptr || run->worker != worker.entry.id) {
+    m_orders.stops.push_back({worker.entry.id, listed.task, listed.run});
+    return;
+  }
+  Job& job = *ref->job;
+  if (!job.started) {
+    job.started = true;
+    MarkDirty(job, false);
+  }
+  if (!listed.checkpoint.empty()) {
+    run->checkpoint = listed.checkpoint;
+  }
+  if (listed.percent != run->percent) {
+    run->percent = listed.percent;
+    run->progressed_at = now;
+  }
+  run->load = listed.load;
+  const StepSpec& spec = SpecOf(*ref);
+  Task& task = *FindTask(*ref);
+  if (spec.long_running) {
+    const bool at_work = listed.percent >= 100;
+    if (at_work && run->at_work_since == base::TimePoint{}) {
+      run->at_work_since = now;
+      task.unavailable_since = {};
+    }
+  }
+  if (run->phase == RunPhase::kRecovered || run->phase == RunPhase::kStarting ||
+      run->phase == RunPhase::kDoubtful) {
+    run->phase = RunPhase::kRunning;
+    run->confirmed_at = now;
+  }
+}
+
+void Scheduler::EndRun(const TaskRef& ref,
+                       WorkerState& worker,
+                       const ListedEnd& end,
+                       base::TimePoint now) {
+  Task& task = *FindTask(ref);
+  base::TimePoint began{};  // Known only of whole runs that were confirmed.
+  if (const Run* run = FindRun(ref, end.run)) {
+    began = run->checkpoint.empty() ? run->confirmed_at : base::TimePoint{};
+  }
+  if (!end.checkpoint.empty() && !task.done) {
+    task.checkpoint = end.checkpoint;
+    if (Run* known = FindRun(ref, end.run)) {
+      known->checkpoint = end.checkpoint;
+    }
+  }
+  DropRun(ref, end.run, now);
+  MarkDirty(*ref.job, false);
+  if (end.how == RunEnd::kDone) {
+    worker.health.RunSucceeded();
+    if (began != base::TimePoint{}) {
+      m_durations.Observe(
+          ref.job->queue, SpecOf(ref).estimate,
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - began));
+    }
+    TaskDone(ref, now);
+  } else if (end.how == RunEnd::kFailed) {
+    worker.health.RunFailed(now);
+    TaskFailed(ref, worker.entry.id.id, now);
+  }
+}
+
+void Scheduler::TaskDone(const TaskRef& ref, base::TimePoint now) {
+  Job& job = *ref.job;
+  if (IsFinished(job.phase) || SpecOf(ref).long_running) {
+    return;
+  }
+  Occurrence& occurrence = *FindOccurrence(job, ref.occurrence);
+  StepState& step = occurrence.steps[ref.step];
+  const bool whole_gang = SpecOf(ref).gang;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    Task& task = step.tasks[i];
+    if (task.done || (i != ref.index && !whole_gang)) {
+      continue;
+    }
+    task.done = true;
+    ++step.done;
+    std::erase(step.waiting, i);
+    if (!whole_gang) {
+      for (Run& copy : task.runs) {
+        StopRun({&job, ref.occurrence, ref.step, i}, copy, now);
+      }
+    }
+  }
+  if (step.done < step.tasks.size()) {
+    return;
+  }
+  MarkDirty(job, true);
+  ++occurrence.steps_done;
+  if (occurrence.steps_done < occurrence.steps.size()) {
+    RefreshReadySteps(job, occurrence);
+    return;
+  }
+  ++job.occurrences_done;
+  if (job.occurrences_done >= job.spec.Occurrences()) {
+    Finish(job, JobPhase::kDone, now);
+  }
+}
+
+void Scheduler::TaskFailed(const TaskRef& ref,
+                           const std::string& worker,
+                           base::TimePoint now) {
+  Job& job = *ref.job;
+  Task& task = *FindTask(ref);
+  if (IsFinished(job.phase) || task.done) {
+    return;
+  }
+  ++task.failures;
+  task.avoided_worker = worker;
+  if (SpecOf(ref).long_running) {
+    return;
+  }
+  const QueueConfig* queue = QueueOf(job);
+  const std::uint32_t attempts = queue == nullptr ? 1 : queue->max_attempts;
+  if (task.failures >= attempts) {
+    Finish(job, JobPhase::kFailed, now);
+  }
+}
+
+void Scheduler::StartAnswered(const WorkerId& id,
+                              const TaskId& task,
+                              std::uint32_t number,
+                              StartResult result,
+                              base::TimePoint now) {
+  const auto ref = Resolve(task);
+  Run* run = ref ? FindRun(*ref, number) : nullptr;
+  WorkerState* worker = FindWorker(id.id);
+  if (run == nullptr || worker == nullptr || run->worker != id) {
+    return;
+  }
+  switch (result) {
+    case StartResult::kRunning:
+      if (run->phase == RunPhase::kStarting) {
+        run->phase = RunPhase::kRunning;
+        run->confirmed_at = now;
+        run->progressed_at = now;
+        if (!ref->job->started) {
+          ref->job->started = true;
+          MarkDirty(*ref->job, false);
+        }
+      }
+      return;
+    case StartResult::kUnknown:
+      if (run->phase == RunPhase::kStarting) {
+        run->phase = RunPhase::kDoubtful;
+        run->confirmed_at = now;
+        worker->wants_report = true;
+      }
+      return;
+    case StartResult::kNoTicket:
+      m_advice.erase(task.job + "." + std::to_string(task.occurrence) + "." +
+                     std::to_string(task.step));
+      DropRun(*ref, number, now);
+      return;
+    case StartResult::kBusy:
+    case StartResult::kNoRoom:
+    case StartResult::kUnreachable:
+      worker->health.Refused(now);
+      worker->wants_report = true;
+      DropRun(*ref, number, now);
+      return;
+    case StartResult::kFenced:
+    case StartResult::kStaleRun:
+    case StartResult::kTooLate:
+    case StartResult::kOtherLife:
+    case StartResult::kRejected:
+      worker->wants_report = true;
+      DropRun(*ref, number, now);
+      return;
+  }
+}
+
+void Scheduler::StopAnswered(const WorkerId& id,
+                             const TaskId& task,
+                             std::uint32_t number,
+                             base::TimePoint now) {
+  const auto ref = Resolve(task);
+  Run* run = ref ? FindRun(*ref, number) : nullptr;
+  if (run == nullptr || run->worker != id) {
+    return;
+  }
+  run->phase = RunPhase::kStopping;
+  run->confirmed_at = now;
+  if (WorkerState* worker = FindWorker(id.id)) {
+    worker->wants_report = true;
+  }
+}
+
+void Scheduler::WorkerSilent(const std::string& id, base::TimePoint now) {
+  if (WorkerState* worker = FindWorker(id)) {
+    worker->health.Refused(now);
+  }
+}
+
+void Scheduler::ExpireRuns(base::TimePoint now) {
+  constexpr std::chrono::milliseconds kStopRepeat{700};
+  for (auto& [id, worker] : m_workers) {
+    const auto runs = worker.runs;
+    for (const auto& [ref, number] : runs) {
+      Run* run = FindRun(ref, number);
+      if (run == nullptr) {
+        continue;
+      }
+      if (run->phase != RunPhase::kPlanned && now > worker.lease_bound &&
+          worker.lease_bound != base::TimePoint{}) {
+        DropRun(ref, number, now);
+      } else if (run->phase == RunPhase::kStarting &&
+                 now - run->ordered_at > kStartPatience) {
+        StopRun(ref, *run, now);
+      } else if (run->phase == RunPhase::kStopping &&
+                 run->confirmed_at == base::TimePoint{} &&
+                 now - run->ordered_at > kStopRepeat) {
+        run->ordered_at = now;
+        m_orders.stops.push_back({run->worker, IdOf(ref), number});
+      }
+    }
+  }
+}
+
+}  // namespace cassiastile::jobs
--- a/src/cassiastile/wire/http_server.cpp
+++ b/src/cassiastile/wire/http_server.cpp
@@ -41,8 +41,11 @@
 
 class HttpServer::Impl {
  public:
-  Impl(HttpServerOptions options, Router router)
-      : m_options(std::move(options)), m_router(std::move(router)) {}
+  Impl(HttpServerOptions options, HttpHandler handler)
+      : m_options(std::move(options)),
+        m_handler(std::move(handler)),
+        m_context(m_options.context == nullptr ? m_own_context
+                                               : *m_options.context) {}
 
   ~Impl() { Stop(); }
 
@@ -57,7 +60,9 @@
                             ":" + std::to_string(m_options.port) + ": " +
                             error.what());
     }
-    for (std::size_t i = 0; i < m_options.threads; ++i) {
+    const std::size_t threads =
+        m_options.context == nullptr ? m_options.threads : 0;
+    for (std::size_t i = 0; i < threads; ++i) {
       m_threads.emplace_back([this] { m_context.run(); });
     }
     return {};
@@ -66,6 +71,8 @@
   std::uint16_t Port() const { return m_port; }
   std::size_t InFlight() const { return m_in_flight.load(); }
 
+  void BeginDrain() { m_draining.store(true); }
+
   std::size_t Drain(std::chrono::milliseconds notice,
                     std::chrono::milliseconds deadline) {
     m_draining.store(true);
@@ -109,10 +116,10 @@
 
   void Accept(const restinio::request_handle_t& source) {
     m_in_flight.fetch_add(1);
-    m_router.Handle(ReadRequest(source),
-                    [this, source](const HttpResponse& response) {
-                      Answer(source, response);
-                    });
+    m_handler(ReadRequest(source),
+              [this, source](const HttpResponse& response) {
+                Answer(source, response);
+              });
   }
 
   void Answer(const restinio::request_handle_t& source,
@@ -150,8 +157,9 @@
   }
 
   HttpServerOptions m_options;
-  Router m_router;
-  asio::io_context m_context;
+  HttpHandler m_handler;
+  asio::io_context m_own_context;
+  asio::io_context& m_context;
   std::unique_ptr<Server> m_server;
   std::vector<std::thread> m_threads;
   std::uint16_t m_port = 0;
@@ -166,7 +174,17 @@
 base::Result<std::unique_ptr<HttpServer>> HttpServer::Start(
     HttpServerOptions options,
     Router router) {
-  auto impl = std::make_unique<Impl>(std::move(options), std::move(router));
+  auto shared = std::make_shared<const Router>(std::move(router));
+  return Start(std::move(options),
+               [shared](HttpRequest request, HttpResponder respond) {
+                 shared->Handle(std::move(request), std::move(respond));
+               });
+}
+
+base::Result<std::unique_ptr<HttpServer>> HttpServer::Start(
+    HttpServerOptions options,
+    HttpHandler handler) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(handler));
   const base::Result<void> opened = impl->Open();
   if (!opened) {
     return tl::unexpected(opened.error());
@@ -182,6 +200,10 @@
   return m_impl->InFlight();
 }
 
+void HttpServer::BeginDrain() {
+  m_impl->BeginDrain();
+}
+
 std::size_t HttpServer::Drain(std::chrono::milliseconds notice,
                               std::chrono::milliseconds deadline) {
   return m_impl->Drain(notice, deadline);
