Carry out waves, move machines by demand, stop leases that grow unheard

Change: PlanWave and PlanMoves as pure planners with MachineKeeper as their driver; a lease is extended only at workers that answered the last time; an end of a task that is done changes nothing; admission counts what is left of running tasks.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include "cassiastile/host/commit_chain.hpp"
 #include "cassiastile/host/event_log.hpp"
 #include "cassiastile/host/loop.hpp"
+#include "cassiastile/host/machine_keeper.hpp"
 #include "cassiastile/host/peer_message.hpp"
 #include "cassiastile/host/ports.hpp"
 #include "cassiastile/host/settings.hpp"
@@ -127,6 +128,7 @@
   std::function<void()> m_on_lost;
   std::shared_ptr<const jobs::FleetConfig> m_config;
   jobs::Scheduler m_scheduler;
+  MachineKeeper m_machines;
   bool m_serving = false;
   bool m_resigned = false;
   bool m_had_predecessor = false;
--- /dev/null
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cassiastile/host/event_log.hpp"
+#include "cassiastile/host/loop.hpp"
+#include "cassiastile/host/ports.hpp"
+#include "cassiastile/jobs/pool_plan.hpp"
+#include "cassiastile/jobs/scheduler.hpp"
+
+namespace cassiastile::host {
+
+struct MachineKeeperOptions {
+  std::string holder;
+  // Orders of another office may still be on their way for so long.
+  std::chrono::milliseconds settle{3000};
+  bool moves = true;
+};
+
+// Carries out waves of upkeep and moves machines between pools during one term
+// of office.
+class MachineKeeper {
+ public:
+  MachineKeeper(MachinePort& port,
+                RowStore& store,
+                Loop& loop,
+                EventLog& log,
+                jobs::Scheduler& scheduler,
+                MachineKeeperOptions options,
+                std::string status_table,
+                std::string wave_prefix,
+                std::function<std::string(std::uint64_t, bool)> encode_state);
+
+  void Begin(std::uint64_t fence, bool had_predecessor);
+  void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
+  void ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves);
+  // Acts if it is time to. `may_order` is false while the term is in doubt.
+  void Tick(bool may_order);
+
+ private:
+  enum class Pending : std::uint8_t { kNone, kMaintain, kMove };
+
+  struct Known {
+    Machine machine;
+    bool listed = false;
+    Pending pending = Pending::kNone;  // An order that is not settled.
+    bool answered = false;             // It was answered with success.
+    base::TimePoint ordered_at{};
+    base::TimePoint answered_at{};
+    std::string going_to;
+    bool withheld = false;
+    base::TimePoint withheld_at{};
+    base::TimePoint idle_since{};
+    base::TimePoint retry_at{};
+  };
+  struct Wave {
+    WaveRequest request;
+    std::map<std::string, bool> begun;  // By machine.
+    bool done = false;
+    bool running_stored = false;
+    bool done_stored = false;
+    bool storing = false;
+  };
+
+  void ListMachines();
+  void Listed(std::vector<Machine> machines, base::TimePoint asked_at);
+  void Settle(Known& known, base::TimePoint asked_at);
+  void RunWave(Wave& wave, base::TimePoint now);
+  void MoveMachines(base::TimePoint now);
+  void Maintain(Wave& wave, Known& known);
+  void Move(Known& known, const jobs::MachineMove& move);
+  void Withhold(Known& known, bool withheld, base::TimePoint now);
+  void StoreWave(Wave& wave, bool done);
+  jobs::WorkerState* WorkerOf(const Known& known);
+  std::int64_t FiniteCpu(const jobs::WorkerState& worker) const;
+  bool IsInOpenWave(const std::string& machine) const;
+
+  MachinePort& m_port;
+  RowStore& m_store;
+  Loop& m_loop;
+  EventLog& m_log;
+  jobs::Scheduler& m_scheduler;
+  MachineKeeperOptions m_options;
+  std::string m_status_table;
+  std::string m_wave_prefix;
+  std::function<std::string(std::uint64_t, bool)> m_encode_state;
+  std::shared_ptr<const jobs::FleetConfig> m_config;
+  std::map<std::string, Known> m_machines;
+  std::map<std::uint64_t, Wave> m_waves;
+  std::uint64_t m_fence = 0;
+  base::TimePoint m_orders_from{};
+  base::TimePoint m_listed_at{};
+  base::TimePoint m_planned_at{};
+  bool m_listing = false;
+  bool m_has_list = false;
+  Lifetime m_lifetime;
+};
+
+}  // namespace cassiastile::host
--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -28,6 +28,7 @@
 struct AdmissionInput {
   double backlog_core_ms = 0;          // Work ahead of the job, not yet done.
   double pool_cores = 0;               // Cores that jobs can use.
+  bool fits_now = false;  // Its first step finds room at once.
   std::chrono::milliseconds chain{0};  // Longest chain of the job.
   std::chrono::milliseconds objective{0};  // From its first request on.
 };
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -179,6 +179,8 @@
   // Whether all that runs on a worker may be ended now without taking more
   // tasks of a step away than it allows.
   bool MayVacate(const std::string& worker, base::TimePoint now) const;
+  // Everything on a worker is about to be ended on purpose.
+  void Vacated(const std::string& worker, base::TimePoint now);
   // Places nothing more on a worker that is about to be taken away.
   void Withhold(const std::string& worker, bool withheld);
   // What the pools' planner looks at.
@@ -186,12 +188,11 @@
     std::int64_t capacity_cpu = 0;
     std::int64_t used_cpu = 0;
     std::int64_t lasting_cpu = 0;
-    std::int64_t waiting_cpu = 0;
-    double backlog_core_seconds = 0;
-    std::size_t refused = 0;  // Since the last look.
+    std::int64_t unplaced_cpu = 0;  // Of tasks that found no room.
+    std::int64_t refused_cpu = 0;   // Of jobs refused since the last look.
     std::size_t workers = 0;
   };
-  std::map<std::string, PoolLoad> LookAtPools(base::TimePoint now);
+  std::map<std::string, PoolLoad> LookAtPools();
 
   const std::map<std::string, WorkerState>& Workers() const {
     return m_workers;
@@ -214,6 +215,7 @@
   void ReleaseFinished(base::TimePoint now);
   std::string ServiceOf(const Job& job) const;
   const QueueConfig* QueueOf(const Job& job) const;
+  AdmissionInput MakeAdmissionInput(const Job& job, base::TimePoint now) const;
   void SetObjective(Job& job, const QueueConfig& queue);
 
   // scheduler_runs.cpp
@@ -275,7 +277,8 @@
   std::map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, Resources> m_used_by_customer;
-  std::map<std::string, std::size_t> m_refused_by_service;
+  std::map<std::string, std::int64_t> m_refused_cpu;   // By service.
+  std::map<std::string, std::int64_t> m_unplaced_cpu;  // By service.
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
   std::unordered_set<Job*> m_dirty;
   std::vector<std::string> m_dropped_jobs;  // Rows to remove.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -54,7 +54,17 @@
       m_chain(std::move(chain)),
       m_on_lost(std::move(on_lost)),
       m_config(std::make_shared<jobs::FleetConfig>()),
-      m_scheduler(MakeOptions(settings)) {}
+      m_scheduler(MakeOptions(settings)),
+      m_machines(ports.machines,
+                 ports.store,
+                 loop,
+                 log,
+                 m_scheduler,
+                 {.holder = settings.host,
+                  .settle = settings.machine_order_lease},
+                 ports.status_table,
+                 ports.wave_prefix,
+                 ports.encode_wave_state) {}
 
 Dispatcher::~Dispatcher() {
   // Callers must not wait for an office that is gone.
@@ -201,6 +211,7 @@
       now + kUnconfirmedTerm + 2 * m_settings.max_worker_lease / 3;
   m_scheduler.Recover(std::move(recovered), now, silent_bound);
   m_serving = true;
+  m_machines.Begin(Fence(), m_had_predecessor);
   m_log.Write("office.serving", {{"fence", Fence()},
                                  {"jobs", count},
                                  {"workers", m_entries.size()},
@@ -211,11 +222,12 @@
 void Dispatcher::ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config) {
   m_config = std::move(config);
   m_scheduler.ApplyConfig(m_config);
+  m_machines.ApplyConfig(m_config);
   Kick();
 }
 
 void Dispatcher::ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves) {
-  static_cast<void>(waves);
+  m_machines.ApplyWaves(waves);
 }
 
 bool Dispatcher::StoreIsAway() const {
@@ -254,6 +266,7 @@
     return;
   }
   ServeLinks();
+  m_machines.Tick(!StoreIsAway() && MayGiveOrders());
   Pump();
   m_loop.After(kTick, m_lifetime.Guard([this] { Tick(); }));
 }
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -73,11 +73,12 @@
   extension.fence = Fence();
   extension.acknowledged_end = found->second.acked_end;
   extension.fresh_connection = link.failures > 0;
-  if (link.clock_known) {
+  // A worker that may not have heard the last extension gets no further one: a
+  // lease that grows unheard could never be known to have run out.
+  if (link.clock_known && link.failures == 0) {
     extension.until =
         ClockOf(link) + std::min(kWorkerLease, m_settings.max_worker_lease);
-    extension.wait =
-        look || link.failures > 0 ? std::chrono::milliseconds(0) : kPollWait;
+    extension.wait = look ? std::chrono::milliseconds(0) : kPollWait;
     m_scheduler.LeaseSent(
         link.address.id.id,
         now +
--- /dev/null
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -0,0 +1,347 @@
+#include "cassiastile/host/machine_keeper.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/jobs/wave_plan.hpp"
+
+namespace cassiastile::host {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPlanInterval{100};
+constexpr std::chrono::milliseconds kListInterval{500};
+constexpr std::chrono::milliseconds kQuietListInterval{2000};
+// An order whose answer was lost may be carried out for so long.
+constexpr std::chrono::milliseconds kUnknownOrder{4000};
+constexpr std::chrono::milliseconds kRefusedPause{500};
+constexpr std::chrono::milliseconds kStoreTimeout{1500};
+
+}  // namespace
+
+MachineKeeper::MachineKeeper(
+    MachinePort& port,
+    RowStore& store,
+    Loop& loop,
+    EventLog& log,
+    jobs::Scheduler& scheduler,
+    MachineKeeperOptions options,
+    std::string status_table,
+    std::string wave_prefix,
+    std::function<std::string(std::uint64_t, bool)> encode_state)
+    : m_port(port),
+      m_store(store),
+      m_loop(loop),
+      m_log(log),
+      m_scheduler(scheduler),
+      m_options(std::move(options)),
+      m_status_table(std::move(status_table)),
+      m_wave_prefix(std::move(wave_prefix)),
+      m_encode_state(std::move(encode_state)),
+      m_config(std::make_shared<jobs::FleetConfig>()) {}
+
+void MachineKeeper::Begin(std::uint64_t fence, bool had_predecessor) {
+  m_fence = fence;
+  m_orders_from = m_loop.GetClock().Now();
+  if (had_predecessor) {
+    m_orders_from += m_options.settle + kRefusedPause;
+  }
+}
+
+void MachineKeeper::ApplyConfig(
+    std::shared_ptr<const jobs::FleetConfig> config) {
+  m_config = std::move(config);
+}
+
+void MachineKeeper::ApplyWaves(
+    const std::map<std::uint64_t, WaveRequest>& waves) {
+  for (const auto& [number, request] : waves) {
+    Wave& wave = m_waves[number];
+    wave.request = request;
+    wave.done = false;
+  }
+}
+
+void MachineKeeper::Tick(bool may_order) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  if (now - m_planned_at < kPlanInterval) {
+    return;
+  }
+  m_planned_at = now;
+  const bool open_wave = std::ranges::any_of(
+      m_waves, [](const auto& row) { return !row.second.done; });
+  const bool pending = std::ranges::any_of(m_machines, [](const auto& row) {
+    return row.second.pending != Pending::kNone;
+  });
+  const auto interval =
+      open_wave || pending ? kListInterval : kQuietListInterval;
+  if (!m_listing && now - m_listed_at >= interval) {
+    ListMachines();
+  }
+  if (!m_has_list || !may_order || now < m_orders_from) {
+    return;
+  }
+  for (auto& [number, wave] : m_waves) {
+    RunWave(wave, now);
+  }
+  if (m_options.moves) {
+    MoveMachines(now);
+  }
+}
+
+void MachineKeeper::ListMachines() {
+  m_listing = true;
+  const base::TimePoint asked_at = m_loop.GetClock().Now();
+  m_listed_at = asked_at;
+  m_port.List(m_lifetime.Guard(
+      [this, asked_at](base::Result<std::vector<Machine>> machines) {
+        m_listing = false;
+        if (!machines) {
+          m_log.Write("machines.unread", {{"error", machines.error().message}});
+          return;
+        }
+        Listed(std::move(*machines), asked_at);
+      }));
+}
+
+void MachineKeeper::Listed(std::vector<Machine> machines,
+                           base::TimePoint asked_at) {
+  for (auto& [name, known] : m_machines) {
+    known.listed = false;
+  }
+  for (Machine& machine : machines) {
+    Known& known = m_machines[machine.name];
+    known.machine = std::move(machine);
+    known.listed = true;
+    Settle(known, asked_at);
+  }
+  m_has_list = true;
+}
+
+void MachineKeeper::Settle(Known& known, base::TimePoint asked_at) {
+  if (known.pending == Pending::kNone) {
+    return;
+  }
+  const bool up = known.machine.state == MachineState::kUp;
+  const bool answered = known.answered && asked_at > known.answered_at;
+  const bool given_up = asked_at > known.ordered_at + kUnknownOrder;
+  if (up && (answered || given_up)) {
+    known.pending = Pending::kNone;
+    known.going_to.clear();
+    Withhold(known, false, asked_at);
+  }
+}
+
+jobs::WorkerState* MachineKeeper::WorkerOf(const Known& known) {
+  return known.machine.worker.empty()
+             ? nullptr
+             : m_scheduler.FindWorker(known.machine.worker);
+}
+
+std::int64_t MachineKeeper::FiniteCpu(const jobs::WorkerState& worker) const {
+  std::int64_t cpu = 0;
+  for (const auto& [ref, run] : worker.runs) {
+    const jobs::StepSpec& spec = jobs::SpecOf(ref);
+    cpu += spec.long_running ? 0 : jobs::CapacityNeed(spec).cpu;
+  }
+  return cpu;
+}
+
+void MachineKeeper::Withhold(Known& known, bool withheld, base::TimePoint now) {
+  known.withheld = withheld;
+  known.withheld_at = now;
+  if (!known.machine.worker.empty()) {
+    m_scheduler.Withhold(known.machine.worker, withheld);
+  }
+}
+
+void MachineKeeper::RunWave(Wave& wave, base::TimePoint now) {
+  if (wave.done) {
+    if (!wave.done_stored && !wave.storing) {
+      StoreWave(wave, true);
+    }
+    return;
+  }
+  if (!wave.running_stored && !wave.storing) {
+    StoreWave(wave, false);
+  }
+  std::vector<jobs::WaveMachine> machines;
+  bool all_begun = true;
+  for (const std::string& name : wave.request.machines) {
+    const auto found = m_machines.find(name);
+    if (found == m_machines.end() || !found->second.listed) {
+      continue;  // It has left for good.
+    }
+    Known& known = found->second;
+    jobs::WaveMachine& machine = machines.emplace_back();
+    machine.name = name;
+    machine.begun = wave.begun[name];
+    machine.down = known.pending == Pending::kMaintain ||
+                   known.machine.state == MachineState::kUpkeep;
+    machine.busy = known.machine.state != MachineState::kUp ||
+                   known.pending == Pending::kMove || now < known.retry_at;
+    machine.withheld = known.withheld;
+    machine.withheld_at = known.withheld_at;
+    if (const jobs::WorkerState* worker = WorkerOf(known)) {
+      machine.finite_cpu = FiniteCpu(*worker);
+      machine.may_vacate = m_scheduler.MayVacate(known.machine.worker, now);
+    }
+    all_begun = all_begun && machine.begun;
+  }
+  if (all_begun) {
+    wave.done = true;
+    m_log.Write("wave.done", {{"wave", wave.request.wave}});
+    return;
+  }
+  const jobs::WavePlan plan =
+      jobs::PlanWave(machines, {.max_down = wave.request.max_down}, now);
+  for (const std::string& name : plan.withhold) {
+    Withhold(m_machines[name], true, now);
+  }
+  for (const std::string& name : plan.maintain) {
+    Known& known = m_machines[name];
+    // Others of this round may have changed what may be vacated.
+    if (known.machine.worker.empty() ||
+        m_scheduler.MayVacate(known.machine.worker, now)) {
+      Maintain(wave, known);
+    }
+  }
+}
+
+void MachineKeeper::Maintain(Wave& wave, Known& known) {
+  const std::uint64_t number = wave.request.wave;
+  const std::string name = known.machine.name;
+  known.pending = Pending::kMaintain;
+  known.answered = false;
+  known.ordered_at = m_loop.GetClock().Now();
+  m_scheduler.Vacated(known.machine.worker, known.ordered_at);
+  m_port.Maintain(
+      name, number, {m_options.holder, m_fence},
+      m_lifetime.Guard([this, number, name](MachineOrderResult result) {
+        Known& machine = m_machines[name];
+        const base::TimePoint now = m_loop.GetClock().Now();
+        m_log.Write("machine.upkeep",
+                    {{"machine", name},
+                     {"wave", number},
+                     {"fence", m_fence},
+                     {"result", static_cast<int>(result)}});
+        if (result == MachineOrderResult::kDone) {
+          m_waves[number].begun[name] = true;
+          machine.answered = true;
+          machine.answered_at = now;
+        } else if (result == MachineOrderResult::kRefused) {
+          machine.pending = Pending::kNone;
+          machine.retry_at = now + kRefusedPause;
+          Withhold(machine, false, now);
+        }
+      }));
+}
+
+void MachineKeeper::StoreWave(Wave& wave, bool done) {
+  wave.storing = true;
+  const std::uint64_t number = wave.request.wave;
+  RowTransaction transaction;
+  transaction.puts.push_back({m_status_table, "",
+                              m_wave_prefix + std::to_string(number),
+                              m_encode_state(number, done), 0, false});
+  m_store.Commit(std::move(transaction), kStoreTimeout,
+                 m_lifetime.Guard([this, number,
+                                   done](const TransactionReply& reply) {
+                   Wave& stored = m_waves[number];
+                   stored.storing = false;
+                   const bool applied =
+                       reply.outcome == TransactionReply::Outcome::kApplied;
+                   (done ? stored.done_stored : stored.running_stored) =
+                       applied;
+                 }));
+}
+
+bool MachineKeeper::IsInOpenWave(const std::string& machine) const {
+  return std::ranges::any_of(m_waves, [&machine](const auto& row) {
+    const Wave& wave = row.second;
+    if (wave.done) {
+      return false;
+    }
+    const auto begun = wave.begun.find(machine);
+    return std::ranges::find(wave.request.machines, machine) !=
+               wave.request.machines.end() &&
+           (begun == wave.begun.end() || !begun->second);
+  });
+}
+
+void MachineKeeper::MoveMachines(base::TimePoint now) {
+  std::map<std::string, jobs::PoolDemand> pools;
+  for (const auto& [service, load] : m_scheduler.LookAtPools()) {
+    jobs::PoolDemand& demand = pools[service];
+    demand.waiting_cpu = load.unplaced_cpu + load.refused_cpu;
+    demand.used_cpu = load.used_cpu;
+    demand.capacity_cpu = load.capacity_cpu;
+  }
+  for (const jobs::ServiceConfig& service : m_config->services) {
+    pools[service.name].standby = service.standby;
+  }
+  std::vector<jobs::PoolMachine> machines;
+  for (auto& [name, known] : m_machines) {
+    if (!known.listed) {
+      continue;
+    }
+    jobs::PoolMachine& machine = machines.emplace_back();
+    machine.name = name;
+    machine.pool = known.machine.pool;
+    machine.cpu = known.machine.cpu;
+    const jobs::WorkerState* worker = WorkerOf(known);
+    if (known.pending == Pending::kMove) {
+      machine.pool = known.going_to;
+      machine.arriving = true;
+      continue;
+    }
+    const bool standby = pools[machine.pool].standby;
+    const bool idle = worker == nullptr ? standby : worker->runs.empty();
+    if (!idle) {
+      known.idle_since = now;
+    } else if (known.idle_since == base::TimePoint{}) {
+      known.idle_since = now;
+    }
+    machine.idle_since = known.idle_since;
+    machine.movable = idle && known.pending == Pending::kNone &&
+                      known.machine.state == MachineState::kUp &&
+                      !known.withheld && now >= known.retry_at &&
+                      !IsInOpenWave(name);
+  }
+  for (const jobs::MachineMove& move :
+       jobs::PlanMoves(machines, pools, {}, now)) {
+    Move(m_machines[move.machine], move);
+  }
+}
+
+void MachineKeeper::Move(Known& known, const jobs::MachineMove& move) {
+  known.pending = Pending::kMove;
+  known.answered = false;
+  known.ordered_at = m_loop.GetClock().Now();
+  known.going_to = move.to;
+  Withhold(known, true, known.ordered_at);
+  m_port.Move(
+      move.machine, move.to, {m_options.holder, m_fence},
+      m_lifetime.Guard([this, move](MachineOrderResult result) {
+        Known& machine = m_machines[move.machine];
+        const base::TimePoint now = m_loop.GetClock().Now();
+        m_log.Write("machine.move", {{"machine", move.machine},
+                                     {"from", move.from},
+                                     {"to", move.to},
+                                     {"fence", m_fence},
+                                     {"result", static_cast<int>(result)}});
+        if (result == MachineOrderResult::kDone) {
+          machine.answered = true;
+          machine.answered_at = now;
+          machine.idle_since = {};
+        } else if (result == MachineOrderResult::kRefused) {
+          machine.pending = Pending::kNone;
+          machine.retry_at = now + kRefusedPause;
+          Withhold(machine, false, now);
+        }
+      }));
+}
+
+}  // namespace cassiastile::host
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -16,8 +16,8 @@
 }  // namespace
 
 AdmissionVerdict Admit(const AdmissionInput& input) {
-  if (input.pool_cores <= 0) {
-    // Workers may be on their way; the job waits for them.
+  if (input.fits_now || input.pool_cores <= 0) {
+    // Without cores, workers may be on their way; the job waits for them.
     return {};
   }
   const double wait_ms = input.backlog_core_ms / input.pool_cores;
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -10,16 +10,29 @@
 // A job that is later than this many objectives is worth nothing.
 constexpr int kWorthlessFactor = 3;
 
+// The part of a task that is still to be done, from its best run.
+double LeftOf(const Task& task) {
+  int percent = 0;
+  for (const Run& run : task.runs) {
+    percent = std::max(percent, run.percent);
+  }
+  constexpr double kWhole = 100.0;
+  return 1.0 - std::clamp(percent, 0, 100) / kWhole;
+}
+
+// Core-milliseconds that a job still needs.
 double RemainingWork(const Job& job, const DurationModel& durations) {
   double work = 0;
   for (const Occurrence& occurrence : job.occurrences) {
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const StepSpec& step = job.spec.steps[i];
-      const StepState& state = occurrence.steps[i];
       if (step.long_running || step.fills) {
         continue;
       }
-      const auto left = static_cast<double>(state.tasks.size() - state.done);
+      double left = 0;
+      for (const Task& task : occurrence.steps[i].tasks) {
+        left += task.done ? 0.0 : LeftOf(task);
+      }
       const auto each = durations.Expect(job.queue, step.estimate).count();
       work += left * static_cast<double>(each) *
               static_cast<double>(step.need.cpu) / 1000.0;
@@ -112,6 +125,38 @@
   }
 }
 
+AdmissionInput Scheduler::MakeAdmissionInput(const Job& job,
+                                             base::TimePoint now) const {
+  AdmissionInput input;
+  for (const auto& [id, other] : m_jobs) {
+    if (!IsFinished(other->phase) && ServiceOf(*other) == job.service &&
+        other->worthless > now) {
+      input.backlog_core_ms += RemainingWork(*other, m_durations);
+    }
+  }
+  std::int64_t free_cpu = 0;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.entry.service != job.service || !IsUsable(worker, now)) {
+      continue;
+    }
+    std::int64_t cpu = worker.entry.capacity.cpu;
+    free_cpu += std::max<std::int64_t>(0, cpu - worker.used.cpu);
+    for (const auto& [ref, run] : worker.runs) {
+      cpu -= SpecOf(ref).long_running ? CapacityNeed(SpecOf(ref)).cpu : 0;
+    }
+    input.pool_cores += static_cast<double>(cpu) / 1000.0;
+  }
+  const StepSpec& first = job.spec.steps.front();
+  const auto unplaced = m_unplaced_cpu.find(job.service);
+  const std::int64_t taken =
+      unplaced == m_unplaced_cpu.end() ? 0 : unplaced->second;
+  input.fits_now = free_cpu - taken >= first.need.cpu * first.count;
+  input.chain = m_durations.ExpectChain(job.queue, job.spec);
+  input.objective = std::chrono::duration_cast<std::chrono::milliseconds>(
+      job.objective - now);
+  return input;
+}
+
 Submission Scheduler::Submit(const std::string& id,
                              const QueueConfig& queue,
                              const std::string& customer,
@@ -141,30 +186,10 @@
   const bool timed = job.spec.repeats > 0;
   const bool finite = m_durations.ExpectWork(queue.name, job.spec) > 0;
   if (finite && !timed) {
-    AdmissionInput input;
-    for (const auto& [other_id, other] : m_jobs) {
-      if (!IsFinished(other->phase) && ServiceOf(*other) == queue.service &&
-          other->worthless > now) {
-        input.backlog_core_ms += RemainingWork(*other, m_durations);
-      }
-    }
-    for (const auto& [worker_id, worker] : m_workers) {
-      if (worker.entry.service == queue.service && IsUsable(worker, now)) {
-        std::int64_t lasting = 0;
-        for (const auto& [ref, run] : worker.runs) {
-          lasting +=
-              SpecOf(ref).long_running ? CapacityNeed(SpecOf(ref)).cpu : 0;
-        }
-        input.pool_cores +=
-            static_cast<double>(worker.entry.capacity.cpu - lasting) / 1000.0;
-      }
-    }
-    input.chain = m_durations.ExpectChain(queue.name, job.spec);
-    input.objective = std::chrono::duration_cast<std::chrono::milliseconds>(
-        job.objective - now);
-    const AdmissionVerdict verdict = Admit(input);
+    const AdmissionVerdict verdict = Admit(MakeAdmissionInput(job, now));
     if (!verdict.admitted) {
-      ++m_refused_by_service[queue.service];
+      const StepSpec& first = job.spec.steps.front();
+      m_refused_cpu[queue.service] += first.need.cpu * first.count;
       return {.verdict = Submission::Verdict::kRefused,
               .reason = RefusalReason::kOverload,
               .retry_after = verdict.retry_after};
@@ -340,8 +365,7 @@
   return std::exchange(m_orders, {});
 }
 
-std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools(
-    base::TimePoint now) {
+std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools() {
   std::map<std::string, PoolLoad> pools;
   for (const auto& [id, worker] : m_workers) {
     if (!worker.listed || worker.entry.draining) {
@@ -357,24 +381,11 @@
       }
     }
   }
-  for (const auto& [id, job] : m_jobs) {
-    if (IsFinished(job->phase)) {
-      continue;
-    }
-    PoolLoad& load = pools[ServiceOf(*job)];
-    if (job->worthless > now) {
-      load.backlog_core_seconds += RemainingWork(*job, m_durations) / 1000.0;
-    }
-    for (const Occurrence& occurrence : job->occurrences) {
-      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-        load.waiting_cpu +=
-            CapacityNeed(job->spec.steps[i]).cpu *
-            static_cast<std::int64_t>(occurrence.steps[i].waiting.size());
-      }
-    }
+  for (const auto& [service, cpu] : m_unplaced_cpu) {
+    pools[service].unplaced_cpu = cpu;
   }
-  for (auto& [service, count] : m_refused_by_service) {
-    pools[service].refused = std::exchange(count, 0);
+  for (auto& [service, cpu] : m_refused_cpu) {
+    pools[service].refused_cpu = std::exchange(cpu, 0);
   }
   return pools;
 }
--- a/src/cassiastile/jobs/scheduler_care.cpp
+++ b/src/cassiastile/jobs/scheduler_care.cpp
@@ -124,6 +124,21 @@
   }
 }
 
+void Scheduler::Vacated(const std::string& id, base::TimePoint now) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->withheld = true;
+  for (const auto& [ref, number] : worker->runs) {
+    Run* run = FindRun(ref, number);
+    if (run != nullptr && run->at_work_since != base::TimePoint{}) {
+      run->at_work_since = {};
+      FindTask(ref)->unavailable_since = now;
+    }
+  }
+}
+
 bool Scheduler::MayVacate(const std::string& id, base::TimePoint now) const {
   const auto found = m_workers.find(id);
   if (found == m_workers.end()) {
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -132,6 +132,7 @@
       waiting[ServiceOf(*job)].push_back(job.get());
     }
   }
+  m_unplaced_cpu.clear();
   for (auto& [service, jobs] : waiting) {
     PlaceService(service, jobs, now);
   }
@@ -146,9 +147,6 @@
       workers.push_back(&worker);
     }
   }
-  if (workers.empty()) {
-    return;
-  }
   std::ranges::sort(jobs, [this, now](const Job* left, const Job* right) {
     return RankOf(*left, QueueOf(*left), now).Key() <
            RankOf(*right, QueueOf(*right), now).Key();
@@ -238,9 +236,10 @@
     WorkerState* worker = nullptr;
     if (!full && WithinLimit(job, spec.need)) {
       worker = Choose(ref, workers, advice);
+      full = worker == nullptr;
     }
     if (worker == nullptr) {
-      full = true;
+      m_unplaced_cpu[ServiceOf(job)] += full ? CapacityNeed(spec).cpu : 0;
       left.push_back(index);
       continue;
     }
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -287,6 +287,10 @@
   }
   Occurrence& occurrence = *FindOccurrence(job, ref.occurrence);
   StepState& step = occurrence.steps[ref.step];
+  if (step.tasks[ref.index].done) {
+    // Listed again: the acknowledgement was lost, or there was a copy.
+    return;
+  }
   const bool whole_gang = SpecOf(ref).gang;
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     Task& task = step.tasks[i];
--- /dev/null
+++ b/src/cassiastile/jobs/wave_plan.cpp
@@ -0,0 +1,43 @@
+#include "cassiastile/jobs/wave_plan.hpp"
+
+#include <algorithm>
+
+namespace cassiastile::jobs {
+
+WavePlan PlanWave(const std::vector<WaveMachine>& machines,
+                  const WaveLimits& limits,
+                  base::TimePoint now) {
+  WavePlan plan;
+  std::size_t taken = 0;
+  std::vector<const WaveMachine*> emptying;
+  std::vector<const WaveMachine*> others;
+  for (const WaveMachine& machine : machines) {
+    if (machine.down) {
+      ++taken;
+    } else if (!machine.begun && !machine.busy) {
+      (machine.withheld ? emptying : others).push_back(&machine);
+    }
+  }
+  for (const WaveMachine* machine : emptying) {
+    const bool emptied = machine->finite_cpu == 0 ||
+                         now - machine->withheld_at > limits.max_emptying;
+    if (emptied && machine->may_vacate && taken < limits.max_down) {
+      plan.maintain.push_back(machine->name);
+      ++taken;
+    }
+  }
+  std::size_t planned = taken + emptying.size() - plan.maintain.size();
+  std::ranges::stable_sort(others, {}, &WaveMachine::finite_cpu);
+  for (const WaveMachine* machine : others) {
+    if (planned >= limits.max_down) {
+      break;
+    }
+    if (machine->may_vacate) {
+      plan.withhold.push_back(machine->name);
+      ++planned;
+    }
+  }
+  return plan;
+}
+
+}  // namespace cassiastile::jobs
