Free the work of machines whose upkeep is confirmed; pace waves

Change: silent workers' tasks count as away; a confirmed first upkeep and a machine listed as down end the worker's life in the books, with each order recorded in the office's rows first; PlanWave leaves machines of busy pools for later.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -97,6 +97,7 @@
   void Kick();
   void Plan();
   void Tick();
+  void ReadMachineRows();
   void Pump();
   void Committed(const jobs::Batch& batch);
   void Lose();
@@ -140,6 +141,8 @@
   std::map<std::string, std::vector<Responder>> m_await_accept;
   std::map<std::string, std::vector<Responder>> m_await_cancel;
   base::TimePoint m_committed_at{};
+  // Rows of other parts of the office for the next commit.
+  std::vector<std::pair<Row, std::function<void()>>> m_rows;
   std::function<void()> m_after_commit;
   Lifetime m_lifetime;
 };
--- a/include/cassiastile/host/machine_keeper.hpp
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,19 +24,28 @@
 // of office.
 class MachineKeeper {
  public:
+  // Writes a row with the office's next commit; the function runs once it is
+  // stored.
+  using StoreRow = std::function<void(Row, std::function<void()>)>;
+
   MachineKeeper(MachinePort& port,
                 RowStore& store,
                 Loop& loop,
                 EventLog& log,
                 jobs::Scheduler& scheduler,
                 MachineKeeperOptions options,
+                StoreRow store_row,
                 std::string status_table,
                 std::string wave_prefix,
                 std::function<std::string(std::uint64_t, bool)> encode_state);
 
+  // Takes what the predecessor recorded of a wave.
+  void Recover(const Row& row);
   void Begin(std::uint64_t fence, bool had_predecessor);
   void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
   void ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves);
+  // A worker does not answer; its machine may be down.
+  void WorkerSilent() { m_list_soon = true; }
   // Acts if it is time to. `may_order` is false while the term is in doubt.
   void Tick(bool may_order);
 
@@ -45,6 +55,7 @@
   struct Known {
     Machine machine;
     bool listed = false;
+    jobs::WorkerId life;  // Of the worker when the order was given.
     Pending pending = Pending::kNone;  // An order that is not settled.
     bool answered = false;             // It was answered with success.
     base::TimePoint ordered_at{};
@@ -58,6 +69,9 @@
   struct Wave {
     WaveRequest request;
     std::map<std::string, bool> begun;  // By machine.
+    // Machines that an order may have been given for.
+    std::set<std::string> ordered;
+    base::TimePoint seen_at{};
     bool done = false;
     bool running_stored = false;
     bool done_stored = false;
@@ -70,6 +84,8 @@
   void RunWave(Wave& wave, base::TimePoint now);
   void MoveMachines(base::TimePoint now);
   void Maintain(Wave& wave, Known& known);
+  void SendMaintain(std::uint64_t wave, const std::string& name, bool first);
+  void WorkerEnded(Known& known);
   void Move(Known& known, const jobs::MachineMove& move);
   void Withhold(Known& known, bool withheld, base::TimePoint now);
   void StoreWave(Wave& wave, bool done);
@@ -79,6 +95,7 @@
 
   MachinePort& m_port;
   RowStore& m_store;
+  StoreRow m_store_row;
   Loop& m_loop;
   EventLog& m_log;
   jobs::Scheduler& m_scheduler;
@@ -94,6 +111,7 @@
   base::TimePoint m_listed_at{};
   base::TimePoint m_planned_at{};
   bool m_listing = false;
+  bool m_list_soon = false;
   bool m_has_list = false;
   Lifetime m_lifetime;
 };
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -105,6 +105,7 @@
   std::uint64_t last_end = 0;   // Newest end seen.
   std::uint64_t acked_end = 0;  // Newest end that the store covers.
   WorkerHealth health;
+  bool silent = false;        // Did not answer the last time.
   bool withheld = false;      // About to move or to be maintained.
   bool wants_report = false;  // A report sent now would decide something.
 };
@@ -145,6 +146,8 @@
                       base::TimePoint asked_at,
                       base::TimePoint now);
   void WorkerSilent(const std::string& worker, base::TimePoint now);
+  // The platform says that this life of a worker is over.
+  void WorkerGone(const WorkerId& worker, base::TimePoint now);
   // An order was sent that lets the worker go on until `bound`.
   void LeaseSent(const std::string& worker, base::TimePoint bound);
   void StartAnswered(const WorkerId& worker,
@@ -189,10 +192,11 @@
     std::int64_t used_cpu = 0;
     std::int64_t lasting_cpu = 0;
     std::int64_t unplaced_cpu = 0;  // Of tasks that found no room.
-    std::int64_t refused_cpu = 0;   // Of jobs refused since the last look.
+    std::int64_t refused_cpu = 0;   // Of jobs refused since the last reset.
     std::size_t workers = 0;
   };
-  std::map<std::string, PoolLoad> LookAtPools();
+  std::map<std::string, PoolLoad> LookAtPools() const;
+  void ForgetRefusals() { m_refused_cpu.clear(); }
 
   const std::map<std::string, WorkerState>& Workers() const {
     return m_workers;
@@ -258,6 +262,7 @@
   WorkerState* Choose(const TaskRef& ref,
                       const std::vector<WorkerState*>& workers,
                       const Advice* advice) const;
+  bool IsAtWork(const Run& run) const;
   bool WithinLimit(const Job& job, const Resources& need) const;
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
   const Advice* AdviceFor(Job& job,
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -16,8 +16,9 @@
 constexpr std::chrono::milliseconds kLazyCommit{40};
 // An idle office still rewrites its record, so that others see it alive.
 constexpr std::chrono::milliseconds kRenewal{500};
-// The store takes 100 entries in one transaction; two are the chain's own.
-constexpr std::size_t kMaxRows = 94;
+// The store takes 100 entries in one transaction; the chain's own and those of
+// waves come on top.
+constexpr std::size_t kMaxRows = 80;
 // Commits that have failed for so long count as an outage.
 constexpr std::chrono::milliseconds kOutageAfter{400};
 // An office that can't confirm its term goes on to extend leases for so long.
@@ -55,16 +56,20 @@
       m_on_lost(std::move(on_lost)),
       m_config(std::make_shared<jobs::FleetConfig>()),
       m_scheduler(MakeOptions(settings)),
-      m_machines(ports.machines,
-                 ports.store,
-                 loop,
-                 log,
-                 m_scheduler,
-                 {.holder = settings.host,
-                  .settle = settings.machine_order_lease},
-                 ports.status_table,
-                 ports.wave_prefix,
-                 ports.encode_wave_state) {}
+      m_machines(
+          ports.machines,
+          ports.store,
+          loop,
+          log,
+          m_scheduler,
+          {.holder = settings.host, .settle = settings.machine_order_lease},
+          [this](Row row, std::function<void()> stored) {
+            m_rows.emplace_back(std::move(row), std::move(stored));
+            Kick();
+          },
+          ports.status_table,
+          ports.wave_prefix,
+          ports.encode_wave_state) {}
 
 Dispatcher::~Dispatcher() {
   // Callers must not wait for an office that is gone.
@@ -103,8 +108,24 @@
         if (page->has_more && !page->rows.empty()) {
           ReadJobs(page->rows.back().key + '\0');
         } else {
-          ReadWorkers();
+          ReadMachineRows();
+        }
+      }));
+}
+
+void Dispatcher::ReadMachineRows() {
+  m_ports.store.Read(
+      kMachineTable, kOfficePart, "",
+      m_lifetime.Guard([this](const base::Result<RowPage>& page) {
+        if (!page) {
+          m_loop.After(kReadRetry,
+                       m_lifetime.Guard([this] { ReadMachineRows(); }));
+          return;
         }
+        for (const Row& row : page->rows) {
+          m_machines.Recover(row);
+        }
+        ReadWorkers();
       }));
 }
 
@@ -277,7 +298,7 @@
   }
   const base::TimePoint now = m_loop.GetClock().Now();
   const auto idle = now - m_committed_at;
-  const bool due = m_scheduler.HasUrgentRows() ||
+  const bool due = m_scheduler.HasUrgentRows() || !m_rows.empty() ||
                    (m_scheduler.HasRows() && idle >= kLazyCommit) ||
                    idle >= kRenewal;
   if (!due) {
@@ -296,9 +317,17 @@
             false};
     (row.bytes ? puts : drops).push_back(std::move(put));
   }
+  std::vector<std::function<void()>> stored;
+  for (auto& [row, done] : std::exchange(m_rows, {})) {
+    puts.push_back(std::move(row));
+    stored.push_back(std::move(done));
+  }
   m_chain->Commit(std::move(puts), std::move(drops),
-                  m_lifetime.Guard([this, batch](bool applied) {
+                  m_lifetime.Guard([this, batch, stored](bool applied) {
                     if (applied) {
+                      for (const auto& done : stored) {
+                        done();
+                      }
                       Committed(batch);
                     } else {
                       Lose();
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -122,6 +122,7 @@
                                     {"fenced", result.error().fenced}});
     }
     m_scheduler.WorkerSilent(id, now);
+    m_machines.WorkerSilent();
     if (result.error().fenced) {
       m_committed_at = {};  // Finds out at once whether the office is lost.
     }
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -1,10 +1,13 @@
 #include "cassiastile/host/machine_keeper.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <sstream>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "cassiastile/host/commit_chain.hpp"
 #include "cassiastile/jobs/wave_plan.hpp"
 
 namespace cassiastile::host {
@@ -14,10 +17,26 @@
 constexpr std::chrono::milliseconds kPlanInterval{100};
 constexpr std::chrono::milliseconds kListInterval{500};
 constexpr std::chrono::milliseconds kQuietListInterval{2000};
+constexpr std::chrono::milliseconds kSoonListInterval{200};
 // An order whose answer was lost may be carried out for so long.
 constexpr std::chrono::milliseconds kUnknownOrder{4000};
 constexpr std::chrono::milliseconds kRefusedPause{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
+// A pool that uses more than this share of its capacity gives no machine away.
+constexpr double kBusyShare = 0.6;
+
+using PoolLoads = std::map<std::string, jobs::Scheduler::PoolLoad>;
+
+bool IsNeeded(const PoolLoads& pools, const std::string& pool) {
+  const auto found = pools.find(pool);
+  if (found == pools.end()) {
+    return false;
+  }
+  const jobs::Scheduler::PoolLoad& load = found->second;
+  return load.unplaced_cpu > 0 ||
+         static_cast<double>(load.used_cpu) >
+             kBusyShare * static_cast<double>(load.capacity_cpu);
+}
 
 }  // namespace
 
@@ -28,11 +47,13 @@
     EventLog& log,
     jobs::Scheduler& scheduler,
     MachineKeeperOptions options,
+    StoreRow store_row,
     std::string status_table,
     std::string wave_prefix,
     std::function<std::string(std::uint64_t, bool)> encode_state)
     : m_port(port),
       m_store(store),
+      m_store_row(std::move(store_row)),
       m_loop(loop),
       m_log(log),
       m_scheduler(scheduler),
@@ -42,6 +63,19 @@
       m_encode_state(std::move(encode_state)),
       m_config(std::make_shared<jobs::FleetConfig>()) {}
 
+void MachineKeeper::Recover(const Row& row) {
+  std::uint64_t number = 0;
+  const char* end = row.key.data() + row.key.size();
+  if (std::from_chars(row.key.data(), end, number).ec != std::errc()) {
+    m_log.Write("wave.bad_row", {{"key", row.key}});
+    return;
+  }
+  std::istringstream names(row.value);
+  for (std::string name; std::getline(names, name);) {
+    m_waves[number].ordered.insert(name);
+  }
+}
+
 void MachineKeeper::Begin(std::uint64_t fence, bool had_predecessor) {
   m_fence = fence;
   m_orders_from = m_loop.GetClock().Now();
@@ -60,6 +94,9 @@
   for (const auto& [number, request] : waves) {
     Wave& wave = m_waves[number];
     wave.request = request;
+    if (wave.seen_at == base::TimePoint{}) {
+      wave.seen_at = m_loop.GetClock().Now();
+    }
     wave.done = false;
   }
 }
@@ -75,8 +112,10 @@
   const bool pending = std::ranges::any_of(m_machines, [](const auto& row) {
     return row.second.pending != Pending::kNone;
   });
-  const auto interval =
-      open_wave || pending ? kListInterval : kQuietListInterval;
+  auto interval = open_wave || pending ? kListInterval : kQuietListInterval;
+  if (m_list_soon) {
+    interval = kSoonListInterval;
+  }
   if (!m_listing && now - m_listed_at >= interval) {
     ListMachines();
   }
@@ -93,6 +132,7 @@
 
 void MachineKeeper::ListMachines() {
   m_listing = true;
+  m_list_soon = false;
   const base::TimePoint asked_at = m_loop.GetClock().Now();
   m_listed_at = asked_at;
   m_port.List(m_lifetime.Guard(
@@ -115,6 +155,9 @@
     Known& known = m_machines[machine.name];
     known.machine = std::move(machine);
     known.listed = true;
+    if (known.machine.state == MachineState::kDown) {
+      WorkerEnded(known);
+    }
     Settle(known, asked_at);
   }
   m_has_list = true;
@@ -134,6 +177,16 @@
   }
 }
 
+void MachineKeeper::WorkerEnded(Known& known) {
+  const jobs::WorkerState* worker = WorkerOf(known);
+  if (worker != nullptr && !worker->runs.empty()) {
+    m_log.Write("worker.gone", {{"worker", known.machine.worker},
+                                {"machine", known.machine.name},
+                                {"runs", worker->runs.size()}});
+    m_scheduler.WorkerGone(worker->entry.id, m_loop.GetClock().Now());
+  }
+}
+
 jobs::WorkerState* MachineKeeper::WorkerOf(const Known& known) {
   return known.machine.worker.empty()
              ? nullptr
@@ -167,6 +220,7 @@
   if (!wave.running_stored && !wave.storing) {
     StoreWave(wave, false);
   }
+  const auto pools = m_scheduler.LookAtPools();
   std::vector<jobs::WaveMachine> machines;
   bool all_begun = true;
   for (const std::string& name : wave.request.machines) {
@@ -186,6 +240,7 @@
     machine.withheld_at = known.withheld_at;
     if (const jobs::WorkerState* worker = WorkerOf(known)) {
       machine.finite_cpu = FiniteCpu(*worker);
+      machine.needed = IsNeeded(pools, known.machine.pool);
       machine.may_vacate = m_scheduler.MayVacate(known.machine.worker, now);
     }
     all_begun = all_begun && machine.begun;
@@ -195,8 +250,12 @@
     m_log.Write("wave.done", {{"wave", wave.request.wave}});
     return;
   }
-  const jobs::WavePlan plan =
-      jobs::PlanWave(machines, {.max_down = wave.request.max_down}, now);
+  const jobs::WavePlan plan = jobs::PlanWave(
+      machines,
+      {.max_down = std::max(1U, wave.request.max_down),
+       .left = std::chrono::duration_cast<std::chrono::milliseconds>(
+           wave.seen_at + wave.request.due - now)},
+      now);
   for (const std::string& name : plan.withhold) {
     Withhold(m_machines[name], true, now);
   }
@@ -216,21 +275,45 @@
   known.pending = Pending::kMaintain;
   known.answered = false;
   known.ordered_at = m_loop.GetClock().Now();
+  const jobs::WorkerState* worker = WorkerOf(known);
+  known.life = worker == nullptr ? jobs::WorkerId{} : worker->entry.id;
   m_scheduler.Vacated(known.machine.worker, known.ordered_at);
+  const bool first = wave.ordered.insert(name).second;
+  if (!first) {
+    SendMaintain(number, name, false);
+    return;
+  }
+  std::string names;
+  for (const std::string& each : wave.ordered) {
+    names += each + "\n";
+  }
+  m_store_row({kMachineTable, kOfficePart, std::to_string(number),
+               std::move(names), 0, false},
+              m_lifetime.Guard(
+                  [this, number, name] { SendMaintain(number, name, true); }));
+}
+
+void MachineKeeper::SendMaintain(std::uint64_t number,
+                                 const std::string& name,
+                                 bool first) {
+  m_machines[name].ordered_at = m_loop.GetClock().Now();
   m_port.Maintain(
       name, number, {m_options.holder, m_fence},
-      m_lifetime.Guard([this, number, name](MachineOrderResult result) {
+      m_lifetime.Guard([this, number, name, first](MachineOrderResult result) {
         Known& machine = m_machines[name];
         const base::TimePoint now = m_loop.GetClock().Now();
-        m_log.Write("machine.upkeep",
-                    {{"machine", name},
-                     {"wave", number},
-                     {"fence", m_fence},
-                     {"result", static_cast<int>(result)}});
+        m_log.Write("machine.upkeep", {{"machine", name},
+                                       {"wave", number},
+                                       {"fence", m_fence},
+                                       {"result", static_cast<int>(result)}});
         if (result == MachineOrderResult::kDone) {
           m_waves[number].begun[name] = true;
           machine.answered = true;
           machine.answered_at = now;
+          // A repeated order may have been carried out long ago.
+          if (first && !machine.life.id.empty()) {
+            m_scheduler.WorkerGone(machine.life, now);
+          }
         } else if (result == MachineOrderResult::kRefused) {
           machine.pending = Pending::kNone;
           machine.retry_at = now + kRefusedPause;
@@ -246,16 +329,15 @@
   transaction.puts.push_back({m_status_table, "",
                               m_wave_prefix + std::to_string(number),
                               m_encode_state(number, done), 0, false});
-  m_store.Commit(std::move(transaction), kStoreTimeout,
-                 m_lifetime.Guard([this, number,
-                                   done](const TransactionReply& reply) {
-                   Wave& stored = m_waves[number];
-                   stored.storing = false;
-                   const bool applied =
-                       reply.outcome == TransactionReply::Outcome::kApplied;
-                   (done ? stored.done_stored : stored.running_stored) =
-                       applied;
-                 }));
+  m_store.Commit(
+      std::move(transaction), kStoreTimeout,
+      m_lifetime.Guard([this, number, done](const TransactionReply& reply) {
+        Wave& stored = m_waves[number];
+        stored.storing = false;
+        const bool applied =
+            reply.outcome == TransactionReply::Outcome::kApplied;
+        (done ? stored.done_stored : stored.running_stored) = applied;
+      }));
 }
 
 bool MachineKeeper::IsInOpenWave(const std::string& machine) const {
@@ -279,6 +361,7 @@
     demand.used_cpu = load.used_cpu;
     demand.capacity_cpu = load.capacity_cpu;
   }
+  m_scheduler.ForgetRefusals();
   for (const jobs::ServiceConfig& service : m_config->services) {
     pools[service.name].standby = service.standby;
   }
@@ -322,26 +405,26 @@
   known.ordered_at = m_loop.GetClock().Now();
   known.going_to = move.to;
   Withhold(known, true, known.ordered_at);
-  m_port.Move(
-      move.machine, move.to, {m_options.holder, m_fence},
-      m_lifetime.Guard([this, move](MachineOrderResult result) {
-        Known& machine = m_machines[move.machine];
-        const base::TimePoint now = m_loop.GetClock().Now();
-        m_log.Write("machine.move", {{"machine", move.machine},
-                                     {"from", move.from},
-                                     {"to", move.to},
-                                     {"fence", m_fence},
-                                     {"result", static_cast<int>(result)}});
-        if (result == MachineOrderResult::kDone) {
-          machine.answered = true;
-          machine.answered_at = now;
-          machine.idle_since = {};
-        } else if (result == MachineOrderResult::kRefused) {
-          machine.pending = Pending::kNone;
-          machine.retry_at = now + kRefusedPause;
-          Withhold(machine, false, now);
-        }
-      }));
+  m_port.Move(move.machine, move.to, {m_options.holder, m_fence},
+              m_lifetime.Guard([this, move](MachineOrderResult result) {
+                Known& machine = m_machines[move.machine];
+                const base::TimePoint now = m_loop.GetClock().Now();
+                m_log.Write("machine.move",
+                            {{"machine", move.machine},
+                             {"from", move.from},
+                             {"to", move.to},
+                             {"fence", m_fence},
+                             {"result", static_cast<int>(result)}});
+                if (result == MachineOrderResult::kDone) {
+                  machine.answered = true;
+                  machine.answered_at = now;
+                  machine.idle_since = {};
+                } else if (result == MachineOrderResult::kRefused) {
+                  machine.pending = Pending::kNone;
+                  machine.retry_at = now + kRefusedPause;
+                  Withhold(machine, false, now);
+                }
+              }));
 }
 
 }  // namespace cassiastile::host
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -365,7 +365,7 @@
   return std::exchange(m_orders, {});
 }
 
-std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools() {
+std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools() const {
   std::map<std::string, PoolLoad> pools;
   for (const auto& [id, worker] : m_workers) {
     if (!worker.listed || worker.entry.draining) {
@@ -384,8 +384,8 @@
   for (const auto& [service, cpu] : m_unplaced_cpu) {
     pools[service].unplaced_cpu = cpu;
   }
-  for (auto& [service, cpu] : m_refused_cpu) {
-    pools[service].refused_cpu = std::exchange(cpu, 0);
+  for (const auto& [service, cpu] : m_refused_cpu) {
+    pools[service].refused_cpu = cpu;
   }
   return pools;
 }
--- a/src/cassiastile/jobs/scheduler_care.cpp
+++ b/src/cassiastile/jobs/scheduler_care.cpp
@@ -21,13 +21,15 @@
 constexpr double kCalmShare = 0.7;
 constexpr std::chrono::milliseconds kPaceInterval{500};
 
-bool IsAtWork(const Run& run) {
+}  // namespace
+
+bool Scheduler::IsAtWork(const Run& run) const {
+  const auto worker = m_workers.find(run.worker.id);
   return run.phase == RunPhase::kRunning &&
-         run.at_work_since != base::TimePoint{};
+         run.at_work_since != base::TimePoint{} && worker != m_workers.end() &&
+         !worker->second.silent;
 }
 
-}  // namespace
-
 void Scheduler::CareForRuns(base::TimePoint now) {
   for (auto& [id, worker] : m_workers) {
     if (!worker.heard) {
@@ -153,7 +155,8 @@
     const Occurrence* occurrence = FindOccurrence(*ref.job, ref.occurrence);
     std::uint32_t away = 0;
     for (const Task& task : occurrence->steps[ref.step].tasks) {
-      const bool at_work = std::ranges::any_of(task.runs, IsAtWork);
+      const bool at_work = std::ranges::any_of(
+          task.runs, [this](const Run& run) { return IsAtWork(run); });
       const bool here = std::ranges::any_of(
           task.runs, [&id](const Run& run) { return run.worker.id == id; });
       away += !at_work || here ? 1 : 0;
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -170,6 +170,7 @@
     worker->health = {};
   }
   worker->heard = true;
+  worker->silent = false;
   worker->last_report = now;
   worker->wants_report = false;
   for (const ListedEnd& end : report.ended) {
@@ -412,10 +413,25 @@
 
 void Scheduler::WorkerSilent(const std::string& id, base::TimePoint now) {
   if (WorkerState* worker = FindWorker(id)) {
+    worker->silent = true;
     worker->health.Refused(now);
   }
 }
 
+void Scheduler::WorkerGone(const WorkerId& id, base::TimePoint now) {
+  WorkerState* worker = FindWorker(id.id);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto runs = worker->runs;
+  for (const auto& [ref, number] : runs) {
+    const Run* run = FindRun(ref, number);
+    if (run != nullptr && run->worker == id) {
+      DropRun(ref, number, now);
+    }
+  }
+}
+
 void Scheduler::ExpireRuns(base::TimePoint now) {
   constexpr std::chrono::milliseconds kStopRepeat{700};
   for (auto& [id, worker] : m_workers) {
--- a/src/cassiastile/jobs/wave_plan.cpp
+++ b/src/cassiastile/jobs/wave_plan.cpp
@@ -26,13 +26,17 @@
       ++taken;
     }
   }
+  // Twice the time that the rest takes at full width: some will have to wait
+  // for tasks that may not be taken away together.
+  const auto rounds = (emptying.size() + others.size()) / limits.max_down + 1;
+  const bool hurry = limits.left < 2 * limits.each * rounds;
   std::size_t planned = taken + emptying.size() - plan.maintain.size();
   std::ranges::stable_sort(others, {}, &WaveMachine::finite_cpu);
   for (const WaveMachine* machine : others) {
     if (planned >= limits.max_down) {
       break;
     }
-    if (machine->may_vacate) {
+    if (machine->may_vacate && (hurry || !machine->needed)) {
       plan.withhold.push_back(machine->name);
       ++planned;
     }
