Move long-running tasks off machines of a wave one by one

Change: withheld machines are evacuated task by task as far as each step allows; placement spreads a step over as many workers as may be away together; a blocked machine is logged with the job that blocks it.

--- a/include/cassiastile/host/machine_keeper.hpp
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -65,6 +65,7 @@
     base::TimePoint withheld_at{};
     base::TimePoint idle_since{};
     base::TimePoint retry_at{};
+    base::TimePoint blocked_logged_at{};
   };
   struct Wave {
     WaveRequest request;
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -181,7 +181,12 @@
 
   // Whether all that runs on a worker may be ended now without taking more
   // tasks of a step away than it allows.
-  bool MayVacate(const std::string& worker, base::TimePoint now) const;
+  bool MayVacate(const std::string& worker) const;
+  // Stops those long-running tasks of a withheld worker that may be taken away
+  // now; they start again elsewhere.
+  void Evacuate(const std::string& worker, base::TimePoint now);
+  // A task that forbids it, or nothing.
+  std::optional<TaskId> VacancyBlocker(const std::string& worker) const;
   // Everything on a worker is about to be ended on purpose.
   void Vacated(const std::string& worker, base::TimePoint now);
   // Places nothing more on a worker that is about to be taken away.
@@ -263,6 +268,8 @@
                       const std::vector<WorkerState*>& workers,
                       const Advice* advice) const;
   bool IsAtWork(const Run& run) const;
+  // Tasks of the same step, this one left out, that do not serve now.
+  std::uint32_t AwayBeside(const TaskRef& ref) const;
   bool WithinLimit(const Job& job, const Resources& need) const;
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
   const Advice* AdviceFor(Job& job,
--- a/include/cassiastile/jobs/wave_plan.hpp
+++ b/include/cassiastile/jobs/wave_plan.hpp
@@ -22,7 +22,8 @@
 };
 
 struct WavePlan {
-  std::vector<std::string> withhold;  // Give these nothing new from now on.
+  // Give these nothing new from now on and move off what may be moved off.
+  std::vector<std::string> withhold;
   std::vector<std::string> maintain;  // Order the upkeep of these.
 };
 
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::milliseconds kUnknownOrder{4000};
 constexpr std::chrono::milliseconds kRefusedPause{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
+constexpr std::chrono::milliseconds kBlockedLogInterval{2000};
 // A pool that uses more than this share of its capacity gives no machine away.
 constexpr double kBusyShare = 0.6;
 
@@ -237,13 +238,24 @@
     machine.busy = known.machine.state != MachineState::kUp ||
                    known.pending == Pending::kMove || now < known.retry_at;
     machine.withheld = known.withheld;
+    if (known.withheld && !machine.begun && !machine.down && !machine.busy) {
+      m_scheduler.Evacuate(known.machine.worker, now);
+    }
     machine.withheld_at = known.withheld_at;
     if (const jobs::WorkerState* worker = WorkerOf(known)) {
       machine.finite_cpu = FiniteCpu(*worker);
       machine.needed = IsNeeded(pools, known.machine.pool);
-      machine.may_vacate = m_scheduler.MayVacate(known.machine.worker, now);
+      machine.may_vacate = m_scheduler.MayVacate(known.machine.worker);
     }
     all_begun = all_begun && machine.begun;
+    if (!machine.begun && !machine.may_vacate &&
+        now - known.blocked_logged_at > kBlockedLogInterval) {
+      known.blocked_logged_at = now;
+      const auto blocker = m_scheduler.VacancyBlocker(known.machine.worker);
+      m_log.Write("wave.blocked", {{"machine", name},
+                                   {"worker", known.machine.worker},
+                                   {"job", blocker ? blocker->job : ""}});
+    }
   }
   if (all_begun) {
     wave.done = true;
@@ -263,7 +275,7 @@
     Known& known = m_machines[name];
     // Others of this round may have changed what may be vacated.
     if (known.machine.worker.empty() ||
-        m_scheduler.MayVacate(known.machine.worker, now)) {
+        m_scheduler.MayVacate(known.machine.worker)) {
       Maintain(wave, known);
     }
   }
--- a/src/cassiastile/jobs/scheduler_care.cpp
+++ b/src/cassiastile/jobs/scheduler_care.cpp
@@ -141,15 +141,45 @@
   }
 }
 
-bool Scheduler::MayVacate(const std::string& id, base::TimePoint now) const {
+std::uint32_t Scheduler::AwayBeside(const TaskRef& ref) const {
+  std::uint32_t away = 0;
+  const auto& tasks =
+      FindOccurrence(*ref.job, ref.occurrence)->steps[ref.step].tasks;
+  for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+    const bool at_work = std::ranges::any_of(
+        tasks[i].runs, [this](const Run& run) { return IsAtWork(run); });
+    away += i != ref.index && !at_work ? 1 : 0;
+  }
+  return away;
+}
+
+void Scheduler::Evacuate(const std::string& id, base::TimePoint now) {
+  WorkerState* worker = FindWorker(id);
+  if (worker == nullptr || !worker->heard || worker->silent) {
+    return;
+  }
+  for (const auto& [ref, number] : worker->runs) {
+    Run* run = FindRun(ref, number);
+    const StepSpec& spec = SpecOf(ref);
+    if (run != nullptr && spec.max_unavailable > 0 && IsAtWork(*run) &&
+        AwayBeside(ref) < spec.max_unavailable) {
+      StopRun(ref, *run, now);
+    }
+  }
+}
+
+bool Scheduler::MayVacate(const std::string& id) const {
+  return !VacancyBlocker(id).has_value();
+}
+
+std::optional<TaskId> Scheduler::VacancyBlocker(const std::string& id) const {
   const auto found = m_workers.find(id);
   if (found == m_workers.end()) {
-    return true;
+    return std::nullopt;
   }
-  const WorkerState& worker = found->second;
-  for (const auto& [ref, number] : worker.runs) {
+  for (const auto& [ref, number] : found->second.runs) {
     const StepSpec& spec = SpecOf(ref);
-    if (spec.max_unavailable == 0) {
+    if (spec.max_unavailable == 0 || IsFinished(ref.job->phase)) {
       continue;
     }
     const Occurrence* occurrence = FindOccurrence(*ref.job, ref.occurrence);
@@ -162,11 +192,10 @@
       away += !at_work || here ? 1 : 0;
     }
     if (away > spec.max_unavailable) {
-      return false;
+      return IdOf(ref);
     }
   }
-  static_cast<void>(now);
-  return true;
+  return std::nullopt;
 }
 
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -12,6 +12,8 @@
 // offer more to be chosen instead.
 constexpr std::int64_t kFailedHereCost = 1000000;
 constexpr std::int64_t kRemoteCost = 100000;
+// More of a step on one worker than may be away at once.
+constexpr std::int64_t kTogetherCost = 200000;
 constexpr std::int64_t kLongRunningPack = 20000;
 constexpr std::int64_t kLongRunningDisturbs = 1000;
 
@@ -328,6 +330,10 @@
     if (!spec.data_rack.empty() && spec.data_rack != entry.rack) {
       cost += kRemoteCost;
     }
+    if (spec.max_unavailable > 0 &&
+        RunsOfStep(*worker, ref) >= spec.max_unavailable) {
+      cost += kTogetherCost;
+    }
     const std::int64_t lasting = LongRunningCount(*worker);
     cost += spec.long_running ? -kLongRunningPack * lasting
                               : kLongRunningDisturbs * lasting;
--- a/src/cassiastile/jobs/wave_plan.cpp
+++ b/src/cassiastile/jobs/wave_plan.cpp
@@ -36,7 +36,7 @@
     if (planned >= limits.max_down) {
       break;
     }
-    if (machine->may_vacate && (hurry || !machine->needed)) {
+    if (hurry || !machine->needed) {
       plan.withhold.push_back(machine->name);
       ++planned;
     }
