Count calls on reused connections as sent

Cause: a call that timed out on a reused connection was reported as not sent, since the library gives such calls no time of connecting.

Change: a call counts as sent once the library has reached the point before its transfer. LoopClientTest.UnansweredCallOnAReusedConnectionMayHaveArrived failed before and passes now.

--- a/src/cassiastile/wire/curl_transfer.cpp
+++ b/src/cassiastile/wire/curl_transfer.cpp
@@ -60,14 +60,15 @@
          FindHeader(response.headers, "Transfer-Encoding").has_value();
 }
 
-// A request on a reused connection counts as sent; on a new one nothing was
-// sent before the connection was made.
+// Nothing is sent before the connection is made. A call on a reused connection
+// has no time of connecting of its own, but reaches the point before transfer.
 SendState SendStateOf(CURL* handle) {
   curl_off_t connect_micros = 0;
-  long new_connections = 0;
+  curl_off_t before_transfer_micros = 0;
   curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connect_micros);
-  curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &new_connections);
-  const bool connected = connect_micros > 0;
+  curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME_T,
+                    &before_transfer_micros);
+  const bool connected = connect_micros > 0 || before_transfer_micros > 0;
   return connected ? SendState::kMaybeSent : SendState::kNotSent;
 }
 
