End lost lives of workers by the list of machines

Change: a run's record names the machine; a silent worker whose machine is listed as down, gone or with another worker is over at once.

--- a/include/cassiastile/host/machine_keeper.hpp
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -86,7 +86,8 @@
   void MoveMachines(base::TimePoint now);
   void Maintain(Wave& wave, Known& known);
   void SendMaintain(std::uint64_t wave, const std::string& name, bool first);
-  void WorkerEnded(Known& known);
+  // Ends the lives of workers whose machine is down or has another worker.
+  void EndLostLives(base::TimePoint asked_at);
   void Move(Known& known, const jobs::MachineMove& move);
   void Withhold(Known& known, bool withheld, base::TimePoint now);
   void StoreWave(Wave& wave, bool done);
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -43,6 +43,7 @@
 struct Run {
   std::uint32_t number = 0;
   WorkerId worker;
+  std::string machine;  // That the worker lives on.
   RunPhase phase = RunPhase::kPlanned;
   base::TimePoint ordered_at{};
   base::TimePoint confirmed_at{};   // Of the start, or of the stop.
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -27,6 +27,7 @@
 struct WorkerEntry {
   WorkerId id;
   std::string service;
+  std::string machine;  // Where it lives; one worker at a time.
   std::string endpoint;
   std::string availability_zone;
   std::string kind;
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -183,6 +183,7 @@
       m_log.Write("worker.listed", {{"worker", row.key},
                                     {"born", entry->id.born},
                                     {"service", entry->service},
+                                    {"machine", entry->machine},
                                     {"draining", entry->draining},
                                     {"row_version", row.version}});
     }
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -156,12 +156,10 @@
     Known& known = m_machines[machine.name];
     known.machine = std::move(machine);
     known.listed = true;
-    if (known.machine.state == MachineState::kDown) {
-      WorkerEnded(known);
-    }
     Settle(known, asked_at);
   }
   m_has_list = true;
+  EndLostLives(asked_at);
 }
 
 void MachineKeeper::Settle(Known& known, base::TimePoint asked_at) {
@@ -178,13 +176,31 @@
   }
 }
 
-void MachineKeeper::WorkerEnded(Known& known) {
-  const jobs::WorkerState* worker = WorkerOf(known);
-  if (worker != nullptr && !worker->runs.empty()) {
-    m_log.Write("worker.gone", {{"worker", known.machine.worker},
-                                {"machine", known.machine.name},
-                                {"runs", worker->runs.size()}});
-    m_scheduler.WorkerGone(worker->entry.id, m_loop.GetClock().Now());
+void MachineKeeper::EndLostLives(base::TimePoint asked_at) {
+  std::vector<jobs::WorkerId> lost;
+  for (const auto& [id, worker] : m_scheduler.Workers()) {
+    // One that answers is alive, whatever the list says.
+    const bool answers = worker.heard && !worker.silent;
+    if (worker.runs.empty() || answers || worker.entry.machine.empty() ||
+        worker.last_report > asked_at) {
+      continue;
+    }
+    const auto found = m_machines.find(worker.entry.machine);
+    const bool gone = found == m_machines.end() || !found->second.listed;
+    const bool over = gone ||
+                      found->second.machine.state == MachineState::kDown ||
+                      (!found->second.machine.worker.empty() &&
+                       found->second.machine.worker != id);
+    if (over) {
+      m_log.Write("worker.gone", {{"worker", id},
+                                  {"machine", worker.entry.machine},
+                                  {"machine_listed", !gone},
+                                  {"runs", worker.runs.size()}});
+      lost.push_back(worker.entry.id);
+    }
+  }
+  for (const jobs::WorkerId& id : lost) {
+    m_scheduler.WorkerGone(id, m_loop.GetClock().Now());
   }
 }
 
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -109,6 +109,7 @@
             WorkerState& worker = m_workers[run.worker.id];
             if (worker.entry.id.id.empty()) {
               worker.entry.id = run.worker;
+              worker.entry.machine = run.machine;
               worker.entry.service = ServiceOf(job);
             }
             worker.lease_bound = std::max(worker.lease_bound, silent_bound);
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -41,6 +41,7 @@
   Run& run = task.runs.emplace_back();
   run.number = ++task.last_run;
   run.worker = worker.entry.id;
+  run.machine = worker.entry.machine;
   run.ordered_at = now;
   run.progressed_at = now;
   run.checkpoint = task.checkpoint;
