Size pools by arriving work; give idle machines back

Cause: pools shrank to their long-running tasks between turns and grew again one machine at a time, while the pool whose turn had ended kept two dozen idle ones; a machine's worker was looked up in a list that was seconds old.

Change: ArrivalMeter, DesiredCapacity and a planner that lends surplus machines before it asks the spare pool; workers name their machine; waves take idle machines first; admission counts memory and machines on their way.

--- a/include/cassiastile/host/machine_keeper.hpp
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -84,6 +84,7 @@
   void Settle(Known& known, base::TimePoint asked_at);
   void RunWave(Wave& wave, base::TimePoint now);
   void MoveMachines(base::TimePoint now);
+  void LogLoads(base::TimePoint now);
   void Maintain(Wave& wave, Known& known);
   void SendMaintain(std::uint64_t wave, const std::string& name, bool first);
   // Ends the lives of workers whose machine is down or has another worker.
@@ -91,9 +92,8 @@
   void Move(Known& known, const jobs::MachineMove& move);
   void Withhold(Known& known, bool withheld, base::TimePoint now);
   void StoreWave(Wave& wave, bool done);
-  jobs::WorkerState* WorkerOf(const Known& known);
+  const jobs::WorkerState* WorkerOf(const Known& known) const;
   std::int64_t FiniteCpu(const jobs::WorkerState& worker) const;
-  bool IsInOpenWave(const std::string& machine) const;
 
   MachinePort& m_port;
   RowStore& m_store;
@@ -112,6 +112,7 @@
   base::TimePoint m_orders_from{};
   base::TimePoint m_listed_at{};
   base::TimePoint m_planned_at{};
+  base::TimePoint m_loads_logged_at{};
   bool m_listing = false;
   bool m_list_soon = false;
   bool m_has_list = false;
--- a/include/cassiastile/host/ports.hpp
+++ b/include/cassiastile/host/ports.hpp
@@ -137,7 +137,7 @@
   std::string pool;  // The service whose worker it runs.
   MachineState state = MachineState::kDown;
   std::string worker;  // Id of its worker; empty without one.
-  std::int64_t cpu = 0;  // Thousandths of a core.
+  jobs::Resources capacity;
 };
 
 enum class MachineOrderResult : std::uint8_t {
--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 
 #include "cassiastile/base/enum_names.hpp"
+#include "cassiastile/jobs/arrival_meter.hpp"
+#include "cassiastile/jobs/resources.hpp"
 
 namespace cassiastile::jobs {
 
@@ -26,10 +28,10 @@
 
 // What admission knows of a pool and of the job at its door.
 struct AdmissionInput {
-  double backlog_core_ms = 0;          // Work ahead of the job, not yet done.
-  double pool_cores = 0;               // Cores that jobs can use.
+  Work backlog;           // Ahead of the job, not yet done.
+  Resources pool;         // What jobs can use, with what is on its way.
   bool fits_now = false;  // Its first step finds room at once.
-  std::chrono::milliseconds chain{0};  // Longest chain of the job.
+  std::chrono::milliseconds chain{0};      // Longest chain of the job.
   std::chrono::milliseconds objective{0};  // From its first request on.
 };
 
--- a/include/cassiastile/jobs/duration_model.hpp
+++ b/include/cassiastile/jobs/duration_model.hpp
@@ -4,10 +4,14 @@
 #include <map>
 #include <string>
 
+#include "cassiastile/jobs/arrival_meter.hpp"
 #include "cassiastile/jobs/job_spec.hpp"
 
 namespace cassiastile::jobs {
 
+// The work of some tasks of a step that take so long each.
+Work WorkOf(const StepSpec& step, std::chrono::milliseconds each, double tasks);
+
 // How long tasks of each queue really take. Callers' estimates are far off on
 // some queues and good on others; the model learns by how much to trust them.
 class DurationModel {
@@ -22,8 +26,8 @@
   // The expected duration of the longest chain of steps.
   std::chrono::milliseconds ExpectChain(const std::string& queue,
                                         const JobSpec& spec) const;
-  // Expected core-milliseconds of one occurrence, long-running steps left out.
-  double ExpectWork(const std::string& queue, const JobSpec& spec) const;
+  // Expected work of one occurrence, long-running steps left out.
+  Work ExpectWork(const std::string& queue, const JobSpec& spec) const;
 
  private:
   struct Entry {
--- a/include/cassiastile/jobs/pool_plan.hpp
+++ b/include/cassiastile/jobs/pool_plan.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "cassiastile/base/clock.hpp"
+#include "cassiastile/jobs/arrival_meter.hpp"
+#include "cassiastile/jobs/resources.hpp"
 
 namespace cassiastile::jobs {
 
@@ -13,17 +14,18 @@
 struct PoolMachine {
   std::string name;
   std::string pool;
-  std::int64_t cpu = 0;  // Thousandths of a core.
-  bool movable = false;  // Up, in no wave and without any run.
-  bool arriving = false; // On its way into the pool.
+  Resources capacity;
+  bool movable = false;   // Up and without any run.
+  bool arriving = false;  // On its way into the pool.
   base::TimePoint idle_since{};
 };
 
 struct PoolDemand {
   bool standby = false;
-  std::int64_t waiting_cpu = 0;   // Of tasks that found no room.
-  std::int64_t used_cpu = 0;
-  std::int64_t capacity_cpu = 0;
+  Resources used;      // By all tasks.
+  Resources lasting;   // By long-running tasks.
+  Resources unplaced;  // Needed by tasks that found no room.
+  Work arriving;       // Handed in per millisecond.
 };
 
 struct MachineMove {
@@ -33,17 +35,28 @@
 };
 
 struct PoolPlanOptions {
-  // A machine that has been idle for so long is not needed where it is. Twice
-  // the time of a move: it could be fetched back in as much.
-  std::chrono::milliseconds idle_before_leaving{3000};
-  // Share of a pool's capacity that is kept free of moves to the spare pool.
-  double reserve = 0.35;
+  // Room above the mean of arriving work, since machines are never filled to
+  // the brim.
+  double headroom = 1.2;
+  // Share of the tasks without room that a pool should get room for at once;
+  // the others follow as tasks end.
+  double unplaced_share = 0.6;
+  // A machine is fetched from another pool only when it has been idle for a
+  // moment, and leaves for the spare pool when staying would cost more than two
+  // moves.
+  std::chrono::milliseconds idle_before_lending{300};
+  std::chrono::milliseconds idle_before_leaving{2000};
 };
 
-// Answers queues that take turns at several times their mean: a pool whose
-// tasks find no room gets the idle machines of pools whose turn is over, then
-// those of the spare pool; what stands idle for long goes back to the spare
-// pool, where it costs nothing.
+// What a pool should have: room for its long-running tasks, and for work as it
+// comes in or, when that is more, for what runs and waits.
+Resources DesiredCapacity(const PoolDemand& demand,
+                          const PoolPlanOptions& options);
+
+// Answers queues that take turns at several times their mean: a pool that needs
+// more gets at once the idle machines that other pools have too many of, then
+// those of the spare pool; what stands idle beyond the need goes back to the
+// spare pool, where it costs nothing.
 std::vector<MachineMove> PlanMoves(
     const std::vector<PoolMachine>& machines,
     const std::map<std::string, PoolDemand>& pools,
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -13,6 +13,7 @@
 
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/jobs/admission.hpp"
+#include "cassiastile/jobs/arrival_meter.hpp"
 #include "cassiastile/jobs/duration_model.hpp"
 #include "cassiastile/jobs/fleet_config.hpp"
 #include "cassiastile/jobs/job.hpp"
@@ -193,15 +194,19 @@
   void Withhold(const std::string& worker, bool withheld);
   // What the pools' planner looks at.
   struct PoolLoad {
-    std::int64_t capacity_cpu = 0;
-    std::int64_t used_cpu = 0;
-    std::int64_t lasting_cpu = 0;
-    std::int64_t unplaced_cpu = 0;  // Of tasks that found no room.
-    std::int64_t refused_cpu = 0;   // Of jobs refused since the last reset.
+    Resources capacity;
+    Resources used;
+    Resources lasting;   // Used by long-running tasks.
+    Resources unplaced;  // Needed by tasks that found no room.
+    Work backlog;        // Left of the jobs that are worth something.
+    Work arriving_work;  // Handed in per millisecond.
     std::size_t workers = 0;
   };
-  std::map<std::string, PoolLoad> LookAtPools() const;
-  void ForgetRefusals() { m_refused_cpu.clear(); }
+  std::map<std::string, PoolLoad> LookAtPools(base::TimePoint now);
+  // Capacity on its way to each pool.
+  void SetArriving(std::map<std::string, Resources> arriving) {
+    m_arriving = std::move(arriving);
+  }
 
   const std::map<std::string, WorkerState>& Workers() const {
     return m_workers;
@@ -289,8 +294,9 @@
   std::map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, Resources> m_used_by_customer;
-  std::map<std::string, std::int64_t> m_refused_cpu;   // By service.
-  std::map<std::string, std::int64_t> m_unplaced_cpu;  // By service.
+  std::map<std::string, ArrivalMeter> m_arrivals;  // By service.
+  std::map<std::string, Resources> m_arriving;     // By service.
+  std::map<std::string, Resources> m_unplaced;     // By service.
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
   std::unordered_set<Job*> m_dirty;
   std::vector<std::string> m_dropped_jobs;  // Rows to remove.
--- a/include/cassiastile/jobs/wave_plan.hpp
+++ b/include/cassiastile/jobs/wave_plan.hpp
@@ -15,6 +15,7 @@
   bool down = false;       // In upkeep, or an order for it is not settled.
   bool busy = false;       // Moving, not up, or not to be touched now.
   bool may_vacate = true;  // Ending all that runs there takes nothing too far.
+  bool idle = true;        // Without any run.
   bool needed = false;     // Its pool has no capacity to spare now.
   bool withheld = false;   // Gets no new tasks and is being emptied.
   base::TimePoint withheld_at{};
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -23,6 +24,7 @@
 constexpr std::chrono::milliseconds kRefusedPause{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
 constexpr std::chrono::milliseconds kBlockedLogInterval{2000};
+constexpr std::chrono::milliseconds kLoadLogInterval{1000};
 // A pool that uses more than this share of its capacity gives no machine away.
 constexpr double kBusyShare = 0.6;
 
@@ -34,9 +36,9 @@
     return false;
   }
   const jobs::Scheduler::PoolLoad& load = found->second;
-  return load.unplaced_cpu > 0 ||
-         static_cast<double>(load.used_cpu) >
-             kBusyShare * static_cast<double>(load.capacity_cpu);
+  return load.unplaced.memory > 0 ||
+         static_cast<double>(load.used.cpu) >
+             kBusyShare * static_cast<double>(load.capacity.cpu);
 }
 
 }  // namespace
@@ -204,10 +206,16 @@
   }
 }
 
-jobs::WorkerState* MachineKeeper::WorkerOf(const Known& known) {
-  return known.machine.worker.empty()
-             ? nullptr
-             : m_scheduler.FindWorker(known.machine.worker);
+const jobs::WorkerState* MachineKeeper::WorkerOf(const Known& known) const {
+  // The workers' own list is newer than that of the machines.
+  const jobs::WorkerState* newest = nullptr;
+  for (const auto& [id, worker] : m_scheduler.Workers()) {
+    if (worker.entry.machine == known.machine.name && worker.listed &&
+        (newest == nullptr || newest->entry.id.born < worker.entry.id.born)) {
+      newest = &worker;
+    }
+  }
+  return newest;
 }
 
 std::int64_t MachineKeeper::FiniteCpu(const jobs::WorkerState& worker) const {
@@ -222,8 +230,8 @@
 void MachineKeeper::Withhold(Known& known, bool withheld, base::TimePoint now) {
   known.withheld = withheld;
   known.withheld_at = now;
-  if (!known.machine.worker.empty()) {
-    m_scheduler.Withhold(known.machine.worker, withheld);
+  if (const jobs::WorkerState* worker = WorkerOf(known)) {
+    m_scheduler.Withhold(worker->entry.id.id, withheld);
   }
 }
 
@@ -237,7 +245,7 @@
   if (!wave.running_stored && !wave.storing) {
     StoreWave(wave, false);
   }
-  const auto pools = m_scheduler.LookAtPools();
+  const auto pools = m_scheduler.LookAtPools(now);
   std::vector<jobs::WaveMachine> machines;
   bool all_begun = true;
   for (const std::string& name : wave.request.machines) {
@@ -254,22 +262,26 @@
     machine.busy = known.machine.state != MachineState::kUp ||
                    known.pending == Pending::kMove || now < known.retry_at;
     machine.withheld = known.withheld;
-    if (known.withheld && !machine.begun && !machine.down && !machine.busy) {
-      m_scheduler.Evacuate(known.machine.worker, now);
-    }
     machine.withheld_at = known.withheld_at;
     if (const jobs::WorkerState* worker = WorkerOf(known)) {
+      const std::string& id = worker->entry.id.id;
+      if (known.withheld && !machine.begun && !machine.down && !machine.busy) {
+        m_scheduler.Evacuate(id, now);
+      }
       machine.finite_cpu = FiniteCpu(*worker);
+      machine.idle = worker->runs.empty();
       machine.needed = IsNeeded(pools, known.machine.pool);
-      machine.may_vacate = m_scheduler.MayVacate(known.machine.worker);
+      machine.may_vacate = m_scheduler.MayVacate(id);
     }
     all_begun = all_begun && machine.begun;
     if (!machine.begun && !machine.may_vacate &&
         now - known.blocked_logged_at > kBlockedLogInterval) {
       known.blocked_logged_at = now;
-      const auto blocker = m_scheduler.VacancyBlocker(known.machine.worker);
+      const jobs::WorkerState* worker = WorkerOf(known);
+      const std::string id = worker == nullptr ? "" : worker->entry.id.id;
+      const auto blocker = m_scheduler.VacancyBlocker(id);
       m_log.Write("wave.blocked", {{"machine", name},
-                                   {"worker", known.machine.worker},
+                                   {"worker", id},
                                    {"job", blocker ? blocker->job : ""}});
     }
   }
@@ -290,8 +302,8 @@
   for (const std::string& name : plan.maintain) {
     Known& known = m_machines[name];
     // Others of this round may have changed what may be vacated.
-    if (known.machine.worker.empty() ||
-        m_scheduler.MayVacate(known.machine.worker)) {
+    const jobs::WorkerState* worker = WorkerOf(known);
+    if (worker == nullptr || m_scheduler.MayVacate(worker->entry.id.id)) {
       Maintain(wave, known);
     }
   }
@@ -305,7 +317,7 @@
   known.ordered_at = m_loop.GetClock().Now();
   const jobs::WorkerState* worker = WorkerOf(known);
   known.life = worker == nullptr ? jobs::WorkerId{} : worker->entry.id;
-  m_scheduler.Vacated(known.machine.worker, known.ordered_at);
+  m_scheduler.Vacated(known.life.id, known.ordered_at);
   const bool first = wave.ordered.insert(name).second;
   if (!first) {
     SendMaintain(number, name, false);
@@ -368,28 +380,19 @@
       }));
 }
 
-bool MachineKeeper::IsInOpenWave(const std::string& machine) const {
-  return std::ranges::any_of(m_waves, [&machine](const auto& row) {
-    const Wave& wave = row.second;
-    if (wave.done) {
-      return false;
-    }
-    const auto begun = wave.begun.find(machine);
-    return std::ranges::find(wave.request.machines, machine) !=
-               wave.request.machines.end() &&
-           (begun == wave.begun.end() || !begun->second);
-  });
-}
-
 void MachineKeeper::MoveMachines(base::TimePoint now) {
   std::map<std::string, jobs::PoolDemand> pools;
-  for (const auto& [service, load] : m_scheduler.LookAtPools()) {
+  for (const auto& [service, load] : m_scheduler.LookAtPools(now)) {
     jobs::PoolDemand& demand = pools[service];
-    demand.waiting_cpu = load.unplaced_cpu + load.refused_cpu;
-    demand.used_cpu = load.used_cpu;
-    demand.capacity_cpu = load.capacity_cpu;
+    demand.lasting = load.lasting;
+    demand.unplaced = load.unplaced;
+    demand.used = load.used;
+    demand.arriving = load.arriving_work;
+  }
+  if (now - m_loads_logged_at > kLoadLogInterval) {
+    m_loads_logged_at = now;
+    LogLoads(now);
   }
-  m_scheduler.ForgetRefusals();
   for (const jobs::ServiceConfig& service : m_config->services) {
     pools[service.name].standby = service.standby;
   }
@@ -401,7 +404,7 @@
     jobs::PoolMachine& machine = machines.emplace_back();
     machine.name = name;
     machine.pool = known.machine.pool;
-    machine.cpu = known.machine.cpu;
+    machine.capacity = known.machine.capacity;
     const jobs::WorkerState* worker = WorkerOf(known);
     if (known.pending == Pending::kMove) {
       machine.pool = known.going_to;
@@ -418,15 +421,40 @@
     machine.idle_since = known.idle_since;
     machine.movable = idle && known.pending == Pending::kNone &&
                       known.machine.state == MachineState::kUp &&
-                      !known.withheld && now >= known.retry_at &&
-                      !IsInOpenWave(name);
+                      !known.withheld && now >= known.retry_at;
+  }
+  std::map<std::string, jobs::Resources> arriving;
+  for (const jobs::PoolMachine& machine : machines) {
+    if (machine.arriving) {
+      arriving[machine.pool] += machine.capacity;
+    }
   }
+  m_scheduler.SetArriving(std::move(arriving));
   for (const jobs::MachineMove& move :
        jobs::PlanMoves(machines, pools, {}, now)) {
     Move(m_machines[move.machine], move);
   }
 }
 
+void MachineKeeper::LogLoads(base::TimePoint now) {
+  const auto list = [](const jobs::Resources& value) {
+    return nlohmann::json{value.cpu, value.memory, value.gpus};
+  };
+  for (const auto& [service, load] : m_scheduler.LookAtPools(now)) {
+    if (load.workers > 0 || load.unplaced.memory > 0) {
+      m_log.Write("pool.load",
+                  {{"service", service},
+                   {"workers", load.workers},
+                   {"capacity", list(load.capacity)},
+                   {"used", list(load.used)},
+                   {"lasting", list(load.lasting)},
+                   {"unplaced", list(load.unplaced)},
+                   {"backlog_core_ms", std::llround(load.backlog.cpu)},
+                   {"arriving_cores", load.arriving_work.cpu}});
+    }
+  }
+}
+
 void MachineKeeper::Move(Known& known, const jobs::MachineMove& move) {
   known.pending = Pending::kMove;
   known.answered = false;
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -16,11 +16,15 @@
 }  // namespace
 
 AdmissionVerdict Admit(const AdmissionInput& input) {
-  if (input.fits_now || input.pool_cores <= 0) {
+  if (input.fits_now || input.pool.cpu <= 0 || input.pool.memory <= 0) {
     // Without cores, workers may be on their way; the job waits for them.
     return {};
   }
-  const double wait_ms = input.backlog_core_ms / input.pool_cores;
+  // The scarcer resource decides.
+  constexpr double kPerCore = 1000.0;
+  const double wait_ms = std::max(
+      input.backlog.cpu * kPerCore / static_cast<double>(input.pool.cpu),
+      input.backlog.memory / static_cast<double>(input.pool.memory));
   const double slack_ms =
       static_cast<double>((input.objective - input.chain).count());
   const double excess_ms = wait_ms - kTolerance * std::max(0.0, slack_ms);
--- a/src/cassiastile/jobs/duration_model.cpp
+++ b/src/cassiastile/jobs/duration_model.cpp
@@ -75,17 +75,25 @@
   return longest;
 }
 
-double DurationModel::ExpectWork(const std::string& queue,
-                                 const JobSpec& spec) const {
-  double work = 0;
+Work DurationModel::ExpectWork(const std::string& queue,
+                               const JobSpec& spec) const {
+  Work work;
   for (const StepSpec& step : spec.steps) {
     if (!step.long_running && !step.fills) {
-      const auto each = Expect(queue, step.estimate).count();
-      work += static_cast<double>(each) * step.count *
-              static_cast<double>(step.need.cpu) / 1000.0;
+      work += WorkOf(step, Expect(queue, step.estimate),
+                     static_cast<double>(step.count));
     }
   }
   return work;
 }
 
+Work WorkOf(const StepSpec& step,
+            std::chrono::milliseconds each,
+            double tasks) {
+  constexpr double kPerCore = 1000.0;
+  const double millis = tasks * static_cast<double>(each.count());
+  return {millis * static_cast<double>(step.need.cpu) / kPerCore,
+          millis * static_cast<double>(step.need.memory)};
+}
+
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/pool_plan.cpp
+++ b/src/cassiastile/jobs/pool_plan.cpp
@@ -1,92 +1,148 @@
 #include "cassiastile/jobs/pool_plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace cassiastile::jobs {
 
 namespace {
 
-bool IsStandby(const std::map<std::string, PoolDemand>& pools,
-               const std::string& pool) {
-  const auto found = pools.find(pool);
-  return found != pools.end() && found->second.standby;
+bool IsPositive(const Resources& value) {
+  return value.cpu > 0 || value.memory > 0 || value.gpus > 0;
 }
 
-bool IsPressed(const std::map<std::string, PoolDemand>& pools,
-               const std::string& pool) {
-  const auto found = pools.find(pool);
-  return found != pools.end() && found->second.waiting_cpu > 0;
-}
-
-}  // namespace
+// One round of planning.
+class Planner {
+ public:
+  Planner(const std::vector<PoolMachine>& machines,
+          const std::map<std::string, PoolDemand>& pools,
+          const PoolPlanOptions& options,
+          base::TimePoint now)
+      : m_machines(machines), m_pools(pools), m_options(options), m_now(now) {
+    for (const PoolMachine& machine : machines) {
+      m_have[machine.pool] += machine.capacity;
+    }
+    for (const auto& [pool, demand] : pools) {
+      m_want[pool] = DesiredCapacity(demand, options);
+    }
+  }
 
-std::vector<MachineMove> PlanMoves(
-    const std::vector<PoolMachine>& machines,
-    const std::map<std::string, PoolDemand>& pools,
-    const PoolPlanOptions& options,
-    base::TimePoint now) {
-  std::vector<MachineMove> moves;
-  std::set<std::string> taken;
-  std::map<std::string, std::int64_t> arriving_cpu;
-  for (const PoolMachine& machine : machines) {
-    if (machine.arriving) {
-      arriving_cpu[machine.pool] += machine.cpu;
+  std::vector<MachineMove> Plan() {
+    for (const auto& [pool, demand] : m_pools) {
+      if (!demand.standby) {
+        Fetch(pool);
+      }
     }
+    ReleaseIdle();
+    return std::move(m_moves);
+  }
+
+ private:
+  bool IsStandby(const std::string& pool) const {
+    const auto found = m_pools.find(pool);
+    return found != m_pools.end() && found->second.standby;
   }
-  std::vector<const PoolMachine*> donors;
-  for (const PoolMachine& machine : machines) {
-    if (machine.movable && !IsPressed(pools, machine.pool)) {
-      donors.push_back(&machine);
+
+  // Whether the machine's pool has enough without it.
+  bool IsSurplus(const PoolMachine& machine) {
+    if (IsStandby(machine.pool)) {
+      return true;
     }
+    const Resources left = m_have[machine.pool] - machine.capacity;
+    return Fits(m_want[machine.pool], left);
   }
-  // Those of the spare pool first: no other pool misses them.
-  std::ranges::stable_sort(donors, [&pools](const auto* left,
-                                            const auto* right) {
-    const bool left_spare = IsStandby(pools, left->pool);
-    const bool right_spare = IsStandby(pools, right->pool);
-    return left_spare != right_spare ? left_spare
-                                     : left->idle_since < right->idle_since;
-  });
-  for (const auto& [pool, demand] : pools) {
-    std::int64_t missing = demand.waiting_cpu - arriving_cpu[pool];
-    for (const PoolMachine* donor : donors) {
-      if (demand.standby || missing <= 0) {
-        break;
-      }
-      if (donor->pool == pool || taken.contains(donor->name)) {
+
+  // The machine to give away next, or null.
+  const PoolMachine* FindDonor(const std::string& pool) {
+    const PoolMachine* best = nullptr;
+    for (const PoolMachine& machine : m_machines) {
+      const bool standby = IsStandby(machine.pool);
+      const bool idle = standby || m_now - machine.idle_since >=
+                                       m_options.idle_before_lending;
+      if (!machine.movable || machine.pool == pool || !idle ||
+          m_taken.contains(machine.name) || !IsSurplus(machine)) {
         continue;
       }
-      taken.insert(donor->name);
-      moves.push_back({donor->name, donor->pool, pool});
-      missing -= donor->cpu;
+      // One that runs anyway costs no more in its new pool.
+      if (best == nullptr || (IsStandby(best->pool) && !standby)) {
+        best = &machine;
+      }
     }
+    return best;
   }
-  const auto spare = std::ranges::find_if(
-      pools, [](const auto& row) { return row.second.standby; });
-  if (spare == pools.end()) {
-    return moves;
+
+  void Move(const PoolMachine& machine, const std::string& to) {
+    m_taken.insert(machine.name);
+    m_have[machine.pool] -= machine.capacity;
+    m_have[to] += machine.capacity;
+    m_moves.push_back({machine.name, machine.pool, to});
   }
-  std::map<std::string, std::int64_t> leaving_cpu;
-  for (const PoolMachine* donor : donors) {
-    const auto found = pools.find(donor->pool);
-    if (found == pools.end() || found->second.standby ||
-        taken.contains(donor->name) ||
-        now - donor->idle_since < options.idle_before_leaving) {
-      continue;
+
+  void Fetch(const std::string& pool) {
+    while (IsPositive(m_want[pool] - m_have[pool])) {
+      const PoolMachine* donor = FindDonor(pool);
+      if (donor == nullptr) {
+        return;
+      }
+      Move(*donor, pool);
     }
-    std::int64_t& leaving = leaving_cpu[donor->pool];
-    const std::int64_t left =
-        found->second.capacity_cpu - leaving - donor->cpu;
-    const double needed = static_cast<double>(found->second.used_cpu) +
-                          options.reserve *
-                              static_cast<double>(found->second.capacity_cpu);
-    if (static_cast<double>(left) >= needed) {
-      leaving += donor->cpu;
-      moves.push_back({donor->name, donor->pool, spare->first});
+  }
+
+  void ReleaseIdle() {
+    const auto spare = std::ranges::find_if(
+        m_pools, [](const auto& row) { return row.second.standby; });
+    if (spare == m_pools.end()) {
+      return;
+    }
+    for (const PoolMachine& machine : m_machines) {
+      const bool long_idle =
+          m_now - machine.idle_since >= m_options.idle_before_leaving;
+      if (machine.movable && long_idle && !IsStandby(machine.pool) &&
+          !m_taken.contains(machine.name) && IsSurplus(machine)) {
+        Move(machine, spare->first);
+      }
     }
   }
-  return moves;
+
+  const std::vector<PoolMachine>& m_machines;
+  const std::map<std::string, PoolDemand>& m_pools;
+  const PoolPlanOptions& m_options;
+  base::TimePoint m_now;
+  std::map<std::string, Resources> m_have;
+  std::map<std::string, Resources> m_want;
+  std::set<std::string> m_taken;
+  std::vector<MachineMove> m_moves;
+};
+
+}  // namespace
+
+Resources DesiredCapacity(const PoolDemand& demand,
+                          const PoolPlanOptions& options) {
+  constexpr double kPerCore = 1000.0;
+  const auto need = [&options](double arriving, std::int64_t running,
+                               std::int64_t unplaced) {
+    const double waiting =
+        options.unplaced_share * static_cast<double>(unplaced);
+    const double now = static_cast<double>(running) + waiting;
+    return std::llround(std::max(options.headroom * arriving, now));
+  };
+  const Resources running = demand.used - demand.lasting;
+  Resources wanted = demand.lasting;
+  wanted.cpu +=
+      need(demand.arriving.cpu * kPerCore, running.cpu, demand.unplaced.cpu);
+  wanted.memory +=
+      need(demand.arriving.memory, running.memory, demand.unplaced.memory);
+  wanted.gpus += running.gpus + demand.unplaced.gpus;
+  return wanted;
+}
+
+std::vector<MachineMove> PlanMoves(
+    const std::vector<PoolMachine>& machines,
+    const std::map<std::string, PoolDemand>& pools,
+    const PoolPlanOptions& options,
+    base::TimePoint now) {
+  return Planner(machines, pools, options, now).Plan();
 }
 
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -20,9 +20,9 @@
   return 1.0 - std::clamp(percent, 0, 100) / kWhole;
 }
 
-// Core-milliseconds that a job still needs.
-double RemainingWork(const Job& job, const DurationModel& durations) {
-  double work = 0;
+// What a job still needs.
+Work RemainingWork(const Job& job, const DurationModel& durations) {
+  Work work;
   for (const Occurrence& occurrence : job.occurrences) {
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const StepSpec& step = job.spec.steps[i];
@@ -33,9 +33,7 @@
       for (const Task& task : occurrence.steps[i].tasks) {
         left += task.done ? 0.0 : LeftOf(task);
       }
-      const auto each = durations.Expect(job.queue, step.estimate).count();
-      work += left * static_cast<double>(each) *
-              static_cast<double>(step.need.cpu) / 1000.0;
+      work += WorkOf(step, durations.Expect(job.queue, step.estimate), left);
     }
   }
   return work;
@@ -132,26 +130,32 @@
   for (const auto& [id, other] : m_jobs) {
     if (!IsFinished(other->phase) && ServiceOf(*other) == job.service &&
         other->worthless > now) {
-      input.backlog_core_ms += RemainingWork(*other, m_durations);
+      input.backlog += RemainingWork(*other, m_durations);
     }
   }
-  std::int64_t free_cpu = 0;
+  Resources free;
   for (const auto& [id, worker] : m_workers) {
     if (worker.entry.service != job.service || !IsUsable(worker, now)) {
       continue;
     }
-    std::int64_t cpu = worker.entry.capacity.cpu;
-    free_cpu += std::max<std::int64_t>(0, cpu - worker.used.cpu);
+    Resources lasting;
     for (const auto& [ref, run] : worker.runs) {
-      cpu -= SpecOf(ref).long_running ? CapacityNeed(SpecOf(ref)).cpu : 0;
+      lasting +=
+          SpecOf(ref).long_running ? CapacityNeed(SpecOf(ref)) : Resources{};
     }
-    input.pool_cores += static_cast<double>(cpu) / 1000.0;
+    free += worker.entry.capacity - worker.used;
+    input.pool += worker.entry.capacity - lasting;
+  }
+  if (const auto arriving = m_arriving.find(job.service);
+      arriving != m_arriving.end()) {
+    input.pool += arriving->second;
+  }
+  if (const auto unplaced = m_unplaced.find(job.service);
+      unplaced != m_unplaced.end()) {
+    free -= unplaced->second;
   }
   const StepSpec& first = job.spec.steps.front();
-  const auto unplaced = m_unplaced_cpu.find(job.service);
-  const std::int64_t taken =
-      unplaced == m_unplaced_cpu.end() ? 0 : unplaced->second;
-  input.fits_now = free_cpu - taken >= first.need.cpu * first.count;
+  input.fits_now = Fits(CapacityNeed(first) * first.count, free);
   input.chain = m_durations.ExpectChain(job.queue, job.spec);
   input.objective = std::chrono::duration_cast<std::chrono::milliseconds>(
       job.objective - now);
@@ -185,12 +189,12 @@
     }
   }
   const bool timed = job.spec.repeats > 0;
-  const bool finite = m_durations.ExpectWork(queue.name, job.spec) > 0;
+  const Work work = m_durations.ExpectWork(queue.name, job.spec);
+  const bool finite = work.cpu > 0;
+  m_arrivals[queue.service].Add(id, work, now);
   if (finite && !timed) {
     const AdmissionVerdict verdict = Admit(MakeAdmissionInput(job, now));
     if (!verdict.admitted) {
-      const StepSpec& first = job.spec.steps.front();
-      m_refused_cpu[queue.service] += first.need.cpu * first.count;
       return {.verdict = Submission::Verdict::kRefused,
               .reason = RefusalReason::kOverload,
               .retry_after = verdict.retry_after};
@@ -366,7 +370,8 @@
   return std::exchange(m_orders, {});
 }
 
-std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools() const {
+std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools(
+    base::TimePoint now) {
   std::map<std::string, PoolLoad> pools;
   for (const auto& [id, worker] : m_workers) {
     if (!worker.listed || worker.entry.draining) {
@@ -374,19 +379,24 @@
     }
     PoolLoad& load = pools[worker.entry.service];
     ++load.workers;
-    load.capacity_cpu += worker.entry.capacity.cpu;
-    load.used_cpu += worker.used.cpu;
+    load.capacity += worker.entry.capacity;
+    load.used += worker.used;
     for (const auto& [ref, run] : worker.runs) {
       if (SpecOf(ref).long_running) {
-        load.lasting_cpu += CapacityNeed(SpecOf(ref)).cpu;
+        load.lasting += CapacityNeed(SpecOf(ref));
       }
     }
   }
-  for (const auto& [service, cpu] : m_unplaced_cpu) {
-    pools[service].unplaced_cpu = cpu;
+  for (const auto& [service, need] : m_unplaced) {
+    pools[service].unplaced = need;
+  }
+  for (auto& [service, meter] : m_arrivals) {
+    pools[service].arriving_work = meter.Rate(now);
   }
-  for (const auto& [service, cpu] : m_refused_cpu) {
-    pools[service].refused_cpu = cpu;
+  for (const auto& [id, job] : m_jobs) {
+    if (!IsFinished(job->phase) && job->worthless > now) {
+      pools[ServiceOf(*job)].backlog += RemainingWork(*job, m_durations);
+    }
   }
   return pools;
 }
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -134,7 +134,7 @@
       waiting[ServiceOf(*job)].push_back(job.get());
     }
   }
-  m_unplaced_cpu.clear();
+  m_unplaced.clear();
   for (auto& [service, jobs] : waiting) {
     PlaceService(service, jobs, now);
   }
@@ -241,7 +241,7 @@
       full = worker == nullptr;
     }
     if (worker == nullptr) {
-      m_unplaced_cpu[ServiceOf(job)] += full ? CapacityNeed(spec).cpu : 0;
+      m_unplaced[ServiceOf(job)] += full ? CapacityNeed(spec) : Resources{};
       left.push_back(index);
       continue;
     }
--- a/src/cassiastile/jobs/wave_plan.cpp
+++ b/src/cassiastile/jobs/wave_plan.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/jobs/wave_plan.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cassiastile::jobs {
 
@@ -31,12 +32,16 @@
   const auto rounds = (emptying.size() + others.size()) / limits.max_down + 1;
   const bool hurry = limits.left < 2 * limits.each * rounds;
   std::size_t planned = taken + emptying.size() - plan.maintain.size();
-  std::ranges::stable_sort(others, {}, &WaveMachine::finite_cpu);
+  // Idle ones first: emptying a machine of long-running tasks takes a while.
+  std::ranges::stable_sort(others, [](const auto* left, const auto* right) {
+    return std::pair(!left->idle, left->finite_cpu) <
+           std::pair(!right->idle, right->finite_cpu);
+  });
   for (const WaveMachine* machine : others) {
     if (planned >= limits.max_down) {
       break;
     }
-    if (hurry || !machine->needed) {
+    if (hurry || machine->idle || !machine->needed) {
       plan.withhold.push_back(machine->name);
       ++planned;
     }
