--- a/cmake/cassiastile_module.cmake
+++ b/cmake/cassiastile_module.cmake
@@ -7,7 +7,8 @@
 
 function(cassiastile_module name)
   file(GLOB sources CONFIGURE_DEPENDS *.cpp)
-  file(GLOB tests CONFIGURE_DEPENDS *_test.cpp)
+  # Test benches are what several tests of a module share.
+  file(GLOB tests CONFIGURE_DEPENDS *_test.cpp *_bench.cpp)
   if(tests)
     list(REMOVE_ITEM sources ${tests})
   endif()
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -58,7 +58,9 @@
 
 struct Task {
   bool done = false;
-  std::uint32_t failures = 0;
+  // Numbers of the runs that failed. An end is listed again until it is known
+  // to be stored, so a count alone could count it twice.
+  std::vector<std::uint32_t> failed_runs;
   std::uint32_t last_run = 0;
   std::string checkpoint;
   std::vector<Run> runs;       // More than one only where copies are allowed.
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -247,6 +247,7 @@
               base::TimePoint now);
   void TaskDone(const TaskRef& ref, base::TimePoint now);
   void TaskFailed(const TaskRef& ref,
+                  std::uint32_t run,
                   const std::string& worker,
                   base::TimePoint now);
   void NoteListed(WorkerState& worker,
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -68,7 +68,7 @@
 };
 
 bool IsUntouched(const Task& task) {
-  return !task.done && task.last_run == 0 && task.failures == 0;
+  return !task.done && task.last_run == 0 && task.failed_runs.empty();
 }
 
 std::vector<TaskRow> TouchedTasks(const Occurrence& occurrence) {
@@ -87,7 +87,7 @@
 void EncodeTask(cereal::PortableBinaryOutputArchive& archive,
                 const TaskRow& row) {
   const Task& task = *row.task;
-  archive(row.step, row.index, task.done, task.failures, task.last_run,
+  archive(row.step, row.index, task.done, task.failed_runs, task.last_run,
           task.checkpoint, static_cast<std::uint32_t>(task.runs.size()));
   for (const Run& run : task.runs) {
     archive(run.number, run.worker.id, run.worker.born, run.machine);
@@ -105,7 +105,7 @@
   }
   Task& task = occurrence.steps[step].tasks[index];
   std::uint32_t runs = 0;
-  archive(task.done, task.failures, task.last_run, task.checkpoint, runs);
+  archive(task.done, task.failed_runs, task.last_run, task.checkpoint, runs);
   for (std::uint32_t i = 0; i < runs; ++i) {
     Run& run = task.runs.emplace_back();
     archive(run.number, run.worker.id, run.worker.born, run.machine);
--- /dev/null
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -0,0 +1,183 @@
+#include "scheduler_bench.hpp"
+
+#include <algorithm>
+
+namespace cassiastile::jobs {
+
+namespace {
+
+constexpr char kQueue[] = "queue";
+constexpr char kService[] = "service";
+constexpr std::size_t kMaxRows = 80;
+constexpr std::int64_t kWorkerCpu = 16000;
+constexpr std::int64_t kWorkerMemory = 65536;
+
+}  // namespace
+
+SchedulerBench::SchedulerBench(std::uint32_t max_attempts)
+    : m_max_attempts(max_attempts),
+      m_scheduler(std::make_unique<Scheduler>(SchedulerOptions{})),
+      m_config(std::make_shared<FleetConfig>()) {
+  m_config->version = 1;
+  m_config->queues.push_back({.name = kQueue,
+                              .host = "host",
+                              .path_prefix = "/queue/",
+                              .service = kService,
+                              .max_attempts = max_attempts,
+                              .stretch = 2.0,
+                              .slack = std::chrono::milliseconds(600),
+                              .advice = {}});
+  m_config->services.push_back({.name = kService});
+  m_config->customers.push_back({.name = "customer", .limit = {}, .keys = {}});
+  m_config->BuildIndex();
+  m_scheduler->ApplyConfig(m_config);
+}
+
+JobSpec SchedulerBench::OneTask(std::int64_t cpu) {
+  JobSpec spec;
+  StepSpec& step = spec.steps.emplace_back();
+  step.need = {cpu, 100, 0};
+  step.estimate = std::chrono::milliseconds(500);
+  return spec;
+}
+
+JobSpec SchedulerBench::LongRunning(std::uint32_t tasks,
+                                    std::uint32_t max_unavailable) {
+  JobSpec spec = OneTask();
+  spec.steps.front().count = tasks;
+  spec.steps.front().long_running = true;
+  spec.steps.front().max_unavailable = max_unavailable;
+  return spec;
+}
+
+void SchedulerBench::AddWorker(const std::string& id, std::int64_t born) {
+  WorkerEntry entry;
+  entry.id = {id, born};
+  entry.service = kService;
+  entry.machine = "machine-" + id;
+  entry.endpoint = id + ":1";
+  entry.capacity = {kWorkerCpu, kWorkerMemory, 0};
+  const bool other_life =
+      m_entries.contains(id) && m_entries[id].id.born != born;
+  if (other_life) {
+    m_running.erase(id);
+    m_ended.erase(id);
+  }
+  m_entries[id] = entry;
+  ListWorkers();
+  Report(id, Listing(id));
+}
+
+void SchedulerBench::RemoveWorker(const std::string& id) {
+  m_entries.erase(id);
+  ListWorkers();
+}
+
+void SchedulerBench::ListWorkers() {
+  std::vector<WorkerEntry> entries;
+  for (const auto& [id, entry] : m_entries) {
+    entries.push_back(entry);
+  }
+  m_scheduler->WorkersListed(entries, Now());
+}
+
+Submission SchedulerBench::Submit(const std::string& id, JobSpec spec) {
+  return m_scheduler->Submit(id, m_config->queues.front(), "customer",
+                             std::move(spec), Now());
+}
+
+Orders SchedulerBench::Step() {
+  m_scheduler->Plan(Now(), m_clock.WallNow());
+  while (m_scheduler->HasRows() || m_scheduler->HasUrgentRows()) {
+    const Batch batch = m_scheduler->TakeBatch(kMaxRows, Now());
+    for (const JobRow& row : batch.rows) {
+      auto& table = row.is_record ? m_records : m_progress;
+      if (row.bytes) {
+        table[row.job] = *row.bytes;
+      } else {
+        table.erase(row.job);
+      }
+    }
+    m_scheduler->Confirm(batch, Now());
+  }
+  return m_scheduler->TakeOrders();
+}
+
+std::vector<StartOrder> SchedulerBench::StepAndStart() {
+  const Orders orders = Step();
+  for (const StartOrder& order : orders.starts) {
+    m_running[order.worker.id].push_back(order);
+    m_scheduler->StartAnswered(order.worker, order.task, order.run,
+                               StartResult::kRunning, Now());
+  }
+  return orders.starts;
+}
+
+WorkerReport SchedulerBench::Listing(const std::string& worker) const {
+  WorkerReport report;
+  report.born = m_entries.at(worker).id.born;
+  if (const auto found = m_running.find(worker); found != m_running.end()) {
+    for (const StartOrder& order : found->second) {
+      ListedRun& run = report.running.emplace_back();
+      run.task = order.task;
+      run.run = order.run;
+      run.percent = 100;
+    }
+  }
+  if (const auto found = m_ended.find(worker); found != m_ended.end()) {
+    report.ended = found->second;
+  }
+  return report;
+}
+
+void SchedulerBench::Report(const std::string& worker, WorkerReport report) {
+  m_scheduler->LeaseSent(worker, Now() + std::chrono::seconds(5));
+  m_scheduler->WorkerReported(worker, report, Now(), Now());
+}
+
+void SchedulerBench::End(const StartOrder& order,
+                         RunEnd how,
+                         std::uint64_t sequence) {
+  auto& running = m_running[order.worker.id];
+  std::erase_if(running, [&order](const StartOrder& each) {
+    return each.task == order.task && each.run == order.run;
+  });
+  ListedEnd end;
+  end.sequence = sequence;
+  end.task = order.task;
+  end.run = order.run;
+  end.how = how;
+  m_ended[order.worker.id].push_back(end);
+  Report(order.worker.id, Listing(order.worker.id));
+}
+
+std::vector<Job> SchedulerBench::Stored() const {
+  std::vector<Job> jobs;
+  for (const auto& [id, progress] : m_progress) {
+    Job job;
+    job.id = id;
+    if (const auto record = m_records.find(id); record != m_records.end()) {
+      job = *DecodeRecord(id, record->second);
+    }
+    if (DecodeProgress(job, progress)) {
+      jobs.push_back(std::move(job));
+    }
+  }
+  return jobs;
+}
+
+SchedulerBench SchedulerBench::Successor(
+    std::chrono::milliseconds silent_for) const {
+  SchedulerBench bench(m_max_attempts);
+  bench.m_clock = m_clock;
+  bench.m_entries = m_entries;
+  bench.m_running = m_running;
+  bench.m_ended = m_ended;
+  bench.m_records = m_records;
+  bench.m_progress = m_progress;
+  bench.m_scheduler->Recover(Stored(), Now(), Now() + silent_for);
+  bench.ListWorkers();
+  return bench;
+}
+
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cassiastile/base/clock.hpp"
+#include "cassiastile/jobs/scheduler.hpp"
+
+namespace cassiastile::jobs {
+
+// A scheduler with a few workers for tests. Commits succeed at once; what is
+// ordered is kept for the test to answer.
+class SchedulerBench {
+ public:
+  explicit SchedulerBench(std::uint32_t max_attempts = 2);
+
+  static JobSpec OneTask(std::int64_t cpu = 1000);
+  static JobSpec LongRunning(std::uint32_t tasks,
+                             std::uint32_t max_unavailable);
+
+  void AddWorker(const std::string& id, std::int64_t born = 1);
+  void RemoveWorker(const std::string& id);
+  Submission Submit(const std::string& id, JobSpec spec);
+  // Plans, commits all that is to be written and returns the orders.
+  Orders Step();
+  // Answers all starts with success.
+  std::vector<StartOrder> StepAndStart();
+  void Report(const std::string& worker, WorkerReport report);
+  // A report that lists what was started there and has not ended.
+  WorkerReport Listing(const std::string& worker) const;
+  void End(const StartOrder& order, RunEnd how, std::uint64_t sequence);
+  // What a successor reads from the store.
+  std::vector<Job> Stored() const;
+  // A bench whose scheduler took over from this one.
+  SchedulerBench Successor(std::chrono::milliseconds silent_for) const;
+  void Advance(std::chrono::milliseconds by) { m_clock.Advance(by); }
+  base::TimePoint Now() const { return m_clock.Now(); }
+  Scheduler& Get() { return *m_scheduler; }
+
+ private:
+  void ListWorkers();
+
+  base::ManualClock m_clock;
+  std::uint32_t m_max_attempts;
+  std::unique_ptr<Scheduler> m_scheduler;
+  std::map<std::string, WorkerEntry> m_entries;
+  std::map<std::string, std::vector<StartOrder>> m_running;
+  std::map<std::string, std::vector<ListedEnd>> m_ended;
+  std::map<std::string, std::string> m_records;
+  std::map<std::string, std::string> m_progress;
+  std::shared_ptr<FleetConfig> m_config;
+};
+
+}  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -278,7 +278,7 @@
     TaskDone(ref, now);
   } else if (end.how == RunEnd::kFailed) {
     worker.health.RunFailed(now);
-    TaskFailed(ref, worker.entry.id.id, now);
+    TaskFailed(ref, end.run, worker.entry.id.id, now);
   }
 }
 
@@ -324,6 +324,7 @@
 }
 
 void Scheduler::TaskFailed(const TaskRef& ref,
+                           std::uint32_t run,
                            const std::string& worker,
                            base::TimePoint now) {
   Job& job = *ref.job;
@@ -331,14 +332,15 @@
   if (IsFinished(job.phase) || task.done) {
     return;
   }
-  ++task.failures;
   task.avoided_worker = worker;
-  if (SpecOf(ref).long_running) {
+  if (SpecOf(ref).long_running ||
+      std::ranges::find(task.failed_runs, run) != task.failed_runs.end()) {
     return;
   }
+  task.failed_runs.push_back(run);
   const QueueConfig* queue = QueueOf(job);
   const std::uint32_t attempts = queue == nullptr ? 1 : queue->max_attempts;
-  if (task.failures >= attempts) {
+  if (task.failed_runs.size() >= attempts) {
     Finish(job, JobPhase::kFailed, now);
   }
 }
--- /dev/null
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -0,0 +1,280 @@
+#include "cassiastile/jobs/scheduler.hpp"
+
+#include <algorithm>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "scheduler_bench.hpp"
+
+namespace cassiastile::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::IsEmpty;
+using testing::SizeIs;
+
+constexpr char kJob[] = "5c0e7a21d94b36f8";
+
+TEST(SchedulerTest, RunsAJobToItsEnd) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  EXPECT_EQ(bench.Submit(kJob, SchedulerBench::OneTask()).verdict,
+            Submission::Verdict::kNew);
+  const auto starts = bench.StepAndStart();
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().run, 1U);
+  bench.End(starts.front(), RunEnd::kDone, 1);
+  EXPECT_EQ(bench.Get().FindJob(kJob)->stored_phase, JobPhase::kRunning);
+  bench.Step();
+  EXPECT_EQ(bench.Get().FindJob(kJob)->stored_phase, JobPhase::kDone);
+  EXPECT_EQ(bench.Get().FindWorker("a")->acked_end, 1U);
+}
+
+TEST(SchedulerTest, StartsNothingBeforeItsRecordIsCommitted) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  bench.Get().Plan(bench.Now(), base::WallTime{});
+  EXPECT_THAT(bench.Get().TakeOrders().starts, IsEmpty());
+  EXPECT_FALSE(bench.Get().FindJob(kJob)->accepted);
+  EXPECT_THAT(bench.Step().starts, SizeIs(1));
+}
+
+TEST(SchedulerTest, SameJobHandedInAgainStaysOneJob) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  EXPECT_EQ(bench.Submit(kJob, SchedulerBench::OneTask()).verdict,
+            Submission::Verdict::kPending);
+  EXPECT_THAT(bench.StepAndStart(), SizeIs(1));
+  EXPECT_EQ(bench.Submit(kJob, SchedulerBench::OneTask()).verdict,
+            Submission::Verdict::kKnown);
+  EXPECT_THAT(bench.StepAndStart(), IsEmpty());
+}
+
+TEST(SchedulerTest, StepWaitsForThoseBeforeIt) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  JobSpec spec = SchedulerBench::OneTask();
+  spec.steps.push_back(spec.steps.front());
+  spec.steps.back().after = {0};
+  bench.Submit(kJob, spec);
+  const auto first = bench.StepAndStart();
+  ASSERT_THAT(first, SizeIs(1));
+  EXPECT_THAT(bench.StepAndStart(), IsEmpty());
+  bench.End(first.front(), RunEnd::kDone, 1);
+  const auto second = bench.StepAndStart();
+  ASSERT_THAT(second, SizeIs(1));
+  EXPECT_EQ(second.front().task.step, 1U);
+}
+
+TEST(SchedulerTest, JobFailsAfterItsAttempts) {
+  SchedulerBench bench(2);
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto first = bench.StepAndStart();
+  bench.End(first.front(), RunEnd::kFailed, 1);
+  const auto second = bench.StepAndStart();
+  ASSERT_THAT(second, SizeIs(1));
+  EXPECT_NE(second.front().worker.id, first.front().worker.id);
+  bench.End(second.front(), RunEnd::kFailed, 1);
+  bench.Step();
+  EXPECT_EQ(bench.Get().FindJob(kJob)->stored_phase, JobPhase::kFailed);
+}
+
+// A worker lists an end until it is acknowledged, so the successor of a
+// scheduler sees ends that the store already covers.
+TEST(SchedulerTest, FailureListedAgainAfterATakeoverCountsOnce) {
+  SchedulerBench bench(2);
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto first = bench.StepAndStart();
+  bench.End(first.front(), RunEnd::kFailed, 1);
+  bench.Step();
+  SchedulerBench successor = bench.Successor(milliseconds(10000));
+  successor.Report("a", successor.Listing("a"));
+  successor.Report("b", successor.Listing("b"));
+  successor.StepAndStart();
+  EXPECT_EQ(successor.Get().FindJob(kJob)->phase, JobPhase::kRunning);
+}
+
+TEST(SchedulerTest, EndListedAgainAfterATakeoverCompletesNoOtherStep) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  JobSpec spec = SchedulerBench::OneTask();
+  spec.steps.push_back(spec.steps.front());
+  spec.steps.push_back(spec.steps.front());
+  spec.steps[1].after = {0};
+  spec.steps[2].after = {1};
+  bench.Submit(kJob, spec);
+  bench.End(bench.StepAndStart().front(), RunEnd::kDone, 1);
+  bench.End(bench.StepAndStart().front(), RunEnd::kDone, 2);
+  bench.Step();
+  SchedulerBench successor = bench.Successor(milliseconds(10000));
+  successor.Report("a", successor.Listing("a"));
+  successor.Step();
+  EXPECT_FALSE(IsFinished(successor.Get().FindJob(kJob)->phase));
+}
+
+TEST(SchedulerTest, SuccessorAdoptsWhatRuns) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto starts = bench.StepAndStart();
+  SchedulerBench successor = bench.Successor(milliseconds(10000));
+  successor.Report("a", successor.Listing("a"));
+  successor.Report("b", successor.Listing("b"));
+  EXPECT_THAT(successor.StepAndStart(), IsEmpty());
+  successor.End(starts.front(), RunEnd::kDone, 1);
+  successor.Step();
+  EXPECT_EQ(successor.Get().FindJob(kJob)->stored_phase, JobPhase::kDone);
+}
+
+TEST(SchedulerTest, SuccessorWaitsForSilentWorkersLeases) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  bench.StepAndStart();
+  bench.AddWorker("b");
+  SchedulerBench successor = bench.Successor(milliseconds(10000));
+  successor.Report("b", successor.Listing("b"));
+  successor.Advance(milliseconds(9000));
+  successor.Report("b", successor.Listing("b"));
+  EXPECT_THAT(successor.StepAndStart(), IsEmpty());
+  successor.Advance(milliseconds(1100));
+  successor.Report("b", successor.Listing("b"));
+  const auto starts = successor.StepAndStart();
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker.id, "b");
+  EXPECT_EQ(starts.front().run, 2U);
+}
+
+TEST(SchedulerTest, NewLifeOfAWorkerRunsNothingOfBefore) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  bench.StepAndStart();
+  bench.AddWorker("a", 2);
+  const auto starts = bench.StepAndStart();
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker, (WorkerId{"a", 2}));
+}
+
+TEST(SchedulerTest, UnansweredStartIsStoppedBeforeItRunsElsewhere) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const Orders orders = bench.Step();
+  ASSERT_THAT(orders.starts, SizeIs(1));
+  const StartOrder start = orders.starts.front();
+  bench.Get().StartAnswered(start.worker, start.task, start.run,
+                            StartResult::kUnknown, bench.Now());
+  EXPECT_TRUE(bench.Get().FindWorker(start.worker.id)->wants_report);
+  bench.Advance(milliseconds(10));
+  bench.Report(start.worker.id, bench.Listing(start.worker.id));
+  const Orders stops = bench.Step();
+  ASSERT_THAT(stops.stops, SizeIs(1));
+  EXPECT_THAT(stops.starts, IsEmpty());
+  bench.Get().StopAnswered(start.worker, start.task, start.run, bench.Now());
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+  bench.Advance(milliseconds(10));
+  bench.Report(start.worker.id, bench.Listing(start.worker.id));
+  const Orders again = bench.Step();
+  ASSERT_THAT(again.starts, SizeIs(1));
+  EXPECT_EQ(again.starts.front().run, 2U);
+}
+
+TEST(SchedulerTest, UnansweredStartThatRunsIsKept) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const StartOrder start = bench.Step().starts.front();
+  bench.Get().StartAnswered(start.worker, start.task, start.run,
+                            StartResult::kUnknown, bench.Now());
+  WorkerReport report = bench.Listing("a");
+  ListedRun& run = report.running.emplace_back();
+  run.task = start.task;
+  run.run = start.run;
+  bench.Advance(milliseconds(10));
+  bench.Report("a", report);
+  EXPECT_THAT(bench.Step().stops, IsEmpty());
+}
+
+TEST(SchedulerTest, RunNobodyOrderedIsStopped) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  WorkerReport report = bench.Listing("a");
+  ListedRun& run = report.running.emplace_back();
+  run.task = {kJob, 0, 0, 0};
+  run.run = 3;
+  bench.Report("a", report);
+  const Orders orders = bench.Step();
+  ASSERT_THAT(orders.stops, SizeIs(1));
+  EXPECT_EQ(orders.stops.front().run, 3U);
+}
+
+TEST(SchedulerTest, CancelledJobsTasksAreStopped) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::LongRunning(2, 1));
+  bench.StepAndStart();
+  EXPECT_TRUE(bench.Get().Cancel(kJob, bench.Now()));
+  EXPECT_THAT(bench.Step().stops, SizeIs(2));
+  EXPECT_EQ(bench.Get().FindJob(kJob)->stored_phase, JobPhase::kCancelled);
+}
+
+TEST(SchedulerTest, LongRunningTaskStartsAgainHoweverItEnds) {
+  SchedulerBench bench(1);
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::LongRunning(1, 0));
+  std::uint64_t sequence = 0;
+  for (const RunEnd how : {RunEnd::kFailed, RunEnd::kDone, RunEnd::kLapsed}) {
+    bench.Advance(milliseconds(10));
+    const auto starts = bench.StepAndStart();
+    ASSERT_THAT(starts, SizeIs(1));
+    bench.End(starts.front(), how, ++sequence);
+  }
+  EXPECT_FALSE(IsFinished(bench.Get().FindJob(kJob)->phase));
+}
+
+TEST(SchedulerTest, VacatesNoMoreOfAStepThanItAllows) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit(kJob, SchedulerBench::LongRunning(2, 1));
+  bench.StepAndStart();
+  bench.Report("a", bench.Listing("a"));
+  bench.Report("b", bench.Listing("b"));
+  EXPECT_TRUE(bench.Get().MayVacate("a"));
+  bench.Get().Vacated("a", bench.Now());
+  EXPECT_FALSE(bench.Get().MayVacate("b"));
+}
+
+TEST(SchedulerTest, TaskOnASilentWorkerCountsAsAway) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit(kJob, SchedulerBench::LongRunning(2, 1));
+  bench.StepAndStart();
+  bench.Report("a", bench.Listing("a"));
+  bench.Report("b", bench.Listing("b"));
+  bench.Get().WorkerSilent("a", bench.Now());
+  EXPECT_FALSE(bench.Get().MayVacate("b"));
+}
+
+TEST(SchedulerTest, StaysWithinTheCapacityOfWorkers) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  JobSpec spec = SchedulerBench::OneTask(5000);
+  spec.steps.front().count = 5;
+  bench.Submit(kJob, spec);
+  EXPECT_THAT(bench.StepAndStart(), SizeIs(3));
+}
+
+}  // namespace
+}  // namespace cassiastile::jobs
