Relieve an office that the store turns away; record orders for machines

Change: the holder asks others for relief when its commits fail; each order for a machine is recorded with the store's clock, so a successor waits only for machines that were just ordered; pools keep as many workers as long-running steps are spread over. Log lines are written whole.

--- a/include/cassiastile/host/commit_chain.hpp
+++ b/include/cassiastile/host/commit_chain.hpp
@@ -53,6 +53,8 @@
 
   // When the last commit that was applied had been sent.
   base::TimePoint ConfirmedAt() const { return m_confirmed_at; }
+  // The store's clock now, by the last commit.
+  std::chrono::milliseconds StoreNow() const;
   // Since when commits have failed; nothing while they succeed.
   std::optional<base::TimePoint> FailingSince() const {
     return m_failing_since;
@@ -75,6 +77,8 @@
   std::function<void(bool)> m_done;
   std::uint32_t m_attempts = 0;
   base::TimePoint m_confirmed_at{};
+  std::chrono::milliseconds m_store_clock{0};
+  base::TimePoint m_store_clock_at{};
   std::optional<base::TimePoint> m_failing_since;
   Lifetime m_lifetime;
 };
--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -63,6 +63,8 @@
   // recorded or can't be.
   void Resign(std::function<void()> done);
 
+  // Whether commits have failed for a while.
+  bool StoreIsAway() const;
   bool IsServing() const { return m_serving; }
   std::uint64_t Fence() const { return m_chain->Fence(); }
   const jobs::Scheduler& GetScheduler() const { return m_scheduler; }
@@ -101,7 +103,6 @@
   void Pump();
   void Committed(const jobs::Batch& batch);
   void Lose();
-  bool StoreIsAway() const;
   bool MayGiveOrders() const;
 
   // dispatcher_jobs.cpp
--- a/include/cassiastile/host/machine_keeper.hpp
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -41,7 +41,9 @@
 
   // Takes what the predecessor recorded of a wave.
   void Recover(const Row& row);
-  void Begin(std::uint64_t fence, bool had_predecessor);
+  // `store_now` reads the store's clock.
+  void Begin(std::uint64_t fence,
+             std::function<std::chrono::milliseconds()> store_now);
   void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
   void ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves);
   // A worker does not answer; its machine may be down.
@@ -91,6 +93,12 @@
   void EndLostLives(base::TimePoint asked_at);
   void Move(Known& known, const jobs::MachineMove& move);
   void Withhold(Known& known, bool withheld, base::TimePoint now);
+  bool MayOrder(const std::string& machine) const;
+  // Records an order, then gives it.
+  void Record(const std::string& machine,
+              std::vector<Row> rows,
+              std::function<void()> order);
+  void SendMove(const jobs::MachineMove& move);
   void StoreWave(Wave& wave, bool done);
   const jobs::WorkerState* WorkerOf(const Known& known) const;
   std::int64_t FiniteCpu(const jobs::WorkerState& worker) const;
@@ -109,10 +117,14 @@
   std::map<std::string, Known> m_machines;
   std::map<std::uint64_t, Wave> m_waves;
   std::uint64_t m_fence = 0;
-  base::TimePoint m_orders_from{};
+  std::function<std::chrono::milliseconds()> m_store_now;
+  // When machines were last given an order, by the store's clock. Holders of
+  // the office must not take turns with one machine too soon.
+  std::map<std::string, std::chrono::milliseconds> m_ordered;
   base::TimePoint m_listed_at{};
   base::TimePoint m_planned_at{};
   base::TimePoint m_loads_logged_at{};
+  std::chrono::milliseconds m_own_from{0};  // Orders since are our own.
   bool m_listing = false;
   bool m_list_soon = false;
   bool m_has_list = false;
--- a/include/cassiastile/host/peer_message.hpp
+++ b/include/cassiastile/host/peer_message.hpp
@@ -29,12 +29,15 @@
   std::string config;  // As the operators wrote it; empty if not newer.
   OfficeNotice office;
   bool in_office = false;
+  // The sender holds the office and can't reach the store; whoever can should
+  // take over.
+  bool wants_relief = false;
   bool store_answers = false;  // The sender has lately reached the store.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(host, endpoint, config_version, config, office, in_office,
-            store_answers);
+            wants_relief, store_answers);
   }
 };
 
--- a/include/cassiastile/host/ports.hpp
+++ b/include/cassiastile/host/ports.hpp
@@ -50,12 +50,14 @@
   Outcome outcome = Outcome::kUnknown;
   std::uint64_t version = 0;
   std::vector<Row> current;  // On conflict, the expected rows as they are.
+  std::chrono::milliseconds now{0};  // The store's steady clock.
 };
 
 struct RowPage {
   std::vector<Row> rows;
   bool has_more = false;
-  std::uint64_t version = 0;  // Newest in the store when it was read.
+  std::uint64_t version = 0;         // Newest in the store when it was read.
+  std::chrono::milliseconds now{0};  // The store's steady clock.
 };
 
 struct FeedPage {
--- a/include/cassiastile/jobs/pool_plan.hpp
+++ b/include/cassiastile/jobs/pool_plan.hpp
@@ -26,6 +26,7 @@
   Resources lasting;   // By long-running tasks.
   Resources unplaced;  // Needed by tasks that found no room.
   Work arriving;       // Handed in per millisecond.
+  std::size_t min_machines = 0;
 };
 
 struct MachineMove {
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -201,6 +201,8 @@
     Work backlog;        // Left of the jobs that are worth something.
     Work arriving_work;  // Handed in per millisecond.
     std::size_t workers = 0;
+    // Distinct workers that long-running steps need, with one to move to.
+    std::size_t min_workers = 0;
   };
   std::map<std::string, PoolLoad> LookAtPools(base::TimePoint now);
   // Capacity on its way to each pool.
--- a/src/cassiastile/host/commit_chain.cpp
+++ b/src/cassiastile/host/commit_chain.cpp
@@ -72,8 +72,17 @@
                  }));
 }
 
+std::chrono::milliseconds CommitChain::StoreNow() const {
+  return m_store_clock + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             m_loop.GetClock().Now() - m_store_clock_at);
+}
+
 void CommitChain::Answered(TransactionReply reply, base::TimePoint sent_at) {
   using Outcome = TransactionReply::Outcome;
+  if (reply.now.count() > 0) {
+    m_store_clock = reply.now;
+    m_store_clock_at = m_loop.GetClock().Now();
+  }
   if (reply.outcome == Outcome::kApplied) {
     m_version = reply.version;
     m_confirmed_at = sent_at;
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -233,7 +233,7 @@
       now + kUnconfirmedTerm + 2 * m_settings.max_worker_lease / 3;
   m_scheduler.Recover(std::move(recovered), now, silent_bound);
   m_serving = true;
-  m_machines.Begin(Fence(), m_had_predecessor);
+  m_machines.Begin(Fence(), [this] { return m_chain->StoreNow(); });
   m_log.Write("office.serving", {{"fence", Fence()},
                                  {"jobs", count},
                                  {"workers", m_entries.size()},
@@ -319,10 +319,14 @@
     (row.bytes ? puts : drops).push_back(std::move(put));
   }
   std::vector<std::function<void()>> stored;
+  std::map<std::string, Row> rows;  // The newest of each key.
   for (auto& [row, done] : std::exchange(m_rows, {})) {
-    puts.push_back(std::move(row));
+    rows[row.key] = std::move(row);
     stored.push_back(std::move(done));
   }
+  for (auto& [key, row] : rows) {
+    puts.push_back(std::move(row));
+  }
   m_chain->Commit(std::move(puts), std::move(drops),
                   m_lifetime.Guard([this, batch, stored](bool applied) {
                     if (applied) {
--- a/src/cassiastile/host/event_log.cpp
+++ b/src/cassiastile/host/event_log.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <climits>
+
 #include <fcntl.h>
 #include <unistd.h>
 #include <nlohmann/json.hpp>
@@ -12,6 +14,7 @@
 
 // About a second of lines at the highest rate seen in tests.
 constexpr std::size_t kMaxBuffered = 512U << 10U;
+constexpr std::size_t kAtomicWrite = PIPE_BUF;
 
 }  // namespace
 
@@ -49,8 +52,21 @@
     fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   }
   return [](std::string_view bytes) -> std::size_t {
-    const ssize_t written = write(STDOUT_FILENO, bytes.data(), bytes.size());
-    return written < 0 ? 0 : static_cast<std::size_t>(written);
+    std::size_t taken = 0;
+    while (taken < bytes.size()) {
+      // Whole lines that a pipe takes at once or not at all.
+      std::string_view chunk = bytes.substr(taken, kAtomicWrite);
+      if (const std::size_t end = chunk.rfind('\n');
+          end != std::string_view::npos) {
+        chunk = chunk.substr(0, end + 1);
+      }
+      const ssize_t written = write(STDOUT_FILENO, chunk.data(), chunk.size());
+      if (written <= 0) {
+        break;
+      }
+      taken += static_cast<std::size_t>(written);
+    }
+    return taken;
   };
 }
 
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -13,6 +13,7 @@
 // few rounds.
 constexpr std::chrono::milliseconds kGreetInterval{500};
 constexpr std::size_t kGreetedEachRound = 2;
+constexpr std::size_t kAskedForRelief = 8;
 constexpr std::chrono::milliseconds kFindPeersInterval{3000};
 constexpr std::chrono::milliseconds kWatchInterval{250};
 // The holder of the office rewrites its record twice a second. One that has not
@@ -123,7 +124,9 @@
     endpoints.push_back(peer.endpoint);
   }
   std::ranges::shuffle(endpoints, m_random);
-  endpoints.resize(std::min(endpoints.size(), kGreetedEachRound));
+  const bool wants_relief = IsOffice() && m_dispatcher->StoreIsAway();
+  const std::size_t most = wants_relief ? kAskedForRelief : kGreetedEachRound;
+  endpoints.resize(std::min(endpoints.size(), most));
   const bool ask_office = !IsOffice() && !m_office.host.empty();
   if (ask_office &&
       std::ranges::find(endpoints, m_office.endpoint) == endpoints.end()) {
@@ -173,6 +176,7 @@
   }
   greeting.office = m_office;
   greeting.in_office = IsOffice() && !m_resigning;
+  greeting.wants_relief = IsOffice() && m_dispatcher->StoreIsAway();
   greeting.store_answers = m_config.StoreAnswers();
   return greeting;
 }
@@ -196,9 +200,16 @@
     SendGreeting(greeting.endpoint);
   }
   TakeNotice(greeting.office);
-  if (greeting.host == m_office.host && greeting.in_office) {
+  if (greeting.host != m_office.host || !greeting.in_office) {
+    return;
+  }
+  m_refusals = 0;
+  if (greeting.wants_relief) {
+    // No term to wait for: it gives no orders that it can't record.
+    m_holder_gone = greeting.host;
+    CheckOffice();
+  } else {
     m_office_heard = m_loop.GetClock().Now();
-    m_refusals = 0;
   }
 }
 
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -23,6 +23,9 @@
 constexpr std::chrono::milliseconds kUnknownOrder{4000};
 constexpr std::chrono::milliseconds kRefusedPause{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
+// Clocks and calls are not exact.
+constexpr std::chrono::milliseconds kSettleMargin{300};
+constexpr char kOrdersKey[] = "orders";
 constexpr std::chrono::milliseconds kBlockedLogInterval{2000};
 constexpr std::chrono::milliseconds kLoadLogInterval{1000};
 // A pool that uses more than this share of its capacity gives no machine away.
@@ -67,24 +70,58 @@
       m_config(std::make_shared<jobs::FleetConfig>()) {}
 
 void MachineKeeper::Recover(const Row& row) {
+  std::istringstream lines(row.value);
+  if (row.key == kOrdersKey) {
+    std::string machine;
+    std::int64_t at = 0;
+    while (lines >> machine >> at) {
+      m_ordered[machine] = std::chrono::milliseconds(at);
+    }
+    return;
+  }
   std::uint64_t number = 0;
   const char* end = row.key.data() + row.key.size();
   if (std::from_chars(row.key.data(), end, number).ec != std::errc()) {
     m_log.Write("wave.bad_row", {{"key", row.key}});
     return;
   }
-  std::istringstream names(row.value);
-  for (std::string name; std::getline(names, name);) {
+  for (std::string name; std::getline(lines, name);) {
     m_waves[number].ordered.insert(name);
   }
 }
 
-void MachineKeeper::Begin(std::uint64_t fence, bool had_predecessor) {
+void MachineKeeper::Begin(
+    std::uint64_t fence,
+    std::function<std::chrono::milliseconds()> store_now) {
   m_fence = fence;
-  m_orders_from = m_loop.GetClock().Now();
-  if (had_predecessor) {
-    m_orders_from += m_options.settle + kRefusedPause;
+  m_store_now = std::move(store_now);
+  m_own_from = m_store_now();
+}
+
+bool MachineKeeper::MayOrder(const std::string& machine) const {
+  const auto found = m_ordered.find(machine);
+  return found == m_ordered.end() || found->second >= m_own_from ||
+         m_store_now() - found->second > m_options.settle + kSettleMargin;
+}
+
+void MachineKeeper::Record(const std::string& machine,
+                           std::vector<Row> rows,
+                           std::function<void()> order) {
+  const auto now = m_store_now();
+  std::erase_if(m_ordered, [this, now](const auto& row) {
+    return now - row.second > m_options.settle + kSettleMargin;
+  });
+  m_ordered[machine] = now;
+  std::string lines;
+  for (const auto& [name, at] : m_ordered) {
+    lines += name + " " + std::to_string(at.count()) + "\n";
+  }
+  for (Row& row : rows) {
+    m_store_row(std::move(row), [] {});
   }
+  m_store_row(
+      {kMachineTable, kOfficePart, kOrdersKey, std::move(lines), 0, false},
+      m_lifetime.Guard(std::move(order)));
 }
 
 void MachineKeeper::ApplyConfig(
@@ -122,7 +159,7 @@
   if (!m_listing && now - m_listed_at >= interval) {
     ListMachines();
   }
-  if (!m_has_list || !may_order || now < m_orders_from) {
+  if (!m_has_list || !may_order) {
     return;
   }
   for (auto& [number, wave] : m_waves) {
@@ -260,7 +297,8 @@
     machine.down = known.pending == Pending::kMaintain ||
                    known.machine.state == MachineState::kUpkeep;
     machine.busy = known.machine.state != MachineState::kUp ||
-                   known.pending == Pending::kMove || now < known.retry_at;
+                   known.pending == Pending::kMove || now < known.retry_at ||
+                   !MayOrder(name);
     machine.withheld = known.withheld;
     machine.withheld_at = known.withheld_at;
     if (const jobs::WorkerState* worker = WorkerOf(known)) {
@@ -320,7 +358,8 @@
   m_scheduler.Vacated(known.life.id, known.ordered_at);
   const bool first = wave.ordered.insert(name).second;
   if (!first) {
-    SendMaintain(number, name, false);
+    Record(name, {},
+           [this, number, name] { SendMaintain(number, name, false); });
     return;
   }
   std::string names;
@@ -388,6 +427,7 @@
     demand.unplaced = load.unplaced;
     demand.used = load.used;
     demand.arriving = load.arriving_work;
+    demand.min_machines = load.min_workers;
   }
   if (now - m_loads_logged_at > kLoadLogInterval) {
     m_loads_logged_at = now;
@@ -421,7 +461,8 @@
     machine.idle_since = known.idle_since;
     machine.movable = idle && known.pending == Pending::kNone &&
                       known.machine.state == MachineState::kUp &&
-                      !known.withheld && now >= known.retry_at;
+                      !known.withheld && now >= known.retry_at &&
+                      MayOrder(name);
   }
   std::map<std::string, jobs::Resources> arriving;
   for (const jobs::PoolMachine& machine : machines) {
@@ -461,6 +502,10 @@
   known.ordered_at = m_loop.GetClock().Now();
   known.going_to = move.to;
   Withhold(known, true, known.ordered_at);
+  Record(move.machine, {}, [this, move] { SendMove(move); });
+}
+
+void MachineKeeper::SendMove(const jobs::MachineMove& move) {
   m_port.Move(move.machine, move.to, {m_options.holder, m_fence},
               m_lifetime.Guard([this, move](MachineOrderResult result) {
                 Known& machine = m_machines[move.machine];
--- a/src/cassiastile/jobs/pool_plan.cpp
+++ b/src/cassiastile/jobs/pool_plan.cpp
@@ -22,6 +22,7 @@
       : m_machines(machines), m_pools(pools), m_options(options), m_now(now) {
     for (const PoolMachine& machine : machines) {
       m_have[machine.pool] += machine.capacity;
+      ++m_count[machine.pool];
     }
     for (const auto& [pool, demand] : pools) {
       m_want[pool] = DesiredCapacity(demand, options);
@@ -44,13 +45,19 @@
     return found != m_pools.end() && found->second.standby;
   }
 
+  std::size_t MinMachines(const std::string& pool) const {
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? 0 : found->second.min_machines;
+  }
+
   // Whether the machine's pool has enough without it.
   bool IsSurplus(const PoolMachine& machine) {
     if (IsStandby(machine.pool)) {
       return true;
     }
     const Resources left = m_have[machine.pool] - machine.capacity;
-    return Fits(m_want[machine.pool], left);
+    return Fits(m_want[machine.pool], left) &&
+           m_count[machine.pool] > MinMachines(machine.pool);
   }
 
   // The machine to give away next, or null.
@@ -76,11 +83,14 @@
     m_taken.insert(machine.name);
     m_have[machine.pool] -= machine.capacity;
     m_have[to] += machine.capacity;
+    --m_count[machine.pool];
+    ++m_count[to];
     m_moves.push_back({machine.name, machine.pool, to});
   }
 
   void Fetch(const std::string& pool) {
-    while (IsPositive(m_want[pool] - m_have[pool])) {
+    while (IsPositive(m_want[pool] - m_have[pool]) ||
+           m_count[pool] < MinMachines(pool)) {
       const PoolMachine* donor = FindDonor(pool);
       if (donor == nullptr) {
         return;
@@ -110,6 +120,7 @@
   const PoolPlanOptions& m_options;
   base::TimePoint m_now;
   std::map<std::string, Resources> m_have;
+  std::map<std::string, std::size_t> m_count;
   std::map<std::string, Resources> m_want;
   std::set<std::string> m_taken;
   std::vector<MachineMove> m_moves;
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -39,6 +39,21 @@
   return work;
 }
 
+// How many workers a long-running step is spread over, and one more.
+std::size_t DistinctWorkers(const StepSpec& step) {
+  if (!step.long_running) {
+    return 0;
+  }
+  std::uint32_t together = step.count;
+  if (step.max_per_worker > 0) {
+    together = std::min(together, step.max_per_worker);
+  }
+  if (step.max_unavailable > 0) {
+    together = std::min(together, step.max_unavailable);
+  }
+  return (step.count + together - 1) / together + 1;
+}
+
 bool FitsSomeWorker(const StepSpec& step,
                     const std::string& service,
                     const std::map<std::string, WorkerState>& workers) {
@@ -394,8 +409,15 @@
     pools[service].arriving_work = meter.Rate(now);
   }
   for (const auto& [id, job] : m_jobs) {
-    if (!IsFinished(job->phase) && job->worthless > now) {
-      pools[ServiceOf(*job)].backlog += RemainingWork(*job, m_durations);
+    if (IsFinished(job->phase)) {
+      continue;
+    }
+    PoolLoad& load = pools[ServiceOf(*job)];
+    for (const StepSpec& step : job->spec.steps) {
+      load.min_workers = std::max(load.min_workers, DistinctWorkers(step));
+    }
+    if (job->worthless > now) {
+      load.backlog += RemainingWork(*job, m_durations);
     }
   }
   return pools;
