Fill machines instead of spreading tasks over all

Cause: tasks went to the least used machine, so a pool that had grown for its turn kept a few tasks on each of two dozen machines and gave none back; the next pool got one or two a second.

Change: best fit for finite tasks; loads count only workers that take tasks.

--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -389,7 +389,8 @@
     base::TimePoint now) {
   std::map<std::string, PoolLoad> pools;
   for (const auto& [id, worker] : m_workers) {
-    if (!worker.listed || worker.entry.draining) {
+    if (!worker.listed || worker.entry.draining || worker.withheld ||
+        worker.silent) {
       continue;
     }
     PoolLoad& load = pools[worker.entry.service];
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -323,7 +323,9 @@
         RunsOfStep(*worker, ref) >= spec.max_per_worker) {
       continue;
     }
-    std::int64_t cost = worker->used.cpu;
+    // Best fit: machines that need not run become idle, and large tasks find
+    // room.
+    std::int64_t cost = entry.capacity.cpu - worker->used.cpu;
     if (task.avoided_worker == entry.id.id) {
       cost += kFailedHereCost;
     }
