Keep the office on a strong host

Change: hosts tell their share of a processor; a vacant office is left to a much stronger host for a moment, and a weaker holder passes it on.

--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -65,6 +65,8 @@
   struct Peer {
     std::string endpoint;
     base::TimePoint heard{};
+    bool store_answers = false;
+    double processor_share = 0;
   };
 
   void Announce();
@@ -80,6 +82,10 @@
   void CheckOffice();
   void SawOffice(const OfficeSight& sight);
   void TakeOffice(const OfficeSight& sight);
+  // Whether a host with much more of a processor could hold the office.
+  bool HasStrongerPeer() const;
+  void PassToStronger();
+  void PassOffice();
   void Elected();
   void OfficeLost();
   void AskOffice(JobRequest request,
@@ -109,6 +115,8 @@
   std::unique_ptr<CommitChain> m_candidate;
   std::unique_ptr<Dispatcher> m_dispatcher;
   bool m_had_predecessor = false;
+  base::TimePoint m_vacant_since{};
+  base::TimePoint m_weaker_since{};
   bool m_stopping = false;
   bool m_resigning = false;
   Lifetime m_lifetime;
--- a/include/cassiastile/host/peer_message.hpp
+++ b/include/cassiastile/host/peer_message.hpp
@@ -33,11 +33,12 @@
   // take over.
   bool wants_relief = false;
   bool store_answers = false;  // The sender has lately reached the store.
+  double processor_share = 0;  // Of one core.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(host, endpoint, config_version, config, office, in_office,
-            wants_relief, store_answers);
+            wants_relief, store_answers, processor_share);
   }
 };
 
--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -43,6 +43,7 @@
   std::chrono::milliseconds machine_move{1500};
   std::chrono::milliseconds machine_upkeep{2000};
   double away_from_data_factor = 1.5;
+  double processor_share = 1.0;  // Of one core.
 
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
 };
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t kGreetedEachRound = 2;
 constexpr std::size_t kAskedForRelief = 8;
 constexpr std::chrono::milliseconds kFindPeersInterval{3000};
+// The office goes to a host with this much more of a processor, if one lives.
+constexpr double kMuchStronger = 1.5;
+constexpr std::chrono::milliseconds kPeerAlive{4000};
+constexpr std::chrono::milliseconds kDeferToStronger{400};
+constexpr std::chrono::milliseconds kWeakerFor{1500};
 constexpr std::chrono::milliseconds kWatchInterval{250};
 // The holder of the office rewrites its record twice a second. One that has not
 // for so long may be replaced.
@@ -178,6 +183,7 @@
   greeting.in_office = IsOffice() && !m_resigning;
   greeting.wants_relief = IsOffice() && m_dispatcher->StoreIsAway();
   greeting.store_answers = m_config.StoreAnswers();
+  greeting.processor_share = m_settings.processor_share;
   return greeting;
 }
 
@@ -193,6 +199,8 @@
   Peer& peer = m_known[greeting.host];
   peer.endpoint = greeting.endpoint;
   peer.heard = m_loop.GetClock().Now();
+  peer.store_answers = greeting.store_answers;
+  peer.processor_share = greeting.processor_share;
   if (!greeting.config.empty() &&
       greeting.config_version > m_config.Version()) {
     m_config.Offer(greeting.config, greeting.host);
@@ -239,6 +247,7 @@
   if (!IsOffice() && !m_stopping && quiet) {
     CheckOffice();
   }
+  PassToStronger();
   m_loop.After(kWatchInterval, m_lifetime.Guard([this] { WatchOffice(); }));
 }
 
@@ -275,8 +284,40 @@
   }
   const bool vacant = sight.version == 0 || sight.record.host.empty() ||
                       sight.record.host == m_settings.host;
-  if (vacant || process_gone || now - m_sight_changed > kOfficeTerm) {
-    TakeOffice(sight);
+  if (!vacant && !process_gone && now - m_sight_changed <= kOfficeTerm) {
+    m_vacant_since = {};
+    return;
+  }
+  if (m_vacant_since == base::TimePoint{}) {
+    m_vacant_since = now;
+  }
+  if (HasStrongerPeer() && now - m_vacant_since < kDeferToStronger) {
+    m_holder_gone = gone;
+    m_loop.After(kDeferToStronger / 2,
+                 m_lifetime.Guard([this] { CheckOffice(); }));
+    return;
+  }
+  TakeOffice(sight);
+}
+
+bool HostNode::HasStrongerPeer() const {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  return std::ranges::any_of(m_known, [this, now](const auto& row) {
+    const Peer& peer = row.second;
+    return now - peer.heard < kPeerAlive && peer.store_answers &&
+           peer.processor_share > kMuchStronger * m_settings.processor_share;
+  });
+}
+
+void HostNode::PassToStronger() {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  if (!IsOffice() || m_resigning || !HasStrongerPeer()) {
+    m_weaker_since = now;
+    return;
+  }
+  if (now - m_weaker_since > kWeakerFor) {
+    m_weaker_since = now;
+    PassOffice();
   }
 }
 
@@ -385,6 +426,10 @@
   if (!IsOffice()) {
     return;
   }
+  PassOffice();
+}
+
+void HostNode::PassOffice() {
   m_resigning = true;
   m_dispatcher->Resign(m_lifetime.Guard([this] {
     m_office.host.clear();
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -155,6 +155,7 @@
   reader.Time("machine_move_s", kSecond, settings.machine_move);
   reader.Time("machine_upkeep_s", kSecond, settings.machine_upkeep);
   reader.Number("away_from_data_factor", settings.away_from_data_factor);
+  reader.Number("processor_share", settings.processor_share);
   if (!reader.Findings().empty()) {
     return base::Fail(base::ErrorCode::kInvalid, reader.Findings());
   }
