Test whole hosts in virtual time; keep two machines in each pool

Change: a world of hosts, a table, workers and machines in one process and in virtual time, which loses answers, applies writes and orders late, cuts off and crashes, and watches that nothing runs twice, after its noted end or after a refusal.

Found by it: a pool without long-running tasks gave all its machines away and its next job waited for a move; pools now keep two.

--- a/include/cassiastile/jobs/pool_plan.hpp
+++ b/include/cassiastile/jobs/pool_plan.hpp
@@ -42,6 +42,9 @@
   // Share of the tasks without room that a pool should get room for at once;
   // the others follow as tasks end.
   double unplaced_share = 0.6;
+  // A pool that nothing asks for still answers the next job at once, and can
+  // lose a machine meanwhile.
+  std::size_t min_machines = 2;
   // A machine is fetched from another pool only when it has been idle for a
   // moment, and leaves for the spare pool when staying would cost more than two
   // moves.
--- /dev/null
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -0,0 +1,231 @@
+#include "cassiastile/host/host_node.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "virtual_world_bench.hpp"
+
+namespace cassiastile::host {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::IsEmpty;
+
+constexpr milliseconds kSettled{3000};
+
+TEST(HostNodeTest, OneHostTakesTheOfficeAndRunsAJob) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  ASSERT_TRUE(world.Holder().has_value());
+  const std::string job = world.Submit(0, 2, 3, milliseconds(400));
+  world.RunFor(milliseconds(100));
+  EXPECT_EQ(world.Answers().at(job), 200);
+  world.RunFor(milliseconds(1500));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_EQ(world.DoneTasks(job), 6U);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, JobHandedInAgainRunsOnce) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string job = world.Submit(0, 1, 1, milliseconds(300));
+  world.RunFor(milliseconds(50));
+  EXPECT_EQ(world.SubmitAgain(job), 200);
+  world.RunFor(milliseconds(3000));
+  EXPECT_EQ(world.SubmitAgain(job), 200);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, KilledHolderIsReplacedAndNothingIsLost) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string job = world.Submit(0, 3, 4, milliseconds(600));
+  const std::string lasting = world.SubmitLongRunning(1, 3);
+  world.RunFor(milliseconds(300));
+  ASSERT_EQ(world.Answers().at(job), 200);
+  world.KillHost(*world.Holder());
+  world.RunFor(milliseconds(2000));
+  ASSERT_TRUE(world.Holder().has_value());
+  world.RunFor(milliseconds(3000));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_EQ(world.RunningTasks(lasting), 3U);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, AllHostsKilledAtOnceLoseNothingAccepted) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string job = world.Submit(0, 2, 4, milliseconds(500));
+  world.RunFor(milliseconds(100));
+  ASSERT_EQ(world.Answers().at(job), 200);
+  for (std::size_t i = 0; i < 6; ++i) {
+    world.KillHost(i);
+  }
+  world.RunFor(milliseconds(1500));
+  for (std::size_t i = 0; i < 6; ++i) {
+    world.StartHost(i);
+  }
+  world.RunFor(milliseconds(6000));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, StoppedHolderHandsTheOfficeOnAtOnce) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::size_t holder = *world.Holder();
+  world.StopHost(holder);
+  world.RunFor(milliseconds(150));
+  ASSERT_TRUE(world.Holder().has_value());
+  EXPECT_NE(*world.Holder(), holder);
+}
+
+TEST(HostNodeTest, HolderThatTheStoreTurnsAwayIsRelieved) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::size_t holder = *world.Holder();
+  world.Faults().hosts_without_store.insert("host-" + std::to_string(holder));
+  world.RunFor(milliseconds(1500));
+  ASSERT_TRUE(world.Holder().has_value());
+  EXPECT_NE(*world.Holder(), holder);
+  const std::string job = world.Submit(0, 1, 2, milliseconds(300));
+  world.RunFor(milliseconds(1000));
+  EXPECT_EQ(world.Answers().at(job), 200);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, OutageOfTheStoreRefusesTruthfullyAndRunningWorkGoesOn) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string lasting = world.SubmitLongRunning(0, 2);
+  world.RunFor(milliseconds(500));
+  world.Faults().store_down = true;
+  world.RunFor(milliseconds(1000));
+  const std::string refused = world.Submit(0, 1, 1, milliseconds(300));
+  world.RunFor(milliseconds(3500));
+  EXPECT_EQ(world.Answers().at(refused), 503);
+  EXPECT_EQ(world.RunningTasks(lasting), 2U);
+  world.Faults().store_down = false;
+  world.RunFor(milliseconds(3000));
+  const std::string job = world.Submit(0, 1, 1, milliseconds(300));
+  world.RunFor(milliseconds(1000));
+  EXPECT_EQ(world.Answers().at(job), 200);
+  EXPECT_EQ(world.RunningTasks(lasting), 2U);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, ConfigurationReachesAHostThatTheStoreTurnsAway) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  world.Faults().hosts_without_store.insert("host-2");
+  world.ChangeConfig();
+  world.RunFor(milliseconds(2000));
+  EXPECT_EQ(world.ConfigVersionOf(2), world.ConfigVersionOf(3));
+}
+
+TEST(HostNodeTest, LostWorkersTasksStartElsewhere) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string job = world.Submit(0, 1, 4, milliseconds(2000));
+  world.RunFor(milliseconds(300));
+  for (const std::string& id : world.WorkerIds()) {
+    if (world.RunningTasks(job) == 4) {
+      world.CrashWorker(id, milliseconds(8000));
+    }
+  }
+  world.RunFor(milliseconds(5000));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, WaveOfAllMachinesIsDoneWithinItsTime) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string lasting = world.SubmitLongRunning(0, 2);
+  world.RunFor(milliseconds(1000));
+  world.AskForWave(world.MachineNames(), 2);
+  world.RunFor(milliseconds(25000));
+  EXPECT_TRUE(world.WaveIsDone(1));
+  EXPECT_EQ(world.RunningTasks(lasting), 2U);
+}
+
+// Mixes of kills, stops, crashes, silent workers, late orders and a store whose
+// answers get lost or whose writes land late, from one seed each.
+class HostFaultsTest : public testing::TestWithParam<int> {};
+
+TEST_P(HostFaultsTest, NothingRunsTwiceAndNothingAcceptedIsLost) {
+  VirtualWorld world({.seed = static_cast<std::uint64_t>(GetParam())});
+  base::Random& random = world.Engine();
+  const auto pick = [&random](std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+  };
+  world.RunFor(kSettled);
+  world.Faults().orders_late = 0.05;
+  world.Faults().store_lost = 0.05;
+  world.Faults().store_late = 0.02;
+  std::vector<std::string> jobs;
+  for (int round = 0; round < 30; ++round) {
+    for (int i = 0; i < 2; ++i) {
+      jobs.push_back(world.Submit(pick(2), 1 + pick(2), 1 + pick(4),
+                                  milliseconds(200 + 100 * pick(8))));
+    }
+    world.RunFor(milliseconds(250));
+    switch (pick(8)) {
+      case 0:
+        world.KillHost(pick(6));
+        break;
+      case 1:
+        if (world.Holder()) {
+          world.KillHost(*world.Holder());
+        }
+        break;
+      case 2: {
+        const auto ids = world.WorkerIds();
+        if (!ids.empty()) {
+          world.CrashWorker(ids[pick(ids.size())], milliseconds(3000));
+        }
+        break;
+      }
+      case 3: {
+        const auto ids = world.WorkerIds();
+        if (!ids.empty()) {
+          world.Faults().silent_workers.insert(ids[pick(ids.size())]);
+        }
+        break;
+      }
+      case 4:
+        world.Faults().silent_workers.clear();
+        break;
+      case 5:
+        world.Faults().hosts_without_store = {"host-" +
+                                              std::to_string(pick(6))};
+        break;
+      case 6:
+        world.Faults().hosts_without_store.clear();
+        break;
+      default:
+        world.StartHost(pick(6));
+        break;
+    }
+  }
+  const std::string faulty = testing::PrintToString(world.Violations());
+  EXPECT_THAT(world.Violations(), IsEmpty()) << faulty;
+  world.Faults() = {};
+  for (std::size_t i = 0; i < 6; ++i) {
+    world.StartHost(i);
+  }
+  world.RunFor(milliseconds(30000));
+  for (const std::string& job : jobs) {
+    if (world.Answers().at(job) == 200) {
+      EXPECT_EQ(world.DoneTasks(job), world.TasksOf(job)) << job;
+      EXPECT_EQ(world.StateOf(job), "done") << job;
+    }
+  }
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, HostFaultsTest, testing::Range(1, 201));
+
+}  // namespace
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -0,0 +1,1095 @@
+#include "virtual_world_bench.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+#include <fmt/format.h>
+
+namespace cassiastile::host {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::microseconds kStoreLatency{4000};
+constexpr std::chrono::microseconds kCallLatency{1500};
+constexpr milliseconds kMoveTime{1500};
+constexpr milliseconds kUpkeepTime{2000};
+constexpr milliseconds kCallTimeout{800};
+constexpr std::int64_t kWorkerCpu = 16000;
+constexpr std::int64_t kWorkerMemory = 65536;
+constexpr char kConfigTable[] = "operators";
+constexpr char kWorkersTable[] = "workers";
+constexpr char kStatus[] = "status";
+constexpr char kSpare[] = "spare";
+
+std::string RowKey(const std::string& table,
+                   const std::string& part,
+                   const std::string& key) {
+  return table + "|" + part + "|" + key;
+}
+
+std::string ServiceName(std::size_t index) {
+  return "service-" + std::to_string(index);
+}
+
+base::Result<jobs::JobSpec> DecodeSpec(const std::string& text) {
+  std::istringstream in(text);
+  std::size_t steps = 0;
+  std::uint32_t tasks = 0;
+  std::int64_t millis = 0;
+  int lasts = 0;
+  in >> steps >> tasks >> millis >> lasts;
+  jobs::JobSpec spec;
+  spec.payload = text;
+  for (std::uint32_t i = 0; i < steps; ++i) {
+    jobs::StepSpec& step = spec.steps.emplace_back();
+    step.count = tasks;
+    step.need = {1000, 2000, 0};
+    step.estimate = milliseconds(millis);
+    step.long_running = lasts != 0;
+    step.max_unavailable = lasts != 0 ? 1 : 0;
+    step.max_per_worker = lasts != 0 ? 1 : 0;
+    if (i > 0) {
+      step.after = {i - 1};
+    }
+  }
+  return spec;
+}
+
+base::Result<jobs::WorkerEntry> DecodeEntry(const std::string& id,
+                                            const std::string& text) {
+  std::istringstream in(text);
+  jobs::WorkerEntry entry;
+  entry.id.id = id;
+  in >> entry.id.born >> entry.service >> entry.machine;
+  entry.endpoint = id;
+  entry.capacity = {kWorkerCpu, kWorkerMemory, 0};
+  return entry;
+}
+
+base::Result<WaveRequest> DecodeWaveText(const std::string& text) {
+  std::istringstream in(text);
+  WaveRequest wave;
+  in >> wave.wave >> wave.max_down;
+  wave.due = std::chrono::seconds(25);
+  for (std::string name; in >> name;) {
+    wave.machines.push_back(name);
+  }
+  return wave;
+}
+
+base::Result<jobs::FleetConfig> DecodeConfigText(const std::string& text) {
+  std::istringstream in(text);
+  jobs::FleetConfig config;
+  std::size_t services = 0;
+  in >> config.version >> services;
+  for (std::size_t i = 0; i < services; ++i) {
+    config.queues.push_back({.name = "queue-" + std::to_string(i),
+                             .host = "host",
+                             .path_prefix = fmt::format("/{}/", i),
+                             .service = ServiceName(i),
+                             .max_attempts = 3,
+                             .stretch = 2.0,
+                             .slack = milliseconds(600),
+                             .open = true,
+                             .advice = {}});
+    config.services.push_back({.name = ServiceName(i)});
+  }
+  config.services.push_back({.name = kSpare, .standby = true});
+  config.BuildIndex();
+  return config;
+}
+
+}  // namespace
+
+void VirtualLoop::After(base::Duration delay, std::function<void()> run) {
+  m_events.push({m_clock.Now() + std::max(delay, base::Duration::zero()),
+                 ++m_number, std::move(run)});
+}
+
+void VirtualLoop::RunFor(base::Duration time) {
+  const base::TimePoint end = m_clock.Now() + time;
+  while (!m_events.empty() && m_events.top().at <= end) {
+    const Event event = m_events.top();
+    m_events.pop();
+    m_clock.Advance(event.at - m_clock.Now());
+    event.run();
+  }
+  m_clock.Advance(end - m_clock.Now());
+}
+
+struct VirtualWorld::Worker {
+  struct Run {
+    std::uint32_t number = 0;
+    base::TimePoint ends{};
+    base::TimePoint began{};
+    bool lasts = false;
+  };
+  std::string id;
+  std::int64_t born = 0;
+  std::string service;
+  std::string machine;
+  bool alive = true;
+  base::TimePoint started{};
+  std::uint64_t fence = 0;
+  milliseconds until{0};
+  std::map<jobs::TaskId, Run> running;
+  std::map<jobs::TaskId, std::uint32_t> closed;  // Highest run not to start.
+  std::vector<jobs::ListedEnd> ended;
+  std::uint64_t sequence = 0;
+  std::vector<std::function<void()>> waiting;  // Long polls.
+
+  milliseconds Clock(base::TimePoint now) const {
+    return std::chrono::duration_cast<milliseconds>(now - started);
+  }
+};
+
+struct VirtualWorld::Machine {
+  std::string name;
+  std::string pool;
+  MachineState state = MachineState::kUp;
+  std::string worker;
+  std::set<std::uint64_t> waves;
+};
+
+// The loop as one host sees it: nothing runs any more once it is dead.
+class HostLoop final : public Loop {
+ public:
+  explicit HostLoop(VirtualLoop& loop) : m_loop(loop) {}
+  const base::Clock& GetClock() const override { return m_loop.GetClock(); }
+  void Die() { m_token.reset(); }
+  template <typename Function>
+  auto Guard(Function function) const {
+    return [alive = std::weak_ptr<int>(m_token),
+            function = std::move(function)](auto&&... arguments) {
+      if (!alive.expired()) {
+        function(std::forward<decltype(arguments)>(arguments)...);
+      }
+    };
+  }
+  void After(base::Duration delay, std::function<void()> run) override {
+    m_loop.After(delay, Guard(std::move(run)));
+  }
+
+ private:
+  VirtualLoop& m_loop;
+  std::shared_ptr<int> m_token = std::make_shared<int>(0);
+};
+
+class WorldStore final : public RowStore {
+ public:
+  WorldStore(VirtualWorld& world, HostLoop& loop, std::string host)
+      : m_world(world), m_loop(loop), m_host(std::move(host)) {}
+
+  void Commit(RowTransaction transaction,
+              milliseconds timeout,
+              std::function<void(TransactionReply)> done) override {
+    ++m_world.m_store_calls;
+    done = m_loop.Guard(std::move(done));
+    if (IsAway()) {
+      m_world.Post(kStoreLatency, [done] {
+        done(
+            {.outcome = TransactionReply::Outcome::kNotApplied, .current = {}});
+      });
+      return;
+    }
+    const bool late = m_world.Chance(m_world.m_faults.store_late);
+    const bool lost = late || m_world.Chance(m_world.m_faults.store_lost);
+    const auto delay =
+        late ? std::chrono::microseconds(m_world.LateBy()) : kStoreLatency / 2;
+    m_world.Post(
+        delay, [this, transaction = std::move(transaction), lost, done] {
+          TransactionReply reply = m_world.Apply(transaction);
+          if (!lost) {
+            m_world.Post(kStoreLatency / 2, [done, reply] { done(reply); });
+          }
+        });
+    if (lost) {
+      m_world.Post(timeout, [done] { done({.current = {}}); });
+    }
+  }
+
+  void Read(std::string table,
+            std::string part,
+            std::string from,
+            std::function<void(base::Result<RowPage>)> done) override {
+    ++m_world.m_store_calls;
+    done = m_loop.Guard(std::move(done));
+    m_world.Post(kStoreLatency, [this, table, part, from, done] {
+      if (IsAway()) {
+        done(base::Fail(base::ErrorCode::kUnavailable, "away"));
+        return;
+      }
+      constexpr std::size_t kPage = 50;
+      RowPage page;
+      page.version = m_world.m_version;
+      page.now = std::chrono::duration_cast<milliseconds>(
+          m_world.m_loop.Now().time_since_epoch());
+      for (const auto& [key, row] : m_world.m_rows) {
+        if (row.table != table || row.part != part || row.key < from) {
+          continue;
+        }
+        if (page.rows.size() == kPage) {
+          page.has_more = true;
+          break;
+        }
+        page.rows.push_back(row);
+      }
+      done(std::move(page));
+    });
+  }
+
+  void Feed(std::string table,
+            std::uint64_t after,
+            milliseconds wait,
+            std::function<void(base::Result<FeedPage>)> done) override {
+    ++m_world.m_store_calls;
+    done = m_loop.Guard(std::move(done));
+    auto answered = std::make_shared<bool>(false);
+    const auto look = [this, table, after, done, answered](bool last) {
+      if (*answered) {
+        return true;
+      }
+      FeedPage page;
+      page.version = m_world.m_version;
+      for (const Row& row : m_world.m_history) {
+        if (row.table == table && row.version > after) {
+          page.rows.push_back(row);
+        }
+      }
+      if (IsAway() || (page.rows.empty() && !last)) {
+        return false;
+      }
+      *answered = true;
+      m_world.Post(kStoreLatency, [done, page] { done(page); });
+      return true;
+    };
+    if (!look(false)) {
+      m_world.m_feeds.push_back([look] { return look(false); });
+    }
+    m_world.Post(wait, [this, look, answered, done] {
+      if (!look(true) && !std::exchange(*answered, true)) {
+        done(base::Fail(base::ErrorCode::kUnavailable, "away"));
+      }
+    });
+  }
+
+ private:
+  bool IsAway() const {
+    return m_world.m_faults.store_down ||
+           m_world.m_faults.hosts_without_store.contains(m_host);
+  }
+
+  VirtualWorld& m_world;
+  HostLoop& m_loop;
+  std::string m_host;
+};
+
+class WorldWorkers final : public WorkerPort {
+ public:
+  WorldWorkers(VirtualWorld& world, HostLoop& loop)
+      : m_world(world), m_loop(loop) {}
+
+  void Extend(
+      const WorkerAddress& address,
+      const LeaseExtension& extension,
+      std::function<void(tl::expected<jobs::WorkerReport, WorkerCallFailure>)>
+          done) override {
+    done = m_loop.Guard(std::move(done));
+    m_world.Post(kCallLatency, [this, address, extension, done] {
+      VirtualWorld::Worker* worker = Find(address);
+      if (worker == nullptr) {
+        m_world.Post(kCallTimeout, [done] {
+          done(tl::unexpected(WorkerCallFailure{.message = "silent"}));
+        });
+        return;
+      }
+      if (extension.fence < worker->fence) {
+        m_world.Post(kCallLatency, [done] {
+          done(tl::unexpected(
+              WorkerCallFailure{.fenced = true, .message = "fenced"}));
+        });
+        return;
+      }
+      worker->fence = extension.fence;
+      m_world.ReportOf(*worker, extension);
+      auto answered = std::make_shared<bool>(false);
+      const auto answer = [this, address, extension, done, answered] {
+        if (std::exchange(*answered, true)) {
+          return;
+        }
+        VirtualWorld::Worker* still = Find(address);
+        if (still == nullptr) {
+          done(tl::unexpected(WorkerCallFailure{.message = "silent"}));
+          return;
+        }
+        const jobs::WorkerReport report = m_world.ReportOf(*still, extension);
+        m_world.Post(kCallLatency, [done, report] { done(report); });
+      };
+      if (extension.wait.count() == 0 || !worker->ended.empty()) {
+        answer();
+        return;
+      }
+      worker->waiting.push_back(answer);
+      m_world.Post(extension.wait, answer);
+    });
+  }
+
+  void Start(const WorkerAddress& address,
+             const jobs::StartOrder& order,
+             std::uint64_t fence,
+             milliseconds until,
+             std::function<void(jobs::StartResult)> done) override {
+    done = m_loop.Guard(std::move(done));
+    if (m_world.Chance(m_world.m_faults.orders_late)) {
+      m_world.Post(m_world.LateBy(), [this, address, order, fence, until] {
+        if (VirtualWorld::Worker* worker = Find(address)) {
+          m_world.StartRun(*worker, order, fence, until);
+        }
+      });
+      m_world.Post(kCallTimeout, [done] { done(jobs::StartResult::kUnknown); });
+      return;
+    }
+    m_world.Post(kCallLatency, [this, address, order, fence, until, done] {
+      VirtualWorld::Worker* worker = Find(address);
+      if (worker == nullptr) {
+        m_world.Post(kCallTimeout,
+                     [done] { done(jobs::StartResult::kUnknown); });
+        return;
+      }
+      const auto result = m_world.StartRun(*worker, order, fence, until);
+      m_world.Post(kCallLatency, [done, result] { done(result); });
+    });
+  }
+
+  void Stop(const WorkerAddress& address,
+            const jobs::StopOrder& order,
+            std::uint64_t fence,
+            std::function<void(bool)> done) override {
+    done = m_loop.Guard(std::move(done));
+    m_world.Post(kCallLatency, [this, address, order, fence, done] {
+      VirtualWorld::Worker* worker = Find(address);
+      const bool stopped =
+          worker != nullptr && m_world.StopRun(*worker, order, fence);
+      m_world.Post(kCallLatency, [done, stopped] { done(stopped); });
+    });
+  }
+
+  void Pace(const WorkerAddress&,
+            const jobs::PaceOrder&,
+            std::uint64_t,
+            std::function<void(bool)> done) override {
+    m_world.Post(kCallLatency,
+                 [done = m_loop.Guard(std::move(done))] { done(true); });
+  }
+
+ private:
+  VirtualWorld::Worker* Find(const WorkerAddress& address) {
+    const auto found = m_world.m_workers.find(address.id.id);
+    const bool there = found != m_world.m_workers.end() &&
+                       found->second->alive &&
+                       !m_world.m_faults.silent_workers.contains(address.id.id);
+    return there ? found->second.get() : nullptr;
+  }
+
+  VirtualWorld& m_world;
+  HostLoop& m_loop;
+};
+
+class WorldMachines final : public MachinePort {
+ public:
+  WorldMachines(VirtualWorld& world, HostLoop& loop)
+      : m_world(world), m_loop(loop) {}
+
+  void List(std::function<void(base::Result<std::vector<host::Machine>>)> done)
+      override {
+    done = m_loop.Guard(std::move(done));
+    m_world.Post(kStoreLatency, [this, done] {
+      std::vector<host::Machine> machines;
+      for (const auto& [name, machine] : m_world.m_machines) {
+        machines.push_back({name,
+                            machine.pool,
+                            machine.state,
+                            machine.worker,
+                            {kWorkerCpu, kWorkerMemory, 0}});
+      }
+      done(std::move(machines));
+    });
+  }
+
+  void Move(const std::string& name,
+            const std::string& pool,
+            const OrderAuthority&,
+            std::function<void(MachineOrderResult)> done) override {
+    done = m_loop.Guard(std::move(done));
+    m_world.Post(kStoreLatency, [this, name, pool, done] {
+      auto& machine = m_world.m_machines.at(name);
+      if (machine.state != MachineState::kUp) {
+        done(MachineOrderResult::kRefused);
+        return;
+      }
+      if (machine.pool != pool) {
+        Restart(machine, MachineState::kMoving, kMoveTime, pool);
+      }
+      done(MachineOrderResult::kDone);
+    });
+  }
+
+  void Maintain(const std::string& name,
+                std::uint64_t wave,
+                const OrderAuthority&,
+                std::function<void(MachineOrderResult)> done) override {
+    done = m_loop.Guard(std::move(done));
+    m_world.Post(kStoreLatency, [this, name, wave, done] {
+      auto& machine = m_world.m_machines.at(name);
+      if (machine.waves.contains(wave)) {
+        done(MachineOrderResult::kDone);
+        return;
+      }
+      if (machine.state != MachineState::kUp) {
+        done(MachineOrderResult::kRefused);
+        return;
+      }
+      machine.waves.insert(wave);
+      Restart(machine, MachineState::kUpkeep, kUpkeepTime, machine.pool);
+      done(MachineOrderResult::kDone);
+    });
+  }
+
+ private:
+  void Restart(VirtualWorld::Machine& machine,
+               MachineState state,
+               milliseconds time,
+               const std::string& pool) {
+    if (const auto worker = m_world.m_workers.find(machine.worker);
+        worker != m_world.m_workers.end()) {
+      m_world.EndLife(*worker->second);
+    }
+    machine.state = state;
+    machine.pool = pool;
+    machine.worker.clear();
+    m_world.Post(time,
+                 [this, name = machine.name] { m_world.BeginLife(name); });
+  }
+
+  VirtualWorld& m_world;
+  HostLoop& m_loop;
+};
+
+class WorldAdvice final : public AdvicePort {
+ public:
+  void Advise(const jobs::AdviceRequest&,
+              std::function<void(base::Result<AdviceReply>)>) override {}
+};
+
+class WorldPeers final : public PeerPort {
+ public:
+  WorldPeers(VirtualWorld& world, HostLoop& loop)
+      : m_world(world), m_loop(loop) {}
+  void Greet(const std::string& endpoint,
+             const Greeting& greeting,
+             Done<Greeting> done) override;
+  void Ask(const std::string& endpoint,
+           const JobRequest& request,
+           milliseconds timeout,
+           Done<JobAnswer> done) override;
+
+ private:
+  VirtualWorld& m_world;
+  HostLoop& m_loop;
+};
+
+struct VirtualWorld::Host {
+  Host(VirtualWorld& world, std::size_t index)
+      : name("host-" + std::to_string(index)),
+        loop(world.m_loop),
+        log(loop.GetClock(),
+            name,
+            [&world](std::string_view bytes) {
+              if (world.m_options.keep_log) {
+                world.m_log_text += bytes;
+              }
+              return bytes.size();
+            }),
+        store(world, loop, name),
+        workers(world, loop),
+        machines(world, loop),
+        peers(world, loop),
+        node(HostPorts{.store = store,
+                       .workers = workers,
+                       .machines = machines,
+                       .advice = advice,
+                       .decode_config = DecodeConfigText,
+                       .decode_worker = DecodeEntry,
+                       .decode_job = DecodeSpec,
+                       .decode_wave = DecodeWaveText,
+                       .encode_wave_state =
+                           [](std::uint64_t, bool done) {
+                             return std::string(done ? "done" : "running");
+                           },
+                       .worker_table = kWorkersTable,
+                       .operator_table = kConfigTable,
+                       .status_table = kStatus,
+                       .config_key = "config",
+                       .wave_prefix = "wave/"},
+             peers,
+             loop,
+             log,
+             MakeSettings(index),
+             FrontFormat{
+                 .key_header = "Key",
+                 .timeout_header = "Timeout",
+                 .encode_state =
+                     [](jobs::JobPhase phase) {
+                       return std::string(
+                           base::FindName(jobs::kJobPhaseNames, phase));
+                     },
+                 .encode_count =
+                     [](std::size_t count) { return std::to_string(count); }},
+             base::Random(world.m_options.seed * 100 + index)) {}
+
+  static HostSettings MakeSettings(std::size_t index) {
+    HostSettings settings;
+    settings.host = "host-" + std::to_string(index);
+    settings.address = "host-" + std::to_string(index);
+    settings.peer_port = 1;
+    return settings;
+  }
+
+  std::string name;
+  HostLoop loop;
+  EventLog log;
+  WorldStore store;
+  WorldWorkers workers;
+  WorldMachines machines;
+  WorldAdvice advice;
+  WorldPeers peers;
+  HostNode node;
+};
+
+void WorldPeers::Greet(const std::string& endpoint,
+                       const Greeting& greeting,
+                       Done<Greeting> done) {
+  done = m_loop.Guard(std::move(done));
+  m_world.Post(kCallLatency, [this, endpoint, greeting, done] {
+    for (const auto& host : m_world.m_hosts) {
+      if (host && host->name + ":1" == endpoint) {
+        const Greeting answer = host->node.Greeted(greeting);
+        m_world.Post(kCallLatency, [done, answer] { done(answer); });
+        return;
+      }
+    }
+    done(tl::unexpected(Failure{true}));
+  });
+}
+
+void WorldPeers::Ask(const std::string& endpoint,
+                     const JobRequest& request,
+                     milliseconds timeout,
+                     Done<JobAnswer> done) {
+  done = m_loop.Guard(std::move(done));
+  auto answered = std::make_shared<bool>(false);
+  m_world.Post(kCallLatency, [this, endpoint, request, done, answered] {
+    for (const auto& host : m_world.m_hosts) {
+      if (host && host->name + ":1" == endpoint) {
+        host->node.Asked(request,
+                         [this, done, answered](const JobAnswer& answer) {
+                           m_world.Post(kCallLatency, [done, answered, answer] {
+                             if (!std::exchange(*answered, true)) {
+                               done(answer);
+                             }
+                           });
+                         });
+        return;
+      }
+    }
+    if (!std::exchange(*answered, true)) {
+      done(tl::unexpected(Failure{true}));
+    }
+  });
+  m_world.Post(timeout, [done, answered] {
+    if (!std::exchange(*answered, true)) {
+      done(tl::unexpected(Failure{}));
+    }
+  });
+}
+
+VirtualWorld::VirtualWorld(WorldOptions options)
+    : m_options(options), m_random(options.seed) {
+  ChangeConfig();
+  std::size_t number = 0;
+  const auto add = [this, &number](const std::string& pool) {
+    const std::string name = fmt::format("machine-{:03}", number++);
+    m_machines[name] = {.name = name, .pool = pool, .worker = {}, .waves = {}};
+    BeginLife(name);
+  };
+  for (std::size_t service = 0; service < options.services; ++service) {
+    for (std::size_t i = 0; i < options.workers_of_service; ++i) {
+      add(ServiceName(service));
+    }
+  }
+  for (std::size_t i = 0; i < options.spare_machines; ++i) {
+    add(kSpare);
+  }
+  m_hosts.resize(options.hosts);
+  for (std::size_t i = 0; i < options.hosts; ++i) {
+    StartHost(i);
+  }
+}
+
+VirtualWorld::~VirtualWorld() {
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    KillHost(i);
+  }
+  m_dead_hosts.clear();
+}
+
+void VirtualWorld::Post(std::chrono::microseconds delay,
+                        std::function<void()> run) {
+  m_loop.After(delay, std::move(run));
+}
+
+bool VirtualWorld::Chance(double share) {
+  return share > 0 &&
+         std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+milliseconds VirtualWorld::LateBy() {
+  return milliseconds(
+      std::uniform_int_distribution<int>(2000, 12000)(m_random));
+}
+
+void VirtualWorld::Violate(std::string what) {
+  m_violations.push_back(fmt::format(
+      "{} ms: {}",
+      base::Milliseconds(m_loop.Now().time_since_epoch()) - 3600000, what));
+}
+
+TransactionReply VirtualWorld::Apply(const RowTransaction& transaction) {
+  TransactionReply reply{.current = {}};
+  reply.now =
+      std::chrono::duration_cast<milliseconds>(m_loop.Now().time_since_epoch());
+  bool holds = true;
+  for (const RowExpectation& row : transaction.expect) {
+    const auto found = m_rows.find(RowKey(row.table, row.part, row.key));
+    const std::uint64_t version =
+        found == m_rows.end() ? 0 : found->second.version;
+    holds = holds && version == row.version;
+    if (found != m_rows.end()) {
+      reply.current.push_back(found->second);
+    }
+  }
+  if (!holds) {
+    reply.outcome = TransactionReply::Outcome::kConflict;
+    return reply;
+  }
+  ++m_version;
+  for (Row row : transaction.puts) {
+    row.version = m_version;
+    m_rows[RowKey(row.table, row.part, row.key)] = row;
+    m_history.push_back(row);
+  }
+  for (Row row : transaction.drops) {
+    row.version = m_version;
+    row.deleted = true;
+    m_rows.erase(RowKey(row.table, row.part, row.key));
+    m_history.push_back(row);
+  }
+  reply.outcome = TransactionReply::Outcome::kApplied;
+  reply.version = m_version;
+  reply.current.clear();
+  WakeFeeds();
+  return reply;
+}
+
+void VirtualWorld::WakeFeeds() {
+  std::vector<std::function<bool()>> feeds;
+  feeds.swap(m_feeds);
+  for (auto& feed : feeds) {
+    if (!feed()) {
+      m_feeds.push_back(std::move(feed));
+    }
+  }
+}
+
+void VirtualWorld::BeginLife(const std::string& name) {
+  Machine& machine = m_machines.at(name);
+  machine.state = MachineState::kUp;
+  if (machine.pool == kSpare) {
+    return;
+  }
+  auto worker = std::make_unique<Worker>();
+  worker->id = fmt::format("worker-{}", ++m_lives);
+  worker->born = static_cast<std::int64_t>(m_lives);
+  worker->service = machine.pool;
+  worker->machine = name;
+  worker->started = m_loop.Now();
+  machine.worker = worker->id;
+  ListWorker(*worker);
+  m_workers[worker->id] = std::move(worker);
+}
+
+void VirtualWorld::ListWorker(const Worker& worker) {
+  RowTransaction transaction;
+  transaction.puts.push_back(
+      {kWorkersTable, "", worker.id,
+       fmt::format("{} {} {}", worker.born, worker.service, worker.machine), 0,
+       false});
+  Apply(transaction);
+}
+
+void VirtualWorld::EndLife(Worker& worker) {
+  worker.alive = false;
+  for (const auto& [task, run] : worker.running) {
+    std::erase(m_running[task], worker.id);
+  }
+  worker.running.clear();
+  RowTransaction transaction;
+  transaction.drops.push_back({kWorkersTable, "", worker.id, "", 0, false});
+  constexpr milliseconds kListLapse{4500};
+  Post(kListLapse, [this, transaction] { Apply(transaction); });
+}
+
+void VirtualWorld::ExpireLease(Worker& worker) {
+  if (worker.Clock(m_loop.Now()) < worker.until) {
+    return;
+  }
+  std::vector<std::pair<jobs::TaskId, std::uint32_t>> lapsed;
+  for (const auto& [task, run] : worker.running) {
+    lapsed.emplace_back(task, run.number);
+  }
+  for (const auto& [task, run] : lapsed) {
+    FinishRun(worker, task, run, jobs::RunEnd::kLapsed);
+  }
+  // Ends from before count as not taken note of.
+}
+
+jobs::StartResult VirtualWorld::StartRun(Worker& worker,
+                                         const jobs::StartOrder& order,
+                                         std::uint64_t fence,
+                                         milliseconds until) {
+  if (fence < worker.fence) {
+    return jobs::StartResult::kFenced;
+  }
+  worker.fence = fence;
+  if (until <= worker.Clock(m_loop.Now())) {
+    return jobs::StartResult::kTooLate;
+  }
+  worker.until = std::max(worker.until, until);
+  Post(worker.until - worker.Clock(m_loop.Now()),
+       [this, id = worker.id] { ExpireLease(*m_workers.at(id)); });
+  if (const auto same = worker.running.find(order.task);
+      same != worker.running.end()) {
+    return same->second.number == order.run ? jobs::StartResult::kRunning
+                                            : jobs::StartResult::kStaleRun;
+  }
+  if (const auto closed = worker.closed.find(order.task);
+      closed != worker.closed.end() && order.run <= closed->second) {
+    return jobs::StartResult::kStaleRun;
+  }
+  if (static_cast<std::int64_t>(worker.running.size() + 1) * 1000 >
+      kWorkerCpu) {
+    return jobs::StartResult::kNoRoom;
+  }
+  if (!m_job_texts.contains(order.task.job) ||
+      m_job_texts.at(order.task.job) != order.payload) {
+    Violate("a task of an unknown job was started: " + order.task.job);
+  }
+  auto& running = m_running[order.task];
+  if (!running.empty()) {
+    Violate(fmt::format("{} {}.{} runs twice: on {} and {}", order.task.job,
+                        order.task.step, order.task.index, running.front(),
+                        worker.id));
+  }
+  if (m_noted.contains(order.task)) {
+    Violate(fmt::format("{} {}.{} started after its end was noted",
+                        order.task.job, order.task.step, order.task.index));
+  }
+  const auto answer = m_answers.find(order.task.job);
+  if (answer != m_answers.end() &&
+      (answer->second == 429 || answer->second == 503)) {
+    Violate("a refused job runs: " + order.task.job);
+  }
+  running.push_back(worker.id);
+  const auto spec = DecodeSpec(order.payload);
+  Worker::Run run;
+  run.number = order.run;
+  run.began = m_loop.Now();
+  run.lasts = spec->steps.front().long_running;
+  worker.running[order.task] = run;
+  if (!run.lasts) {
+    Post(spec->steps.front().estimate,
+         [this, id = worker.id, task = order.task, number = order.run] {
+           Worker& still = *m_workers.at(id);
+           const auto found = still.running.find(task);
+           if (found != still.running.end() && found->second.number == number) {
+             m_done[task.job].insert(task);
+             FinishRun(still, task, number, jobs::RunEnd::kDone);
+           }
+         });
+  }
+  return jobs::StartResult::kRunning;
+}
+
+void VirtualWorld::FinishRun(Worker& worker,
+                             const jobs::TaskId& task,
+                             std::uint32_t run,
+                             jobs::RunEnd how) {
+  worker.running.erase(task);
+  std::erase(m_running[task], worker.id);
+  worker.closed[task] = std::max(worker.closed[task], run);
+  jobs::ListedEnd& end = worker.ended.emplace_back();
+  end.sequence = ++worker.sequence;
+  end.task = task;
+  end.run = run;
+  end.how = how;
+  std::vector<std::function<void()>> waiting;
+  waiting.swap(worker.waiting);
+  for (const auto& answer : waiting) {
+    answer();
+  }
+}
+
+bool VirtualWorld::StopRun(Worker& worker,
+                           const jobs::StopOrder& order,
+                           std::uint64_t fence) {
+  if (fence < worker.fence) {
+    return false;
+  }
+  worker.fence = fence;
+  worker.closed[order.task] = std::max(worker.closed[order.task], order.run);
+  const auto found = worker.running.find(order.task);
+  if (found != worker.running.end() && found->second.number <= order.run) {
+    FinishRun(worker, order.task, found->second.number, jobs::RunEnd::kStopped);
+  }
+  return true;
+}
+
+jobs::WorkerReport VirtualWorld::ReportOf(Worker& worker,
+                                          const LeaseExtension& extension) {
+  if (extension.until) {
+    worker.until = std::max(worker.until, *extension.until);
+    Post(worker.until - worker.Clock(m_loop.Now()),
+         [this, id = worker.id] { ExpireLease(*m_workers.at(id)); });
+  }
+  std::erase_if(worker.ended, [this, &extension](const jobs::ListedEnd& end) {
+    if (end.sequence > extension.acknowledged_end) {
+      return false;
+    }
+    if (end.how == jobs::RunEnd::kDone) {
+      m_noted.insert(end.task);
+    }
+    return true;
+  });
+  jobs::WorkerReport report;
+  report.born = worker.born;
+  report.clock = worker.Clock(m_loop.Now());
+  for (const auto& [task, run] : worker.running) {
+    jobs::ListedRun& listed = report.running.emplace_back();
+    listed.task = task;
+    listed.run = run.number;
+    const auto age = m_loop.Now() - run.began;
+    constexpr milliseconds kStartup{300};
+    listed.percent = run.lasts ? (age > kStartup ? 100 : 0)
+                               : static_cast<int>(base::Milliseconds(age) % 97);
+  }
+  report.ended = worker.ended;
+  return report;
+}
+
+wire::HttpRequest VirtualWorld::MakeRequest(const std::string& method,
+                                            const std::string& job) const {
+  wire::HttpRequest request;
+  request.method = method;
+  request.path = fmt::format("/{}/{}", m_job_service.at(job), job);
+  request.headers.emplace_back("Host", "host");
+  if (method == "POST") {
+    request.body = m_job_texts.at(job);
+  }
+  return request;
+}
+
+std::string VirtualWorld::MakeJobId() {
+  return base::MakeId(m_random).substr(0, 16);
+}
+
+std::string VirtualWorld::SubmitText(std::size_t service,
+                                     const std::string& text,
+                                     std::size_t tasks) {
+  const std::string job = MakeJobId();
+  m_job_texts[job] = text;
+  m_job_service[job] = service;
+  m_tasks[job] = tasks;
+  m_answers[job] = 0;
+  std::vector<Host*> live;
+  for (const auto& host : m_hosts) {
+    if (host) {
+      live.push_back(host.get());
+    }
+  }
+  if (!live.empty()) {
+    const std::size_t pick = std::uniform_int_distribution<std::size_t>(
+        0, live.size() - 1)(m_random);
+    live[pick]->node.Handle(MakeRequest("POST", job),
+                            [this, job](const wire::HttpResponse& response) {
+                              m_answers[job] = response.status;
+                            });
+  }
+  return job;
+}
+
+std::string VirtualWorld::Submit(std::size_t service,
+                                 std::size_t steps,
+                                 std::uint32_t tasks,
+                                 milliseconds each) {
+  return SubmitText(service,
+                    fmt::format("{} {} {} 0 {}", steps, tasks, each.count(),
+                                m_job_texts.size()),
+                    steps * tasks);
+}
+
+std::string VirtualWorld::SubmitLongRunning(std::size_t service,
+                                            std::uint32_t tasks) {
+  return SubmitText(
+      service, fmt::format("1 {} 1000 1 {}", tasks, m_job_texts.size()), tasks);
+}
+
+int VirtualWorld::Call(const wire::HttpRequest& request, std::string* body) {
+  auto status = std::make_shared<int>(0);
+  auto text = std::make_shared<std::string>();
+  for (const auto& host : m_hosts) {
+    if (host) {
+      host->node.Handle(request,
+                        [status, text](const wire::HttpResponse& response) {
+                          *status = response.status;
+                          *text = response.body;
+                        });
+      break;
+    }
+  }
+  RunFor(milliseconds(1600));
+  if (body != nullptr) {
+    *body = *text;
+  }
+  return *status;
+}
+
+int VirtualWorld::SubmitAgain(const std::string& job) {
+  return Call(MakeRequest("POST", job));
+}
+
+void VirtualWorld::Cancel(const std::string& job) {
+  Call(MakeRequest("DELETE", job));
+}
+
+std::string VirtualWorld::StateOf(const std::string& job) {
+  std::string body;
+  const int status = Call(MakeRequest("GET", job), &body);
+  return status == 200 ? body : std::to_string(status);
+}
+
+void VirtualWorld::KillHost(std::size_t index) {
+  if (m_hosts[index]) {
+    m_hosts[index]->loop.Die();
+    m_dead_hosts.push_back(std::move(m_hosts[index]));
+  }
+}
+
+void VirtualWorld::StartHost(std::size_t index) {
+  if (!m_hosts[index]) {
+    m_hosts[index] = std::make_unique<Host>(*this, index);
+    m_hosts[index]->node.Begin();
+  }
+}
+
+void VirtualWorld::StopHost(std::size_t index) {
+  if (m_hosts[index]) {
+    m_hosts[index]->node.BeginStop();
+  }
+}
+
+std::optional<std::size_t> VirtualWorld::Holder() const {
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    if (m_hosts[i] && m_hosts[i]->node.Office() != nullptr &&
+        m_hosts[i]->node.Office()->IsServing()) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+void VirtualWorld::CrashWorker(const std::string& id, milliseconds down) {
+  const auto found = m_workers.find(id);
+  if (found == m_workers.end() || !found->second->alive) {
+    return;
+  }
+  Machine& machine = m_machines.at(found->second->machine);
+  EndLife(*found->second);
+  machine.state = MachineState::kDown;
+  machine.worker.clear();
+  Post(down, [this, name = machine.name] { BeginLife(name); });
+}
+
+std::vector<std::string> VirtualWorld::WorkerIds() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker->alive) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+void VirtualWorld::ChangeConfig() {
+  m_config_version += 2;
+  RowTransaction transaction;
+  transaction.puts.push_back(
+      {kConfigTable, "", "config",
+       fmt::format("{} {}", m_config_version, m_options.services), 0, false});
+  Apply(transaction);
+}
+
+void VirtualWorld::AskForWave(std::vector<std::string> machines,
+                              std::uint32_t max_down) {
+  std::string text = fmt::format("1 {}", max_down);
+  for (const std::string& machine : machines) {
+    text += " " + machine;
+  }
+  RowTransaction transaction;
+  transaction.puts.push_back({kConfigTable, "", "wave/1", text, 0, false});
+  Apply(transaction);
+}
+
+std::vector<std::string> VirtualWorld::MachineNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, machine] : m_machines) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::size_t VirtualWorld::DoneTasks(const std::string& job) const {
+  const auto found = m_done.find(job);
+  return found == m_done.end() ? 0 : found->second.size();
+}
+
+std::size_t VirtualWorld::RunningTasks(const std::string& job) const {
+  std::size_t count = 0;
+  for (const auto& [task, workers] : m_running) {
+    count += task.job == job ? workers.size() : 0;
+  }
+  return count;
+}
+
+bool VirtualWorld::WaveIsDone(std::uint64_t wave) const {
+  const auto found =
+      m_rows.find(RowKey(kStatus, "", "wave/" + std::to_string(wave)));
+  return found != m_rows.end() && found->second.value == "done";
+}
+
+std::uint64_t VirtualWorld::ConfigVersionOf(std::size_t host) const {
+  return m_hosts[host] ? m_hosts[host]->node.Config().Version() : 0;
+}
+
+}  // namespace cassiastile::host
--- /dev/null
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cassiastile/base/random.hpp"
+#include "cassiastile/host/host_node.hpp"
+
+// Hosts, a table, workers and machines in one process and in virtual time, from
+// one seed. The hosts are the real ones; all around them is a stand-in that can
+// misbehave and that watches the promises.
+namespace cassiastile::host {
+
+class VirtualLoop final : public Loop {
+ public:
+  const base::Clock& GetClock() const override { return m_clock; }
+  void After(base::Duration delay, std::function<void()> run) override;
+  void RunFor(base::Duration time);
+  base::TimePoint Now() const { return m_clock.Now(); }
+
+ private:
+  struct Event {
+    base::TimePoint at;
+    std::uint64_t number;
+    std::function<void()> run;
+    bool operator>(const Event& other) const {
+      return std::tie(at, number) > std::tie(other.at, other.number);
+    }
+  };
+  base::ManualClock m_clock;
+  std::uint64_t m_number = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+};
+
+struct WorldFaults {
+  bool store_down = false;
+  double store_lost = 0;   // Share of commits applied without an answer.
+  double store_late = 0;   // Share of commits applied seconds later.
+  double orders_late = 0;  // Share of orders carried out seconds later.
+  std::set<std::string> hosts_without_store;
+  std::set<std::string> silent_workers;  // Cut off; they run on.
+};
+
+struct WorldOptions {
+  std::uint64_t seed = 1;
+  std::size_t hosts = 6;
+  std::size_t services = 2;
+  std::size_t workers_of_service = 4;
+  std::size_t spare_machines = 2;
+  bool keep_log = false;
+};
+
+class VirtualWorld {
+ public:
+  explicit VirtualWorld(WorldOptions options = {});
+  ~VirtualWorld();
+
+  void RunFor(std::chrono::milliseconds time) { m_loop.RunFor(time); }
+  // Hands a job in at a live host. `steps` tasks run one after the other.
+  std::string Submit(std::size_t service,
+                     std::size_t steps,
+                     std::uint32_t tasks,
+                     std::chrono::milliseconds each);
+  // Hands the same job in again and returns the status of the answer, 0 for
+  // none.
+  int SubmitAgain(const std::string& job);
+  std::string SubmitLongRunning(std::size_t service, std::uint32_t tasks);
+  void Cancel(const std::string& job);
+
+  void KillHost(std::size_t index);
+  void StartHost(std::size_t index);
+  void StopHost(std::size_t index);
+  std::optional<std::size_t> Holder() const;
+  // Ends a worker's life; another begins on its machine after a time.
+  void CrashWorker(const std::string& id, std::chrono::milliseconds down);
+  std::vector<std::string> WorkerIds() const;
+  void ChangeConfig();
+  void AskForWave(std::vector<std::string> machines, std::uint32_t max_down);
+  std::vector<std::string> MachineNames() const;
+
+  WorldFaults& Faults() { return m_faults; }
+  base::Random& Engine() { return m_random; }
+
+  // What was seen. Violations are sentences; empty if all promises held.
+  const std::vector<std::string>& Violations() const { return m_violations; }
+  // The answer to the first hand-in of each job: 0 while there is none.
+  const std::map<std::string, int>& Answers() const { return m_answers; }
+  std::size_t DoneTasks(const std::string& job) const;
+  std::size_t RunningTasks(const std::string& job) const;
+  std::string StateOf(const std::string& job);
+  bool WaveIsDone(std::uint64_t wave) const;
+  std::uint64_t ConfigVersionOf(std::size_t host) const;
+  std::uint64_t StoreCalls() const { return m_store_calls; }
+  const std::string& Log() const { return m_log_text; }
+  std::size_t TasksOf(const std::string& job) const { return m_tasks.at(job); }
+
+ private:
+  friend class WorldStore;
+  friend class WorldWorkers;
+  friend class WorldMachines;
+  friend class WorldPeers;
+  friend class WorldAdvice;
+  struct Host;
+  struct Worker;
+  struct Machine;
+
+  void Post(std::chrono::microseconds delay, std::function<void()> run);
+  bool Chance(double share);
+  std::chrono::milliseconds LateBy();
+
+  // The table.
+  TransactionReply Apply(const RowTransaction& transaction);
+  void WakeFeeds();
+
+  // Workers.
+  void BeginLife(const std::string& machine);
+  void EndLife(Worker& worker);
+  void ListWorker(const Worker& worker);
+  jobs::StartResult StartRun(Worker& worker,
+                             const jobs::StartOrder& order,
+                             std::uint64_t fence,
+                             std::chrono::milliseconds until);
+  bool StopRun(Worker& worker,
+               const jobs::StopOrder& order,
+               std::uint64_t fence);
+  void FinishRun(Worker& worker,
+                 const jobs::TaskId& task,
+                 std::uint32_t run,
+                 jobs::RunEnd how);
+  void ExpireLease(Worker& worker);
+  jobs::WorkerReport ReportOf(Worker& worker, const LeaseExtension& extension);
+  void Violate(std::string what);
+  wire::HttpRequest MakeRequest(const std::string& method,
+                                const std::string& job) const;
+  std::string MakeJobId();
+  int Call(const wire::HttpRequest& request, std::string* body = nullptr);
+  std::string SubmitText(std::size_t service,
+                         const std::string& text,
+                         std::size_t tasks);
+
+  WorldOptions m_options;
+  VirtualLoop m_loop;
+  base::Random m_random;
+  WorldFaults m_faults;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  std::vector<std::unique_ptr<Host>> m_dead_hosts;
+  std::map<std::string, Row> m_rows;  // By table, part and key.
+  std::vector<Row> m_history;
+  std::uint64_t m_version = 0;
+  std::uint64_t m_store_calls = 0;
+  std::vector<std::function<bool()>> m_feeds;
+  std::map<std::string, std::unique_ptr<Worker>> m_workers;
+  std::map<std::string, Machine> m_machines;
+  std::uint64_t m_lives = 0;
+  std::map<std::string, std::string> m_job_texts;
+  std::map<std::string, std::size_t> m_job_service;
+  std::map<std::string, std::size_t> m_tasks;
+  std::map<std::string, int> m_answers;
+  std::map<std::string, std::set<jobs::TaskId>> m_done;  // Noted or not.
+  std::set<jobs::TaskId> m_noted;
+  std::map<jobs::TaskId, std::vector<std::string>> m_running;
+  std::vector<std::string> m_violations;
+  std::uint64_t m_config_version = 0;
+  std::string m_log_text;
+};
+
+}  // namespace cassiastile::host
--- a/src/cassiastile/jobs/pool_plan.cpp
+++ b/src/cassiastile/jobs/pool_plan.cpp
@@ -47,7 +47,9 @@
 
   std::size_t MinMachines(const std::string& pool) const {
     const auto found = m_pools.find(pool);
-    return found == m_pools.end() ? 0 : found->second.min_machines;
+    return found == m_pools.end() || found->second.standby
+               ? 0
+               : std::max(m_options.min_machines, found->second.min_machines);
   }
 
   // Whether the machine's pool has enough without it.
