--- a/include/cassiastile/host/commit_chain.hpp
+++ b/include/cassiastile/host/commit_chain.hpp
@@ -62,7 +62,7 @@
 
  private:
   void Send();
-  void Answered(TransactionReply reply, base::TimePoint sent_at);
+  void Answered(const TransactionReply& reply, base::TimePoint sent_at);
   void Finish(bool applied);
   void Retry();
 
--- a/include/cassiastile/host/config_watch.hpp
+++ b/include/cassiastile/host/config_watch.hpp
@@ -14,7 +14,8 @@
 class ConfigWatch {
  public:
   struct Listener {
-    std::function<void(std::shared_ptr<const jobs::FleetConfig>)> on_config;
+    std::function<void(const std::shared_ptr<const jobs::FleetConfig>&)>
+        on_config;
     std::function<void()> on_waves;
   };
 
--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -58,7 +58,7 @@
   void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
   void ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves);
   void Answer(const JobRequest& request,
-              std::function<void(JobAnswer)> respond);
+              const std::function<void(JobAnswer)>& respond);
   // Stops giving orders and passes the office on. `done` runs when that is
   // recorded or can't be.
   void Resign(std::function<void()> done);
@@ -90,7 +90,7 @@
   using Responder = std::function<void(JobAnswer)>;
 
   // dispatcher.cpp
-  void ReadJobs(std::string from);
+  void ReadJobs(const std::string& from);
   void ReadWorkers();
   void FeedWorkers();
   void TakeWorkerRows(const std::vector<Row>& rows);
--- a/include/cassiastile/host/event_log.hpp
+++ b/include/cassiastile/host/event_log.hpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "cassiastile/base/clock.hpp"
+#include "cassiastile/host/host_metrics.hpp"
 
 namespace cassiastile::host {
 
@@ -21,16 +22,22 @@
   // Writes bytes without blocking; returns how many were taken.
   using Sink = std::function<std::size_t(std::string_view)>;
 
-  EventLog(const base::Clock& clock, std::string host, Sink sink);
+  // `metrics` must outlive the log.
+  EventLog(const base::Clock& clock,
+           std::string host,
+           HostMetrics& metrics,
+           Sink sink);
 
   void Write(std::string_view event, nlohmann::json fields);
   // Hands what was gathered to the sink; called a few times a second.
   void Flush();
+  HostMetrics& Metrics() { return m_metrics; }
   std::uint64_t Dropped() const { return m_dropped; }
 
  private:
   const base::Clock& m_clock;
   std::string m_host;
+  HostMetrics& m_metrics;
   Sink m_sink;
   std::string m_buffer;
   std::uint64_t m_dropped = 0;
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -88,9 +88,9 @@
   void PassOffice();
   void Elected();
   void OfficeLost();
-  void AskOffice(JobRequest request,
+  void AskOffice(const JobRequest& request,
                  std::chrono::milliseconds timeout,
-                 std::function<void(JobAnswer)> respond);
+                 const std::function<void(JobAnswer)>& respond);
   std::string OwnEndpoint() const;
   bool IsOffice() const { return m_dispatcher != nullptr; }
 
--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -37,12 +37,7 @@
   std::chrono::milliseconds max_worker_lease{10000};
   std::chrono::milliseconds stop_grace{6000};
   std::chrono::milliseconds finished_state{120000};
-  std::chrono::milliseconds unavailable_notice{4500};
-  std::chrono::milliseconds disturbance{4000};
   std::chrono::milliseconds machine_order_lease{3000};
-  std::chrono::milliseconds machine_move{1500};
-  std::chrono::milliseconds machine_upkeep{2000};
-  double away_from_data_factor = 1.5;
   double processor_share = 1.0;  // Of one core.
 
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -23,6 +23,7 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr char kMetricsPath[] = "/metrics";
 constexpr int kUnavailable = 503;
 constexpr std::chrono::milliseconds kLogFlush{100};
 constexpr std::chrono::milliseconds kStopPoll{50};
@@ -75,7 +76,7 @@
       : m_settings(std::move(settings)),
         m_settings_path(std::move(settings_path)),
         m_loop(m_context, m_clock),
-        m_log(m_clock, m_settings.host, host::StandardOutputSink()),
+        m_log(m_clock, m_settings.host, m_metrics, host::StandardOutputSink()),
         m_client(wire::LoopClient::Create(m_context)),
         m_table(*m_client, m_settings.table_endpoint.Text()),
         m_workers(*m_client),
@@ -150,13 +151,19 @@
   }
 
   base::Result<void> StartMetrics() {
-    return Listen(
-        m_settings.address, m_settings.metrics_port,
-        [](const wire::HttpRequest&, const wire::HttpResponder& respond) {
-          wire::HttpResponse response;
-          response.status = kNotFound;
-          respond(response);
-        });
+    return Listen(m_settings.address, m_settings.metrics_port,
+                  [this](const wire::HttpRequest& request,
+                         const wire::HttpResponder& respond) {
+                    wire::HttpResponse response;
+                    if (request.path == kMetricsPath) {
+                      response.headers.emplace_back(
+                          "Content-Type", "text/plain; version=0.0.4");
+                      response.body = m_metrics.Expose();
+                    } else {
+                      response.status = kNotFound;
+                    }
+                    respond(response);
+                  });
   }
 
   void FlushLog() {
@@ -218,6 +225,7 @@
   base::SystemClock m_clock;
   asio::io_context m_context{1};
   host::AsioLoop m_loop;
+  host::HostMetrics m_metrics;
   host::EventLog m_log;
   std::unique_ptr<wire::LoopClient> m_client;
   adapter::TableClient m_table;
--- a/src/cassiastile/host/commit_chain.cpp
+++ b/src/cassiastile/host/commit_chain.cpp
@@ -66,10 +66,11 @@
 void CommitChain::Send() {
   ++m_attempts;
   const base::TimePoint sent_at = m_loop.GetClock().Now();
-  m_store.Commit(m_transaction, kCommitTimeout,
-                 m_lifetime.Guard([this, sent_at](TransactionReply reply) {
-                   Answered(std::move(reply), sent_at);
-                 }));
+  m_store.Commit(
+      m_transaction, kCommitTimeout,
+      m_lifetime.Guard([this, sent_at](const TransactionReply& reply) {
+        Answered(reply, sent_at);
+      }));
 }
 
 std::chrono::milliseconds CommitChain::StoreNow() const {
@@ -77,7 +78,8 @@
                              m_loop.GetClock().Now() - m_store_clock_at);
 }
 
-void CommitChain::Answered(TransactionReply reply, base::TimePoint sent_at) {
+void CommitChain::Answered(const TransactionReply& reply,
+                           base::TimePoint sent_at) {
   using Outcome = TransactionReply::Outcome;
   if (reply.now.count() > 0) {
     m_store_clock = reply.now;
@@ -86,6 +88,8 @@
   if (reply.outcome == Outcome::kApplied) {
     m_version = reply.version;
     m_confirmed_at = sent_at;
+    m_log.Metrics().Observe(Latency::kCommit,
+                            m_loop.GetClock().Now() - sent_at);
     Finish(true);
     return;
   }
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -34,9 +34,6 @@
 jobs::SchedulerOptions MakeOptions(const HostSettings& settings) {
   jobs::SchedulerOptions options;
   options.keep_finished = settings.finished_state;
-  options.notice = settings.unavailable_notice;
-  options.remote_factor = settings.away_from_data_factor;
-  options.interference = settings.disturbance;
   return options;
 }
 
@@ -88,7 +85,7 @@
   ReadJobs("");
 }
 
-void Dispatcher::ReadJobs(std::string from) {
+void Dispatcher::ReadJobs(const std::string& from) {
   m_ports.store.Read(
       kJobTable, kOfficePart, from,
       m_lifetime.Guard([this, from](base::Result<RowPage> page) {
@@ -358,6 +355,10 @@
     m_log.Write(
         "job.finished",
         {{"job", job}, {"phase", base::FindName(jobs::kJobPhaseNames, phase)}});
+    if (const jobs::Job* finished = m_scheduler.FindJob(job)) {
+      m_log.Metrics().Observe(Latency::kJob,
+                              finished->finished_at - finished->accepted_at);
+    }
     const auto waiting = m_await_cancel.extract(job);
     if (!waiting.empty()) {
       for (const Responder& respond : waiting.mapped()) {
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 void Dispatcher::Answer(const JobRequest& request,
-                        std::function<void(JobAnswer)> respond) {
+                        const std::function<void(JobAnswer)>& respond) {
   if (!m_serving || m_resigned) {
     respond({.kind = JobAnswerKind::kNotInOffice});
     return;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -222,14 +222,20 @@
           kLeaseMargin);
   m_ports.workers.Start(
       link.address, order, Fence(), until,
-      m_lifetime.Guard([this, worker = order.worker, task = order.task,
+      m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
                         run = order.run](jobs::StartResult result) {
         nlohmann::json line = Describe(task, run);
         line["worker"] = worker.id;
         line["result"] = base::FindName(jobs::kStartResultNames, result);
         m_log.Write("run.start", std::move(line));
-        m_scheduler.StartAnswered(worker, task, run, result,
-                                  m_loop.GetClock().Now());
+        const base::TimePoint answered = m_loop.GetClock().Now();
+        m_log.Metrics().Observe(Latency::kStart, answered - now);
+        const jobs::Job* job = m_scheduler.FindJob(task.job);
+        if (job != nullptr && !job->started) {
+          m_log.Metrics().Observe(Latency::kFirstStart,
+                                  answered - job->accepted_at);
+        }
+        m_scheduler.StartAnswered(worker, task, run, result, answered);
         if (result == jobs::StartResult::kFenced) {
           m_committed_at = {};
         }
--- a/src/cassiastile/host/event_log.cpp
+++ b/src/cassiastile/host/event_log.cpp
@@ -16,12 +16,30 @@
 constexpr std::size_t kMaxBuffered = 512U << 10U;
 constexpr std::size_t kAtomicWrite = PIPE_BUF;
 
+// The member of a line that says how it went.
+std::string OutcomeOf(const nlohmann::json& fields) {
+  for (const char* name : {"result", "reason", "how", "phase"}) {
+    const auto found = fields.find(name);
+    if (found != fields.end()) {
+      return found->is_string() ? found->get<std::string>() : found->dump();
+    }
+  }
+  return "";
+}
+
 }  // namespace
 
-EventLog::EventLog(const base::Clock& clock, std::string host, Sink sink)
-    : m_clock(clock), m_host(std::move(host)), m_sink(std::move(sink)) {}
+EventLog::EventLog(const base::Clock& clock,
+                   std::string host,
+                   HostMetrics& metrics,
+                   Sink sink)
+    : m_clock(clock),
+      m_host(std::move(host)),
+      m_metrics(metrics),
+      m_sink(std::move(sink)) {}
 
 void EventLog::Write(std::string_view event, nlohmann::json fields) {
+  m_metrics.Count(event, OutcomeOf(fields));
   if (m_buffer.size() > kMaxBuffered) {
     ++m_dropped;
     return;
--- a/src/cassiastile/host/front.cpp
+++ b/src/cassiastile/host/front.cpp
@@ -164,8 +164,11 @@
   const JobVerb verb = request.verb;
   const std::string job = request.job;
   m_ask(std::move(request), timeout,
-        [this, verb, job, respond](const JobAnswer& answer) {
+        [this, verb, job, respond,
+         arrived = m_loop.GetClock().Now()](const JobAnswer& answer) {
           --m_in_flight;
+          m_log.Metrics().Observe(Latency::kRequest,
+                                  m_loop.GetClock().Now() - arrived);
           switch (answer.kind) {
             case JobAnswerKind::kOk:
               if (verb == JobVerb::kState) {
--- /dev/null
+++ b/src/cassiastile/host/host_metrics.cpp
@@ -0,0 +1,76 @@
+#include "cassiastile/host/host_metrics.hpp"
+
+#include <sys/resource.h>
+
+namespace cassiastile::host {
+
+namespace {
+
+struct HistogramRow {
+  Latency latency;
+  const char* name;
+  const char* help;
+};
+
+constexpr std::array<HistogramRow, 5> kHistograms{{
+    {Latency::kCommit, "cassia_commit_seconds",
+     "Time of a commit to the platform's table, from its last send."},
+    {Latency::kStart, "cassia_start_order_seconds",
+     "Time of an order to start a run until the worker answered."},
+    {Latency::kFirstStart, "cassia_job_first_start_seconds",
+     "Time from a job's arrival to the first start of one of its tasks."},
+    {Latency::kJob, "cassia_job_seconds",
+     "Time from a job's arrival to its end."},
+    {Latency::kRequest, "cassia_request_seconds",
+     "Time of a caller's request at the host that took it."},
+}};
+
+// Seconds; from one round trip in a zone to the longest wait of a caller.
+const std::vector<double>& Buckets() {
+  static const std::vector<double> kBuckets{
+      0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
+  return kBuckets;
+}
+
+}  // namespace
+
+HostMetrics::HostMetrics() {
+  for (const HistogramRow& row : kHistograms) {
+    m_histograms[static_cast<std::size_t>(row.latency)] =
+        &m_metrics.Histogram(row.name, row.help, Buckets());
+  }
+  m_processor = &m_metrics.Gauge("cassia_processor_seconds",
+                                 "Processor time used since the start.");
+  m_memory = &m_metrics.Gauge("cassia_peak_memory_bytes",
+                              "The most resident memory since the start.");
+}
+
+void HostMetrics::Count(std::string_view event, std::string_view outcome) {
+  auto& counter = m_counters[{std::string(event), std::string(outcome)}];
+  if (counter == nullptr) {
+    counter = &m_metrics.Counter(
+        "cassia_events_total", "Lines of the event log by event and outcome.",
+        {{"event", std::string(event)}, {"outcome", std::string(outcome)}});
+  }
+  counter->Increment();
+}
+
+void HostMetrics::Observe(Latency latency, base::Duration duration) {
+  m_histograms[static_cast<std::size_t>(latency)]->Observe(
+      std::chrono::duration<double>(duration).count());
+}
+
+std::string HostMetrics::Expose() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicro = 1e-6;
+  constexpr double kKilobyte = 1024;
+  m_processor->Set(
+      static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+      kMicro *
+          static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec));
+  m_memory->Set(kKilobyte * static_cast<double>(usage.ru_maxrss));
+  return m_metrics.Expose();
+}
+
+}  // namespace cassiastile::host
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -46,30 +46,31 @@
       m_settings(std::move(settings)),
       m_random(random),
       m_life(base::MakeId(m_random)),
-      m_config(m_ports,
-               loop,
-               log,
-               {.on_config =
-                    [this](std::shared_ptr<const jobs::FleetConfig> config) {
-                      m_front.ApplyConfig(config);
-                      if (IsOffice()) {
-                        m_dispatcher->ApplyConfig(config);
-                      }
-                      Greet();
-                    },
-                .on_waves =
-                    [this] {
-                      if (IsOffice()) {
-                        m_dispatcher->ApplyWaves(m_config.Waves());
-                      }
-                    }}),
+      m_config(
+          m_ports,
+          loop,
+          log,
+          {.on_config =
+               [this](const std::shared_ptr<const jobs::FleetConfig>& config) {
+                 m_front.ApplyConfig(config);
+                 if (IsOffice()) {
+                   m_dispatcher->ApplyConfig(config);
+                 }
+                 Greet();
+               },
+           .on_waves =
+               [this] {
+                 if (IsOffice()) {
+                   m_dispatcher->ApplyWaves(m_config.Waves());
+                 }
+               }}),
       m_front(std::move(format),
               loop,
               log,
-              [this](JobRequest request,
+              [this](const JobRequest& request,
                      std::chrono::milliseconds timeout,
-                     std::function<void(JobAnswer)> respond) {
-                AskOffice(std::move(request), timeout, std::move(respond));
+                     const std::function<void(JobAnswer)>& respond) {
+                AskOffice(request, timeout, respond);
               }) {}
 
 std::string HostNode::OwnEndpoint() const {
@@ -370,9 +371,9 @@
   CheckOffice();
 }
 
-void HostNode::AskOffice(JobRequest request,
+void HostNode::AskOffice(const JobRequest& request,
                          std::chrono::milliseconds timeout,
-                         std::function<void(JobAnswer)> respond) {
+                         const std::function<void(JobAnswer)>& respond) {
   if (IsOffice()) {
     auto answered = std::make_shared<bool>(false);
     const auto once = [answered, respond](const JobAnswer& answer) {
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -463,9 +463,7 @@
     }
     const bool standby = pools[machine.pool].standby;
     const bool idle = worker == nullptr ? standby : worker->runs.empty();
-    if (!idle) {
-      known.idle_since = now;
-    } else if (known.idle_since == base::TimePoint{}) {
+    if (!idle || known.idle_since == base::TimePoint{}) {
       known.idle_since = now;
     }
     machine.idle_since = known.idle_since;
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -147,14 +147,8 @@
   reader.Time("max_worker_lease_ms", kMillisecond, settings.max_worker_lease);
   reader.Time("stop_grace_s", kSecond, settings.stop_grace);
   reader.Time("finished_state_s", kSecond, settings.finished_state);
-  reader.Time("unavailable_notice_ms", kMillisecond,
-              settings.unavailable_notice);
-  reader.Time("disturbance_ms", kMillisecond, settings.disturbance);
   reader.Time("machine_order_lease_ms", kMillisecond,
               settings.machine_order_lease);
-  reader.Time("machine_move_s", kSecond, settings.machine_move);
-  reader.Time("machine_upkeep_s", kSecond, settings.machine_upkeep);
-  reader.Number("away_from_data_factor", settings.away_from_data_factor);
   reader.Number("processor_share", settings.processor_share);
   if (!reader.Findings().empty()) {
     return base::Fail(base::ErrorCode::kInvalid, reader.Findings());
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -506,6 +506,7 @@
         loop(world.m_loop),
         log(loop.GetClock(),
             name,
+            metrics,
             [&world](std::string_view bytes) {
               if (world.m_options.keep_log) {
                 world.m_log_text += bytes;
@@ -559,6 +560,7 @@
 
   std::string name;
   HostLoop loop;
+  HostMetrics metrics;
   EventLog log;
   WorldStore store;
   WorldWorkers workers;
