--- /dev/null
+++ b/src/cassiastile/jobs/admission_test.cpp
@@ -0,0 +1,61 @@
+#include "cassiastile/jobs/admission.hpp"
+
+#include <gtest/gtest.h>
+
+#include "cassiastile/jobs/duration_model.hpp"
+
+namespace cassiastile::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+AdmissionInput MakeInput(double backlog_core_seconds) {
+  AdmissionInput input;
+  input.backlog = {.cpu = backlog_core_seconds * 1000, .memory = 0};
+  input.pool = {100000, 1000000, 0};
+  input.chain = milliseconds(1000);
+  input.objective = milliseconds(2000);
+  return input;
+}
+
+TEST(AdmissionTest, TakesWhatCanBeDoneInTime) {
+  EXPECT_TRUE(Admit(MakeInput(90)).admitted);
+}
+
+// Demand of five times the pool: each job taken beyond the slack would be late
+// and make those behind it late.
+TEST(AdmissionTest, TurnsAwayWhatCouldNotBeDoneInTime) {
+  const AdmissionVerdict verdict = Admit(MakeInput(400));
+  EXPECT_FALSE(verdict.admitted);
+  EXPECT_GE(verdict.retry_after, milliseconds(2000));
+}
+
+TEST(AdmissionTest, MemoryBindsAsWell) {
+  AdmissionInput input = MakeInput(0);
+  input.backlog.memory = 5e9;
+  EXPECT_FALSE(Admit(input).admitted);
+}
+
+TEST(AdmissionTest, RoomAtOnceAdmits) {
+  AdmissionInput input = MakeInput(400);
+  input.fits_now = true;
+  EXPECT_TRUE(Admit(input).admitted);
+}
+
+TEST(DurationModelTest, TrustsEstimatesOnlyWhereTheyAreGood) {
+  DurationModel model;
+  for (int i = 0; i < 200; ++i) {
+    const milliseconds good(500 + 10 * (i % 50));
+    model.Observe("good", good, good * 2);
+    model.Observe("bad", milliseconds(100 + 97 * (i % 31)), milliseconds(800));
+  }
+  EXPECT_NEAR(
+      static_cast<double>(model.Expect("good", milliseconds(900)).count()),
+      1800, 200);
+  EXPECT_NEAR(
+      static_cast<double>(model.Expect("bad", milliseconds(3000)).count()), 800,
+      200);
+}
+
+}  // namespace
+}  // namespace cassiastile::jobs
--- /dev/null
+++ b/src/cassiastile/jobs/wave_plan_test.cpp
@@ -0,0 +1,75 @@
+#include "cassiastile/jobs/wave_plan.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cassiastile::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::ElementsAre;
+using testing::IsEmpty;
+using testing::SizeIs;
+
+const base::TimePoint kNow{std::chrono::hours(1)};
+
+WaveMachine MakeMachine(const std::string& name) {
+  WaveMachine machine;
+  machine.name = name;
+  return machine;
+}
+
+WaveMachine Emptied(const std::string& name) {
+  WaveMachine machine = MakeMachine(name);
+  machine.withheld = true;
+  machine.withheld_at = kNow - milliseconds(500);
+  return machine;
+}
+
+TEST(WavePlanTest, NeverTakesMoreThanTheWaveAllows) {
+  WaveMachine down = MakeMachine("down");
+  down.down = true;
+  const WavePlan plan =
+      PlanWave({down, Emptied("a"), Emptied("b"), MakeMachine("c")},
+               {.max_down = 2, .left = milliseconds(60000)}, kNow);
+  EXPECT_THAT(plan.maintain, ElementsAre("a"));
+  EXPECT_THAT(plan.withhold, IsEmpty());
+}
+
+TEST(WavePlanTest, EmptiesBeforeItMaintains) {
+  const WavePlan plan = PlanWave(
+      {MakeMachine("a")}, {.max_down = 1, .left = milliseconds(60000)}, kNow);
+  EXPECT_THAT(plan.withhold, ElementsAre("a"));
+  EXPECT_THAT(plan.maintain, IsEmpty());
+}
+
+TEST(WavePlanTest, WaitsForFiniteTasksForAMoment) {
+  WaveMachine busy = Emptied("a");
+  busy.finite_cpu = 1000;
+  const WaveLimits limits{.max_down = 1, .left = milliseconds(60000)};
+  EXPECT_THAT(PlanWave({busy}, limits, kNow).maintain, IsEmpty());
+  EXPECT_THAT(PlanWave({busy}, limits, kNow + limits.max_emptying).maintain,
+              SizeIs(1));
+}
+
+TEST(WavePlanTest, MachineThatMayNotBeVacatedWaits) {
+  WaveMachine blocked = Emptied("a");
+  blocked.may_vacate = false;
+  EXPECT_THAT(
+      PlanWave({blocked}, {.max_down = 1, .left = milliseconds(0)}, kNow)
+          .maintain,
+      IsEmpty());
+}
+
+TEST(WavePlanTest, MachinesInNeedGoOnlyWhenTimeRunsShort) {
+  WaveMachine needed = MakeMachine("a");
+  needed.idle = false;
+  needed.needed = true;
+  WaveLimits limits{.max_down = 1, .left = milliseconds(60000)};
+  EXPECT_THAT(PlanWave({needed}, limits, kNow).withhold, IsEmpty());
+  limits.left = milliseconds(5000);
+  EXPECT_THAT(PlanWave({needed}, limits, kNow).withhold, SizeIs(1));
+}
+
+}  // namespace
+}  // namespace cassiastile::jobs
--- a/src/cassiastile/wire/loop_client_test.cpp
+++ b/src/cassiastile/wire/loop_client_test.cpp
@@ -3,8 +3,8 @@
 #include <mutex>
 #include <vector>
 
-#include <asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <asio/io_context.hpp>
 
 #include "cassiastile/wire/http_server.hpp"
 
@@ -20,11 +20,10 @@
       response.body = "hello";
       respond(std::move(response));
     });
-    router.Add("POST", "/silent",
-               [this](HttpRequest, HttpResponder respond) {
-                 const std::lock_guard lock(m_mutex);
-                 m_unanswered.push_back(std::move(respond));
-               });
+    router.Add("POST", "/silent", [this](HttpRequest, HttpResponder respond) {
+      const std::lock_guard lock(m_mutex);
+      m_unanswered.push_back(std::move(respond));
+    });
     auto server = HttpServer::Start({}, std::move(router));
     ASSERT_TRUE(server.has_value());
     m_server = std::move(*server);
