--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -49,7 +49,8 @@
   void Handle(const wire::HttpRequest& request,
               const wire::HttpResponder& respond);
   Greeting Greeted(const Greeting& greeting);
-  void Asked(const JobRequest& request, std::function<void(JobAnswer)> respond);
+  void Asked(const JobRequest& request,
+             const std::function<void(JobAnswer)>& respond);
   bool IsReady() const;
 
   // Stops taking part: not ready any more, the office passes on.
--- a/include/cassiastile/jobs/job_spec.hpp
+++ b/include/cassiastile/jobs/job_spec.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cassiastile/base/error.hpp"
@@ -53,7 +54,11 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  friend auto operator<=>(const TaskId&, const TaskId&) = default;
+  friend bool operator==(const TaskId&, const TaskId&) = default;
+  friend bool operator<(const TaskId& left, const TaskId& right) {
+    return std::tie(left.job, left.occurrence, left.step, left.index) <
+           std::tie(right.job, right.occurrence, right.step, right.index);
+  }
 };
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -164,10 +164,11 @@
                     const TaskId& task,
                     std::uint32_t run,
                     base::TimePoint now);
-  void AdviceAnswered(const AdviceRequest& request,
-                      std::vector<std::pair<std::string, std::string>> allowed,
-                      std::chrono::milliseconds validity,
-                      base::TimePoint now);
+  void AdviceAnswered(
+      const AdviceRequest& request,
+      const std::vector<std::pair<std::string, std::string>>& allowed,
+      std::chrono::milliseconds validity,
+      base::TimePoint now);
 
   // Drops what can't be alive any more, begins occurrences that are due and
   // places waiting tasks.
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -20,7 +20,7 @@
   std::string id;
   std::int64_t born = 0;  // Start of this life, milliseconds since 1970.
 
-  friend auto operator<=>(const WorkerId&, const WorkerId&) = default;
+  friend bool operator==(const WorkerId&, const WorkerId&) = default;
 };
 
 // What a worker says of itself in the platform's list.
--- a/src/cassiastile/host/host_metrics.cpp
+++ b/src/cassiastile/host/host_metrics.cpp
@@ -27,9 +27,9 @@
 
 // Seconds; from one round trip in a zone to the longest wait of a caller.
 const std::vector<double>& Buckets() {
-  static const std::vector<double> kBuckets{
+  static const std::vector<double> buckets{
       0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
-  return kBuckets;
+  return buckets;
 }
 
 }  // namespace
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -408,12 +408,12 @@
 }
 
 void HostNode::Asked(const JobRequest& request,
-                     std::function<void(JobAnswer)> respond) {
+                     const std::function<void(JobAnswer)>& respond) {
   if (!IsOffice()) {
     respond({.kind = JobAnswerKind::kNotInOffice});
     return;
   }
-  m_dispatcher->Answer(request, std::move(respond));
+  m_dispatcher->Answer(request, respond);
 }
 
 bool HostNode::IsReady() const {
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -266,7 +266,7 @@
       return true;
     };
     if (!look(false)) {
-      m_world.m_feeds.push_back([look] { return look(false); });
+      m_world.m_feeds.emplace_back([look] { return look(false); });
     }
     m_world.Post(wait, [this, look, answered, done] {
       if (!look(true) && !std::exchange(*answered, true)) {
@@ -331,7 +331,7 @@
         answer();
         return;
       }
-      worker->waiting.push_back(answer);
+      worker->waiting.emplace_back(answer);
       m_world.Post(extension.wait, answer);
     });
   }
@@ -919,7 +919,7 @@
 std::string VirtualWorld::SubmitText(std::size_t service,
                                      const std::string& text,
                                      std::size_t tasks) {
-  const std::string job = MakeJobId();
+  std::string job = MakeJobId();
   m_job_texts[job] = text;
   m_job_service[job] = service;
   m_tasks[job] = tasks;
@@ -1052,7 +1052,7 @@
   Apply(transaction);
 }
 
-void VirtualWorld::AskForWave(std::vector<std::string> machines,
+void VirtualWorld::AskForWave(const std::vector<std::string>& machines,
                               std::uint32_t max_down) {
   std::string text = fmt::format("1 {}", max_down);
   for (const std::string& machine : machines) {
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -81,7 +81,8 @@
   void CrashWorker(const std::string& id, std::chrono::milliseconds down);
   std::vector<std::string> WorkerIds() const;
   void ChangeConfig();
-  void AskForWave(std::vector<std::string> machines, std::uint32_t max_down);
+  void AskForWave(const std::vector<std::string>& machines,
+                  std::uint32_t max_down);
   std::vector<std::string> MachineNames() const;
 
   WorldFaults& Faults() { return m_faults; }
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -130,7 +130,8 @@
   return report;
 }
 
-void SchedulerBench::Report(const std::string& worker, WorkerReport report) {
+void SchedulerBench::Report(const std::string& worker,
+                            const WorkerReport& report) {
   m_scheduler->LeaseSent(worker, Now() + std::chrono::seconds(5));
   m_scheduler->WorkerReported(worker, report, Now(), Now());
 }
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -27,7 +27,7 @@
   Orders Step();
   // Answers all starts with success.
   std::vector<StartOrder> StepAndStart();
-  void Report(const std::string& worker, WorkerReport report);
+  void Report(const std::string& worker, const WorkerReport& report);
   // A report that lists what was started there and has not ended.
   WorkerReport Listing(const std::string& worker) const;
   void End(const StartOrder& order, RunEnd how, std::uint64_t sequence);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -196,7 +196,7 @@
 
 void Scheduler::AdviceAnswered(
     const AdviceRequest& request,
-    std::vector<std::pair<std::string, std::string>> allowed,
+    const std::vector<std::pair<std::string, std::string>>& allowed,
     std::chrono::milliseconds validity,
     base::TimePoint now) {
   Advice& advice =
@@ -207,8 +207,8 @@
   advice.valid_until = now + std::max(validity - kMargin, kMargin);
   advice.asked_at = {};
   advice.ticket_of_worker.clear();
-  for (auto& [worker, ticket] : allowed) {
-    advice.ticket_of_worker.emplace(worker, std::move(ticket));
+  for (const auto& [worker, ticket] : allowed) {
+    advice.ticket_of_worker.emplace(worker, ticket);
   }
 }
 
--- a/src/cassiastile/wire/loop_client.cpp
+++ b/src/cassiastile/wire/loop_client.cpp
@@ -99,9 +99,9 @@
   // False when the bytes are not a response, or it is too long.
   bool Feed(const char* data, std::size_t size, std::size_t max_body) {
     m_max_body = max_body;
-    static const http_parser_settings kSettings = MakeSettings();
+    static const http_parser_settings settings = MakeSettings();
     const std::size_t taken =
-        http_parser_execute(&m_parser, &kSettings, data, size);
+        http_parser_execute(&m_parser, &settings, data, size);
     // Bytes behind the end belong to nobody.
     return m_complete || (taken == size && m_parser.http_errno == HPE_OK);
   }
--- a/src/cassiastile/wire/loop_client_test.cpp
+++ b/src/cassiastile/wire/loop_client_test.cpp
@@ -15,15 +15,17 @@
  protected:
   void SetUp() override {
     Router router;
-    router.Add("GET", "/hello", [](HttpRequest, HttpResponder respond) {
-      HttpResponse response;
-      response.body = "hello";
-      respond(std::move(response));
-    });
-    router.Add("POST", "/silent", [this](HttpRequest, HttpResponder respond) {
-      const std::lock_guard lock(m_mutex);
-      m_unanswered.push_back(std::move(respond));
-    });
+    router.Add("GET", "/hello",
+               [](const HttpRequest&, const HttpResponder& respond) {
+                 HttpResponse response;
+                 response.body = "hello";
+                 respond(std::move(response));
+               });
+    router.Add("POST", "/silent",
+               [this](const HttpRequest&, const HttpResponder& respond) {
+                 const std::lock_guard lock(m_mutex);
+                 m_unanswered.push_back(respond);
+               });
     auto server = HttpServer::Start({}, std::move(router));
     ASSERT_TRUE(server.has_value());
     m_server = std::move(*server);
