Let a customer beyond its share take only what is free; keep the age of jobs

Change: while a pool is full, jobs beyond a customer's weight a second are refused; the record of a job holds when it was taken. Tests: CustomerBeyondItsShareGetsOnlyWhatIsFree, SuccessorKnowsHowOldAJobIs.

--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -28,9 +28,11 @@
 
 // What admission knows of a pool and of the job at its door.
 struct AdmissionInput {
-  Work backlog;           // Ahead of the job, not yet done.
-  Resources pool;         // What jobs can use, with what is on its way.
-  bool fits_now = false;  // Its first step finds room at once.
+  Work backlog;    // Ahead of the job, not yet done.
+  Resources pool;  // What jobs can use, with what is on its way.
+  // Its customer hands in more jobs a second than its weight.
+  bool beyond_share = false;
+  bool fits_now = false;                   // Its first step finds room at once.
   std::chrono::milliseconds chain{0};      // Longest chain of the job.
   std::chrono::milliseconds objective{0};  // From its first request on.
 };
@@ -40,9 +42,12 @@
   std::chrono::milliseconds retry_after{0};
 };
 
-// Answers demand of several times the pool: a job that could not meet its
-// objective behind the work already taken is turned away at once, with the
-// time after which it could. Taking it would make it and those behind it late.
+// Answers one customer that sends many times its usual: what goes beyond its
+// share is taken only while there is room at once, so that the others' jobs
+// find theirs. Answers demand of several times the pool: a job that could not
+// meet its objective behind the work already taken is turned away at once, with
+// the time after which it could. Taking it would make it and those behind it
+// late.
 AdmissionVerdict Admit(const AdmissionInput& input);
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/arrival_meter.hpp
+++ b/include/cassiastile/jobs/arrival_meter.hpp
@@ -25,6 +25,8 @@
   // Work per millisecond over the last moments: cores and megabytes in use if
   // all of it ran at once.
   Work Rate(base::TimePoint now);
+  // Jobs over the last seconds.
+  double JobsPerSecond(base::TimePoint now);
 
  private:
   struct Arrival {
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -88,6 +88,9 @@
   std::string customer;  // Empty on queues open to all.
   JobSpec spec;
   base::TimePoint accepted_at{};
+  // By the wall clock of the office that took it, so that the next one knows
+  // how old it is. Clocks may step; only the order of jobs hangs on it.
+  std::chrono::milliseconds accepted_wall{0};
   base::TimePoint objective{};  // When it should be done.
   base::TimePoint worthless{};  // When being done is worth nothing any more.
   base::TimePoint finished_at{};
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -126,6 +126,7 @@
   // count as alive until `silent_bound`.
   void Recover(std::vector<Job> jobs,
                base::TimePoint now,
+               base::WallTime wall,
                base::TimePoint silent_bound);
 
   // Callers.
@@ -133,7 +134,8 @@
                     const QueueConfig& queue,
                     const std::string& customer,
                     JobSpec spec,
-                    base::TimePoint now);
+                    base::TimePoint now,
+                    base::WallTime wall);
   // False when there is no such job. Acknowledge once the phase is committed.
   bool Cancel(const std::string& id, base::TimePoint now);
   const Job* FindJob(const std::string& id) const;
@@ -235,6 +237,7 @@
   void ReleaseFinished(base::TimePoint now);
   std::string ServiceOf(const Job& job) const;
   const QueueConfig* QueueOf(const Job& job) const;
+  bool IsBeyondShare(const std::string& customer, base::TimePoint now);
   AdmissionInput MakeAdmissionInput(const Job& job, base::TimePoint now) const;
   void SetObjective(Job& job, const QueueConfig& queue);
 
@@ -301,6 +304,7 @@
   std::map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, WorkerState> m_workers;
   std::map<std::string, Resources> m_used_by_customer;
+  std::map<std::string, ArrivalMeter> m_customer_arrivals;
   std::map<std::string, ArrivalMeter> m_arrivals;  // By service.
   std::map<std::string, Resources> m_arriving;     // By service.
   std::map<std::string, Resources> m_unplaced;     // By service.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -228,7 +228,8 @@
   const std::size_t count = recovered.size();
   const auto silent_bound =
       now + kUnconfirmedTerm + 2 * m_settings.max_worker_lease / 3;
-  m_scheduler.Recover(std::move(recovered), now, silent_bound);
+  m_scheduler.Recover(std::move(recovered), now, m_loop.GetClock().WallNow(),
+                      silent_bound);
   m_serving = true;
   m_machines.Begin(Fence(), [this] { return m_chain->StoreNow(); });
   m_log.Write("office.serving", {{"fence", Fence()},
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -68,9 +68,9 @@
     respond({.kind = JobAnswerKind::kInvalid, .detail = spec.error().message});
     return;
   }
-  const jobs::Submission submission =
-      m_scheduler.Submit(request.job, *queue, request.customer,
-                         std::move(*spec), m_loop.GetClock().Now());
+  const jobs::Submission submission = m_scheduler.Submit(
+      request.job, *queue, request.customer, std::move(*spec),
+      m_loop.GetClock().Now(), m_loop.GetClock().WallNow());
   switch (submission.verdict) {
     case jobs::Submission::Verdict::kKnown:
       respond({.kind = JobAnswerKind::kOk});
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -27,6 +27,9 @@
       input.backlog.memory / static_cast<double>(input.pool.memory));
   const double slack_ms =
       static_cast<double>((input.objective - input.chain).count());
+  if (input.beyond_share) {
+    return {.admitted = false, .retry_after = kMinRetryAfter};
+  }
   const double excess_ms = wait_ms - kTolerance * std::max(0.0, slack_ms);
   if (excess_ms <= 0) {
     return {};
--- a/src/cassiastile/jobs/admission_test.cpp
+++ b/src/cassiastile/jobs/admission_test.cpp
@@ -42,6 +42,14 @@
   EXPECT_TRUE(Admit(input).admitted);
 }
 
+TEST(AdmissionTest, CustomerBeyondItsShareGetsOnlyWhatIsFree) {
+  AdmissionInput input = MakeInput(10);
+  input.beyond_share = true;
+  EXPECT_FALSE(Admit(input).admitted);
+  input.fits_now = true;
+  EXPECT_TRUE(Admit(input).admitted);
+}
+
 TEST(DurationModelTest, TrustsEstimatesOnlyWhereTheyAreGood) {
   DurationModel model;
   for (int i = 0; i < 200; ++i) {
--- a/src/cassiastile/jobs/arrival_meter.cpp
+++ b/src/cassiastile/jobs/arrival_meter.cpp
@@ -47,6 +47,12 @@
   return {sum.cpu / window, sum.memory / window};
 }
 
+double ArrivalMeter::JobsPerSecond(base::TimePoint now) {
+  Forget(now);
+  return static_cast<double>(m_arrivals.size()) /
+         std::chrono::duration<double>(kSameJob).count();
+}
+
 void ArrivalMeter::Forget(base::TimePoint now) {
   while (!m_arrivals.empty() && now - m_arrivals.front().at > kSameJob) {
     m_arrivals.pop_front();
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Raised when the layout changes in a way that older programs can't read.
-constexpr std::uint8_t kLayout = 1;
+constexpr std::uint8_t kLayout = 2;
 
 template <typename Archive>
 void Visit(Archive& archive, Resources& value) {
@@ -57,6 +57,7 @@
   if (layout != kLayout) {
     throw cereal::Exception("unknown layout");
   }
+  Visit(archive, job.accepted_wall);
   Visit(archive, job.spec);
 }
 
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -7,6 +7,14 @@
 
 namespace {
 
+// A job taken by an earlier office counts as no older than this.
+constexpr std::chrono::milliseconds kOldest{60000};
+
+std::chrono::milliseconds Millis(base::WallTime wall) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      wall.time_since_epoch());
+}
+
 // A job that is later than this many objectives is worth nothing.
 constexpr int kWorthlessFactor = 3;
 
@@ -100,12 +108,15 @@
 
 void Scheduler::Recover(std::vector<Job> jobs,
                         base::TimePoint now,
+                        base::WallTime wall,
                         base::TimePoint silent_bound) {
   for (Job& source : jobs) {
     auto owned = std::make_unique<Job>(std::move(source));
     Job& job = *owned;
     job.accepted = true;
-    job.accepted_at = now;
+    const auto age = std::clamp(Millis(wall) - job.accepted_wall,
+                                std::chrono::milliseconds(0), kOldest);
+    job.accepted_at = now - age;
     if (const QueueConfig* queue = QueueOf(job)) {
       SetObjective(job, *queue);
     }
@@ -139,6 +150,13 @@
   }
 }
 
+bool Scheduler::IsBeyondShare(const std::string& customer,
+                              base::TimePoint now) {
+  const CustomerConfig* config = m_config->FindCustomer(customer);
+  return config != nullptr &&
+         m_customer_arrivals[customer].JobsPerSecond(now) > config->weight;
+}
+
 AdmissionInput Scheduler::MakeAdmissionInput(const Job& job,
                                              base::TimePoint now) const {
   AdmissionInput input;
@@ -181,7 +199,8 @@
                              const QueueConfig& queue,
                              const std::string& customer,
                              JobSpec spec,
-                             base::TimePoint now) {
+                             base::TimePoint now,
+                             base::WallTime wall) {
   const auto found = m_jobs.find(id);
   if (found != m_jobs.end()) {
     return {.verdict = found->second->accepted ? Submission::Verdict::kKnown
@@ -195,6 +214,7 @@
   job.customer = customer;
   job.spec = std::move(spec);
   job.accepted_at = now;
+  job.accepted_wall = Millis(wall);
   SetObjective(job, queue);
   for (const StepSpec& step : job.spec.steps) {
     if (!FitsSomeWorker(step, queue.service, m_workers)) {
@@ -207,8 +227,11 @@
   const Work work = m_durations.ExpectWork(queue.name, job.spec);
   const bool finite = work.cpu > 0;
   m_arrivals[queue.service].Add(id, work, now);
+  m_customer_arrivals[customer].Add(id, work, now);
   if (finite && !timed) {
-    const AdmissionVerdict verdict = Admit(MakeAdmissionInput(job, now));
+    AdmissionInput input = MakeAdmissionInput(job, now);
+    input.beyond_share = IsBeyondShare(customer, now);
+    const AdmissionVerdict verdict = Admit(input);
     if (!verdict.admitted) {
       return {.verdict = Submission::Verdict::kRefused,
               .reason = RefusalReason::kOverload,
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -28,7 +28,8 @@
                               .slack = std::chrono::milliseconds(600),
                               .advice = {}});
   m_config->services.push_back({.name = kService});
-  m_config->customers.push_back({.name = "customer", .limit = {}, .keys = {}});
+  m_config->customers.push_back(
+      {.name = "customer", .weight = 1000, .limit = {}, .keys = {}});
   m_config->BuildIndex();
   m_scheduler->ApplyConfig(m_config);
 }
@@ -83,7 +84,7 @@
 
 Submission SchedulerBench::Submit(const std::string& id, JobSpec spec) {
   return m_scheduler->Submit(id, m_config->queues.front(), "customer",
-                             std::move(spec), Now());
+                             std::move(spec), Now(), m_clock.WallNow());
 }
 
 Orders SchedulerBench::Step() {
@@ -176,7 +177,8 @@
   bench.m_ended = m_ended;
   bench.m_records = m_records;
   bench.m_progress = m_progress;
-  bench.m_scheduler->Recover(Stored(), Now(), Now() + silent_for);
+  bench.m_scheduler->Recover(Stored(), Now(), m_clock.WallNow(),
+                             Now() + silent_for);
   bench.ListWorkers();
   return bench;
 }
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -134,6 +134,17 @@
   EXPECT_EQ(successor.Get().FindJob(kJob)->stored_phase, JobPhase::kDone);
 }
 
+TEST(SchedulerTest, SuccessorKnowsHowOldAJobIs) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  bench.StepAndStart();
+  const base::TimePoint objective = bench.Get().FindJob(kJob)->objective;
+  bench.Advance(milliseconds(5000));
+  SchedulerBench successor = bench.Successor(milliseconds(10000));
+  EXPECT_EQ(successor.Get().FindJob(kJob)->objective, objective);
+}
+
 TEST(SchedulerTest, SuccessorWaitsForSilentWorkersLeases) {
   SchedulerBench bench;
   bench.AddWorker("a");
