--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -54,7 +54,7 @@
   Dispatcher& operator=(const Dispatcher&) = delete;
 
   // Reads what the predecessor left and begins to serve.
-  void Begin(bool had_predecessor);
+  void Begin();
   void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
   void ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves);
   void Answer(const JobRequest& request,
@@ -134,7 +134,6 @@
   MachineKeeper m_machines;
   bool m_serving = false;
   bool m_resigned = false;
-  bool m_had_predecessor = false;
   bool m_plan_due = false;
   std::map<std::string, StoredJob> m_recovered;
   std::map<std::string, jobs::WorkerEntry> m_entries;
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -117,7 +117,6 @@
   bool m_taking = false;
   std::unique_ptr<CommitChain> m_candidate;
   std::unique_ptr<Dispatcher> m_dispatcher;
-  bool m_had_predecessor = false;
   base::TimePoint m_behind_since{};  // Of a newer configuration.
   base::TimePoint m_config_asked_at{};
   base::TimePoint m_vacant_since{};
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -100,8 +100,7 @@
   base::TimePoint last_report{};
   // After this nothing that was ordered so far can still run there.
   base::TimePoint lease_bound{};
-  // Earlier reports are not told from runs lost; see WorkerReported.
-  Resources used;
+  Resources used;  // By runs that may be alive.
   std::vector<std::pair<TaskRef, std::uint32_t>> runs;
   std::uint64_t last_end = 0;   // Newest end seen.
   std::uint64_t acked_end = 0;  // Newest end that the store covers.
@@ -265,7 +264,7 @@
   void ExpireRuns(base::TimePoint now);
 
   // scheduler_place.cpp
-  void BeginDueOccurrences(base::TimePoint now, base::WallTime wall);
+  void BeginDueOccurrences(base::WallTime wall);
   void PlaceService(const std::string& service,
                     std::vector<Job*>& jobs,
                     base::TimePoint now);
@@ -314,7 +313,6 @@
   std::vector<Job*> m_to_release;
   DurationModel m_durations;
   bool m_urgent = false;
-  bool m_ends_to_cover = false;
   Orders m_orders;
   std::vector<std::pair<TaskRef, std::uint32_t>> m_planned;
 };
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -41,20 +41,18 @@
   kDone,
   kFailed,
   kStopped,
-  kLapsed,    // The worker's lease ran out.
-  kBroken,    // Another member of the gang ended.
-  kAlone,     // The gang was not complete in time.
-  kReplaced,  // Not listed: the worker's life is over.
+  kLapsed,  // The worker's lease ran out.
+  kBroken,  // Another member of the gang ended.
+  kAlone,   // The gang was not complete in time.
 };
 
-inline constexpr std::array<base::EnumName<RunEnd>, 7> kRunEndNames{{
+inline constexpr std::array<base::EnumName<RunEnd>, 6> kRunEndNames{{
     {RunEnd::kDone, "done"},
     {RunEnd::kFailed, "failed"},
     {RunEnd::kStopped, "stopped"},
     {RunEnd::kLapsed, "lapsed"},
     {RunEnd::kBroken, "broken"},
     {RunEnd::kAlone, "alone"},
-    {RunEnd::kReplaced, "replaced"},
 }};
 
 // A run that a worker lists as running.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cassiastile/host/worker_lease.hpp"
+
 namespace cassiastile::host {
 
 namespace {
@@ -79,8 +81,7 @@
   }
 }
 
-void Dispatcher::Begin(bool had_predecessor) {
-  m_had_predecessor = had_predecessor;
+void Dispatcher::Begin() {
   m_committed_at = m_loop.GetClock().Now();
   ReadJobs("");
 }
@@ -226,8 +227,8 @@
   const base::TimePoint now = m_loop.GetClock().Now();
   std::vector<jobs::Job> recovered = DecodeRecovered();
   const std::size_t count = recovered.size();
-  const auto silent_bound =
-      now + kUnconfirmedTerm + 2 * m_settings.max_worker_lease / 3;
+  // The former office may go on until its unconfirmed term is over.
+  const base::TimePoint silent_bound = LeaseEnd(now + kUnconfirmedTerm);
   m_scheduler.Recover(std::move(recovered), now, m_loop.GetClock().WallNow(),
                       silent_bound);
   m_serving = true;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -4,17 +4,12 @@
 #include <nlohmann/json.hpp>
 
 #include "cassiastile/host/dispatcher.hpp"
+#include "cassiastile/host/worker_lease.hpp"
 
 namespace cassiastile::host {
 
 namespace {
 
-// How long a worker goes on without hearing from the office. It outlasts a
-// change of office, and a lost worker's tasks start elsewhere after it.
-constexpr std::chrono::milliseconds kWorkerLease{5000};
-// A worker's clock may be 2 % slow.
-constexpr double kClockSlack = 1.03;
-constexpr std::chrono::milliseconds kLeaseMargin{400};
 constexpr std::chrono::milliseconds kPollWait{1000};
 // Ends that come close together are fetched together.
 constexpr std::chrono::microseconds kPollPausePerWorker{200};
@@ -90,12 +85,7 @@
     extension.until =
         ClockOf(link) + std::min(kWorkerLease, m_settings.max_worker_lease);
     extension.wait = look ? std::chrono::milliseconds(0) : kPollWait;
-    m_scheduler.LeaseSent(
-        link.address.id.id,
-        now +
-            std::chrono::milliseconds(static_cast<std::int64_t>(
-                static_cast<double>(kWorkerLease.count()) * kClockSlack)) +
-            kLeaseMargin);
+    m_scheduler.LeaseSent(link.address.id.id, LeaseEnd(now));
   }
   (look ? link.looking : link.busy) = true;
   const std::string id = link.address.id.id;
@@ -214,12 +204,7 @@
   }
   const Link& link = found->second;
   const auto until = ClockOf(link) + kWorkerLease;
-  m_scheduler.LeaseSent(
-      order.worker.id,
-      now +
-          std::chrono::milliseconds(static_cast<std::int64_t>(
-              static_cast<double>(kWorkerLease.count()) * kClockSlack)) +
-          kLeaseMargin);
+  m_scheduler.LeaseSent(order.worker.id, LeaseEnd(now));
   m_ports.workers.Start(
       link.address, order, Fence(), until,
       m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -353,7 +353,6 @@
     return;
   }
   m_taking = true;
-  m_had_predecessor = sight.version != 0;
   m_log.Write("office.take", {{"seen_version", sight.version},
                               {"seen_holder", sight.record.host}});
   m_candidate = std::make_unique<CommitChain>(
@@ -377,7 +376,7 @@
       [this] { m_loop.After({}, m_lifetime.Guard([this] { OfficeLost(); })); });
   m_dispatcher->ApplyConfig(m_config.Config());
   m_dispatcher->ApplyWaves(m_config.Waves());
-  m_dispatcher->Begin(m_had_predecessor);
+  m_dispatcher->Begin();
   for (const auto& [host, peer] : m_known) {
     SendGreeting(peer.endpoint);
   }
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -107,8 +107,7 @@
          within(after.gpus, customer->limit.gpus);
 }
 
-void Scheduler::BeginDueOccurrences(base::TimePoint now, base::WallTime wall) {
-  static_cast<void>(now);
+void Scheduler::BeginDueOccurrences(base::WallTime wall) {
   const auto wall_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       wall.time_since_epoch());
   for (const auto& [id, job] : m_jobs) {
@@ -127,7 +126,7 @@
 void Scheduler::Plan(base::TimePoint now, base::WallTime wall) {
   ExpireRuns(now);
   CareForRuns(now);
-  BeginDueOccurrences(now, wall);
+  BeginDueOccurrences(wall);
   std::map<std::string, std::vector<Job*>> waiting;
   for (const auto& [id, job] : m_jobs) {
     if (!IsFinished(job->phase) && HasWaiting(*job)) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -180,7 +180,6 @@
       continue;
     }
     worker->last_end = end.sequence;
-    m_ends_to_cover = true;
     if (const auto ref = Resolve(end.task)) {
       EndRun(*ref, *worker, end, now);
     }
