Soak: real hosts against stand-ins on loopback, spoiled by seeded plans

cassia-soak starts cassia-host processes, the platform's services as stand-ins (platform/standin, on the models of the new module sim) and proxies between them. A plan of faults comes from a seed or a file: kills, stops, pauses, reloads, delayed, reset, one way cut and silenced connections, a table that refuses, loses answers or forgets, workers that crash or are late, configurations, waves. Callers keep their connections.

--- /dev/null
+++ b/src/bin/cassia_soak.cpp
@@ -0,0 +1,129 @@
+// cassia-soak: plays seeds of faults against real hosts and checks the
+// promises.
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/soak/soak.hpp"
+
+namespace {
+
+using namespace cassiastile;
+namespace po = boost::program_options;
+
+void Print(const soak::SoakResult& result) {
+  std::cout << nlohmann::json{{"seed", result.seed},
+                              {"faults", result.faults},
+                              {"process_starts", result.starts},
+                              {"jobs", result.jobs},
+                              {"accepted", result.accepted},
+                              {"refused", result.refused},
+                              {"done", result.done},
+                              {"violations", result.violations}}
+                   .dump()
+            << std::endl;
+}
+
+// Plays one seed after the other; returns how many failed.
+base::Result<int> PlaySeeds(soak::SoakOptions options,
+                            std::uint64_t seeds,
+                            const std::string& keep) {
+  int failed = 0;
+  const std::uint64_t first = options.seed;
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    options.seed = seed;
+    options.folder = keep + "/seed-" + std::to_string(seed);
+    std::filesystem::create_directories(options.folder);
+    const auto result = soak::RunSoak(options);
+    if (!result) {
+      return tl::unexpected(result.error());
+    }
+    Print(*result);
+    if (result->violations.empty()) {
+      std::filesystem::remove_all(options.folder);
+    } else {
+      ++failed;
+    }
+  }
+  return failed;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  soak::SoakOptions options;
+  std::uint64_t seeds = 1;
+  std::int64_t seconds = 10;
+  std::string keep;
+  std::string plan_file;
+  int shrink_tries = 0;
+  po::options_description names("cassia-soak");
+  names.add_options()("help", "shows this text")(
+      "host-program",
+      po::value(&options.host_program)->default_value("build/bin/cassia-host"),
+      "the program to run as each host")(
+      "seed", po::value(&options.seed)->default_value(1), "first seed")(
+      "seeds", po::value(&seeds)->default_value(1), "how many seeds to play")(
+      "seconds", po::value(&seconds)->default_value(seconds),
+      "how long faults come")("hosts",
+                              po::value(&options.plan.hosts)->default_value(5),
+                              "processes of cassia-host")(
+      "workers", po::value(&options.plan.workers)->default_value(10),
+      "workers that run tasks")(
+      "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
+      "hand-ins of the callers")(
+      "plan", po::value(&plan_file),
+      "plays the faults of a file, one JSON object a line, instead of the "
+      "seed's")("shrink", po::value(&shrink_tries)->implicit_value(2),
+                "looks for a shorter plan that still fails, and prints it; "
+                "each is tried so many times")(
+      "keep", po::value(&keep)->default_value("soak-logs"),
+      "folder for the logs and plans of seeds that failed");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, names), values);
+    if (values.contains("help")) {
+      std::cout << names;
+      return 0;
+    }
+    po::notify(values);
+    options.plan.length = std::chrono::seconds(seconds);
+    if (!plan_file.empty()) {
+      std::ifstream file(plan_file);
+      std::ostringstream text;
+      text << file.rdbuf();
+      auto plan = soak::DecodePlan(text.str());
+      if (!file || !plan || plan->empty()) {
+        std::cerr << "cassia-soak: " << plan_file << ": "
+                  << (plan ? "no faults could be read" : plan.error().message)
+                  << "\n";
+        return 2;
+      }
+      options.faults = std::move(*plan);
+    }
+    if (shrink_tries > 0) {
+      options.folder = keep;
+      std::filesystem::create_directories(keep);
+      const auto plan = soak::ShrinkPlan(options, shrink_tries);
+      if (!plan) {
+        std::cerr << "cassia-soak: " << plan.error().message << "\n";
+        return 1;
+      }
+      std::cout << soak::EncodePlan(*plan);
+      return 0;
+    }
+    const auto failed = PlaySeeds(options, seeds, keep);
+    if (!failed) {
+      std::cerr << "cassia-soak: " << failed.error().message << "\n";
+      return 2;
+    }
+    return *failed == 0 ? 0 : 1;
+  } catch (const std::exception& error) {
+    std::cerr << "cassia-soak: " << error.what() << "\n" << names;
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/cassiastile/sim/promise_watch.cpp
@@ -0,0 +1,133 @@
+#include "cassiastile/sim/promise_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace cassiastile::sim {
+
+namespace {
+
+std::string Name(const jobs::TaskId& task) {
+  return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step,
+                     task.index);
+}
+
+}  // namespace
+
+void PromiseWatch::HandedIn(const std::string& job, jobs::JobSpec spec) {
+  m_books[job].spec = std::move(spec);
+}
+
+void PromiseWatch::Refused(const std::string& job) {
+  m_books[job].refused = true;
+}
+
+void PromiseWatch::Accepted(const std::string& job) {
+  m_books[job].refused = false;
+  m_books[job].accepted = true;
+}
+
+void PromiseWatch::CancelAcknowledged(const std::string& job) {
+  m_books[job].accepted = false;
+}
+
+void PromiseWatch::SaidToBe(const std::string& job, jobs::JobPhase phase) {
+  const Book& book = m_books[job];
+  std::size_t tasks = 0;
+  for (const jobs::StepSpec& step : book.spec.steps) {
+    tasks += step.count;
+  }
+  if (phase == jobs::JobPhase::kDone && book.done.size() < tasks) {
+    Violate(fmt::format("job {} is said to be done with {} of {} tasks", job,
+                        book.done.size(), tasks));
+  }
+  if (phase == jobs::JobPhase::kFailed ||
+      (phase == jobs::JobPhase::kCancelled && book.accepted)) {
+    Violate(fmt::format("job {} is said to be {}", job,
+                        base::FindName(jobs::kJobPhaseNames, phase)));
+  }
+}
+
+const jobs::JobSpec* PromiseWatch::SpecOf(const std::string& job) const {
+  const auto found = m_books.find(job);
+  return found == m_books.end() ? nullptr : &found->second.spec;
+}
+
+bool PromiseWatch::IsStepDone(const Book& book,
+                              const jobs::TaskId& task,
+                              std::uint32_t step) const {
+  const auto done =
+      std::ranges::count_if(book.done, [&task, step](const jobs::TaskId& each) {
+        return each.occurrence == task.occurrence && each.step == step;
+      });
+  return static_cast<std::uint32_t>(done) == book.spec.steps[step].count;
+}
+
+void PromiseWatch::Began(const jobs::WorkerId& worker,
+                         const jobs::StartOrder& order) {
+  const jobs::TaskId& task = order.task;
+  const auto found = m_books.find(task.job);
+  if (found == m_books.end() || found->second.spec.payload != order.payload) {
+    Violate(fmt::format("task {} was never handed in", Name(task)));
+    return;
+  }
+  Book& book = found->second;
+  if (book.refused) {
+    Violate(fmt::format("task {} runs though its job was refused", Name(task)));
+  }
+  for (const std::uint32_t before : book.spec.steps[task.step].after) {
+    if (!IsStepDone(book, task, before)) {
+      Violate(fmt::format("task {} runs before step {} is done", Name(task),
+                          before));
+    }
+  }
+  std::vector<std::string>& running = book.running[task];
+  if (!running.empty()) {
+    Violate(fmt::format("task {} runs twice: on {} and {}", Name(task),
+                        running.front(), worker.id));
+  }
+  running.push_back(worker.id);
+  if (m_noted.contains(task)) {
+    Violate(fmt::format("task {} started after its end was acknowledged",
+                        Name(task)));
+  }
+}
+
+void PromiseWatch::Ended(const jobs::WorkerId& worker,
+                         const jobs::TaskId& task,
+                         std::uint32_t /*run*/,
+                         jobs::RunEnd how) {
+  const auto found = m_books.find(task.job);
+  if (found == m_books.end()) {
+    return;
+  }
+  std::erase(found->second.running[task], worker.id);
+  if (how == jobs::RunEnd::kDone) {
+    found->second.done.insert(task);
+  }
+}
+
+void PromiseWatch::Noted(const jobs::TaskId& task) {
+  m_noted.insert(task);
+}
+
+std::size_t PromiseWatch::DoneTasks(const std::string& job) const {
+  const auto found = m_books.find(job);
+  return found == m_books.end() ? 0 : found->second.done.size();
+}
+
+std::size_t PromiseWatch::RunningTasks(const std::string& job) const {
+  const auto found = m_books.find(job);
+  if (found == m_books.end()) {
+    return 0;
+  }
+  std::size_t count = 0;
+  for (const auto& [task, workers] : found->second.running) {
+    count += workers.size();
+  }
+  return count;
+}
+
+}  // namespace cassiastile::sim
--- /dev/null
+++ b/src/cassiastile/sim/worker_model.cpp
@@ -0,0 +1,165 @@
+#include "cassiastile/sim/worker_model.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiastile::sim {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A long-running task is at work after a short start-up.
+constexpr milliseconds kStartup{300};
+
+}  // namespace
+
+WorkerModel::WorkerModel(jobs::WorkerEntry entry,
+                         base::TimePoint began,
+                         RunWatch& watch)
+    : m_entry(std::move(entry)), m_began(began), m_watch(watch) {}
+
+milliseconds WorkerModel::Clock(base::TimePoint now) const {
+  return std::chrono::duration_cast<milliseconds>(now - m_began);
+}
+
+jobs::StartResult WorkerModel::Start(const jobs::StartOrder& order,
+                                     const jobs::StepSpec& step,
+                                     std::uint64_t fence,
+                                     milliseconds until,
+                                     base::TimePoint now) {
+  if (fence < m_fence) {
+    return jobs::StartResult::kFenced;
+  }
+  m_fence = fence;
+  if (until <= Clock(now)) {
+    return jobs::StartResult::kTooLate;
+  }
+  m_until = std::max(m_until, until);
+  if (const auto same = m_running.find(order.task); same != m_running.end()) {
+    return same->second.number == order.run ? jobs::StartResult::kRunning
+                                            : jobs::StartResult::kStaleRun;
+  }
+  if (const auto closed = m_closed.find(order.task);
+      closed != m_closed.end() && order.run <= closed->second) {
+    return jobs::StartResult::kStaleRun;
+  }
+  const jobs::Resources need = jobs::CapacityNeed(step);
+  if (!jobs::Fits(m_used + need, m_entry.capacity)) {
+    return jobs::StartResult::kNoRoom;
+  }
+  m_used += need;
+  Run& run = m_running[order.task];
+  run = {order.run, now, {}, need};
+  if (!step.long_running) {
+    run.ends = now + step.estimate;
+  }
+  m_watch.Began(m_entry.id, order);
+  return jobs::StartResult::kRunning;
+}
+
+bool WorkerModel::Stop(const jobs::TaskId& task,
+                       std::uint32_t run,
+                       std::uint64_t fence,
+                       base::TimePoint now) {
+  if (fence < m_fence) {
+    return false;
+  }
+  m_fence = fence;
+  Advance(now);
+  m_closed[task] = std::max(m_closed[task], run);
+  const auto found = m_running.find(task);
+  if (found != m_running.end() && found->second.number <= run) {
+    Finish(task, jobs::RunEnd::kStopped);
+  }
+  return true;
+}
+
+bool WorkerModel::Extend(const host::LeaseExtension& extension,
+                         base::TimePoint now) {
+  if (extension.fence < m_fence) {
+    return false;
+  }
+  m_fence = extension.fence;
+  Advance(now);
+  if (extension.until) {
+    m_until = std::max(m_until, *extension.until);
+  }
+  std::erase_if(m_ended, [this, &extension](const jobs::ListedEnd& end) {
+    if (end.sequence > extension.acknowledged_end) {
+      return false;
+    }
+    if (end.how == jobs::RunEnd::kDone) {
+      m_watch.Noted(end.task);
+    }
+    return true;
+  });
+  return true;
+}
+
+jobs::WorkerReport WorkerModel::Report(base::TimePoint now) const {
+  jobs::WorkerReport report;
+  report.born = m_entry.id.born;
+  report.clock = Clock(now);
+  for (const auto& [task, run] : m_running) {
+    jobs::ListedRun& listed = report.running.emplace_back();
+    listed.task = task;
+    listed.run = run.number;
+    const auto age = now - run.began;
+    if (run.ends == base::TimePoint{}) {
+      listed.percent = age > kStartup ? 100 : 0;
+    } else {
+      listed.percent = static_cast<int>(100 * age / (run.ends - run.began));
+    }
+  }
+  report.ended = m_ended;
+  return report;
+}
+
+void WorkerModel::Advance(base::TimePoint now) {
+  // Ends and the end of the lease count in the order of their times.
+  const base::TimePoint lease_end = m_began + m_until;
+  std::vector<std::pair<base::TimePoint, jobs::TaskId>> due;
+  for (const auto& [task, run] : m_running) {
+    const bool done = run.ends != base::TimePoint{} && run.ends <= lease_end;
+    const base::TimePoint at = done ? run.ends : lease_end;
+    if (at <= now) {
+      due.emplace_back(at, task);
+    }
+  }
+  std::ranges::sort(due);
+  for (const auto& [at, task] : due) {
+    Finish(task, m_running.at(task).ends == at ? jobs::RunEnd::kDone
+                                               : jobs::RunEnd::kLapsed);
+  }
+}
+
+std::optional<base::TimePoint> WorkerModel::NextEvent() const {
+  std::optional<base::TimePoint> next;
+  for (const auto& [task, run] : m_running) {
+    base::TimePoint at = m_began + m_until;
+    if (run.ends != base::TimePoint{}) {
+      at = std::min(at, run.ends);
+    }
+    next = next ? std::min(*next, at) : at;
+  }
+  return next;
+}
+
+void WorkerModel::Die() {
+  for (const auto& [task, run] : std::exchange(m_running, {})) {
+    m_watch.Ended(m_entry.id, task, run.number, jobs::RunEnd::kLapsed);
+  }
+}
+
+void WorkerModel::Finish(const jobs::TaskId& task, jobs::RunEnd how) {
+  const auto found = m_running.find(task);
+  const Run run = found->second;
+  m_running.erase(found);
+  m_used -= run.need;
+  m_closed[task] = std::max(m_closed[task], run.number);
+  m_ended.push_back({++m_sequence, task, run.number, how, ""});
+  m_watch.Ended(m_entry.id, task, run.number, how);
+}
+
+}  // namespace cassiastile::sim
--- /dev/null
+++ b/src/cassiastile/soak/fault_plan.cpp
@@ -0,0 +1,161 @@
+#include "cassiastile/soak/fault_plan.hpp"
+
+#include <algorithm>
+#include <random>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/base/random.hpp"
+
+namespace cassiastile::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Choice {
+  FaultKind kind;
+  Place place;
+  int weight;
+  milliseconds longest;  // Zero for what has no duration.
+};
+
+constexpr milliseconds kLongestCut{4000};
+constexpr milliseconds kLongestPause{6000};
+
+constexpr std::array<Choice, 25> kChoices{{
+    {FaultKind::kKill, Place::kHost, 5, {}},
+    {FaultKind::kStop, Place::kHost, 4, {}},
+    {FaultKind::kPause, Place::kHost, 4, kLongestPause},
+    {FaultKind::kReload, Place::kHost, 1, {}},
+    {FaultKind::kDelay, Place::kHostCallers, 1, kLongestCut},
+    {FaultKind::kReset, Place::kHostCallers, 1, {}},
+    {FaultKind::kCutThere, Place::kHostCallers, 1, kLongestCut},
+    {FaultKind::kCutBack, Place::kHostCallers, 1, kLongestCut},
+    {FaultKind::kSilence, Place::kHostCallers, 1, {}},
+    {FaultKind::kDelay, Place::kHostTable, 1, kLongestCut},
+    {FaultKind::kReset, Place::kHostTable, 1, {}},
+    {FaultKind::kCutThere, Place::kHostTable, 2, kLongestCut},
+    {FaultKind::kCutBack, Place::kHostTable, 2, kLongestCut},
+    {FaultKind::kSilence, Place::kHostTable, 1, {}},
+    {FaultKind::kDelay, Place::kWorker, 1, kLongestCut},
+    {FaultKind::kReset, Place::kWorker, 1, {}},
+    {FaultKind::kCutThere, Place::kWorker, 2, kLongestCut},
+    {FaultKind::kCutBack, Place::kWorker, 2, kLongestCut},
+    {FaultKind::kSilence, Place::kWorker, 1, {}},
+    {FaultKind::kCrash, Place::kWorker, 3, kLongestCut},
+    {FaultKind::kLate, Place::kWorker, 2, kLongestCut},
+    {FaultKind::kRefuse, Place::kTable, 2, kLongestCut},
+    {FaultKind::kLoseAnswers, Place::kTable, 2, kLongestCut},
+    {FaultKind::kForget, Place::kTable, 1, {}},
+    {FaultKind::kConfigure, Place::kOperators, 2, {}},
+}};
+
+std::size_t TargetsOf(Place place, const PlanOptions& options) {
+  switch (place) {
+    case Place::kHost:
+    case Place::kHostCallers:
+    case Place::kHostTable:
+      return options.hosts;
+    case Place::kWorker:
+      return options.workers;
+    case Place::kTable:
+    case Place::kOperators:
+      return 1;
+  }
+  return 1;
+}
+
+}  // namespace
+
+FaultPlan MakePlan(std::uint64_t seed, const PlanOptions& options) {
+  base::Random random(seed);
+  const auto below = [&random](std::int64_t bound) {
+    return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
+  };
+  std::vector<double> weights;
+  for (const Choice& choice : kChoices) {
+    weights.push_back(choice.weight);
+  }
+  std::discrete_distribution<std::size_t> choose(weights.begin(),
+                                                 weights.end());
+  FaultPlan plan;
+  constexpr int kWaveOneIn = 3;
+  if (below(kWaveOneIn) == 0) {
+    plan.push_back({milliseconds(below(options.length.count())),
+                    FaultKind::kWave,
+                    Place::kOperators,
+                    0,
+                    {}});
+  }
+  milliseconds at(below(options.gap.count()));
+  while (at < options.length) {
+    const Choice& choice = kChoices.at(choose(random));
+    constexpr std::int64_t kMaxSeries = 4;
+    const std::int64_t series = 1 + below(kMaxSeries) * below(2);
+    for (std::int64_t i = 0; i < series; ++i) {
+      Fault fault;
+      fault.at = at + milliseconds(below(options.gap.count()));
+      fault.kind = choice.kind;
+      fault.place = choice.place;
+      fault.target = static_cast<std::size_t>(
+          below(static_cast<std::int64_t>(TargetsOf(choice.place, options))));
+      if (choice.longest.count() > 0) {
+        constexpr std::int64_t kShortest = 100;
+        fault.lasts = milliseconds(kShortest + below(choice.longest.count()));
+      }
+      plan.push_back(fault);
+    }
+    at += milliseconds(1 + below(2 * options.gap.count()));
+  }
+  std::ranges::stable_sort(plan, {}, &Fault::at);
+  return plan;
+}
+
+std::string EncodePlan(const FaultPlan& plan) {
+  std::string text;
+  for (const Fault& fault : plan) {
+    nlohmann::json line{{"at_ms", fault.at.count()},
+                        {"fault", base::FindName(kFaultNames, fault.kind)},
+                        {"place", base::FindName(kPlaceNames, fault.place)},
+                        {"target", fault.target}};
+    if (fault.lasts.count() > 0) {
+      line["for_ms"] = fault.lasts.count();
+    }
+    text += line.dump() + "\n";
+  }
+  return text;
+}
+
+base::Result<FaultPlan> DecodePlan(const std::string& text) {
+  FaultPlan plan;
+  std::istringstream lines(text);
+  int number = 0;
+  for (std::string line; std::getline(lines, line);) {
+    ++number;
+    if (line.empty() || line.front() == '#') {
+      continue;
+    }
+    try {
+      const auto json = nlohmann::json::parse(line);
+      const auto kind =
+          base::FindValue(kFaultNames, json.at("fault").get<std::string>());
+      const auto place =
+          base::FindValue(kPlaceNames, json.at("place").get<std::string>());
+      if (!kind || !place) {
+        throw std::invalid_argument("unknown fault or place");
+      }
+      plan.push_back({milliseconds(json.at("at_ms").get<std::int64_t>()), *kind,
+                      *place, json.value("target", std::size_t{0}),
+                      milliseconds(json.value("for_ms", std::int64_t{0}))});
+    } catch (const std::exception& error) {
+      return base::Fail(base::ErrorCode::kInvalid,
+                        fmt::format("line {}: {}", number, error.what()));
+    }
+  }
+  return plan;
+}
+
+}  // namespace cassiastile::soak
--- /dev/null
+++ b/src/cassiastile/soak/fleet.cpp
@@ -0,0 +1,496 @@
+#include "fleet.hpp"
+
+#include <csignal>
+#include <fstream>
+
+#include <sys/wait.h>
+
+#include <fmt/format.h>
+#include <asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/base/random.hpp"
+#include "names.hpp"
+#include "standin/encode.hpp"
+
+namespace cassiastile::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kSpare[] = "spare";
+constexpr jobs::Resources kRoom{8000, 16384, 0};
+constexpr milliseconds kProcessCheck{20};
+constexpr milliseconds kRestart{300};
+// The platform takes a silent worker off its list after some heartbeats.
+constexpr milliseconds kListLapse{3000};
+constexpr milliseconds kMoveTime{800};
+constexpr milliseconds kUpkeepTime{1000};
+constexpr milliseconds kLinkDelay{80};
+constexpr std::size_t kWaveMaxDown = 2;
+// Harm shows for about as long on connections and leases.
+constexpr milliseconds kHarmShows{4000};
+
+// Ports that nothing listens on now. They lie below those that the kernel hands
+// out to outgoing connections, which would take them while a host is down.
+std::vector<std::uint16_t> FreePorts(asio::io_context& context,
+                                     std::size_t count) {
+  constexpr int kLowest = 10000;
+  constexpr int kHighest = 32000;
+  base::Random random = base::MakeRandom();
+  std::uniform_int_distribution<int> pick(kLowest, kHighest);
+  std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> held;
+  std::vector<std::uint16_t> ports;
+  while (ports.size() < count) {
+    const auto port = static_cast<std::uint16_t>(pick(random));
+    auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(context);
+    asio::error_code error;
+    acceptor->open(asio::ip::tcp::v4(), error);
+    acceptor->bind({asio::ip::address_v4::loopback(), port}, error);
+    if (!error) {
+      held.push_back(std::move(acceptor));
+      ports.push_back(port);
+    }
+  }
+  return ports;
+}
+
+std::string Local(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+}  // namespace
+
+std::string ServiceName(std::size_t index) {
+  return "service-" + std::to_string(index);
+}
+
+Fleet::Fleet(asio::io_context& context,
+             host::Loop& loop,
+             const SoakOptions& options)
+    : m_context(context), m_loop(loop), m_options(options) {}
+
+Fleet::~Fleet() = default;
+
+base::Result<std::unique_ptr<Fleet>> Fleet::Start(asio::io_context& context,
+                                                  host::Loop& loop,
+                                                  const SoakOptions& options) {
+  std::unique_ptr<Fleet> fleet(new Fleet(context, loop, options));
+  if (const auto started = fleet->StartPlatform(); !started) {
+    return tl::unexpected(started.error());
+  }
+  if (const auto started = fleet->StartHosts(); !started) {
+    return tl::unexpected(started.error());
+  }
+  fleet->WatchProcesses();
+  return fleet;
+}
+
+void Fleet::After(milliseconds delay, std::function<void()> run) {
+  m_loop.After(delay, m_lifetime.Guard(std::move(run)));
+}
+
+base::Result<void> Fleet::StartPlatform() {
+  auto table = adapter::TableServer::Start(m_context, m_loop);
+  if (!table) {
+    return tl::unexpected(table.error());
+  }
+  m_table = std::move(*table);
+  WriteConfig();
+  auto machines = adapter::MachineServer::Start(
+      m_context,
+      {.list =
+           [this] {
+             std::vector<host::Machine> list;
+             for (const auto& machine : m_machines) {
+               list.push_back({machine->name, machine->pool, machine->state,
+                               machine->id, kRoom});
+             }
+             return list;
+           },
+       .move = [this](const auto& name,
+                      const auto& pool) { return Move(name, pool); },
+       .maintain = [this](const auto& name,
+                          auto wave) { return Maintain(name, wave); }});
+  if (!machines) {
+    return tl::unexpected(machines.error());
+  }
+  m_machine_server = std::move(*machines);
+  for (std::size_t i = 0; i < m_options.plan.workers; ++i) {
+    auto worker = adapter::WorkerServer::Start(
+        m_context, m_loop, m_watch,
+        [this](const jobs::TaskId& task) -> const jobs::StepSpec* {
+          const jobs::JobSpec* spec = m_watch.SpecOf(task.job);
+          return spec != nullptr && task.step < spec->steps.size()
+                     ? &spec->steps[task.step]
+                     : nullptr;
+        });
+    if (!worker) {
+      return tl::unexpected(worker.error());
+    }
+    auto proxy = LoopbackProxy::Start(m_context, (*worker)->Port());
+    if (!proxy) {
+      return tl::unexpected(proxy.error());
+    }
+    auto machine = std::make_unique<Machine>();
+    machine->name = fmt::format("machine-{:02}", i);
+    machine->pool = ServiceName(i % kServices);
+    machine->worker = std::move(*worker);
+    machine->proxy = std::move(*proxy);
+    BeginLife(*machine);
+    m_machines.push_back(std::move(machine));
+  }
+  return {};
+}
+
+base::Result<void> Fleet::StartHosts() {
+  constexpr std::size_t kPortsOfHost = 4;
+  const auto ports = FreePorts(m_context, kPortsOfHost * m_options.plan.hosts);
+  for (std::size_t i = 0; i < m_options.plan.hosts; ++i) {
+    auto host = std::make_unique<Host>();
+    host->name = "host-" + std::to_string(i);
+    host->settings_path = m_options.folder + "/" + host->name + ".json";
+    host->log_path = m_options.folder + "/" + host->name + ".log";
+    host->peer_port = ports[kPortsOfHost * i];
+    host->metrics_port = ports[kPortsOfHost * i + 1];
+    host->client_port = ports[kPortsOfHost * i + 2];
+    host->ready_port = ports[kPortsOfHost * i + 3];
+    auto callers = LoopbackProxy::Start(m_context, host->client_port);
+    auto table = LoopbackProxy::Start(m_context, m_table->Port());
+    if (!callers || !table) {
+      return tl::unexpected((callers ? table : callers).error());
+    }
+    host->callers = std::move(*callers);
+    host->table = std::move(*table);
+    WriteSettings(*host);
+    StartProcess(*host);
+    m_hosts.push_back(std::move(host));
+  }
+  return {};
+}
+
+void Fleet::WriteSettings(const Host& host) const {
+  constexpr int kFinishedStateSeconds = 120;
+  const nlohmann::json settings{
+      {"host", host.name},
+      {"availability_zone", "loopback"},
+      {"address", "127.0.0.1"},
+      {"peer_port", host.peer_port},
+      {"metrics_port", host.metrics_port},
+      {"client_endpoint", Local(host.client_port)},
+      {"ready_endpoint", Local(host.ready_port)},
+      {"table_endpoint", Local(host.table->Port())},
+      {"machines_endpoint", Local(m_machine_server->Port())},
+      {"advice_endpoint", ""},
+      {"processor_share", 1.0},
+      {"max_worker_lease_ms", 10000},
+      {"stop_grace_s", 6},
+      {"finished_state_s", kFinishedStateSeconds + host.reloads},
+      {"machine_order_lease_ms", 3000}};
+  std::ofstream(host.settings_path) << settings.dump(2) << "\n";
+}
+
+void Fleet::StartProcess(Host& host) {
+  host.end_expected = false;
+  host.paused = false;
+  ++m_starts;
+  const auto started = host.process.Start(m_options.host_program,
+                                          host.settings_path, host.log_path);
+  if (!started) {
+    m_watch.Violate(started.error().message);
+  }
+}
+
+void Fleet::WatchProcesses() {
+  for (const auto& host : m_hosts) {
+    const auto end = host->process.TakeEnd();
+    if (!end) {
+      continue;
+    }
+    if (!host->end_expected) {
+      m_watch.Violate(
+          fmt::format("{} ended by itself, status {}", host->name, *end));
+    }
+    if (WIFEXITED(*end) && WEXITSTATUS(*end) != 0) {
+      m_watch.Violate(fmt::format("{} ended with exit code {}", host->name,
+                                  WEXITSTATUS(*end)));
+    }
+    if (!m_ending) {
+      After(kRestart, [this, host = host.get()] {
+        if (!m_ending && !host->process.IsRunning()) {
+          StartProcess(*host);
+        }
+      });
+    }
+  }
+  After(kProcessCheck, [this] { WatchProcesses(); });
+}
+
+void Fleet::WriteConfig() {
+  m_config_version += 3;
+  jobs::FleetConfig config;
+  config.version = m_config_version;
+  for (std::size_t i = 0; i < kServices; ++i) {
+    config.queues.push_back({.name = "queue-" + std::to_string(i),
+                             .host = "127.0.0.1",
+                             .path_prefix = fmt::format("/q{}/", i),
+                             .service = ServiceName(i),
+                             .max_attempts = 5,
+                             .stretch = 3.0,
+                             .slack = milliseconds(4000),
+                             .open = false,
+                             .advice = {}});
+    config.services.push_back({.name = ServiceName(i)});
+  }
+  config.services.push_back({.name = kSpare, .standby = true});
+  config.customers.push_back(
+      {.name = "customer", .weight = 1000, .limit = {}, .keys = {"key"}});
+  m_table->Write({adapter::kOperatorTable, "", adapter::kConfigKey,
+                  adapter::EncodeConfig(config), 0, false});
+}
+
+void Fleet::AskForWave() {
+  host::WaveRequest wave;
+  wave.wave = ++m_wave;
+  wave.due = std::chrono::seconds(20);
+  wave.max_down = kWaveMaxDown;
+  for (const auto& machine : m_machines) {
+    wave.machines.push_back(machine->name);
+  }
+  m_table->Write({adapter::kOperatorTable, "",
+                  adapter::kWavePrefix + std::to_string(wave.wave),
+                  adapter::EncodeWave(wave), 0, false});
+}
+
+void Fleet::BeginLife(Machine& machine) {
+  machine.state = host::MachineState::kUp;
+  if (machine.pool == kSpare) {
+    return;
+  }
+  ++machine.life;
+  if (!machine.keeps_id || machine.id.empty()) {
+    machine.id = fmt::format("{}-life-{}", machine.name, machine.life);
+  }
+  jobs::WorkerEntry entry;
+  entry.id = {machine.id, std::chrono::duration_cast<milliseconds>(
+                              m_loop.GetClock().WallNow().time_since_epoch())
+                              .count()};
+  entry.service = machine.pool;
+  entry.machine = machine.name;
+  entry.endpoint = Local(machine.proxy->Port());
+  entry.availability_zone = "loopback";
+  entry.kind = "a";
+  entry.rack = "r";
+  entry.capacity = kRoom;
+  m_table->Write({adapter::kWorkerTable, "", machine.id,
+                  adapter::EncodeWorker(entry), 0, false});
+  machine.worker->BeginLife(std::move(entry));
+}
+
+void Fleet::EndLife(Machine& machine,
+                    host::MachineState state,
+                    milliseconds down) {
+  machine.worker->EndLife();
+  machine.state = state;
+  const std::string id = machine.id;
+  if (!machine.keeps_id) {
+    machine.id.clear();
+  }
+  After(kListLapse, [this, id, machine = &machine] {
+    if (machine->id != id) {
+      m_table->Drop({adapter::kWorkerTable, "", id, "", 0, false});
+    }
+  });
+  After(down, [this, machine = &machine] { BeginLife(*machine); });
+}
+
+Fleet::Machine* Fleet::FindMachine(const std::string& name) {
+  for (const auto& machine : m_machines) {
+    if (machine->name == name) {
+      return machine.get();
+    }
+  }
+  return nullptr;
+}
+
+host::MachineOrderResult Fleet::Move(const std::string& name,
+                                     const std::string& pool) {
+  Machine* machine = FindMachine(name);
+  if (machine == nullptr || machine->state != host::MachineState::kUp) {
+    return host::MachineOrderResult::kRefused;
+  }
+  if (machine->pool != pool) {
+    machine->keeps_id = false;
+    machine->pool = pool;
+    EndLife(*machine, host::MachineState::kMoving, kMoveTime);
+  }
+  return host::MachineOrderResult::kDone;
+}
+
+host::MachineOrderResult Fleet::Maintain(const std::string& name,
+                                         std::uint64_t wave) {
+  Machine* machine = FindMachine(name);
+  if (machine != nullptr && machine->upkeeps == wave) {
+    return host::MachineOrderResult::kDone;
+  }
+  if (machine == nullptr || machine->state != host::MachineState::kUp) {
+    return host::MachineOrderResult::kRefused;
+  }
+  std::size_t down = 0;
+  for (const auto& other : m_machines) {
+    down += other->state == host::MachineState::kUpkeep ? 1 : 0;
+  }
+  if (down >= kWaveMaxDown) {
+    m_watch.Violate(fmt::format("upkeep of {} begins while {} are down for it",
+                                name, down));
+  }
+  machine->upkeeps = wave;
+  machine->keeps_id = false;
+  EndLife(*machine, host::MachineState::kUpkeep, kUpkeepTime);
+  return host::MachineOrderResult::kDone;
+}
+
+void Fleet::Apply(const Fault& fault) {
+  Host& host = *m_hosts[fault.target % m_hosts.size()];
+  switch (fault.place) {
+    case Place::kHost:
+      ApplyToHost(host, fault);
+      return;
+    case Place::kHostCallers:
+      host.harmed_at = m_loop.GetClock().Now() + fault.lasts;
+      ApplyToLink(*host.callers, fault);
+      return;
+    case Place::kHostTable:
+      host.harmed_at = m_loop.GetClock().Now() + fault.lasts;
+      ApplyToLink(*host.table, fault);
+      return;
+    case Place::kWorker:
+      ApplyToWorker(*m_machines[fault.target % m_machines.size()], fault);
+      return;
+    case Place::kTable:
+      if (fault.kind == FaultKind::kForget) {
+        m_table->Model().ForgetHistory();
+        return;
+      }
+      m_table->Faults().refuses = fault.kind == FaultKind::kRefuse;
+      m_table->Faults().loses_some = fault.kind == FaultKind::kLoseAnswers;
+      After(fault.lasts, [this] { m_table->Faults() = {}; });
+      return;
+    case Place::kOperators:
+      if (fault.kind == FaultKind::kWave) {
+        AskForWave();
+      } else {
+        WriteConfig();
+      }
+      return;
+  }
+}
+
+void Fleet::ApplyToHost(Host& host, const Fault& fault) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  switch (fault.kind) {
+    case FaultKind::kKill:
+      host.harmed_at = now;
+      host.end_expected = true;
+      host.process.Signal(SIGKILL);
+      return;
+    case FaultKind::kStop:
+      host.stopped_at = now;
+      host.end_expected = true;
+      host.process.Signal(SIGTERM);
+      return;
+    case FaultKind::kPause:
+      host.harmed_at = now + fault.lasts;
+      host.paused = true;
+      host.process.Signal(SIGSTOP);
+      After(fault.lasts, [&host] {
+        host.paused = false;
+        host.process.Signal(SIGCONT);
+      });
+      return;
+    default:
+      ++host.reloads;
+      WriteSettings(host);
+      host.process.Signal(SIGHUP);
+      return;
+  }
+}
+
+void Fleet::ApplyToLink(LoopbackProxy& proxy, const Fault& fault) {
+  switch (fault.kind) {
+    case FaultKind::kReset:
+      proxy.ResetConnections();
+      return;
+    case FaultKind::kSilence:
+      proxy.SilenceConnections();
+      return;
+    default:
+      proxy.Set({.delay = fault.kind == FaultKind::kDelay ? kLinkDelay
+                                                          : milliseconds(0),
+                 .cut_there = fault.kind == FaultKind::kCutThere,
+                 .cut_back = fault.kind == FaultKind::kCutBack});
+      After(fault.lasts, [&proxy] { proxy.Set({}); });
+      return;
+  }
+}
+
+void Fleet::ApplyToWorker(Machine& machine, const Fault& fault) {
+  if (fault.kind == FaultKind::kCrash) {
+    if (machine.state == host::MachineState::kUp &&
+        machine.worker->Life() != nullptr) {
+      machine.keeps_id = fault.target % 2 == 0;
+      EndLife(machine, host::MachineState::kDown, fault.lasts);
+    }
+  } else if (fault.kind == FaultKind::kLate) {
+    machine.worker->Faults().carries_out_late = true;
+    After(fault.lasts,
+          [&machine] { machine.worker->Faults().carries_out_late = false; });
+  } else {
+    ApplyToLink(*machine.proxy, fault);
+  }
+}
+
+void Fleet::Heal() {
+  m_table->Faults() = {};
+  for (const auto& host : m_hosts) {
+    host->callers->Set({});
+    host->table->Set({});
+    if (host->paused) {
+      host->paused = false;
+      host->process.Signal(SIGCONT);
+    }
+  }
+  for (const auto& machine : m_machines) {
+    machine->proxy->Set({});
+    machine->worker->Faults() = {};
+  }
+}
+
+void Fleet::Stop() {
+  m_ending = true;
+  for (const auto& host : m_hosts) {
+    host->end_expected = true;
+    host->process.Signal(SIGCONT);
+    host->process.Signal(SIGTERM);
+  }
+}
+
+bool Fleet::HasEnded() const {
+  return std::ranges::none_of(
+      m_hosts, [](const auto& host) { return host->process.IsRunning(); });
+}
+
+std::string Fleet::CallersEndpoint(std::size_t host) const {
+  return "http://" + Local(m_hosts[host]->callers->Port());
+}
+
+bool Fleet::OnlyStops(std::size_t host) const {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const Host& each = *m_hosts[host];
+  return now - each.stopped_at < kHarmShows &&
+         (each.harmed_at == base::TimePoint{} ||
+          now - each.harmed_at > kHarmShows);
+}
+
+}  // namespace cassiastile::soak
--- /dev/null
+++ b/src/cassiastile/soak/soak_test.cpp
@@ -0,0 +1,61 @@
+#include "cassiastile/soak/soak.hpp"
+
+#include <filesystem>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cassiastile::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::IsEmpty;
+
+TEST(FaultPlanTest, SameSeedMakesTheSamePlan) {
+  EXPECT_EQ(MakePlan(7, {}), MakePlan(7, {}));
+  EXPECT_NE(MakePlan(7, {}), MakePlan(8, {}));
+}
+
+TEST(FaultPlanTest, PlansAreReadAsTheyWereWritten) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const FaultPlan plan = MakePlan(seed, {});
+    const auto read = DecodePlan("# a comment\n" + EncodePlan(plan));
+    ASSERT_TRUE(read.has_value()) << read.error().message;
+    EXPECT_EQ(*read, plan);
+  }
+}
+
+TEST(FaultPlanTest, FaultyLineIsNamed) {
+  const auto read = DecodePlan(
+      "{\"at_ms\":1,\"fault\":\"kill\",\"place\":\"host\"}\n"
+      "{\"at_ms\":1,\"fault\":\"flood\",\"place\":\"host\"}\n");
+  ASSERT_FALSE(read.has_value());
+  EXPECT_THAT(read.error().message, testing::HasSubstr("line 2"));
+}
+
+class SoakTest : public testing::TestWithParam<std::uint64_t> {};
+
+// A short run of real processes; longer ones are cassia-soak's.
+TEST_P(SoakTest, PromisesHold) {
+  SoakOptions options;
+  options.seed = GetParam();
+  options.plan.length = milliseconds(4000);
+  options.host_program = CASSIASTILE_HOST_PROGRAM;
+  options.folder =
+      testing::TempDir() + "cassia-soak-" +
+      std::to_string(testing::UnitTest::GetInstance()->random_seed()) + "-" +
+      std::to_string(options.seed);
+  std::filesystem::create_directories(options.folder);
+  const auto result = RunSoak(options);
+  ASSERT_TRUE(result.has_value()) << result.error().message;
+  EXPECT_GT(result->accepted, 0U);
+  EXPECT_THAT(result->violations, IsEmpty());
+  if (!HasFailure()) {
+    std::filesystem::remove_all(options.folder);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest, testing::Values(1, 2, 3));
+
+}  // namespace
+}  // namespace cassiastile::soak
