Scheduler: keep room for tasks that fit nowhere

The same starves the largest finite tasks. Ruled out: rank (lasting tasks go first in each plan).

Change: a long-running task without room, and the first finite one, keep a worker: what becomes free there goes to them. Each lasting task has its own.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -104,6 +104,8 @@
   Resources used;                 // By runs that may be alive.
   Resources lasting;              // The part of it used by long-running tasks.
   std::int64_t lasting_runs = 0;  // Long-running ones that are no fillers.
+  // Kept free in this round for a task that fits nowhere yet.
+  Resources reserved;
   std::vector<std::pair<TaskRef, std::uint32_t>> runs;
   std::uint64_t last_end = 0;   // Newest end seen.
   std::uint64_t acked_end = 0;  // Newest end that the store covers.
@@ -308,6 +310,13 @@
                  base::TimePoint now);
   // Whether no worker has room for a task, whatever else it asks for.
   bool IsFull(const Resources& need, const std::vector<WorkerState*>& workers);
+  // Keeps what becomes free on one worker for a task that found no room.
+  void Reserve(const TaskRef& ref,
+               const std::vector<WorkerState*>& workers,
+               const Advice* advice);
+  bool MayHost(const WorkerState& worker,
+               const TaskRef& ref,
+               const Advice* advice) const;
   WorkerState* Choose(const TaskRef& ref,
                       const std::vector<WorkerState*>& workers,
                       const Advice* advice) const;
@@ -347,6 +356,7 @@
   std::map<std::string, PoolView> m_views;         // By service.
   // Needs that were found to fit nowhere in this round of a service.
   std::vector<Resources> m_full_for;
+  std::size_t m_reserved_for_finite = 0;  // In this round of a service.
   base::TimePoint m_cared_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
   std::unordered_set<Job*> m_dirty;
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -21,6 +21,10 @@
 // plan is what a loaded scheduler spent most of its time on.
 constexpr std::chrono::milliseconds kCareInterval{50};
 
+// Workers of a service that are kept for finite tasks that found no room. More
+// of them would stand half empty at the worst load.
+constexpr std::size_t kReservedForFinite = 1;
+
 // The advisor answers at most this many workers in one call.
 constexpr std::size_t kMaxAdvisedWorkers = 30;
 
@@ -73,6 +77,10 @@
   return rank;
 }
 
+bool HasRoom(const WorkerState& worker, const Resources& need) {
+  return Fits(worker.used + worker.reserved + need, worker.entry.capacity);
+}
+
 bool HasWaiting(const Job& job) {
   for (const Occurrence& occurrence : job.occurrences) {
     for (const StepState& step : occurrence.steps) {
@@ -173,6 +181,10 @@
     return left.first.Key() < right.first.Key();
   });
   m_full_for.clear();
+  m_reserved_for_finite = 0;
+  for (WorkerState* worker : workers) {
+    worker->reserved = {};
+  }
   for (const auto& [rank, job] : ranked) {
     for (Occurrence& occurrence : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -252,6 +264,13 @@
   }
   StepState& step = occurrence.steps[step_number];
   std::vector<std::uint32_t> left;
+  // A task that fits nowhere waits for ever while smaller ones take each piece
+  // of room that becomes free. Long-running tasks serve users meanwhile; of the
+  // others, the one that comes first is enough.
+  std::size_t may_reserve = spec.long_running ? step.waiting.size() : 0;
+  if (!spec.long_running && m_reserved_for_finite < kReservedForFinite) {
+    may_reserve = kReservedForFinite - m_reserved_for_finite;
+  }
   bool full = IsFull(CapacityNeed(spec), workers);
   for (const std::uint32_t index : step.waiting) {
     const TaskRef ref{&job, occurrence.number, step_number, index};
@@ -264,6 +283,11 @@
     if (worker == nullptr) {
       if (allowed) {
         m_unplaced[ServiceOf(job)] += CapacityNeed(spec);
+        if (may_reserve > 0) {
+          --may_reserve;
+          m_reserved_for_finite += spec.long_running ? 0 : 1;
+          Reserve(ref, workers, advice);
+        }
       }
       left.push_back(index);
       continue;
@@ -327,16 +351,60 @@
   if (known) {
     return true;
   }
-  const bool full =
-      std::ranges::none_of(workers, [&need](const WorkerState* worker) {
-        return Fits(worker->used + need, worker->entry.capacity);
-      });
+  const bool full = std::ranges::none_of(
+      workers,
+      [&need](const WorkerState* worker) { return HasRoom(*worker, need); });
   if (full) {
     m_full_for.push_back(need);
   }
   return full;
 }
 
+bool Scheduler::MayHost(const WorkerState& worker,
+                        const TaskRef& ref,
+                        const Advice* advice) const {
+  const StepSpec& spec = SpecOf(ref);
+  const WorkerEntry& entry = worker.entry;
+  const bool labelled = spec.required_label.empty() ||
+                        entry.kind == spec.required_label ||
+                        entry.rack == spec.required_label;
+  const bool advised =
+      advice == nullptr || advice->ticket_of_worker.contains(entry.id.id);
+  const bool healthy = !worker.health.IsOnProbation() || worker.used.cpu == 0;
+  return labelled && advised && healthy &&
+         (spec.max_per_worker == 0 ||
+          RunsOfStep(worker, ref) < spec.max_per_worker);
+}
+
+void Scheduler::Reserve(const TaskRef& ref,
+                        const std::vector<WorkerState*>& workers,
+                        const Advice* advice) {
+  const Resources need = CapacityNeed(SpecOf(ref));
+  WorkerState* best = nullptr;
+  std::int64_t best_missing = 0;
+  for (WorkerState* worker : workers) {
+    // Finite tasks end soon; long-running ones stay.
+    const bool can_fit = Fits(worker->lasting + need, worker->entry.capacity);
+    if (!can_fit || worker->reserved != Resources{} ||
+        !MayHost(*worker, ref, advice)) {
+      continue;
+    }
+    const Resources missing = worker->used + need - worker->entry.capacity;
+    // A core goes with about so much memory.
+    constexpr std::int64_t kMegabytesPerCore = 4096;
+    const std::int64_t cost =
+        std::max<std::int64_t>(0, missing.cpu) +
+        std::max<std::int64_t>(0, missing.memory) * 1000 / kMegabytesPerCore;
+    if (best == nullptr || cost < best_missing) {
+      best = worker;
+      best_missing = cost;
+    }
+  }
+  if (best != nullptr) {
+    best->reserved = need;
+  }
+}
+
 WorkerState* Scheduler::Choose(const TaskRef& ref,
                                const std::vector<WorkerState*>& workers,
                                const Advice* advice) const {
@@ -347,21 +415,7 @@
   std::int64_t best_cost = 0;
   for (WorkerState* worker : workers) {
     const WorkerEntry& entry = worker->entry;
-    if (!Fits(worker->used + need, entry.capacity)) {
-      continue;
-    }
-    if (!spec.required_label.empty() && entry.kind != spec.required_label &&
-        entry.rack != spec.required_label) {
-      continue;
-    }
-    if (advice != nullptr && !advice->ticket_of_worker.contains(entry.id.id)) {
-      continue;
-    }
-    if (worker->health.IsOnProbation() && worker->used.cpu > 0) {
-      continue;
-    }
-    if (spec.max_per_worker > 0 &&
-        RunsOfStep(*worker, ref) >= spec.max_per_worker) {
+    if (!HasRoom(*worker, need) || !MayHost(*worker, ref, advice)) {
       continue;
     }
     // Best fit: machines that need not run become idle, and large tasks find
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -355,5 +355,57 @@
   EXPECT_FALSE(next.Get().MayVacate("machine-a"));
 }
 
+// A full pool with small tasks that take each piece of room as it becomes free.
+class FullPoolTest : public testing::Test {
+ protected:
+  // Ends running small tasks one after the other, and hands in another for
+  // each, until a task of `job` starts. Returns how many had to end.
+  int EndsUntilStarted(const std::string& job, int most) {
+    for (int ended = 0; ended <= most; ++ended) {
+      for (const StartOrder& start : m_bench.StepAndStart()) {
+        if (start.task.job == job) {
+          return ended;
+        }
+        m_small.push_back(start);
+      }
+      m_bench.Submit("small-" + std::to_string(m_next++),
+                     SchedulerBench::OneTask(1000));
+      m_bench.End(m_small.front(), RunEnd::kDone, ++m_ends);
+      m_small.erase(m_small.begin());
+    }
+    return most + 1;
+  }
+
+  void Fill() {
+    m_bench.AddWorker("a");
+    for (; m_next < 20; ++m_next) {
+      m_bench.Submit("small-" + std::to_string(m_next),
+                     SchedulerBench::OneTask(1000));
+    }
+    m_small = m_bench.StepAndStart();
+    ASSERT_THAT(m_small, SizeIs(16));
+  }
+
+  SchedulerBench m_bench;
+  std::vector<StartOrder> m_small;
+  int m_next = 0;
+  std::uint64_t m_ends = 0;
+};
+
+TEST_F(FullPoolTest, LongRunningTaskGetsTheRoomThatBecomesFree) {
+  Fill();
+  JobSpec lasting = SchedulerBench::LongRunning(1, 1);
+  lasting.steps.front().need.cpu = 6000;
+  m_bench.Submit(kJob, lasting);
+  EXPECT_EQ(EndsUntilStarted(kJob, 30), 6);
+}
+
+TEST_F(FullPoolTest, LargeTaskIsNotStarvedBySmallOnes) {
+  Fill();
+  m_bench.Submit(kJob, SchedulerBench::OneTask(10000));
+  // The small ones that came before go first.
+  EXPECT_LE(EndsUntilStarted(kJob, 30), 14);
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
