--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -104,6 +104,8 @@
   void KeepLearnt();
   void Pump();
   void Committed(const jobs::Batch& batch);
+  void LogAccepted(const std::string& id);
+  void LogFinished(const std::string& id, jobs::JobPhase phase);
   void Lose();
   bool MayGiveOrders() const;
 
--- a/include/cassiastile/host/front.hpp
+++ b/include/cassiastile/host/front.hpp
@@ -30,7 +30,18 @@
                                  std::chrono::milliseconds timeout,
                                  std::function<void(JobAnswer)>)>;
 
-  Front(FrontFormat format, Loop& loop, EventLog& log, Ask ask);
+  // Who is in office as this host believes, and how old that is.
+  struct Belief {
+    std::string holder;
+    std::uint64_t fence = 0;
+    std::chrono::milliseconds heard_ago{0};
+  };
+
+  Front(FrontFormat format,
+        Loop& loop,
+        EventLog& log,
+        Ask ask,
+        std::function<Belief()> belief);
 
   void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
   void Handle(const wire::HttpRequest& request,
@@ -41,11 +52,17 @@
   void Forward(JobRequest request,
                std::chrono::milliseconds timeout,
                const wire::HttpResponder& respond);
+  // Notes a request that the office gave no word on.
+  void LogWithoutOffice(std::string_view event,
+                        JobVerb verb,
+                        const std::string& job,
+                        std::chrono::milliseconds waited);
 
   FrontFormat m_format;
   Loop& m_loop;
   EventLog& m_log;
   Ask m_ask;
+  std::function<Belief()> m_belief;
   std::shared_ptr<const jobs::FleetConfig> m_config;
   std::size_t m_in_flight = 0;
 };
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -84,6 +84,7 @@
   void WatchOffice();
   void CheckOffice();
   void SawOffice(const OfficeSight& sight);
+  std::string WhyTaken(const OfficeSight& sight) const;
   void TakeOffice(const OfficeSight& sight);
   // Whether a host with much more of a processor could hold the office.
   // Which peers count: those that lately reached the store, or all.
--- a/include/cassiastile/host/peer_message.hpp
+++ b/include/cassiastile/host/peer_message.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
 
+#include "cassiastile/base/enum_names.hpp"
 #include "cassiastile/base/error.hpp"
 
 // What hosts say to each other, as cereal archives in HTTP bodies.
@@ -46,6 +48,13 @@
 
 enum class JobVerb : std::uint8_t { kSubmit, kState, kCancel, kCount };
 
+inline constexpr std::array<base::EnumName<JobVerb>, 4> kJobVerbNames{{
+    {JobVerb::kSubmit, "submit"},
+    {JobVerb::kState, "state"},
+    {JobVerb::kCancel, "cancel"},
+    {JobVerb::kCount, "count"},
+}};
+
 // A caller's request on its way to the host in office.
 struct JobRequest {
   JobVerb verb = JobVerb::kState;
--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -40,6 +40,10 @@
 struct AdmissionVerdict {
   bool admitted = true;
   std::chrono::milliseconds retry_after{0};
+  // What was weighed: the wait behind the work ahead against what the job can
+  // bear.
+  std::chrono::milliseconds wait{0};
+  std::chrono::milliseconds slack{0};
 };
 
 // Answers one customer that sends many times its usual: what goes beyond its
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -91,6 +91,13 @@
   Verdict verdict = Verdict::kNew;
   RefusalReason reason = RefusalReason::kNone;
   std::chrono::milliseconds retry_after{0};
+  // What decided: the wait behind other work, what the job could bear, the
+  // time since it was first handed in, and whether its customer was beyond its
+  // share.
+  std::chrono::milliseconds wait{0};
+  std::chrono::milliseconds slack{0};
+  std::chrono::milliseconds age{0};
+  bool beyond_share = false;
 };
 
 // A worker as the scheduler knows it.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -375,7 +375,7 @@
 void Dispatcher::Committed(const jobs::Batch& batch) {
   m_scheduler.Confirm(batch, m_loop.GetClock().Now());
   for (const std::string& job : batch.accepted) {
-    m_log.Write("job.accepted", {{"job", job}});
+    LogAccepted(job);
     const auto waiting = m_await_accept.extract(job);
     if (!waiting.empty()) {
       for (const Responder& respond : waiting.mapped()) {
@@ -387,13 +387,7 @@
     if (!jobs::IsFinished(phase)) {
       continue;
     }
-    m_log.Write(
-        "job.finished",
-        {{"job", job}, {"phase", base::FindName(jobs::kJobPhaseNames, phase)}});
-    if (const jobs::Job* finished = m_scheduler.FindJob(job)) {
-      m_log.Metrics().Observe(Latency::kJob,
-                              finished->finished_at - finished->arrived_at);
-    }
+    LogFinished(job, phase);
     const auto waiting = m_await_cancel.extract(job);
     if (!waiting.empty()) {
       for (const Responder& respond : waiting.mapped()) {
@@ -409,6 +403,39 @@
   Pump();
 }
 
+void Dispatcher::LogAccepted(const std::string& id) {
+  const jobs::Job* job = m_scheduler.FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  const base::TimePoint now = m_loop.GetClock().Now();
+  m_log.Write(
+      "job.accepted",
+      {{"job", id},
+       {"queue", job->queue},
+       {"service", job->service},
+       {"customer", job->customer},
+       {"age_ms", base::Milliseconds(now - job->arrived_at)},
+       {"allowed_ms", base::Milliseconds(job->objective - job->arrived_at)},
+       {"fence", Fence()}});
+}
+
+void Dispatcher::LogFinished(const std::string& id, jobs::JobPhase phase) {
+  const jobs::Job* job = m_scheduler.FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  const auto age = job->finished_at - job->arrived_at;
+  m_log.Metrics().Observe(Latency::kJob, age);
+  m_log.Write(
+      "job.finished",
+      {{"job", id},
+       {"phase", base::FindName(jobs::kJobPhaseNames, phase)},
+       {"age_ms", base::Milliseconds(age)},
+       {"allowed_ms", base::Milliseconds(job->objective - job->arrived_at)},
+       {"late", job->finished_at > job->objective}});
+}
+
 void Dispatcher::Lose() {
   m_resigned = true;
   m_log.Write("office.lost", {{"fence", Fence()}});
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -55,9 +55,13 @@
   }
   const jobs::Job* known = m_scheduler.FindJob(request.job);
   if (known == nullptr && StoreIsAway()) {
-    m_log.Write("job.refused", {{"job", request.job},
-                                {"queue", request.queue},
-                                {"reason", "store away"}});
+    m_log.Write("job.refused",
+                {{"job", request.job},
+                 {"queue", request.queue},
+                 {"reason", "store away"},
+                 {"commits_fail_for_ms",
+                  base::Milliseconds(m_loop.GetClock().Now() -
+                                     *m_chain->FailingSince())}});
     respond(Refuse(jobs::RefusalReason::kStoreAway, kRetryAfterOutage));
     return;
   }
@@ -80,8 +84,13 @@
           "job.refused",
           {{"job", request.job},
            {"queue", request.queue},
+           {"service", queue->service},
            {"customer", request.customer},
            {"reason", base::FindName(jobs::kRefusalNames, submission.reason)},
+           {"wait_ms", submission.wait.count()},
+           {"slack_ms", submission.slack.count()},
+           {"beyond_share", submission.beyond_share},
+           {"age_ms", submission.age.count()},
            {"retry_after_ms", submission.retry_after.count()}});
       respond(Refuse(submission.reason, submission.retry_after));
       return;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -212,10 +212,13 @@
         nlohmann::json line = Describe(task, run);
         line["worker"] = worker.id;
         line["result"] = base::FindName(jobs::kStartResultNames, result);
-        m_log.Write("run.start", std::move(line));
         const base::TimePoint answered = m_loop.GetClock().Now();
-        m_log.Metrics().Observe(Latency::kStart, answered - now);
         const jobs::Job* job = m_scheduler.FindJob(task.job);
+        if (job != nullptr) {
+          line["age_ms"] = base::Milliseconds(answered - job->arrived_at);
+        }
+        m_log.Write("run.start", std::move(line));
+        m_log.Metrics().Observe(Latency::kStart, answered - now);
         if (job != nullptr && !job->started) {
           m_log.Metrics().Observe(Latency::kFirstStart,
                                   answered - job->arrived_at);
--- a/src/cassiastile/host/front.cpp
+++ b/src/cassiastile/host/front.cpp
@@ -93,11 +93,16 @@
 
 }  // namespace
 
-Front::Front(FrontFormat format, Loop& loop, EventLog& log, Ask ask)
+Front::Front(FrontFormat format,
+             Loop& loop,
+             EventLog& log,
+             Ask ask,
+             std::function<Belief()> belief)
     : m_format(std::move(format)),
       m_loop(loop),
       m_log(log),
-      m_ask(std::move(ask)) {}
+      m_ask(std::move(ask)),
+      m_belief(std::move(belief)) {}
 
 void Front::ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config) {
   m_config = std::move(config);
@@ -167,8 +172,10 @@
         [this, verb, job, respond,
          arrived = m_loop.GetClock().Now()](const JobAnswer& answer) {
           --m_in_flight;
-          m_log.Metrics().Observe(Latency::kRequest,
-                                  m_loop.GetClock().Now() - arrived);
+          const auto waited =
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  m_loop.GetClock().Now() - arrived);
+          m_log.Metrics().Observe(Latency::kRequest, waited);
           switch (answer.kind) {
             case JobAnswerKind::kOk:
               if (verb == JobVerb::kState) {
@@ -194,16 +201,29 @@
               respond(Refusal(answer));
               return;
             case JobAnswerKind::kNotInOffice:
-              m_log.Write("request.no_office", {{"job", job}});
+              LogWithoutOffice("request.no_office", verb, job, waited);
               respond(AnswerLater(kUnavailable, "no host is in office",
                                   kRetryWithoutOffice));
               return;
             case JobAnswerKind::kUndecided:
-              m_log.Write("request.undecided", {{"job", job}});
+              LogWithoutOffice("request.undecided", verb, job, waited);
               respond(AnswerError(kGatewayTimeout, "not known yet"));
               return;
           }
         });
 }
 
+void Front::LogWithoutOffice(std::string_view event,
+                             JobVerb verb,
+                             const std::string& job,
+                             std::chrono::milliseconds waited) {
+  const Belief belief = m_belief();
+  m_log.Write(event, {{"job", job},
+                      {"verb", base::FindName(kJobVerbNames, verb)},
+                      {"waited_ms", waited.count()},
+                      {"holder", belief.holder},
+                      {"fence", belief.fence},
+                      {"heard_ms_ago", belief.heard_ago.count()}});
+}
+
 }  // namespace cassiastile::host
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -70,14 +70,21 @@
                    m_dispatcher->ApplyWaves(m_config.Waves());
                  }
                }}),
-      m_front(std::move(format),
-              loop,
-              log,
-              [this](const JobRequest& request,
-                     std::chrono::milliseconds timeout,
-                     const std::function<void(JobAnswer)>& respond) {
-                AskOffice(request, timeout, respond);
-              }) {}
+      m_front(
+          std::move(format),
+          loop,
+          log,
+          [this](const JobRequest& request,
+                 std::chrono::milliseconds timeout,
+                 const std::function<void(JobAnswer)>& respond) {
+            AskOffice(request, timeout, respond);
+          },
+          [this] {
+            return Front::Belief{
+                m_office.host, m_office.fence,
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    m_loop.GetClock().Now() - m_office_heard)};
+          }) {}
 
 std::string HostNode::OwnEndpoint() const {
   return m_settings.address + ":" + std::to_string(m_settings.peer_port);
@@ -358,12 +365,28 @@
   }
 }
 
+std::string HostNode::WhyTaken(const OfficeSight& sight) const {
+  if (sight.version == 0) {
+    return "no record";
+  }
+  if (sight.record.host.empty()) {
+    return "resigned";
+  }
+  if (sight.record.host == m_settings.host) {
+    return "former life";
+  }
+  return m_loop.GetClock().Now() - m_sight_changed > kOfficeTerm
+             ? "term over"
+             : "process gone or without store";
+}
+
 void HostNode::TakeOffice(const OfficeSight& sight) {
   if (m_config.Config() == nullptr || m_stopping) {
     return;
   }
   m_taking = true;
-  m_log.Write("office.take", {{"seen_version", sight.version},
+  m_log.Write("office.take", {{"why", WhyTaken(sight)},
+                              {"seen_version", sight.version},
                               {"seen_holder", sight.record.host}});
   m_candidate = std::make_unique<CommitChain>(
       m_ports.store, m_loop, m_log,
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -25,18 +25,23 @@
   const double wait_ms = std::max(
       input.backlog.cpu * kPerCore / static_cast<double>(input.pool.cpu),
       input.backlog.memory / static_cast<double>(input.pool.memory));
-  const double slack_ms =
-      static_cast<double>((input.objective - input.chain).count());
+  AdmissionVerdict verdict;
+  verdict.wait = std::chrono::milliseconds(std::llround(wait_ms));
+  verdict.slack =
+      std::max(std::chrono::milliseconds(0), input.objective - input.chain);
   if (input.beyond_share) {
-    return {.admitted = false, .retry_after = kMinRetryAfter};
+    verdict.admitted = false;
+    verdict.retry_after = kMinRetryAfter;
+    return verdict;
   }
-  const double excess_ms = wait_ms - kTolerance * std::max(0.0, slack_ms);
-  if (excess_ms <= 0) {
-    return {};
+  const double excess_ms =
+      wait_ms - kTolerance * static_cast<double>(verdict.slack.count());
+  if (excess_ms > 0) {
+    verdict.admitted = false;
+    const std::chrono::milliseconds excess(std::llround(std::ceil(excess_ms)));
+    verdict.retry_after = std::clamp(excess, kMinRetryAfter, kMaxRetryAfter);
   }
-  const std::chrono::milliseconds excess(std::llround(std::ceil(excess_ms)));
-  return {.admitted = false,
-          .retry_after = std::clamp(excess, kMinRetryAfter, kMaxRetryAfter)};
+  return verdict;
 }
 
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -267,7 +267,12 @@
     if (!verdict.admitted) {
       return {.verdict = Submission::Verdict::kRefused,
               .reason = RefusalReason::kOverload,
-              .retry_after = verdict.retry_after};
+              .retry_after = verdict.retry_after,
+              .wait = verdict.wait,
+              .slack = verdict.slack,
+              .age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                  now - job.arrived_at),
+              .beyond_share = input.beyond_share};
     }
   }
   if (!timed) {
