--- /dev/null
+++ b/include/cassiastile/operator/log_story.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "cassiastile/base/enum_names.hpp"
+
+namespace cassiastile::operators {
+
+// Log lines of several hosts, in the order of their times.
+class LogLines {
+ public:
+  // Adds the lines of one file. Lines that no host wrote whole are counted and
+  // left out; text before the object, such as a time stamp, is skipped.
+  void Read(std::istream& in, const std::string& name);
+  // Call once all is read.
+  void Sort();
+
+  const std::vector<nlohmann::json>& Events() const { return m_events; }
+  std::size_t LinesRead() const { return m_read; }
+  std::size_t LinesSkipped() const { return m_skipped; }
+  const std::vector<std::string>& Files() const { return m_files; }
+
+ private:
+  std::vector<nlohmann::json> m_events;
+  std::vector<std::string> m_files;
+  std::size_t m_read = 0;
+  std::size_t m_skipped = 0;
+};
+
+// Why a job fared as it did.
+enum class StoryCause : std::uint8_t {
+  kUnknownId,
+  kInTime,
+  kInvalid,
+  kRefusedOverload,
+  kRefusedShare,
+  kRefusedTooLarge,
+  kRefusedStore,
+  kNoOffice,
+  kUnanswered,
+  kCancelled,
+  kAttemptsUsed,
+  kLateTakeover,
+  kLateRoom,
+  kLateBadWorker,
+  kLateLostWorker,
+  kLateLongRuns,
+  kUnfinished,
+};
+
+inline constexpr std::array<base::EnumName<StoryCause>, 17> kStoryCauseNames{{
+    {StoryCause::kUnknownId, "unknown id"},
+    {StoryCause::kInTime, "done in time"},
+    {StoryCause::kInvalid, "refused: the specification is invalid"},
+    {StoryCause::kRefusedOverload, "refused: too much work ahead of it"},
+    {StoryCause::kRefusedShare, "refused: its customer sent beyond its share"},
+    {StoryCause::kRefusedTooLarge, "refused: no worker is large enough"},
+    {StoryCause::kRefusedStore, "refused: the table could not be written"},
+    {StoryCause::kNoOffice, "refused: no host was in office"},
+    {StoryCause::kUnanswered, "no final answer: the host in office was silent"},
+    {StoryCause::kCancelled, "cancelled"},
+    {StoryCause::kAttemptsUsed, "failed: a task used all its attempts"},
+    {StoryCause::kLateTakeover, "late: the office changed hands"},
+    {StoryCause::kLateRoom, "late: it waited for room"},
+    {StoryCause::kLateBadWorker, "late: runs failed or stood still"},
+    {StoryCause::kLateLostWorker, "late: a worker was lost"},
+    {StoryCause::kLateLongRuns, "late: its tasks took long"},
+    {StoryCause::kUnfinished, "not done by the end of the logs"},
+}};
+
+struct Story {
+  StoryCause cause = StoryCause::kUnknownId;
+  // Sentences that say what the cause rests on, with times.
+  std::vector<std::string> reasons;
+  // The lines of the id, and those of others that bear on it.
+  std::vector<nlohmann::json> lines;
+};
+
+// What became of a job, a worker or a machine; only jobs have a cause.
+Story TellStory(const LogLines& lines, const std::string& id);
+
+// The story as plain text, a line an event.
+std::string FormatStory(const Story& story, const std::string& id);
+
+}  // namespace cassiastile::operators
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -10,6 +10,9 @@
 // Estimates of single jobs are noisy, so a job is turned away only when the
 // wait is clearly more than it can bear.
 constexpr double kTolerance = 1.15;
+// A job that is late already, since its caller heard no answer for a while, is
+// still taken where it waits for no others.
+constexpr std::chrono::milliseconds kLeastSlack{300};
 constexpr std::chrono::milliseconds kMinRetryAfter{1000};
 constexpr std::chrono::milliseconds kMaxRetryAfter{10000};
 
@@ -27,8 +30,7 @@
       input.backlog.memory / static_cast<double>(input.pool.memory));
   AdmissionVerdict verdict;
   verdict.wait = std::chrono::milliseconds(std::llround(wait_ms));
-  verdict.slack =
-      std::max(std::chrono::milliseconds(0), input.objective - input.chain);
+  verdict.slack = std::max(kLeastSlack, input.objective - input.chain);
   if (input.beyond_share) {
     verdict.admitted = false;
     verdict.retry_after = kMinRetryAfter;
--- a/src/cassiastile/jobs/admission_test.cpp
+++ b/src/cassiastile/jobs/admission_test.cpp
@@ -65,5 +65,20 @@
       200);
 }
 
+// Callers that come back after a change of the office.
+TEST(AdmissionTest, LateJobIsTakenWhereItWaitsForNoOthers) {
+  AdmissionInput input = MakeInput(20);
+  input.objective = milliseconds(-2000);
+  EXPECT_TRUE(Admit(input).admitted);
+  input.backlog.cpu = 60 * 1000;
+  EXPECT_FALSE(Admit(input).admitted);
+}
+
+TEST(AdmissionTest, VerdictSaysWhatWasWeighed) {
+  const AdmissionVerdict verdict = Admit(MakeInput(400));
+  EXPECT_EQ(verdict.wait, milliseconds(4000));
+  EXPECT_EQ(verdict.slack, milliseconds(1000));
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
