cassiactl explain reads hosts' logs

Given an id and log files or -, it prints what became of the job, why, and its lines with those of the office and of its workers around them, in time order.

--- a/src/cassiastile/operator/cassiactl.cpp
+++ b/src/cassiastile/operator/cassiactl.cpp
@@ -121,7 +121,8 @@
                                             command.name, command.words));
   }
   std::unique_ptr<ApiClient> api;
-  if (command.calls_server) {
+  const bool reads_files = arguments.words.size() > command.files_after;
+  if (command.calls_server && !reads_files) {
     auto connected = Connect(arguments);
     if (!connected) {
       return RefuseUsage(console, connected.error().message);
--- a/src/cassiastile/operator/command.hpp
+++ b/src/cassiastile/operator/command.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,6 +69,8 @@
   std::size_t min_words = 0;
   std::size_t max_words = 0;
   bool calls_server = true;
+  // Words beyond so many are files to read instead of calling a server.
+  std::size_t files_after = SIZE_MAX;
   void (*add_options)(boost::program_options::options_description&) = nullptr;
   ExitCode (*run)(const Invocation&) = nullptr;
 };
--- a/src/cassiastile/operator/fleet_commands.cpp
+++ b/src/cassiastile/operator/fleet_commands.cpp
@@ -1,9 +1,12 @@
 #include <algorithm>
 #include <array>
+#include <sstream>
 
 #include <fmt/format.h>
 
+#include "cassiastile/operator/log_story.hpp"
 #include "command.hpp"
+#include "documents.hpp"
 #include "report.hpp"
 #include "table.hpp"
 
@@ -44,7 +47,46 @@
   return Printable(text, true);
 }
 
+// The story of an id from hosts' logs.
+ExitCode ExplainFromLogs(const Invocation& invocation) {
+  LogLines lines;
+  for (std::size_t i = 1; i < invocation.WordCount(); ++i) {
+    const auto text = ReadInput(invocation, invocation.Word(i));
+    if (!text) {
+      return ReportInput(invocation, text.error().message);
+    }
+    std::istringstream in(*text);
+    lines.Read(in, invocation.Word(i));
+  }
+  lines.Sort();
+  const std::string id = invocation.Word(0);
+  const Story story = TellStory(lines, id);
+  if (story.lines.empty()) {
+    return ReportInput(
+        invocation,
+        fmt::format("{} is in none of {} lines of {} files ({} lines of other "
+                    "origin were skipped)",
+                    id, lines.LinesRead(), lines.Files().size(),
+                    lines.LinesSkipped()));
+  }
+  if (invocation.WantsJson()) {
+    PrintJson(invocation,
+              {{"id", id},
+               {"cause", base::FindName(kStoryCauseNames, story.cause)},
+               {"reasons", story.reasons},
+               {"lines", story.lines},
+               {"lines_read", lines.LinesRead()},
+               {"lines_skipped", lines.LinesSkipped()}});
+  } else {
+    invocation.Streams().out << Printable(FormatStory(story, id), true);
+  }
+  return ExitCode::kDone;
+}
+
 ExitCode RunExplain(const Invocation& invocation) {
+  if (invocation.WordCount() > 1) {
+    return ExplainFromLogs(invocation);
+  }
   const std::string path = "/v1/decisions/" + EncodeSegment(invocation.Word(0));
   return ShowOutcome(invocation, invocation.Api().Get(path), FormatDecision);
 }
@@ -103,6 +145,20 @@
   return command;
 }
 
+Command ExplainCommand() {
+  Command command = WithRun(
+      MakeCommand("explain", "ID [LOG...]",
+                  "say why a refusal, placement or change was made, from a "
+                  "server or from hosts' logs",
+                  "  cassiactl explain 5f0c62b1a90d4e77\n"
+                  "  cassiactl explain 5c0e7a21d94b36f8 host-*.log\n"
+                  "  zcat logs.gz | cassiactl explain 5c0e7a21d94b36f8 -\n"),
+      1, RunExplain);
+  command.max_words = SIZE_MAX;
+  command.files_after = 1;
+  return command;
+}
+
 }  // namespace
 
 std::vector<Command> FleetCommands() {
@@ -111,10 +167,7 @@
                           "show members, versions, pools, waves and queues",
                           "  cassiactl status\n  cassiactl status --json\n"),
               0, RunStatus),
-      WithRun(MakeCommand("explain", "ID",
-                          "say why a refusal, placement or change was made",
-                          "  cassiactl explain 5f0c62b1a90d4e77\n"),
-              1, RunExplain),
+      ExplainCommand(),
       WithRun(MakeCommand("wave", "NAME status|start|pause|resume|abort",
                           "show or steer a maintenance wave",
                           "  cassiactl wave kernel-winter start\n"
--- /dev/null
+++ b/src/cassiastile/operator/log_story.cpp
@@ -0,0 +1,405 @@
+#include "cassiastile/operator/log_story.hpp"
+
+#include <algorithm>
+#include <istream>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+
+#include <fmt/format.h>
+
+namespace cassiastile::operators {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// How far around a line of the id the lines of others can bear on it.
+constexpr std::int64_t kAroundMs = 2500;
+
+std::string Text(const Json& line, const char* name) {
+  const auto found = line.find(name);
+  return found != line.end() && found->is_string() ? found->get<std::string>()
+                                                   : "";
+}
+
+double Number(const Json& line, const char* name) {
+  const auto found = line.find(name);
+  return found != line.end() && found->is_number() ? found->get<double>() : 0;
+}
+
+bool Is(const Json& line, std::string_view event) {
+  return Text(line, "event") == event;
+}
+
+bool Names(const Json& line, const std::string& id) {
+  return std::ranges::any_of(line, [&id](const Json& value) {
+    return value.is_string() && value.get_ref<const std::string&>() == id;
+  });
+}
+
+// Milliseconds since the begin of the line's day; days that end meanwhile do
+// not happen in the span of one request.
+std::int64_t TimeOf(const Json& line) {
+  const std::string at = Text(line, "at");
+  int hours = 0;
+  int minutes = 0;
+  int seconds = 0;
+  int millis = 0;
+  const std::size_t day = at.find('T');
+  if (day == std::string::npos ||
+      std::sscanf(at.c_str() + day, "T%d:%d:%d.%dZ", &hours, &minutes, &seconds,
+                  &millis) != 4) {
+    return 0;
+  }
+  return ((hours * 60 + minutes) * 60 + seconds) * 1000LL + millis;
+}
+
+bool IsOfOffice(const Json& line) {
+  static const std::set<std::string> kEvents{
+      "office.take", "office.elected", "office.serving", "office.resigned",
+      "office.lost", "store.lost",     "store.regained", "host.start",
+      "host.stop",   "host.end"};
+  return kEvents.contains(Text(line, "event"));
+}
+
+// The lines of one job, and what can be read from them.
+class JobStory {
+ public:
+  JobStory(const std::vector<Json>& events, const std::string& job)
+      : m_events(events), m_job(job) {
+    for (const Json& line : events) {
+      if (Text(line, "job") == job) {
+        m_own.push_back(&line);
+      }
+    }
+  }
+
+  Story Tell() {
+    if (!m_own.empty()) {
+      m_story.cause = FindCause();
+    }
+    AddLines();
+    return std::move(m_story);
+  }
+
+ private:
+  const Json* Last(std::string_view event) const {
+    const Json* last = nullptr;
+    for (const Json* line : m_own) {
+      last = Is(*line, event) ? line : last;
+    }
+    return last;
+  }
+
+  const Json* First(std::string_view event) const {
+    const auto found = std::ranges::find_if(
+        m_own, [event](const Json* line) { return Is(*line, event); });
+    return found == m_own.end() ? nullptr : *found;
+  }
+
+  void Because(std::string sentence) {
+    m_story.reasons.push_back(std::move(sentence));
+  }
+
+  StoryCause FindCause() {
+    if (const Json* end = Last("job.finished")) {
+      return CauseOfEnd(*end);
+    }
+    if (First("job.accepted") != nullptr) {
+      return StoryCause::kUnfinished;
+    }
+    if (const Json* invalid = Last("job.invalid")) {
+      Because(Text(*invalid, "error"));
+      return StoryCause::kInvalid;
+    }
+    // What the caller heard last counts.
+    for (auto line = m_own.rbegin(); line != m_own.rend(); ++line) {
+      if (Is(**line, "job.refused")) {
+        return CauseOfRefusal(**line);
+      }
+      if (Is(**line, "request.no_office")) {
+        return WithoutOffice(**line, StoryCause::kNoOffice);
+      }
+      if (Is(**line, "request.undecided")) {
+        return WithoutOffice(**line, StoryCause::kUnanswered);
+      }
+    }
+    return StoryCause::kUnfinished;
+  }
+
+  StoryCause CauseOfRefusal(const Json& line) {
+    const std::string reason = Text(line, "reason");
+    if (reason == "store away") {
+      Because(fmt::format("commits had failed for {:.0f} ms",
+                          Number(line, "commits_fail_for_ms")));
+      return StoryCause::kRefusedStore;
+    }
+    if (reason == "too large") {
+      return StoryCause::kRefusedTooLarge;
+    }
+    Because(
+        fmt::format("the work ahead would have taken {:.0f} ms, and it "
+                    "could bear {:.0f} ms, {:.0f} ms after it was first "
+                    "handed in; told to come back after {:.0f} ms",
+                    Number(line, "wait_ms"), Number(line, "slack_ms"),
+                    Number(line, "age_ms"), Number(line, "retry_after_ms")));
+    if (const Json* load = LoadBefore(line)) {
+      Because(fmt::format(
+          "pool {} had {:.0f} workers, {:.0f} core-seconds of work waiting "
+          "and {:.0f} cores of new work arriving ({} ms before)",
+          Text(line, "service"), Number(*load, "workers"),
+          Number(*load, "backlog_core_ms") / 1000,
+          Number(*load, "arriving_cores"), TimeOf(line) - TimeOf(*load)));
+    }
+    const auto share = line.find("beyond_share");
+    const bool beyond = share != line.end() && *share == Json(true);
+    if (beyond) {
+      Because("customer " + Text(line, "customer") +
+              " handed in more jobs a second than its weight");
+    }
+    return beyond ? StoryCause::kRefusedShare : StoryCause::kRefusedOverload;
+  }
+
+  StoryCause WithoutOffice(const Json& line, StoryCause cause) {
+    Because(fmt::format(
+        "{} waited {:.0f} ms; it believed {} in office (fence {:.0f}), last "
+        "heard of {:.0f} ms before",
+        Text(line, "host"), Number(line, "waited_ms"),
+        Text(line, "holder").empty() ? "nobody" : Text(line, "holder"),
+        Number(line, "fence"), Number(line, "heard_ms_ago")));
+    return cause;
+  }
+
+  const Json* LoadBefore(const Json& line) const {
+    const Json* load = nullptr;
+    for (const Json& each : m_events) {
+      if (Is(each, "pool.load") && TimeOf(each) <= TimeOf(line) &&
+          Text(each, "service") == Text(line, "service") &&
+          Text(each, "host") == Text(line, "host")) {
+        load = &each;
+      }
+    }
+    return load;
+  }
+
+  StoryCause CauseOfEnd(const Json& end) {
+    const std::string phase = Text(end, "phase");
+    if (phase == "cancelled") {
+      return StoryCause::kCancelled;
+    }
+    if (phase == "failed") {
+      ReportFailedRuns();
+      return StoryCause::kAttemptsUsed;
+    }
+    if (end.value("late", false)) {
+      Because(fmt::format("done after {:.0f} ms, {:.0f} ms were allowed",
+                          Number(end, "age_ms"), Number(end, "allowed_ms")));
+      return CauseOfLateness(end);
+    }
+    return StoryCause::kInTime;
+  }
+
+  // Lateness goes to what took the largest part of the time.
+  StoryCause CauseOfLateness(const Json& end) {
+    std::map<StoryCause, double> spent;
+    const Json* accepted = First("job.accepted");
+    const Json* start = First("run.start");
+    const double age = Number(end, "age_ms");
+    const std::int64_t began = TimeOf(end) - static_cast<std::int64_t>(age);
+    spent[StoryCause::kLateTakeover] = WithoutOfficeBetween(began, TimeOf(end));
+    if (accepted != nullptr && start != nullptr) {
+      spent[StoryCause::kLateRoom] = std::max<double>(
+          0, static_cast<double>(TimeOf(*start) - TimeOf(*accepted)));
+    }
+    const auto [repeated, lost] = TimeOfRepeatedRuns();
+    spent[StoryCause::kLateBadWorker] = repeated;
+    spent[StoryCause::kLateLostWorker] = lost;
+    double known = 0;
+    for (const auto& [cause, time] : spent) {
+      known += time;
+    }
+    spent[StoryCause::kLateLongRuns] = std::max(0.0, age - known);
+    StoryCause largest = StoryCause::kLateLongRuns;
+    for (const auto& [cause, time] : spent) {
+      if (time > 0) {
+        Because(fmt::format("{:.0f} ms: {}", time,
+                            base::FindName(kStoryCauseNames, cause)));
+      }
+      largest = time > spent[largest] ? cause : largest;
+    }
+    ReportFailedRuns();
+    return largest;
+  }
+
+  // How long no host served between two times.
+  double WithoutOfficeBetween(std::int64_t from, std::int64_t to) const {
+    double gap = 0;
+    std::optional<std::int64_t> taken;
+    for (const Json& line : m_events) {
+      const std::int64_t at = TimeOf(line);
+      if (Is(line, "office.take") && !taken) {
+        taken = at;
+      } else if (Is(line, "office.serving")) {
+        const std::int64_t since = std::max(from, taken.value_or(at));
+        if (at > from && since < to) {
+          // The former holder was silent for a term before, at most.
+          constexpr std::int64_t kTermMs = 1800;
+          gap += static_cast<double>(std::min(at, to) -
+                                     std::max(from, since - kTermMs));
+        }
+        taken.reset();
+      }
+    }
+    return gap;
+  }
+
+  // Of each task that was started more than once, the time up to its last
+  // start; the longest of them, apart for failed and for lost runs.
+  std::pair<double, double> TimeOfRepeatedRuns() const {
+    std::map<std::string, std::vector<const Json*>> starts;
+    std::set<std::string> ended;
+    for (const Json* line : m_own) {
+      const std::string task = line->value("task", Json()).dump();
+      if (Is(*line, "run.start")) {
+        starts[task].push_back(line);
+      } else if (Is(*line, "run.ended") || Is(*line, "run.stop")) {
+        ended.insert(task);
+      }
+    }
+    double repeated = 0;
+    double lost = 0;
+    for (const auto& [task, lines] : starts) {
+      const auto time =
+          static_cast<double>(TimeOf(*lines.back()) - TimeOf(*lines.front()));
+      double& longest = ended.contains(task) ? repeated : lost;
+      longest = std::max(longest, time);
+    }
+    return {repeated, lost};
+  }
+
+  void ReportFailedRuns() {
+    std::map<std::string, int> failures;
+    for (const Json* line : m_own) {
+      const bool failed =
+          (Is(*line, "run.ended") && Text(*line, "how") != "done") ||
+          Is(*line, "run.stop") ||
+          (Is(*line, "run.start") && Text(*line, "result") != "running");
+      if (failed) {
+        const std::string how =
+            Text(*line, "how") + Text(*line, "reason") + Text(*line, "result");
+        ++failures[fmt::format("{} on worker {}", how, Text(*line, "worker"))];
+      }
+    }
+    for (const auto& [what, times] : failures) {
+      Because(fmt::format(
+          "{} {}", times == 1 ? "once" : fmt::format("{} times", times), what));
+    }
+  }
+
+  // The job's lines, and those of the office and of its workers around them.
+  void AddLines() {
+    std::set<std::string> workers;
+    std::set<std::int64_t> unsure;
+    for (const Json* line : m_own) {
+      workers.insert(Text(*line, "worker"));
+      if (Is(*line, "request.no_office") || Is(*line, "request.undecided") ||
+          Is(*line, "job.refused")) {
+        unsure.insert(TimeOf(*line));
+      }
+    }
+    workers.erase("");
+    const std::int64_t first = m_own.empty() ? 0 : TimeOf(*m_own.front());
+    const std::int64_t last = m_own.empty() ? 0 : TimeOf(*m_own.back());
+    for (const Json& line : m_events) {
+      const std::int64_t at = TimeOf(line);
+      const bool during = at >= first - kAroundMs && at <= last + kAroundMs;
+      const bool own = Text(line, "job") == m_job;
+      const bool of_worker = Text(line, "event").starts_with("worker.") &&
+                             workers.contains(Text(line, "worker"));
+      const bool near_unsure =
+          std::ranges::any_of(unsure, [at](std::int64_t time) {
+            return at >= time - kAroundMs && at <= time + kAroundMs;
+          });
+      if (own || (during && of_worker) ||
+          (IsOfOffice(line) && (near_unsure || (during && !unsure.empty())))) {
+        m_story.lines.push_back(line);
+      }
+    }
+  }
+
+  const std::vector<Json>& m_events;
+  const std::string& m_job;
+  std::vector<const Json*> m_own;
+  Story m_story;
+};
+
+}  // namespace
+
+void LogLines::Read(std::istream& in, const std::string& name) {
+  m_files.push_back(name);
+  for (std::string line; std::getline(in, line);) {
+    ++m_read;
+    const std::size_t begin = line.find('{');
+    Json json = begin == std::string::npos
+                    ? Json()
+                    : Json::parse(line.substr(begin), nullptr, false);
+    if (!json.is_object() || Text(json, "event").empty() ||
+        Text(json, "at").empty()) {
+      ++m_skipped;
+      continue;
+    }
+    m_events.push_back(std::move(json));
+  }
+}
+
+void LogLines::Sort() {
+  std::ranges::stable_sort(m_events, [](const Json& left, const Json& right) {
+    return left["at"].get_ref<const std::string&>() <
+           right["at"].get_ref<const std::string&>();
+  });
+}
+
+Story TellStory(const LogLines& lines, const std::string& id) {
+  Story story = JobStory(lines.Events(), id).Tell();
+  if (story.cause == StoryCause::kUnknownId) {
+    for (const Json& line : lines.Events()) {
+      if (Names(line, id)) {
+        story.lines.push_back(line);
+      }
+    }
+  }
+  return story;
+}
+
+std::string FormatStory(const Story& story, const std::string& id) {
+  std::string text;
+  if (story.cause == StoryCause::kUnknownId) {
+    text = fmt::format("{}: no job; lines that name it follow\n", id);
+  } else {
+    text = fmt::format("{}: {}\n", id,
+                       base::FindName(kStoryCauseNames, story.cause));
+  }
+  for (const std::string& reason : story.reasons) {
+    text += fmt::format("  {}\n", reason);
+  }
+  for (Json line : story.lines) {
+    std::string fields;
+    const std::string head =
+        fmt::format("{} {:<20} {:<18}", Text(line, "at"), Text(line, "host"),
+                    Text(line, "event"));
+    for (const auto& [name, value] : line.items()) {
+      const bool in_head = name == "at" || name == "host" || name == "event";
+      if (!in_head && value != Json(id)) {
+        fields += fmt::format(
+            " {}={}", name,
+            value.is_string() ? value.get<std::string>() : value.dump());
+      }
+    }
+    text += head + fields + "\n";
+  }
+  return text;
+}
+
+}  // namespace cassiastile::operators
--- /dev/null
+++ b/src/cassiastile/operator/log_story_test.cpp
@@ -0,0 +1,165 @@
+#include "cassiastile/operator/log_story.hpp"
+
+#include <sstream>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cassiastile::operators {
+namespace {
+
+using testing::Contains;
+using testing::HasSubstr;
+using testing::SizeIs;
+
+constexpr char kJob[] = "5c0e7a21d94b36f8";
+
+class LogStoryTest : public testing::Test {
+ protected:
+  // A line of a host, some milliseconds after the begin.
+  void Add(int at_ms, const std::string& host, nlohmann::json fields) {
+    fields["at"] = "2026-12-04T01:00:0" + std::to_string(at_ms / 1000) + "." +
+                   std::to_string(1000 + at_ms % 1000).substr(1) + "Z";
+    fields["host"] = host;
+    m_text += fields.dump() + "\n";
+  }
+
+  Story Tell(const std::string& id = kJob) {
+    std::istringstream in(m_text);
+    m_lines.Read(in, "log");
+    m_lines.Sort();
+    return TellStory(m_lines, id);
+  }
+
+  std::string m_text;
+  LogLines m_lines;
+};
+
+TEST_F(LogStoryTest, RefusalSaysWhatWasWeighed) {
+  Add(900, "h1",
+      {{"event", "pool.load"},
+       {"service", "s"},
+       {"workers", 24},
+       {"backlog_core_ms", 5263000},
+       {"arriving_cores", 4651}});
+  Add(1000, "h1",
+      {{"event", "job.refused"},
+       {"job", kJob},
+       {"service", "s"},
+       {"reason", "overload"},
+       {"wait_ms", 2800},
+       {"slack_ms", 1400},
+       {"age_ms", 0},
+       {"beyond_share", false},
+       {"retry_after_ms", 1200}});
+  const Story story = Tell();
+  EXPECT_EQ(story.cause, StoryCause::kRefusedOverload);
+  EXPECT_THAT(story.reasons, Contains(HasSubstr("2800 ms")));
+  EXPECT_THAT(story.reasons, Contains(HasSubstr("24 workers")));
+}
+
+TEST_F(LogStoryTest, CustomerBeyondItsShare) {
+  Add(1000, "h1",
+      {{"event", "job.refused"},
+       {"job", kJob},
+       {"reason", "overload"},
+       {"customer", "c"},
+       {"beyond_share", true}});
+  const Story story = Tell();
+  EXPECT_EQ(story.cause, StoryCause::kRefusedShare);
+  EXPECT_THAT(story.reasons, Contains(HasSubstr("customer c")));
+}
+
+TEST_F(LogStoryTest, LostInATakeover) {
+  Add(1000, "h2",
+      {{"event", "request.undecided"},
+       {"job", kJob},
+       {"waited_ms", 1500},
+       {"holder", "h1"},
+       {"fence", 3},
+       {"heard_ms_ago", 1600}});
+  Add(1400, "h3", {{"event", "office.take"}, {"why", "term over"}});
+  const Story story = Tell();
+  EXPECT_EQ(story.cause, StoryCause::kUnanswered);
+  EXPECT_THAT(story.reasons, Contains(HasSubstr("h1 in office")));
+  EXPECT_THAT(story.lines, SizeIs(2));
+}
+
+TEST_F(LogStoryTest, LateOnABadWorker) {
+  Add(0, "h1", {{"event", "job.accepted"}, {"job", kJob}});
+  Add(50, "h1",
+      {{"event", "run.start"},
+       {"job", kJob},
+       {"task", {0, 0, 0}},
+       {"worker", "w1"},
+       {"result", "running"}});
+  Add(2000, "h1",
+      {{"event", "run.ended"},
+       {"job", kJob},
+       {"task", {0, 0, 0}},
+       {"worker", "w1"},
+       {"how", "failed"}});
+  Add(2050, "h1",
+      {{"event", "run.start"},
+       {"job", kJob},
+       {"task", {0, 0, 0}},
+       {"worker", "w2"},
+       {"result", "running"}});
+  Add(2900, "h1",
+      {{"event", "job.finished"},
+       {"job", kJob},
+       {"phase", "done"},
+       {"late", true},
+       {"age_ms", 2900},
+       {"allowed_ms", 1500}});
+  const Story story = Tell();
+  EXPECT_EQ(story.cause, StoryCause::kLateBadWorker);
+  EXPECT_THAT(story.reasons, Contains(HasSubstr("failed on worker w1")));
+}
+
+TEST_F(LogStoryTest, LateForWantOfRoom) {
+  Add(0, "h1", {{"event", "job.accepted"}, {"job", kJob}});
+  Add(2500, "h1",
+      {{"event", "run.start"},
+       {"job", kJob},
+       {"task", {0, 0, 0}},
+       {"worker", "w1"},
+       {"result", "running"}});
+  Add(3000, "h1",
+      {{"event", "job.finished"},
+       {"job", kJob},
+       {"phase", "done"},
+       {"late", true},
+       {"age_ms", 3000},
+       {"allowed_ms", 1500}});
+  EXPECT_EQ(Tell().cause, StoryCause::kLateRoom);
+}
+
+TEST_F(LogStoryTest, LinesComeInTheOrderOfTheirTimes) {
+  Add(2000, "h1",
+      {{"event", "job.finished"}, {"job", kJob}, {"phase", "done"}});
+  Add(1000, "h2", {{"event", "job.accepted"}, {"job", kJob}});
+  const Story story = Tell();
+  ASSERT_THAT(story.lines, SizeIs(2));
+  EXPECT_EQ(story.lines.front()["host"], "h2");
+  EXPECT_EQ(story.cause, StoryCause::kInTime);
+}
+
+TEST_F(LogStoryTest, ForeignAndTruncatedLinesAreCounted) {
+  m_text += "a line of another program\n{\"event\":\"job.acc\n{\"x\":1}\n";
+  m_text += "12.5 host-1 ";  // A prefix that a collector put in front.
+  Add(1000, "h2", {{"event", "job.accepted"}, {"job", kJob}});
+  EXPECT_EQ(Tell().cause, StoryCause::kUnfinished);
+  EXPECT_EQ(m_lines.LinesRead(), 4U);
+  EXPECT_EQ(m_lines.LinesSkipped(), 3U);
+}
+
+TEST_F(LogStoryTest, WorkersLinesAreFoundByItsId) {
+  Add(1000, "h1", {{"event", "worker.silent"}, {"worker", "w1"}});
+  const Story story = Tell("w1");
+  EXPECT_EQ(story.cause, StoryCause::kUnknownId);
+  EXPECT_THAT(story.lines, SizeIs(1));
+}
+
+}  // namespace
+}  // namespace cassiastile::operators
--- a/src/cassiastile/soak/fault_plan.cpp
+++ b/src/cassiastile/soak/fault_plan.cpp
@@ -76,6 +76,7 @@
     return std::uniform_int_distribution<std::int64_t>(0, bound - 1)(random);
   };
   std::vector<double> weights;
+  weights.reserve(kChoices.size());
   for (const Choice& choice : kChoices) {
     weights.push_back(choice.weight);
   }
