--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -26,12 +26,6 @@
 constexpr char kStatus[] = "status";
 constexpr char kSpare[] = "spare";
 
-std::string RowKey(const std::string& table,
-                   const std::string& part,
-                   const std::string& key) {
-  return table + "|" + part + "|" + key;
-}
-
 std::string ServiceName(std::size_t index) {
   return "service-" + std::to_string(index);
 }
@@ -123,29 +117,11 @@
 }
 
 struct VirtualWorld::Worker {
-  struct Run {
-    std::uint32_t number = 0;
-    base::TimePoint ends{};
-    base::TimePoint began{};
-    bool lasts = false;
-  };
   std::string id;
-  std::int64_t born = 0;
-  std::string service;
   std::string machine;
   bool alive = true;
-  base::TimePoint started{};
-  std::uint64_t fence = 0;
-  milliseconds until{0};
-  std::map<jobs::TaskId, Run> running;
-  std::map<jobs::TaskId, std::uint32_t> closed;  // Highest run not to start.
-  std::vector<jobs::ListedEnd> ended;
-  std::uint64_t sequence = 0;
+  std::unique_ptr<sim::WorkerModel> model;
   std::vector<std::function<void()>> waiting;  // Long polls.
-
-  milliseconds Clock(base::TimePoint now) const {
-    return std::chrono::duration_cast<milliseconds>(now - started);
-  }
 };
 
 struct VirtualWorld::Machine {
@@ -236,21 +212,8 @@
         return;
       }
       constexpr std::size_t kPage = 50;
-      RowPage page;
-      page.version = m_world.m_version;
-      page.now = std::chrono::duration_cast<milliseconds>(
-          m_world.m_loop.Now().time_since_epoch());
-      for (const auto& [key, row] : m_world.m_rows) {
-        if (row.table != table || row.part != part || row.key < from) {
-          continue;
-        }
-        if (page.rows.size() == kPage) {
-          page.has_more = true;
-          break;
-        }
-        page.rows.push_back(row);
-      }
-      done(std::move(page));
+      done(
+          m_world.m_table.Read(table, part, from, kPage, m_world.StoreClock()));
     });
   }
 
@@ -265,13 +228,7 @@
       if (*answered) {
         return true;
       }
-      FeedPage page;
-      page.version = m_world.m_version;
-      for (const Row& row : m_world.m_history) {
-        if (row.table == table && row.version > after) {
-          page.rows.push_back(row);
-        }
-      }
+      const FeedPage page = m_world.m_table.Feed(table, after);
       if (IsAway() || (page.rows.empty() && !last)) {
         return false;
       }
@@ -321,15 +278,14 @@
         });
         return;
       }
-      if (extension.fence < worker->fence) {
+      if (!worker->model->Extend(extension, m_world.m_loop.Now())) {
         m_world.Post(kCallLatency, [done] {
           done(tl::unexpected(
               WorkerCallFailure{.fenced = true, .message = "fenced"}));
         });
         return;
       }
-      worker->fence = extension.fence;
-      m_world.ReportOf(*worker, extension);
+      m_world.WatchWorker(*worker);
       auto answered = std::make_shared<bool>(false);
       const auto answer = [this, address, extension, done, answered] {
         if (std::exchange(*answered, true)) {
@@ -340,10 +296,12 @@
           done(tl::unexpected(WorkerCallFailure{.message = "silent"}));
           return;
         }
-        const jobs::WorkerReport report = m_world.ReportOf(*still, extension);
+        still->model->Advance(m_world.m_loop.Now());
+        const jobs::WorkerReport report =
+            still->model->Report(m_world.m_loop.Now());
         m_world.Post(kCallLatency, [done, report] { done(report); });
       };
-      if (extension.wait.count() == 0 || !worker->ended.empty()) {
+      if (extension.wait.count() == 0 || worker->model->HasEnds()) {
         answer();
         return;
       }
@@ -683,48 +641,22 @@
 }
 
 void VirtualWorld::Violate(std::string what) {
-  m_violations.push_back(fmt::format(
-      "{} ms: {}",
-      base::Milliseconds(m_loop.Now().time_since_epoch()) - 3600000, what));
+  m_watch.Violate(std::move(what));
 }
 
 TransactionReply VirtualWorld::Apply(const RowTransaction& transaction) {
-  TransactionReply reply{.current = {}};
-  reply.now =
-      std::chrono::duration_cast<milliseconds>(m_loop.Now().time_since_epoch());
-  bool holds = true;
-  for (const RowExpectation& row : transaction.expect) {
-    const auto found = m_rows.find(RowKey(row.table, row.part, row.key));
-    const std::uint64_t version =
-        found == m_rows.end() ? 0 : found->second.version;
-    holds = holds && version == row.version;
-    if (found != m_rows.end()) {
-      reply.current.push_back(found->second);
-    }
-  }
-  if (!holds) {
-    reply.outcome = TransactionReply::Outcome::kConflict;
-    return reply;
-  }
-  ++m_version;
-  for (Row row : transaction.puts) {
-    row.version = m_version;
-    m_rows[RowKey(row.table, row.part, row.key)] = row;
-    m_history.push_back(row);
-  }
-  for (Row row : transaction.drops) {
-    row.version = m_version;
-    row.deleted = true;
-    m_rows.erase(RowKey(row.table, row.part, row.key));
-    m_history.push_back(row);
+  const TransactionReply reply = m_table.Apply(transaction, StoreClock());
+  if (reply.outcome == TransactionReply::Outcome::kApplied) {
+    WakeFeeds();
   }
-  reply.outcome = TransactionReply::Outcome::kApplied;
-  reply.version = m_version;
-  reply.current.clear();
-  WakeFeeds();
   return reply;
 }
 
+milliseconds VirtualWorld::StoreClock() const {
+  return std::chrono::duration_cast<milliseconds>(
+      m_loop.Now().time_since_epoch());
+}
+
 void VirtualWorld::WakeFeeds() {
   std::vector<std::function<bool()>> feeds;
   feeds.swap(m_feeds);
@@ -743,181 +675,80 @@
   }
   auto worker = std::make_unique<Worker>();
   worker->id = fmt::format("worker-{}", ++m_lives);
-  worker->born = static_cast<std::int64_t>(m_lives);
-  worker->service = machine.pool;
   worker->machine = name;
-  worker->started = m_loop.Now();
+  jobs::WorkerEntry entry;
+  entry.id = {worker->id, static_cast<std::int64_t>(m_lives)};
+  entry.service = machine.pool;
+  entry.machine = name;
+  entry.capacity = {kWorkerCpu, kWorkerMemory, 0};
   machine.worker = worker->id;
-  ListWorker(*worker);
+  ListWorker(entry);
+  worker->model = std::make_unique<sim::WorkerModel>(std::move(entry),
+                                                     m_loop.Now(), m_watch);
   m_workers[worker->id] = std::move(worker);
 }
 
-void VirtualWorld::ListWorker(const Worker& worker) {
+void VirtualWorld::ListWorker(const jobs::WorkerEntry& entry) {
   RowTransaction transaction;
   transaction.puts.push_back(
-      {kWorkersTable, "", worker.id,
-       fmt::format("{} {} {}", worker.born, worker.service, worker.machine), 0,
+      {kWorkersTable, "", entry.id.id,
+       fmt::format("{} {} {}", entry.id.born, entry.service, entry.machine), 0,
        false});
   Apply(transaction);
 }
 
 void VirtualWorld::EndLife(Worker& worker) {
   worker.alive = false;
-  for (const auto& [task, run] : worker.running) {
-    std::erase(m_running[task], worker.id);
-  }
-  worker.running.clear();
+  worker.model->Die();
   RowTransaction transaction;
   transaction.drops.push_back({kWorkersTable, "", worker.id, "", 0, false});
   constexpr milliseconds kListLapse{4500};
   Post(kListLapse, [this, transaction] { Apply(transaction); });
 }
 
-void VirtualWorld::ExpireLease(Worker& worker) {
-  if (worker.Clock(m_loop.Now()) < worker.until) {
-    return;
-  }
-  std::vector<std::pair<jobs::TaskId, std::uint32_t>> lapsed;
-  for (const auto& [task, run] : worker.running) {
-    lapsed.emplace_back(task, run.number);
-  }
-  for (const auto& [task, run] : lapsed) {
-    FinishRun(worker, task, run, jobs::RunEnd::kLapsed);
-  }
-  // Ends from before count as not taken note of.
-}
-
 jobs::StartResult VirtualWorld::StartRun(Worker& worker,
                                          const jobs::StartOrder& order,
                                          std::uint64_t fence,
                                          milliseconds until) {
-  if (fence < worker.fence) {
-    return jobs::StartResult::kFenced;
-  }
-  worker.fence = fence;
-  if (until <= worker.Clock(m_loop.Now())) {
-    return jobs::StartResult::kTooLate;
-  }
-  worker.until = std::max(worker.until, until);
-  Post(worker.until - worker.Clock(m_loop.Now()),
-       [this, id = worker.id] { ExpireLease(*m_workers.at(id)); });
-  if (const auto same = worker.running.find(order.task);
-      same != worker.running.end()) {
-    return same->second.number == order.run ? jobs::StartResult::kRunning
-                                            : jobs::StartResult::kStaleRun;
-  }
-  if (const auto closed = worker.closed.find(order.task);
-      closed != worker.closed.end() && order.run <= closed->second) {
-    return jobs::StartResult::kStaleRun;
-  }
-  if (static_cast<std::int64_t>(worker.running.size() + 1) * 1000 >
-      kWorkerCpu) {
-    return jobs::StartResult::kNoRoom;
-  }
-  if (!m_job_texts.contains(order.task.job) ||
-      m_job_texts.at(order.task.job) != order.payload) {
+  worker.model->Advance(m_loop.Now());
+  const jobs::JobSpec* spec = m_watch.SpecOf(order.task.job);
+  if (spec == nullptr) {
     Violate("a task of an unknown job was started: " + order.task.job);
+    return jobs::StartResult::kRejected;
   }
-  auto& running = m_running[order.task];
-  if (!running.empty()) {
-    Violate(fmt::format("{} {}.{} runs twice: on {} and {}", order.task.job,
-                        order.task.step, order.task.index, running.front(),
-                        worker.id));
-  }
-  if (m_noted.contains(order.task)) {
-    Violate(fmt::format("{} {}.{} started after its end was noted",
-                        order.task.job, order.task.step, order.task.index));
-  }
-  const auto answer = m_answers.find(order.task.job);
-  if (answer != m_answers.end() &&
-      (answer->second == 429 || answer->second == 503)) {
-    Violate("a refused job runs: " + order.task.job);
-  }
-  running.push_back(worker.id);
-  const auto spec = DecodeSpec(order.payload);
-  Worker::Run run;
-  run.number = order.run;
-  run.began = m_loop.Now();
-  run.lasts = spec->steps.front().long_running;
-  worker.running[order.task] = run;
-  if (!run.lasts) {
-    Post(spec->steps.front().estimate,
-         [this, id = worker.id, task = order.task, number = order.run] {
-           Worker& still = *m_workers.at(id);
-           const auto found = still.running.find(task);
-           if (found != still.running.end() && found->second.number == number) {
-             m_done[task.job].insert(task);
-             FinishRun(still, task, number, jobs::RunEnd::kDone);
-           }
-         });
-  }
-  return jobs::StartResult::kRunning;
-}
-
-void VirtualWorld::FinishRun(Worker& worker,
-                             const jobs::TaskId& task,
-                             std::uint32_t run,
-                             jobs::RunEnd how) {
-  worker.running.erase(task);
-  std::erase(m_running[task], worker.id);
-  worker.closed[task] = std::max(worker.closed[task], run);
-  jobs::ListedEnd& end = worker.ended.emplace_back();
-  end.sequence = ++worker.sequence;
-  end.task = task;
-  end.run = run;
-  end.how = how;
-  std::vector<std::function<void()>> waiting;
-  waiting.swap(worker.waiting);
-  for (const auto& answer : waiting) {
-    answer();
-  }
+  const auto result = worker.model->Start(order, spec->steps[order.task.step],
+                                          fence, until, m_loop.Now());
+  WatchWorker(worker);
+  return result;
 }
 
 bool VirtualWorld::StopRun(Worker& worker,
                            const jobs::StopOrder& order,
                            std::uint64_t fence) {
-  if (fence < worker.fence) {
-    return false;
-  }
-  worker.fence = fence;
-  worker.closed[order.task] = std::max(worker.closed[order.task], order.run);
-  const auto found = worker.running.find(order.task);
-  if (found != worker.running.end() && found->second.number <= order.run) {
-    FinishRun(worker, order.task, found->second.number, jobs::RunEnd::kStopped);
-  }
-  return true;
+  const bool stopped =
+      worker.model->Stop(order.task, order.run, fence, m_loop.Now());
+  AnswerPolls(worker);
+  return stopped;
 }
 
-jobs::WorkerReport VirtualWorld::ReportOf(Worker& worker,
-                                          const LeaseExtension& extension) {
-  if (extension.until) {
-    worker.until = std::max(worker.until, *extension.until);
-    Post(worker.until - worker.Clock(m_loop.Now()),
-         [this, id = worker.id] { ExpireLease(*m_workers.at(id)); });
+void VirtualWorld::WatchWorker(Worker& worker) {
+  if (const auto next = worker.model->NextEvent()) {
+    Post(std::chrono::ceil<std::chrono::microseconds>(*next - m_loop.Now()),
+         [this, id = worker.id] {
+           Worker& still = *m_workers.at(id);
+           still.model->Advance(m_loop.Now());
+           AnswerPolls(still);
+           WatchWorker(still);
+         });
   }
-  std::erase_if(worker.ended, [this, &extension](const jobs::ListedEnd& end) {
-    if (end.sequence > extension.acknowledged_end) {
-      return false;
-    }
-    if (end.how == jobs::RunEnd::kDone) {
-      m_noted.insert(end.task);
+}
+
+void VirtualWorld::AnswerPolls(Worker& worker) {
+  if (worker.model->HasEnds()) {
+    for (const auto& answer : std::exchange(worker.waiting, {})) {
+      answer();
     }
-    return true;
-  });
-  jobs::WorkerReport report;
-  report.born = worker.born;
-  report.clock = worker.Clock(m_loop.Now());
-  for (const auto& [task, run] : worker.running) {
-    jobs::ListedRun& listed = report.running.emplace_back();
-    listed.task = task;
-    listed.run = run.number;
-    const auto age = m_loop.Now() - run.began;
-    constexpr milliseconds kStartup{300};
-    listed.percent = run.lasts ? (age > kStartup ? 100 : 0)
-                               : static_cast<int>(base::Milliseconds(age) % 97);
   }
-  report.ended = worker.ended;
-  return report;
 }
 
 wire::HttpRequest VirtualWorld::MakeRequest(const std::string& method,
@@ -927,7 +758,7 @@
   request.path = fmt::format("/{}/{}", m_job_service.at(job), job);
   request.headers.emplace_back("Host", "host");
   if (method == "POST") {
-    request.body = m_job_texts.at(job);
+    request.body = m_watch.SpecOf(job)->payload;
   }
   return request;
 }
@@ -940,7 +771,7 @@
                                      const std::string& text,
                                      std::size_t tasks) {
   std::string job = MakeJobId();
-  m_job_texts[job] = text;
+  m_watch.HandedIn(job, *DecodeSpec(text));
   m_job_service[job] = service;
   m_tasks[job] = tasks;
   m_answers[job] = 0;
@@ -956,25 +787,37 @@
     live[pick]->node.Handle(MakeRequest("POST", job),
                             [this, job](const wire::HttpResponse& response) {
                               m_answers[job] = response.status;
+                              NoteAnswer(job, response.status);
                             });
   }
   return job;
 }
 
+void VirtualWorld::NoteAnswer(const std::string& job, int status) {
+  constexpr int kOk = 200;
+  constexpr int kTooMany = 429;
+  constexpr int kUnavailable = 503;
+  if (status == kOk) {
+    m_watch.Accepted(job);
+  } else if (status == kTooMany || status == kUnavailable) {
+    m_watch.Refused(job);
+  }
+}
+
 std::string VirtualWorld::Submit(std::size_t service,
                                  std::size_t steps,
                                  std::uint32_t tasks,
                                  milliseconds each) {
-  return SubmitText(service,
-                    fmt::format("{} {} {} 0 {}", steps, tasks, each.count(),
-                                m_job_texts.size()),
-                    steps * tasks);
+  return SubmitText(
+      service,
+      fmt::format("{} {} {} 0 {}", steps, tasks, each.count(), m_tasks.size()),
+      steps * tasks);
 }
 
 std::string VirtualWorld::SubmitLongRunning(std::size_t service,
                                             std::uint32_t tasks) {
   return SubmitText(
-      service, fmt::format("1 {} 1000 1 {}", tasks, m_job_texts.size()), tasks);
+      service, fmt::format("1 {} 1000 1 {}", tasks, m_tasks.size()), tasks);
 }
 
 int VirtualWorld::Call(const wire::HttpRequest& request, std::string* body) {
@@ -998,7 +841,11 @@
 }
 
 int VirtualWorld::SubmitAgain(const std::string& job) {
-  return Call(MakeRequest("POST", job));
+  const int status = Call(MakeRequest("POST", job));
+  if (status == 200) {
+    m_watch.Accepted(job);
+  }
+  return status;
 }
 
 void VirtualWorld::Cancel(const std::string& job) {
@@ -1105,22 +952,16 @@
 }
 
 std::size_t VirtualWorld::DoneTasks(const std::string& job) const {
-  const auto found = m_done.find(job);
-  return found == m_done.end() ? 0 : found->second.size();
+  return m_watch.DoneTasks(job);
 }
 
 std::size_t VirtualWorld::RunningTasks(const std::string& job) const {
-  std::size_t count = 0;
-  for (const auto& [task, workers] : m_running) {
-    count += task.job == job ? workers.size() : 0;
-  }
-  return count;
+  return m_watch.RunningTasks(job);
 }
 
 bool VirtualWorld::WaveIsDone(std::uint64_t wave) const {
-  const auto found =
-      m_rows.find(RowKey(kStatus, "", "wave/" + std::to_string(wave)));
-  return found != m_rows.end() && found->second.value == "done";
+  const Row* row = m_table.Find(kStatus, "", "wave/" + std::to_string(wave));
+  return row != nullptr && row->value == "done";
 }
 
 std::uint64_t VirtualWorld::ConfigVersionOf(std::size_t host) const {
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -11,6 +11,8 @@
 
 #include "cassiastile/base/random.hpp"
 #include "cassiastile/host/host_node.hpp"
+#include "cassiastile/sim/promise_watch.hpp"
+#include "cassiastile/sim/table_model.hpp"
 
 // Hosts, a table, workers and machines in one process and in virtual time, from
 // one seed. The hosts are the real ones; all around them is a stand-in that can
@@ -40,7 +42,7 @@
 
 struct WorldFaults {
   bool store_down = false;
-  bool store_silent = false;  // Calls get no answer at all.
+  bool store_silent = false;                // Calls get no answer at all.
   std::chrono::milliseconds slow_feeds{0};  // Longer at each next host.
   double store_lost = 0;   // Share of commits applied without an answer.
   double store_late = 0;   // Share of commits applied seconds later.
@@ -94,7 +96,9 @@
   base::Random& Engine() { return m_random; }
 
   // What was seen. Violations are sentences; empty if all promises held.
-  const std::vector<std::string>& Violations() const { return m_violations; }
+  const std::vector<std::string>& Violations() const {
+    return m_watch.Violations();
+  }
   // The answer to the first hand-in of each job: 0 while there is none.
   const std::map<std::string, int>& Answers() const { return m_answers; }
   std::size_t DoneTasks(const std::string& job) const;
@@ -130,7 +134,7 @@
   // Workers.
   void BeginLife(const std::string& machine);
   void EndLife(Worker& worker);
-  void ListWorker(const Worker& worker);
+  void ListWorker(const jobs::WorkerEntry& entry);
   jobs::StartResult StartRun(Worker& worker,
                              const jobs::StartOrder& order,
                              std::uint64_t fence,
@@ -138,12 +142,11 @@
   bool StopRun(Worker& worker,
                const jobs::StopOrder& order,
                std::uint64_t fence);
-  void FinishRun(Worker& worker,
-                 const jobs::TaskId& task,
-                 std::uint32_t run,
-                 jobs::RunEnd how);
-  void ExpireLease(Worker& worker);
-  jobs::WorkerReport ReportOf(Worker& worker, const LeaseExtension& extension);
+  // Moves a worker on when its next run or its lease ends.
+  void WatchWorker(Worker& worker);
+  void AnswerPolls(Worker& worker);
+  void NoteAnswer(const std::string& job, int status);
+  std::chrono::milliseconds StoreClock() const;
   void Violate(std::string what);
   wire::HttpRequest MakeRequest(const std::string& method,
                                 const std::string& job) const;
@@ -159,23 +162,17 @@
   WorldFaults m_faults;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::vector<std::unique_ptr<Host>> m_dead_hosts;
-  std::map<std::string, Row> m_rows;  // By table, part and key.
-  std::vector<Row> m_history;
-  std::uint64_t m_version = 0;
+  sim::TableModel m_table;
+  sim::PromiseWatch m_watch;
   std::uint64_t m_store_calls = 0;
   std::uint64_t m_configs_from_peers = 0;
   std::vector<std::function<bool()>> m_feeds;
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
   std::map<std::string, Machine> m_machines;
   std::uint64_t m_lives = 0;
-  std::map<std::string, std::string> m_job_texts;
   std::map<std::string, std::size_t> m_job_service;
   std::map<std::string, std::size_t> m_tasks;
   std::map<std::string, int> m_answers;
-  std::map<std::string, std::set<jobs::TaskId>> m_done;  // Noted or not.
-  std::set<jobs::TaskId> m_noted;
-  std::map<jobs::TaskId, std::vector<std::string>> m_running;
-  std::vector<std::string> m_violations;
   std::uint64_t m_config_version = 0;
   std::string m_log_text;
 };
