--- a/include/cassiastile/operator/log_story.hpp
+++ b/include/cassiastile/operator/log_story.hpp
@@ -72,7 +72,7 @@
     {StoryCause::kLateBadWorker, "late: runs failed or stood still"},
     {StoryCause::kLateLostWorker, "late: a worker was lost"},
     {StoryCause::kLateLongRuns, "late: its tasks took long"},
-    {StoryCause::kUnfinished, "not done by the end of the logs"},
+    {StoryCause::kUnfinished, "accepted; its end is not in the logs"},
 }};
 
 struct Story {
--- a/src/cassiastile/operator/fleet_commands.cpp
+++ b/src/cassiastile/operator/fleet_commands.cpp
@@ -1,12 +1,11 @@
 #include <algorithm>
 #include <array>
-#include <sstream>
+#include <fstream>
 
 #include <fmt/format.h>
 
 #include "cassiastile/operator/log_story.hpp"
 #include "command.hpp"
-#include "documents.hpp"
 #include "report.hpp"
 #include "table.hpp"
 
@@ -51,12 +50,16 @@
 ExitCode ExplainFromLogs(const Invocation& invocation) {
   LogLines lines;
   for (std::size_t i = 1; i < invocation.WordCount(); ++i) {
-    const auto text = ReadInput(invocation, invocation.Word(i));
-    if (!text) {
-      return ReportInput(invocation, text.error().message);
+    const std::string path = invocation.Word(i);
+    if (path == "-") {
+      lines.Read(invocation.Streams().in, path);
+      continue;
     }
-    std::istringstream in(*text);
-    lines.Read(in, invocation.Word(i));
+    std::ifstream file(path);
+    if (!file) {
+      return ReportInput(invocation, path + " can't be opened for reading");
+    }
+    lines.Read(file, path);
   }
   lines.Sort();
   const std::string id = invocation.Word(0);
--- a/src/cassiastile/operator/log_story.cpp
+++ b/src/cassiastile/operator/log_story.cpp
@@ -107,8 +107,8 @@
     if (const Json* end = Last("job.finished")) {
       return CauseOfEnd(*end);
     }
-    if (First("job.accepted") != nullptr) {
-      return StoryCause::kUnfinished;
+    if (const Json* accepted = First("job.accepted")) {
+      return CauseOfUnfinished(*accepted);
     }
     if (const Json* invalid = Last("job.invalid")) {
       Because(Text(*invalid, "error"));
@@ -129,6 +129,18 @@
     return StoryCause::kUnfinished;
   }
 
+  StoryCause CauseOfUnfinished(const Json& accepted) {
+    const Json* start = Last("run.start");
+    Because(fmt::format("accepted at {} by {}", Text(accepted, "at"),
+                        Text(accepted, "host")));
+    Because(start == nullptr
+                ? "no task was started"
+                : fmt::format("last start at {} on worker {}",
+                              Text(*start, "at"), Text(*start, "worker")));
+    // Hosts that are killed lose their last lines.
+    return StoryCause::kUnfinished;
+  }
+
   StoryCause CauseOfRefusal(const Json& line) {
     const std::string reason = Text(line, "reason");
     if (reason == "store away") {
@@ -205,13 +217,11 @@
   StoryCause CauseOfLateness(const Json& end) {
     std::map<StoryCause, double> spent;
     const Json* accepted = First("job.accepted");
-    const Json* start = First("run.start");
     const double age = Number(end, "age_ms");
     const std::int64_t began = TimeOf(end) - static_cast<std::int64_t>(age);
     spent[StoryCause::kLateTakeover] = WithoutOfficeBetween(began, TimeOf(end));
-    if (accepted != nullptr && start != nullptr) {
-      spent[StoryCause::kLateRoom] = std::max<double>(
-          0, static_cast<double>(TimeOf(*start) - TimeOf(*accepted)));
+    if (accepted != nullptr) {
+      spent[StoryCause::kLateRoom] = WaitedForRoom(TimeOf(*accepted));
     }
     const auto [repeated, lost] = TimeOfRepeatedRuns();
     spent[StoryCause::kLateBadWorker] = repeated;
@@ -233,6 +243,36 @@
     return largest;
   }
 
+  // Over all steps, from the end of what came before to the start of the last
+  // task that had not run yet.
+  double WaitedForRoom(std::int64_t accepted) const {
+    struct Step {
+      std::int64_t last_start = 0;
+      std::int64_t last_end = 0;
+    };
+    std::map<std::pair<int, int>, Step> steps;  // By occurrence and number.
+    for (const Json* line : m_own) {
+      const Json task = line->value("task", Json::array());
+      if (task.size() != 3) {
+        continue;
+      }
+      Step& step = steps[{task[0].get<int>(), task[1].get<int>()}];
+      if (Is(*line, "run.start") && Number(*line, "run") == 1) {
+        step.last_start = TimeOf(*line);
+      } else if (Is(*line, "run.ended") && Text(*line, "how") == "done") {
+        step.last_end = TimeOf(*line);
+      }
+    }
+    double waited = 0;
+    std::int64_t ready = accepted;
+    for (const auto& [number, step] : steps) {
+      waited += static_cast<double>(
+          std::max<std::int64_t>(0, step.last_start - ready));
+      ready = std::max(ready, step.last_end);
+    }
+    return waited;
+  }
+
   // How long no host served between two times.
   double WithoutOfficeBetween(std::int64_t from, std::int64_t to) const {
     double gap = 0;
--- a/src/cassiastile/operator/log_story_test.cpp
+++ b/src/cassiastile/operator/log_story_test.cpp
@@ -89,6 +89,7 @@
   Add(0, "h1", {{"event", "job.accepted"}, {"job", kJob}});
   Add(50, "h1",
       {{"event", "run.start"},
+       {"run", 1},
        {"job", kJob},
        {"task", {0, 0, 0}},
        {"worker", "w1"},
@@ -101,6 +102,7 @@
        {"how", "failed"}});
   Add(2050, "h1",
       {{"event", "run.start"},
+       {"run", 2},
        {"job", kJob},
        {"task", {0, 0, 0}},
        {"worker", "w2"},
@@ -121,6 +123,7 @@
   Add(0, "h1", {{"event", "job.accepted"}, {"job", kJob}});
   Add(2500, "h1",
       {{"event", "run.start"},
+       {"run", 1},
        {"job", kJob},
        {"task", {0, 0, 0}},
        {"worker", "w1"},
