--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -645,7 +645,7 @@
 }
 
 TransactionReply VirtualWorld::Apply(const RowTransaction& transaction) {
-  const TransactionReply reply = m_table.Apply(transaction, StoreClock());
+  TransactionReply reply = m_table.Apply(transaction, StoreClock());
   if (reply.outcome == TransactionReply::Outcome::kApplied) {
     WakeFeeds();
   }
--- a/src/cassiastile/operator/log_story.cpp
+++ b/src/cassiastile/operator/log_story.cpp
@@ -1,6 +1,8 @@
 #include "cassiastile/operator/log_story.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <istream>
 #include <map>
 #include <optional>
@@ -56,12 +58,14 @@
   return ((hours * 60 + minutes) * 60 + seconds) * 1000LL + millis;
 }
 
+constexpr std::array<std::string_view, 10> kOfficeEvents{
+    "office.take", "office.elected", "office.serving", "office.resigned",
+    "office.lost", "store.lost",     "store.regained", "host.start",
+    "host.stop",   "host.end"};
+
 bool IsOfOffice(const Json& line) {
-  static const std::set<std::string> kEvents{
-      "office.take", "office.elected", "office.serving", "office.resigned",
-      "office.lost", "store.lost",     "store.regained", "host.start",
-      "host.stop",   "host.end"};
-  return kEvents.contains(Text(line, "event"));
+  return std::ranges::find(kOfficeEvents, Text(line, "event")) !=
+         kOfficeEvents.end();
 }
 
 // The lines of one job, and what can be read from them.
--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -122,7 +122,7 @@
   m_client->Start(
       MakeCall("POST", job, host),
       m_lifetime.Guard([this, id, host, sent_at = m_loop.GetClock().Now()](
-                           wire::HttpOutcome outcome) {
+                           const wire::HttpOutcome& outcome) {
         CheckCut(host, sent_at, outcome);
         Answered(id, host, outcome);
       }));
