Pools are looked at once in a tick; one way to name a step

Cause: a tick with waves looked at all pools once for each wave, again for moves and once more for the log (220 us each with 800 jobs). The name of a step was put together in four places. No decision changes.

--- a/include/cassiastile/host/machine_keeper.hpp
+++ b/include/cassiastile/host/machine_keeper.hpp
@@ -52,6 +52,8 @@
   void Tick(bool may_order);
 
  private:
+  using PoolLoads = jobs::Scheduler::PoolLoads;
+
   enum class Pending : std::uint8_t { kNone, kMaintain, kMove };
 
   struct Known {
@@ -84,9 +86,9 @@
   void ListMachines();
   void Listed(std::vector<Machine> machines, base::TimePoint asked_at);
   void Settle(Known& known, base::TimePoint asked_at);
-  void RunWave(Wave& wave, base::TimePoint now);
-  void MoveMachines(base::TimePoint now);
-  void LogLoads(base::TimePoint now);
+  void RunWave(Wave& wave, const PoolLoads& pools, base::TimePoint now);
+  void MoveMachines(const PoolLoads& loads, base::TimePoint now);
+  void LogLoads(const PoolLoads& loads);
   static Row RowOf(const Wave& wave);
   void Maintain(Wave& wave, Known& known);
   void SendMaintain(std::uint64_t wave, const std::string& name, bool first);
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -123,6 +123,10 @@
 Task* FindTask(const TaskRef& ref);
 const StepSpec& SpecOf(const TaskRef& ref);
 TaskId IdOf(const TaskRef& ref);
+// Names a step of one occurrence, for what is asked about all of its tasks.
+std::string StepName(const std::string& job,
+                     std::uint32_t occurrence,
+                     std::uint32_t step);
 
 // What a task takes from its worker's capacity.
 Resources CapacityNeed(const StepSpec& step);
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -226,7 +226,8 @@
     // Distinct workers that long-running steps need, with one to move to.
     std::size_t min_workers = 0;
   };
-  std::map<std::string, PoolLoad> LookAtPools(base::TimePoint now);
+  using PoolLoads = std::map<std::string, PoolLoad>;  // By service.
+  PoolLoads LookAtPools(base::TimePoint now);
   // Capacity on its way to each pool.
   void SetArriving(std::map<std::string, Resources> arriving) {
     m_arriving = std::move(arriving);
--- a/src/cassiastile/host/machine_keeper.cpp
+++ b/src/cassiastile/host/machine_keeper.cpp
@@ -34,9 +34,8 @@
 // A pool that uses more than this share of its capacity gives no machine away.
 constexpr double kBusyShare = 0.6;
 
-using PoolLoads = std::map<std::string, jobs::Scheduler::PoolLoad>;
-
-bool IsNeeded(const PoolLoads& pools, const std::string& pool) {
+bool IsNeeded(const jobs::Scheduler::PoolLoads& pools,
+              const std::string& pool) {
   const auto found = pools.find(pool);
   if (found == pools.end()) {
     return false;
@@ -166,11 +165,16 @@
   if (!m_has_list || !may_order) {
     return;
   }
+  const PoolLoads loads = m_scheduler.LookAtPools(now);
+  if (now - m_loads_logged_at > kLoadLogInterval) {
+    m_loads_logged_at = now;
+    LogLoads(loads);
+  }
   for (auto& [number, wave] : m_waves) {
-    RunWave(wave, now);
+    RunWave(wave, loads, now);
   }
   if (m_options.moves) {
-    MoveMachines(now);
+    MoveMachines(loads, now);
   }
 }
 
@@ -269,7 +273,9 @@
   }
 }
 
-void MachineKeeper::RunWave(Wave& wave, base::TimePoint now) {
+void MachineKeeper::RunWave(Wave& wave,
+                            const PoolLoads& pools,
+                            base::TimePoint now) {
   if (wave.done) {
     if (!wave.done_stored && !wave.storing) {
       StoreWave(wave, true);
@@ -279,7 +285,6 @@
   if (!wave.running_stored && !wave.storing) {
     StoreWave(wave, false);
   }
-  const auto pools = m_scheduler.LookAtPools(now);
   std::vector<jobs::WaveMachine> machines;
   bool all_begun = true;
   for (const std::string& name : wave.request.machines) {
@@ -421,9 +426,9 @@
       }));
 }
 
-void MachineKeeper::MoveMachines(base::TimePoint now) {
+void MachineKeeper::MoveMachines(const PoolLoads& loads, base::TimePoint now) {
   std::map<std::string, jobs::PoolDemand> pools;
-  for (const auto& [service, load] : m_scheduler.LookAtPools(now)) {
+  for (const auto& [service, load] : loads) {
     jobs::PoolDemand& demand = pools[service];
     demand.lasting = load.lasting;
     demand.unplaced = load.unplaced;
@@ -431,10 +436,6 @@
     demand.arriving = load.arriving_work;
     demand.min_machines = load.min_workers;
   }
-  if (now - m_loads_logged_at > kLoadLogInterval) {
-    m_loads_logged_at = now;
-    LogLoads(now);
-  }
   for (const jobs::ServiceConfig& service : m_config->services) {
     pools[service.name].standby = service.standby;
   }
@@ -477,11 +478,11 @@
   }
 }
 
-void MachineKeeper::LogLoads(base::TimePoint now) {
+void MachineKeeper::LogLoads(const PoolLoads& loads) {
   const auto list = [](const jobs::Resources& value) {
     return nlohmann::json{value.cpu, value.memory, value.gpus};
   };
-  for (const auto& [service, load] : m_scheduler.LookAtPools(now)) {
+  for (const auto& [service, load] : loads) {
     if (load.workers > 0 || load.unplaced.memory > 0) {
       m_log.Write("pool.load",
                   {{"service", service},
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -460,8 +460,7 @@
     m_orders.starts.push_back({run->worker, IdOf(ref), number,
                                ref.job->spec.payload, run->checkpoint, ""});
     const auto advice =
-        m_advice.find(IdOf(ref).job + "." + std::to_string(ref.occurrence) +
-                      "." + std::to_string(ref.step));
+        m_advice.find(StepName(ref.job->id, ref.occurrence, ref.step));
     if (advice != m_advice.end()) {
       const auto ticket = advice->second.ticket_of_worker.find(run->worker.id);
       if (ticket != advice->second.ticket_of_worker.end()) {
@@ -475,9 +474,8 @@
   return std::exchange(m_orders, {});
 }
 
-std::map<std::string, Scheduler::PoolLoad> Scheduler::LookAtPools(
-    base::TimePoint now) {
-  std::map<std::string, PoolLoad> pools;
+Scheduler::PoolLoads Scheduler::LookAtPools(base::TimePoint now) {
+  PoolLoads pools;
   for (const auto& [id, worker] : m_workers) {
     if (!worker.listed || worker.entry.draining || worker.withheld ||
         worker.silent) {
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -203,8 +203,7 @@
     const std::vector<WorkerState*>& workers,
     base::TimePoint now) {
   const QueueConfig* queue = QueueOf(job);
-  const std::string key = job.id + "." + std::to_string(occurrence.number) +
-                          "." + std::to_string(step);
+  const std::string key = StepName(job.id, occurrence.number, step);
   Advice& advice = m_advice[key];
   constexpr std::chrono::milliseconds kAskAgain{2000};
   const bool valid = now < advice.valid_until;
@@ -232,8 +231,7 @@
     std::chrono::milliseconds validity,
     base::TimePoint now) {
   Advice& advice =
-      m_advice[request.job + "." + std::to_string(request.occurrence) + "." +
-               std::to_string(request.step)];
+      m_advice[StepName(request.job, request.occurrence, request.step)];
   // Tickets must still be valid when the order arrives.
   constexpr std::chrono::milliseconds kMargin{300};
   advice.valid_until = now + std::max(validity - kMargin, kMargin);
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -387,8 +387,7 @@
       }
       return;
     case StartResult::kNoTicket:
-      m_advice.erase(task.job + "." + std::to_string(task.occurrence) + "." +
-                     std::to_string(task.step));
+      m_advice.erase(StepName(task.job, task.occurrence, task.step));
       DropRun(*ref, number, now);
       return;
     case StartResult::kBusy:
