Finding of the soak: a held-up start reaches the next life of its worker

From the logs: the start of run 1 was held up by a cut link and not answered (02:19:46.1); the worker crashed and began another life under the same id; the books dropped run 1 as of a former life and run 2 started on another worker (48.0); the cut ended and run 1 was carried out by the new life (48.8), whose id the order named and whose clock had begun anew, so that its deadline did not refuse it. Ruled out: the soak's own books (both runs are in the hosts' logs as listed).

--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -407,5 +407,24 @@
   EXPECT_LE(EndsUntilStarted(kJob, 30), 14);
 }
 
+// A start that was not answered may still arrive after its worker has begun
+// another life under the same id, and would be carried out there.
+TEST(SchedulerTest, UnansweredStartIsStoppedAtTheNextLifeOfItsWorker) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto starts = bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  bench.Get().StartAnswered(starts.front().worker, starts.front().task,
+                            starts.front().run, StartResult::kUnknown,
+                            bench.Now());
+  bench.AddWorker("b");
+  bench.AddWorker("a", 2);
+  const Orders orders = bench.Step();
+  EXPECT_THAT(orders.starts, IsEmpty());
+  ASSERT_THAT(orders.stops, SizeIs(1));
+  EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
