Log runs that are given up, and runs that come back after that

Each run that is dropped before its worker listed its end is now logged as run.dropped with the reason and the phase that it was in, and a dropped run that a worker lists all the same as run.resurfaced. Lines of runs name the worker's incarnation (born), and a report of an incarnation newer than the listed one is logged as worker.restarted.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -42,6 +42,15 @@
   kRecovered,     // Read from the store; its worker has not reported yet.
 };
 
+inline constexpr std::array<base::EnumName<RunPhase>, 6> kRunPhaseNames{{
+    {RunPhase::kPlanned, "planned"},
+    {RunPhase::kStarting, "starting"},
+    {RunPhase::kRunning, "running"},
+    {RunPhase::kStartUnknown, "start unknown"},
+    {RunPhase::kStopping, "stopping"},
+    {RunPhase::kRecovered, "recovered"},
+}};
+
 // One attempt at a task on one worker.
 struct Run {
   std::uint32_t number = 0;
@@ -75,6 +84,9 @@
   // Runs that may be alive. A task is placed again only when it has none.
   std::vector<Run> runs;
   std::string avoided_worker;  // Where the last run failed or was stuck.
+  // The last run that was given up before its end was listed, and why.
+  std::uint32_t dropped_run = 0;
+  DropReason drop_reason = DropReason::kNone;
   // When a long-running task stopped serving; zero otherwise.
   base::TimePoint unavailable_since{};
 };
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -58,12 +58,26 @@
   std::chrono::milliseconds validity{0};
 };
 
-// Orders that the caller must carry out. Only Confirm adds starts.
+// A run that was given up although its end was not listed, or one that a worker
+// lists after that.
+struct DroppedRun {
+  WorkerId worker;
+  TaskId task;
+  std::uint32_t run = 0;
+  DropReason reason = DropReason::kNone;
+  RunPhase phase = RunPhase::kPlanned;  // When it was given up.
+};
+
+// Orders that the caller must carry out, and what it should log. Only Confirm
+// adds starts.
 struct Orders {
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::vector<PaceOrder> paces;
   std::vector<AdviceRequest> advice;
+  std::vector<DroppedRun> dropped;
+  // Runs that a worker lists as running although they were given up.
+  std::vector<DroppedRun> resurfaced;
 };
 
 // A row of the store to write, or to remove if it has no bytes.
@@ -321,8 +335,14 @@
   std::optional<TaskRef> FindTaskRef(const TaskId& id);
   void BeginRun(const TaskRef& ref, WorkerState& worker, base::TimePoint now);
   // Removes a run from the scheduler's state and, unless its task is done,
-  // queues the task again.
-  void DropRun(const TaskRef& ref, std::uint32_t number, base::TimePoint now);
+  // queues the task again. The reason is kNone if its worker has listed its
+  // end.
+  void DropRun(const TaskRef& ref,
+               std::uint32_t number,
+               DropReason reason,
+               base::TimePoint now);
+  // Drops the runs of one incarnation of a worker.
+  void DropRunsOf(const WorkerId& id, DropReason reason, base::TimePoint now);
   // Drops the runs of all incarnations of the worker but this one.
   void DropRunsOfOtherIncarnations(WorkerState& worker,
                                    std::int64_t incarnation_ms,
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -80,6 +80,27 @@
     {StopReason::kEvacuated, "evacuated"},
 }};
 
+// Why the scheduler gave up a run whose end its worker has not listed.
+enum class DropReason : std::uint8_t {
+  kNone,
+  kIncarnationOver,  // The worker runs a newer incarnation.
+  kLeaseOver,        // The worker's lease has expired.
+  kWorkerGone,       // The platform's list of machines says that it ended.
+  kTerminated,       // The worker ended by the leader's own order.
+  kMissing,          // The worker's report does not list the run.
+  kRefused,          // The start was not carried out.
+};
+
+inline constexpr std::array<base::EnumName<DropReason>, 7> kDropReasonNames{{
+    {DropReason::kNone, "none"},
+    {DropReason::kIncarnationOver, "incarnation over"},
+    {DropReason::kLeaseOver, "lease over"},
+    {DropReason::kWorkerGone, "worker gone"},
+    {DropReason::kTerminated, "worker terminated"},
+    {DropReason::kMissing, "missing"},
+    {DropReason::kRefused, "refused"},
+}};
+
 // A run that a worker lists as running.
 struct ListedRun {
   TaskId task;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -22,10 +22,21 @@
 constexpr std::chrono::milliseconds kMaxFailurePause{500};
 constexpr std::uint32_t kFailuresUntilSilent = 2;
 
-nlohmann::json DescribeRun(const jobs::TaskId& task, std::uint32_t run) {
+nlohmann::json DescribeRun(const jobs::WorkerId& worker,
+                           const jobs::TaskId& task,
+                           std::uint32_t run) {
   return {{"job", task.job},
           {"task", {task.occurrence, task.step, task.index}},
-          {"run", run}};
+          {"run", run},
+          {"worker", worker.id},
+          {"born", worker.incarnation_ms}};
+}
+
+nlohmann::json DescribeDrop(const jobs::DroppedRun& drop) {
+  nlohmann::json line = DescribeRun(drop.worker, drop.task, drop.run);
+  line["reason"] = base::FindName(jobs::kDropReasonNames, drop.reason);
+  line["phase"] = base::FindName(jobs::kRunPhaseNames, drop.phase);
+  return line;
 }
 
 }  // namespace
@@ -143,6 +154,12 @@
   if (result->incarnation_ms < link.address.id.incarnation_ms) {
     return;
   }
+  if (result->incarnation_ms > link.address.id.incarnation_ms) {
+    m_log.Write("worker.restarted",
+                {{"worker", id},
+                 {"born", result->incarnation_ms},
+                 {"former", link.address.id.incarnation_ms}});
+  }
   link.clock_known = true;
   link.clock = result->clock;
   link.clock_at = now;
@@ -150,8 +167,8 @@
     const auto worker = m_scheduler.Workers().find(id);
     if (worker != m_scheduler.Workers().end() &&
         end.sequence > worker->second.last_end) {
-      nlohmann::json line = DescribeRun(end.task, end.run);
-      line["worker"] = id;
+      nlohmann::json line =
+          DescribeRun({id, result->incarnation_ms}, end.task, end.run);
       line["how"] = base::FindName(jobs::kRunEndNames, end.how);
       m_log.Write("run.ended", std::move(line));
     }
@@ -166,6 +183,12 @@
 }
 
 void Dispatcher::SendOrders(const jobs::Orders& orders) {
+  for (const jobs::DroppedRun& drop : orders.dropped) {
+    m_log.Write("run.dropped", DescribeDrop(drop));
+  }
+  for (const jobs::DroppedRun& drop : orders.resurfaced) {
+    m_log.Write("run.resurfaced", DescribeDrop(drop));
+  }
   for (const jobs::StartOrder& order : orders.starts) {
     SendStart(order);
   }
@@ -216,8 +239,7 @@
       link.address, order, FencingToken(), until,
       m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
                         run = order.run](jobs::StartResult result) {
-        nlohmann::json line = DescribeRun(task, run);
-        line["worker"] = worker.id;
+        nlohmann::json line = DescribeRun(worker, task, run);
         line["result"] = base::FindName(jobs::kStartResultNames, result);
         const base::TimePoint answered = m_loop.GetClock().Now();
         const jobs::Job* job = m_scheduler.FindJob(task.job);
@@ -247,8 +269,7 @@
       !MayGiveOrders()) {
     return;
   }
-  nlohmann::json line = DescribeRun(order.task, order.run);
-  line["worker"] = order.worker.id;
+  nlohmann::json line = DescribeRun(order.worker, order.task, order.run);
   line["reason"] = base::FindName(jobs::kStopReasonNames, order.reason);
   m_log.Write("run.stop", std::move(line));
   m_dependencies.workers.Stop(found->second.address, order, FencingToken(),
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -59,6 +59,7 @@
 
 void Scheduler::DropRun(const TaskRef& ref,
                         std::uint32_t number,
+                        DropReason reason,
                         base::TimePoint now) {
   Task* task = FindTask(ref);
   const Run* run = FindRun(ref, number);
@@ -74,6 +75,11 @@
       worker->Release(spec);
     }
   }
+  if (reason != DropReason::kNone) {
+    task->dropped_run = number;
+    task->drop_reason = reason;
+    m_orders.dropped.push_back({where, IdOf(ref), number, reason, run->phase});
+  }
   m_used_by_customer[ref.job->customer] -= spec.need;
   --ref.job->live_runs;
   if (!run->checkpoint.empty()) {
@@ -106,7 +112,7 @@
   for (const auto& [ref, number] : runs) {
     const Run* run = FindRun(ref, number);
     if (run != nullptr && run->worker.incarnation_ms != incarnation_ms) {
-      DropRun(ref, number, now);
+      DropRun(ref, number, DropReason::kIncarnationOver, now);
     }
   }
 }
@@ -218,7 +224,7 @@
                           run->confirmed_at != base::TimePoint{} &&
                           run->confirmed_at < asked_at);
     if (settled) {
-      DropRun(ref, number, now);
+      DropRun(ref, number, DropReason::kMissing, now);
     }
   }
 }
@@ -229,6 +235,11 @@
   const auto ref = FindTaskRef(listed.task);
   Run* run = ref ? FindRun(*ref, listed.run) : nullptr;
   if (run == nullptr || run->worker != worker.entry.id) {
+    const Task* task = ref ? FindTask(*ref) : nullptr;
+    if (task != nullptr && task->dropped_run == listed.run) {
+      m_orders.resurfaced.push_back({worker.entry.id, listed.task, listed.run,
+                                     task->drop_reason, RunPhase::kRunning});
+    }
     m_orders.stops.push_back(
         {worker.entry.id, listed.task, listed.run, StopReason::kUnknown});
     return ref;
@@ -280,7 +291,7 @@
       known->checkpoint = end.checkpoint;
     }
   }
-  DropRun(ref, end.run, now);
+  DropRun(ref, end.run, DropReason::kNone, now);
   MarkDirty(*ref.job, false);
   if (end.how == RunEnd::kDone) {
     worker.health.RunSucceeded();
@@ -392,14 +403,14 @@
       return;
     case StartResult::kNoTicket:
       m_advice.erase(StepKey(task.job, task.occurrence, task.step));
-      DropRun(*ref, number, now);
+      DropRun(*ref, number, DropReason::kRefused, now);
       return;
     case StartResult::kBusy:
     case StartResult::kNoRoom:
     case StartResult::kUnreachable:
       worker->health.Refused(now);
       worker->wants_report = true;
-      DropRun(*ref, number, now);
+      DropRun(*ref, number, DropReason::kRefused, now);
       return;
     case StartResult::kFenced:
     case StartResult::kStaleRun:
@@ -407,7 +418,7 @@
     case StartResult::kOtherIncarnation:
     case StartResult::kRejected:
       worker->wants_report = true;
-      DropRun(*ref, number, now);
+      DropRun(*ref, number, DropReason::kRefused, now);
       return;
   }
 }
@@ -436,6 +447,12 @@
 }
 
 void Scheduler::WorkerGone(const WorkerId& id, base::TimePoint now) {
+  DropRunsOf(id, DropReason::kWorkerGone, now);
+}
+
+void Scheduler::DropRunsOf(const WorkerId& id,
+                           DropReason reason,
+                           base::TimePoint now) {
   WorkerState* worker = FindWorker(id.id);
   if (worker == nullptr) {
     return;
@@ -444,13 +461,13 @@
   for (const auto& [ref, number] : runs) {
     const Run* run = FindRun(ref, number);
     if (run != nullptr && run->worker == id) {
-      DropRun(ref, number, now);
+      DropRun(ref, number, reason, now);
     }
   }
 }
 
 void Scheduler::WorkerTerminated(const WorkerId& id, base::TimePoint now) {
-  WorkerGone(id, now);
+  DropRunsOf(id, DropReason::kTerminated, now);
   WorkerState* worker = FindWorker(id.id);
   if (worker != nullptr && worker->entry.id == id) {
     worker->terminated = true;
@@ -470,7 +487,7 @@
       }
       if (run->phase != RunPhase::kPlanned && now > worker.lease_bound &&
           worker.lease_bound != base::TimePoint{}) {
-        DropRun(ref, number, now);
+        DropRun(ref, number, DropReason::kLeaseOver, now);
       } else if (run->phase == RunPhase::kStarting &&
                  now - run->ordered_at > kStartTimeout) {
         StopRun(ref, *run, StopReason::kUnanswered, now);
