Let virtual workers restart under their ids, and any call come late

RestartWorker kills a worker that starts again under its id: no runs, fencing token, stopped runs or ends, a clock at 0, its entry listed again after a delay; calls are refused meanwhile and long polls are cut. Starts, stops and lease extensions can come late, or slowly with an answer, and are carried out by whichever incarnation has the id then. A call that is on its way arrives also if the worker has become silent since. A worker shortens a lease to 10 s and lists at most 500 ends in a report.

--- a/include/cassiastile/sim/worker_model.hpp
+++ b/include/cassiastile/sim/worker_model.hpp
@@ -27,8 +27,8 @@
 };
 
 // Models one incarnation of a worker: its fencing token, lease and runs, and
-// the list of ended runs. Time is passed in, and Advance must be called at
-// NextEvent or later. Not thread-safe.
+// the list of ended runs, of which a report contains the oldest 500. Time is
+// passed in, and Advance must be called at NextEvent or later. Not thread-safe.
 class WorkerModel {
  public:
   // The observer must outlive the model.
@@ -76,6 +76,8 @@
     jobs::Resources need;
   };
 
+  // Extends the lease to a time of its own clock, by 10 s at most.
+  void HoldUntil(std::chrono::milliseconds until, base::TimePoint now);
   void Finish(const jobs::TaskId& task, jobs::RunEnd how);
 
   jobs::WorkerEntry m_entry;
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -127,6 +127,8 @@
   std::string id;
   std::string machine;
   bool alive = true;
+  // Crashed, and starts again under its id; calls are refused until then.
+  bool restarting = false;
   std::unique_ptr<sim::WorkerModel> model;
   std::unique_ptr<sim::WorkerTimer> timer;
   std::vector<std::function<void()>> waiting;  // Pending long polls.
@@ -284,12 +286,30 @@
       std::function<void(tl::expected<jobs::WorkerReport, WorkerCallFailure>)>
           done) override {
     done = m_loop.Guard(std::move(done));
-    m_world.Post(kCallLatency, [this, address, extension, done] {
+    const auto fail = [this, done](milliseconds after, bool refused) {
+      m_world.Post(after, [done, refused] {
+        done(tl::unexpected(
+            WorkerCallFailure{.refused = refused, .message = "no answer"}));
+      });
+    };
+    const VirtualWorld::Delivery delivery =
+        m_world.DrawDelivery(m_world.m_faults.late_extension_chance,
+                             m_world.m_faults.extension_delay);
+    if (!delivery.answered) {
+      m_world.Post(delivery.delay, [this, address, extension] {
+        if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
+          worker->model->ExtendLease(extension, m_world.m_loop.Now());
+          m_world.ArmWorkerTimer(*worker);
+        }
+      });
+      fail(kCallTimeout + extension.wait, false);
+      return;
+    }
+    m_world.Post(delivery.delay, [this, address, extension, done, fail] {
       VirtualWorld::Worker* worker = Find(address);
       if (worker == nullptr) {
-        m_world.Post(kCallTimeout, [done] {
-          done(tl::unexpected(WorkerCallFailure{.message = "silent"}));
-        });
+        const bool refused = IsRefused(address);
+        fail(refused ? milliseconds(0) : kCallTimeout, refused);
         return;
       }
       if (!worker->model->ExtendLease(extension, m_world.m_loop.Now())) {
@@ -301,13 +321,16 @@
       }
       m_world.ArmWorkerTimer(*worker);
       auto answered = std::make_shared<bool>(false);
-      const auto answer = [this, address, extension, done, answered] {
+      const auto answer = [this, address, done, fail, answered,
+                           incarnation =
+                               worker->model->Entry().id.incarnation_ms] {
         if (std::exchange(*answered, true)) {
           return;
         }
         VirtualWorld::Worker* current = Find(address);
-        if (current == nullptr) {
-          done(tl::unexpected(WorkerCallFailure{.message = "silent"}));
+        if (current == nullptr ||
+            current->model->Entry().id.incarnation_ms != incarnation) {
+          fail(milliseconds(0), false);
           return;
         }
         current->model->Advance(m_world.m_loop.Now());
@@ -330,21 +353,28 @@
              milliseconds until,
              std::function<void(jobs::StartResult)> done) override {
     done = m_loop.Guard(std::move(done));
-    if (m_world.Chance(m_world.m_faults.late_start_chance)) {
-      m_world.Post(m_world.RandomLateDelay(),
-                   [this, address, order, fence, until] {
-                     if (VirtualWorld::Worker* worker = Find(address)) {
-                       m_world.StartRun(*worker, order, fence, until);
-                     }
-                   });
+    ++m_world.m_starts_sent;
+    const VirtualWorld::Delivery delivery = m_world.DrawDelivery(
+        m_world.m_faults.late_start_chance, m_world.m_faults.start_delay);
+    if (!delivery.answered) {
+      m_world.Post(delivery.delay, [this, address, order, fence, until] {
+        if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
+          m_world.StartRun(*worker, order, fence, until);
+        }
+      });
       m_world.Post(kCallTimeout, [done] { done(jobs::StartResult::kUnknown); });
       return;
     }
-    m_world.Post(kCallLatency, [this, address, order, fence, until, done] {
+    m_world.Post(delivery.delay, [this, address, order, fence, until, done] {
       VirtualWorld::Worker* worker = Find(address);
       if (worker == nullptr) {
-        m_world.Post(kCallTimeout,
-                     [done] { done(jobs::StartResult::kUnknown); });
+        if (IsRefused(address)) {
+          m_world.Post(kCallLatency,
+                       [done] { done(jobs::StartResult::kUnreachable); });
+        } else {
+          m_world.Post(kCallTimeout,
+                       [done] { done(jobs::StartResult::kUnknown); });
+        }
         return;
       }
       const auto result = m_world.StartRun(*worker, order, fence, until);
@@ -357,7 +387,18 @@
             std::uint64_t fence,
             std::function<void(bool)> done) override {
     done = m_loop.Guard(std::move(done));
-    m_world.Post(kCallLatency, [this, address, order, fence, done] {
+    const VirtualWorld::Delivery delivery = m_world.DrawDelivery(
+        m_world.m_faults.late_stop_chance, m_world.m_faults.stop_delay);
+    if (!delivery.answered) {
+      m_world.Post(delivery.delay, [this, address, order, fence] {
+        if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
+          m_world.StopRun(*worker, order, fence);
+        }
+      });
+      m_world.Post(kCallTimeout, [done] { done(false); });
+      return;
+    }
+    m_world.Post(delivery.delay, [this, address, order, fence, done] {
       VirtualWorld::Worker* worker = Find(address);
       const bool stopped =
           worker != nullptr && m_world.StopRun(*worker, order, fence);
@@ -375,11 +416,16 @@
 
  private:
   VirtualWorld::Worker* Find(const WorkerAddress& address) {
+    return m_world.m_faults.silent_workers.contains(address.id.id)
+               ? nullptr
+               : m_world.FindLiveWorker(address.id);
+  }
+
+  // Whether the worker's machine answers that no process listens there.
+  bool IsRefused(const WorkerAddress& address) const {
     const auto found = m_world.m_workers.find(address.id.id);
-    const bool reachable =
-        found != m_world.m_workers.end() && found->second->alive &&
-        !m_world.m_faults.silent_workers.contains(address.id.id);
-    return reachable ? found->second.get() : nullptr;
+    return found != m_world.m_workers.end() && found->second->restarting &&
+           !m_world.m_faults.silent_workers.contains(address.id.id);
   }
 
   VirtualWorld& m_world;
@@ -657,6 +703,29 @@
       std::uniform_int_distribution<int>(2000, 12000)(m_random));
 }
 
+VirtualWorld::Delivery VirtualWorld::DrawDelivery(double late_chance,
+                                                  milliseconds fixed_delay) {
+  if (fixed_delay > milliseconds(0)) {
+    return {fixed_delay, fixed_delay < kCallTimeout};
+  }
+  if (Chance(late_chance)) {
+    return {RandomLateDelay(), false};
+  }
+  if (Chance(m_faults.slow_call_chance)) {
+    constexpr int kSlowest = 700;
+    return {
+        milliseconds(std::uniform_int_distribution<int>(5, kSlowest)(m_random)),
+        true};
+  }
+  return {kCallLatency, true};
+}
+
+VirtualWorld::Worker* VirtualWorld::FindLiveWorker(const jobs::WorkerId& id) {
+  const auto found = m_workers.find(id.id);
+  return found != m_workers.end() && found->second->alive ? found->second.get()
+                                                          : nullptr;
+}
+
 void VirtualWorld::AddViolation(std::string what) {
   m_checker.AddViolation(std::move(what));
 }
@@ -690,25 +759,31 @@
   if (machine.pool == kSparePool) {
     return;
   }
+  const std::string id = fmt::format("worker-{}", m_started_workers + 1);
+  PublishWorkerEntry(StartIncarnation(machine, id));
+}
+
+jobs::WorkerEntry VirtualWorld::StartIncarnation(Machine& machine,
+                                                 const std::string& id) {
   auto worker = std::make_unique<Worker>();
-  worker->id = fmt::format("worker-{}", ++m_started_workers);
-  worker->machine = name;
+  worker->id = id;
+  worker->machine = machine.name;
   jobs::WorkerEntry entry;
-  entry.id = {worker->id, static_cast<std::int64_t>(m_started_workers)};
+  entry.id = {id, static_cast<std::int64_t>(++m_started_workers)};
   entry.service = machine.pool;
-  entry.machine = name;
+  entry.machine = machine.name;
   entry.capacity = {kWorkerCpu, kWorkerMemory, 0};
-  machine.worker = worker->id;
-  PublishWorkerEntry(entry);
-  worker->model = std::make_unique<sim::WorkerModel>(std::move(entry),
-                                                     m_loop.Now(), m_checker);
+  machine.worker = id;
+  worker->model =
+      std::make_unique<sim::WorkerModel>(entry, m_loop.Now(), m_checker);
   worker->timer = std::make_unique<sim::WorkerTimer>(
       m_loop, [this, timed_worker = worker.get()] {
         timed_worker->model->Advance(m_loop.Now());
         AnswerPolls(*timed_worker);
         ArmWorkerTimer(*timed_worker);
       });
-  m_workers[worker->id] = std::move(worker);
+  m_workers[id] = std::move(worker);
+  return entry;
 }
 
 void VirtualWorld::PublishWorkerEntry(const jobs::WorkerEntry& entry) {
@@ -933,6 +1008,35 @@
   Post(down, [this, name = machine.name] { StartWorker(name); });
 }
 
+void VirtualWorld::RestartWorker(const std::string& id,
+                                 milliseconds down,
+                                 milliseconds listed_after) {
+  const auto found = m_workers.find(id);
+  if (found == m_workers.end() || !found->second->alive) {
+    return;
+  }
+  Worker& worker = *found->second;
+  worker.alive = false;
+  worker.restarting = true;
+  worker.model->Crash();
+  for (const auto& answer : std::exchange(worker.waiting, {})) {
+    answer();
+  }
+  Machine& machine = m_machines.at(worker.machine);
+  machine.state = MachineState::kDown;
+  machine.worker.clear();
+  Post(down, [this, id, listed_after, &machine] {
+    machine.state = MachineState::kUp;
+    const jobs::WorkerEntry entry = StartIncarnation(machine, id);
+    Post(listed_after, [this, entry] {
+      const Worker* current = FindLiveWorker(entry.id);
+      if (current != nullptr && current->model->Entry().id == entry.id) {
+        PublishWorkerEntry(entry);
+      }
+    });
+  });
+}
+
 std::vector<std::string> VirtualWorld::WorkerIds() const {
   std::vector<std::string> ids;
   for (const auto& [id, worker] : m_workers) {
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -58,8 +58,17 @@
   double lost_answer_chance = 0;
   // Commits applied 2 to 12 s later, without an answer.
   double late_commit_chance = 0;
-  // Starts carried out 2 to 12 s later, without an answer.
+  // Calls to workers that are carried out 2 to 12 s later, without an answer,
+  // by whichever incarnation of the worker runs then.
   double late_start_chance = 0;
+  double late_stop_chance = 0;
+  double late_extension_chance = 0;
+  // Calls to workers that are answered, but arrive up to 0.7 s later.
+  double slow_call_chance = 0;
+  // Delay of every such call; no answer if it is 0.8 s or more.
+  std::chrono::milliseconds start_delay{0};
+  std::chrono::milliseconds stop_delay{0};
+  std::chrono::milliseconds extension_delay{0};
   std::set<std::string> hosts_without_store;  // For them the store is down.
   std::set<std::string> silent_workers;       // Unreachable, but running.
 };
@@ -109,6 +118,11 @@
   const jobs::Scheduler& LeaderScheduler() const;
   // Kills a worker; a new one starts on its machine after `down`.
   void CrashWorker(const std::string& id, std::chrono::milliseconds down);
+  // Kills a worker; it starts again under its id after `down`, without any
+  // state, and its entry in the workers' table changes `listed_after` later.
+  void RestartWorker(const std::string& id,
+                     std::chrono::milliseconds down,
+                     std::chrono::milliseconds listed_after);
   std::vector<std::string> WorkerIds() const;
   // Writes a configuration whose version is 2 higher than the last one's; the
   // first has version 2.
@@ -139,6 +153,7 @@
   // Version that a host has in force; 0 if it is not running or has none.
   std::uint64_t ConfigVersionOf(std::size_t host) const;
   std::uint64_t StoreCalls() const { return m_store_calls; }
+  std::uint64_t StartsSent() const { return m_starts_sent; }
   // Number of configurations that hosts got from peers.
   std::uint64_t ConfigsFromPeers() const { return m_configs_from_peers; }
   // The hosts' log lines, if `keep_log` is set.
@@ -163,7 +178,14 @@
   void Post(std::chrono::microseconds delay, std::function<void()> callback);
   // Draws true with this probability.
   bool Chance(double probability);
-  // Draws the delay of a late order or commit, from 2 to 12 s.
+  // When a call to a worker is carried out, and whether it is answered.
+  struct Delivery {
+    std::chrono::microseconds delay{0};
+    bool answered = true;
+  };
+  Delivery DrawDelivery(double late_chance,
+                        std::chrono::milliseconds fixed_delay);
+  // Draws the delay of a late call or commit, from 2 to 12 s.
   std::chrono::milliseconds RandomLateDelay();
 
   // The table.
@@ -172,6 +194,10 @@
 
   // Workers.
   void StartWorker(const std::string& machine);
+  // Starts an incarnation of a worker; its entry must still be published.
+  jobs::WorkerEntry StartIncarnation(Machine& machine, const std::string& id);
+  // The worker that runs under the id, whichever its incarnation, or null.
+  Worker* FindLiveWorker(const jobs::WorkerId& id);
   void TerminateWorker(Worker& worker);
   // Writes a worker's row to the workers' table.
   void PublishWorkerEntry(const jobs::WorkerEntry& entry);
@@ -207,6 +233,7 @@
   sim::TableModel m_table;
   sim::InvariantChecker m_checker;
   std::uint64_t m_store_calls = 0;
+  std::uint64_t m_starts_sent = 0;
   std::uint64_t m_configs_from_peers = 0;
   std::vector<std::function<bool()>> m_feeds;
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
--- a/src/cassiastile/sim/worker_model.cpp
+++ b/src/cassiastile/sim/worker_model.cpp
@@ -11,6 +11,10 @@
 
 // Time that a long-running task takes to start up before it serves.
 constexpr milliseconds kStartupTime{300};
+// A longer lease is shortened to this.
+constexpr milliseconds kMaxLease{10000};
+// Ends in one report, oldest first.
+constexpr std::size_t kMaxEndsInReport = 500;
 
 }  // namespace
 
@@ -35,7 +39,7 @@
   if (lease_until <= Clock(now)) {
     return jobs::StartResult::kTooLate;
   }
-  m_lease_until = std::max(m_lease_until, lease_until);
+  HoldUntil(lease_until, now);
   if (const auto same = m_running.find(order.task); same != m_running.end()) {
     return same->second.number == order.run ? jobs::StartResult::kRunning
                                             : jobs::StartResult::kStaleRun;
@@ -83,7 +87,7 @@
   m_fence = extension.fence;
   Advance(now);
   if (extension.until) {
-    m_lease_until = std::max(m_lease_until, *extension.until);
+    HoldUntil(*extension.until, now);
   }
   std::erase_if(m_ended, [this, &extension](const jobs::ListedEnd& end) {
     if (end.sequence > extension.acknowledged_end) {
@@ -112,7 +116,9 @@
       listed.percent = static_cast<int>(100 * age / (run.ends - run.began));
     }
   }
-  report.ended = m_ended;
+  const std::size_t ends = std::min(m_ended.size(), kMaxEndsInReport);
+  report.ended.assign(m_ended.begin(),
+                      m_ended.begin() + static_cast<std::ptrdiff_t>(ends));
   return report;
 }
 
@@ -154,6 +160,11 @@
   }
 }
 
+void WorkerModel::HoldUntil(milliseconds until, base::TimePoint now) {
+  m_lease_until =
+      std::max(m_lease_until, std::min(until, Clock(now) + kMaxLease));
+}
+
 void WorkerModel::Finish(const jobs::TaskId& task, jobs::RunEnd how) {
   const auto found = m_running.find(task);
   const Run run = found->second;
