Test workers that restart under their ids (red)

Callers could see a task run twice at the same time, and one that runs again after its end was acknowledged.

Cause: an order names the worker's id, not its incarnation, so one that comes late takes effect in the next incarnation, which knows neither stops, ends nor fencing token of the former one. The scheduler gives a run up when the incarnation is over or has answered a stop, and starts its task on another worker.

--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -258,6 +258,108 @@
   EXPECT_EQ(world.CountRuns(long_running_job), 2U);
 }
 
+// Two workers of one pool; a task that no longer runs on one can start on the
+// other.
+class WorkerRestartTest : public testing::Test {
+ protected:
+  static constexpr milliseconds kTaskTime{6000};
+
+  WorkerRestartTest() { m_world.RunFor(kSettled); }
+
+  // Submits a job of one task whose start order arrives `delay` after it was
+  // sent, and returns once it is sent.
+  void SubmitWithSlowStart(milliseconds delay) {
+    m_world.Faults().start_delay = delay;
+    const std::uint64_t sent = m_world.StartsSent();
+    m_job = m_world.Submit(0, 1, 1, kTaskTime);
+    for (int i = 0; i < 500 && m_world.StartsSent() == sent; ++i) {
+      m_world.RunFor(milliseconds(1));
+    }
+    ASSERT_EQ(m_world.StartsSent(), sent + 1);
+    m_world.Faults() = {};
+    for (const auto& [id, worker] : m_world.LeaderScheduler().Workers()) {
+      if (!worker.runs.empty()) {
+        m_worker = id;
+      }
+    }
+    ASSERT_FALSE(m_worker.empty());
+  }
+
+  // Requires that the job is done within 30 s and nothing was violated.
+  void ExpectDoneWithoutViolation() {
+    m_world.RunFor(milliseconds(30000));
+    EXPECT_THAT(m_world.Violations(), IsEmpty());
+    EXPECT_EQ(m_world.CountDoneTasks(m_job), m_world.TaskCountOf(m_job));
+    EXPECT_EQ(m_world.StateOf(m_job), "done");
+  }
+
+  VirtualWorld m_world{
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0}};
+  std::string m_job;
+  std::string m_worker;  // To which the start was sent.
+};
+
+TEST_F(WorkerRestartTest, UnansweredStartArrivesAtTheNextIncarnation) {
+  SubmitWithSlowStart(milliseconds(4000));
+  // The start counts as unanswered after 0.8 s.
+  m_world.RunFor(milliseconds(790));
+  m_world.RestartWorker(m_worker, milliseconds(200), milliseconds(500));
+  ExpectDoneWithoutViolation();
+}
+
+TEST_F(WorkerRestartTest, NextIncarnationAnswersAStartSentToTheFormerOne) {
+  SubmitWithSlowStart(milliseconds(500));
+  m_world.RestartWorker(m_worker, milliseconds(100), milliseconds(500));
+  ExpectDoneWithoutViolation();
+}
+
+TEST_F(WorkerRestartTest, StoppedStartArrivesAtTheNextIncarnation) {
+  SubmitWithSlowStart(milliseconds(4000));
+  // The former incarnation answers the stop.
+  m_world.RunFor(milliseconds(3000));
+  m_world.RestartWorker(m_worker, milliseconds(200), milliseconds(100));
+  ExpectDoneWithoutViolation();
+}
+
+// The next incarnation has not seen the new leader's fencing token yet.
+TEST_F(WorkerRestartTest, FormerLeadersStartArrivesAtTheNextIncarnation) {
+  SubmitWithSlowStart(milliseconds(6000));
+  m_world.KillHost(*m_world.LeaderIndex());
+  m_world.RunFor(milliseconds(5000));
+  ASSERT_TRUE(m_world.LeaderIndex().has_value());
+  m_world.RestartWorker(m_worker, milliseconds(990), milliseconds(100));
+  ExpectDoneWithoutViolation();
+}
+
+// Ends are numbered from 1 in each incarnation, so an acknowledgement makes the
+// next one forget an end that the leader has not read.
+TEST_F(WorkerRestartTest, AcknowledgementArrivesAtTheNextIncarnation) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 1, .spare_machines = 0});
+  world.RunFor(kSettled);
+  const std::string worker = world.WorkerIds().front();
+  const std::string first = world.Submit(0, 1, 1, milliseconds(200));
+  while (world.CountDoneTasks(first) == 0) {
+    world.RunFor(milliseconds(5));
+  }
+  // The call with the acknowledgement is sent within this time.
+  world.Faults().extension_delay = milliseconds(4000);
+  world.RunFor(milliseconds(300));
+  world.Faults().extension_delay = milliseconds(0);
+  world.RunFor(milliseconds(2700));
+  world.RestartWorker(worker, milliseconds(100), milliseconds(100));
+  world.RunFor(milliseconds(500));
+  const std::string second = world.Submit(0, 1, 1, milliseconds(300));
+  world.RunFor(milliseconds(150));
+  ASSERT_EQ(world.CountRuns(second), 1U);
+  world.Faults().silent_workers = {worker};
+  world.RunFor(milliseconds(850));
+  world.Faults().silent_workers.clear();
+  world.RunFor(milliseconds(30000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  EXPECT_EQ(world.StateOf(second), "done");
+}
+
 // Random mixes of killed hosts, crashed and silent workers, late orders, and a
 // store that hosts can't reach, that loses answers or applies writes late; one
 // seed per test.
@@ -336,5 +438,86 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, HostFaultsTest, testing::Range(1, 201));
 
+// Random mixes of workers that restart under their ids, calls to workers that
+// come late, killed and stopped hosts, silent workers, and a store that loses
+// answers or applies writes late.
+std::vector<std::string> RunWithRestarts(std::uint64_t seed) {
+  VirtualWorld world({.seed = seed});
+  base::Random& random = world.RandomSource();
+  const auto pick = [&random](std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+  };
+  const auto pick_worker = [&world, &pick] {
+    const auto ids = world.WorkerIds();
+    return ids.empty() ? std::string() : ids[pick(ids.size())];
+  };
+  world.RunFor(kSettled);
+  world.Faults().late_start_chance = 0.05;
+  world.Faults().late_stop_chance = 0.05;
+  world.Faults().late_extension_chance = 0.02;
+  world.Faults().slow_call_chance = 0.05;
+  world.Faults().lost_answer_chance = 0.05;
+  world.Faults().late_commit_chance = 0.02;
+  std::vector<std::string> jobs;
+  for (int round = 0; round < 40; ++round) {
+    for (int i = 0; i < 2; ++i) {
+      jobs.push_back(world.Submit(pick(2), 1 + pick(2), 1 + pick(4),
+                                  milliseconds(200 + 300 * pick(8))));
+    }
+    world.RunFor(milliseconds(300));
+    switch (pick(10)) {
+      case 0:
+        world.KillHost(pick(6));
+        break;
+      case 1:
+        if (world.LeaderIndex()) {
+          world.KillHost(*world.LeaderIndex());
+        }
+        break;
+      case 2:
+        if (world.LeaderIndex()) {
+          world.StopHost(*world.LeaderIndex());
+        }
+        break;
+      case 3:
+        world.Faults().silent_workers.insert(pick_worker());
+        break;
+      case 4:
+        world.Faults().silent_workers.clear();
+        break;
+      case 5:
+        world.CrashWorker(pick_worker(), milliseconds(3000));
+        break;
+      case 6:
+        world.StartHost(pick(6));
+        break;
+      default:
+        world.RestartWorker(pick_worker(), milliseconds(100 + pick(2900)),
+                            milliseconds(pick(1000)));
+        break;
+    }
+  }
+  world.Faults() = {};
+  for (std::size_t i = 0; i < 6; ++i) {
+    world.StartHost(i);
+  }
+  world.RunFor(milliseconds(30000));
+  std::vector<std::string> faults = world.Violations();
+  for (const std::string& job : jobs) {
+    if (world.SubmissionStatuses().at(job) == 200 &&
+        world.CountDoneTasks(job) != world.TaskCountOf(job)) {
+      faults.push_back("accepted job " + job + " is not done after 30 s");
+    }
+  }
+  return faults;
+}
+
+TEST(WorkerRestartFaultsTest, NothingRunsTwiceAndNothingAcceptedIsLost) {
+  constexpr std::uint64_t kSeeds = 200;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    EXPECT_THAT(RunWithRestarts(seed), IsEmpty()) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace cassiastile::host
