Send a call again on a new connection only if it is repeatable

Callers could see a task run twice: the client sent a call again by itself when a reused connection broke before the answer, and reported the answer to the second copy as the answer to the call. A start refused at the second attempt (no room, busy, another incarnation) was given up at once, without a stop, although the first copy may have been or may still be carried out. In the same way an acknowledgement of ends could reach the next incarnation of a worker, and a refused copy of a submission could hide an accepted one.

Evidence: the new test, before the change: LoopClientTest.CallOnABreakingConnectionIsNotAnsweredByASecondCopy Value of: outcome.has_value() Actual: true Expected: false answered 409

Sending again is now a property of the call, off by default. So that connections which a server has closed while they were idle don't count as broken, they are now recognized before they are used.

Not changed: HttpClient (libcurl), which sends again by itself; its users set fresh_connection where a request must not be sent twice.

--- a/include/cassiastile/wire/http_client.hpp
+++ b/include/cassiastile/wire/http_client.hpp
@@ -28,6 +28,10 @@
   // resends a request by itself when a reused connection turns out to be
   // closed, so a request that must not be sent twice needs this.
   bool fresh_connection = false;
+  // Whether the request may be carried out twice, and the answer to either copy
+  // holds for both. LoopClient sends only such a call again when its pooled
+  // connection breaks; HttpClient ignores this.
+  bool repeatable = false;
   std::size_t max_body_bytes = 4U << 20U;  // Of the response.
 };
 
--- a/include/cassiastile/wire/loop_client.hpp
+++ b/include/cassiastile/wire/loop_client.hpp
@@ -25,8 +25,9 @@
   // Starts a call. The completion runs exactly once, later, on the loop; with
   // kNotSent if the URL doesn't have the form http://ADDRESS:PORT/PATH.
   //
-  // A call whose pooled connection turns out to be closed is sent once more on
-  // a new connection, so it must be safe to repeat.
+  // A pooled connection that the server has closed is not used. If one breaks
+  // during a call, a repeatable call is sent once more on a new connection; any
+  // other call fails with kMaybeSent.
   void Start(HttpCall call, HttpCompletion completion);
 
  private:
--- a/src/cassiastile/host/peer_client.cpp
+++ b/src/cassiastile/host/peer_client.cpp
@@ -61,17 +61,20 @@
 void PeerClient::Gossip(const std::string& endpoint,
                         const GossipMessage& gossip,
                         Done<GossipMessage> done) {
-  m_client.Start(
-      MakeCall(endpoint, kGossipPath, Encode(gossip), kGossipTimeout),
-      Complete(std::move(done), DecodeGossipMessage));
+  auto call = MakeCall(endpoint, kGossipPath, Encode(gossip), kGossipTimeout);
+  call.repeatable = true;
+  m_client.Start(std::move(call),
+                 Complete(std::move(done), DecodeGossipMessage));
 }
 
 void PeerClient::ForwardJob(const std::string& endpoint,
                             const JobRequest& request,
                             std::chrono::milliseconds timeout,
                             Done<JobAnswer> done) {
-  m_client.Start(MakeCall(endpoint, kJobPath, Encode(request), timeout),
-                 Complete(std::move(done), DecodeJobAnswer));
+  auto call = MakeCall(endpoint, kJobPath, Encode(request), timeout);
+  // The refusal of a second copy says nothing about the first.
+  call.repeatable = request.verb != JobVerb::kSubmit;
+  m_client.Start(std::move(call), Complete(std::move(done), DecodeJobAnswer));
 }
 
 void ServePeer(HostNode& node,
--- a/src/cassiastile/wire/loop_client.cpp
+++ b/src/cassiastile/wire/loop_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <deque>
 #include <list>
@@ -271,8 +272,17 @@
         });
   }
 
+  // Whether the server has neither closed the connection nor sent anything
+  // since the last call.
+  static bool IsIdle(Connection& connection) {
+    char byte = 0;
+    const auto size = recv(connection.socket.native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
   // The most recently used idle connection, or null. Drops connections that
-  // were idle for too long.
+  // were idle for too long or closed by the server.
   ConnectionPointer TakeIdle(const Target& target) {
     const auto found = m_idle.find(target.authority);
     if (found == m_idle.end()) {
@@ -283,7 +293,7 @@
     while (!connections.empty()) {
       ConnectionPointer connection = std::move(connections.back());
       connections.pop_back();
-      if (connection->last_used > oldest) {
+      if (connection->last_used > oldest && IsIdle(*connection)) {
         return connection;
       }
     }
@@ -351,11 +361,13 @@
   }
 
   // Handles a connection error. The server may have closed a pooled connection
-  // while it was idle, so the call is sent once more on a new one if no byte of
-  // the response has come.
+  // while it was idle, so a repeatable call is sent once more on a new one if
+  // no byte of the response has come. Whether the first copy was or will be
+  // carried out is not known.
   void HandleConnectionError(const ExchangePointer& exchange,
                              const asio::error_code& error) {
-    if (exchange->reused && !exchange->reader.HasBegun()) {
+    if (exchange->call.repeatable && exchange->reused &&
+        !exchange->reader.HasBegun()) {
       Drop(exchange->connection);
       Send(exchange, true);
       return;
--- a/src/cassiastile/wire/loop_client_test.cpp
+++ b/src/cassiastile/wire/loop_client_test.cpp
@@ -5,6 +5,10 @@
 
 #include <gtest/gtest.h>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
 
 #include "cassiastile/wire/http_server.hpp"
 
@@ -38,8 +42,10 @@
 
   HttpOutcome CallPort(std::uint16_t port,
                        const std::string& method,
-                       const std::string& path) {
+                       const std::string& path,
+                       bool repeatable = false) {
     HttpCall call;
+    call.repeatable = repeatable;
     call.method = method;
     call.url = "http://127.0.0.1:" + std::to_string(port) + path;
     call.timeout = std::chrono::milliseconds(200);
@@ -88,5 +94,97 @@
   EXPECT_EQ(outcome.error().state, SendState::kMaybeSent);
 }
 
+// A server that answers the first request with 200 and the requests of later
+// connections with 409. Its first connection ends after the first answer, or
+// only when the second request has arrived.
+class ClosingServer {
+ public:
+  ClosingServer(asio::io_context& context, bool takes_second_request)
+      : m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        m_takes_second_request(takes_second_request) {
+    Accept();
+  }
+
+  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  int Requests() const { return m_requests; }
+
+ private:
+  struct Peer {
+    explicit Peer(asio::ip::tcp::socket&& accepted)
+        : socket(std::move(accepted)) {}
+    asio::ip::tcp::socket socket;
+    asio::streambuf bytes;
+  };
+
+  void Accept() {
+    m_acceptor.async_accept(
+        [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+          if (!error) {
+            Read(std::make_shared<Peer>(std::move(socket)));
+            Accept();
+          }
+        });
+  }
+
+  void Read(const std::shared_ptr<Peer>& peer) {
+    asio::async_read_until(
+        peer->socket, peer->bytes, "\r\n\r\n",
+        [this, peer](const asio::error_code& error, std::size_t size) {
+          if (error) {
+            return;
+          }
+          peer->bytes.consume(size);
+          ++m_requests;
+          const bool first = m_requests == 1;
+          if (m_takes_second_request && m_requests == 2) {
+            peer->socket.close();
+            return;
+          }
+          asio::write(peer->socket,
+                      asio::buffer(std::string(first ? "HTTP/1.1 200 OK"
+                                                     : "HTTP/1.1 409 No") +
+                                   "\r\nContent-Length: 0\r\n\r\n"));
+          if (first && !m_takes_second_request) {
+            peer->socket.close();
+            return;
+          }
+          Read(peer);
+        });
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  bool m_takes_second_request;
+  int m_requests = 0;
+};
+
+TEST_F(LoopClientTest, CallOnABreakingConnectionIsNotAnsweredByASecondCopy) {
+  const ClosingServer server(m_context, true);
+  ASSERT_TRUE(CallPort(server.Port(), "POST", "/").has_value());
+  const HttpOutcome outcome = CallPort(server.Port(), "POST", "/");
+  ASSERT_FALSE(outcome.has_value()) << "answered " << outcome->status;
+  EXPECT_EQ(outcome.error().state, SendState::kMaybeSent);
+  EXPECT_EQ(server.Requests(), 2);
+}
+
+TEST_F(LoopClientTest, RepeatableCallIsSentAgainOnANewConnection) {
+  const ClosingServer server(m_context, true);
+  ASSERT_TRUE(CallPort(server.Port(), "POST", "/").has_value());
+  const HttpOutcome outcome = CallPort(server.Port(), "POST", "/", true);
+  ASSERT_TRUE(outcome.has_value());
+  EXPECT_EQ(outcome->status, 409);
+  EXPECT_EQ(server.Requests(), 3);
+}
+
+TEST_F(LoopClientTest, ConnectionClosedWhileIdleIsNotUsed) {
+  const ClosingServer server(m_context, false);
+  ASSERT_TRUE(CallPort(server.Port(), "POST", "/").has_value());
+  m_context.restart();
+  m_context.poll();
+  const HttpOutcome outcome = CallPort(server.Port(), "POST", "/");
+  ASSERT_TRUE(outcome.has_value());
+  EXPECT_EQ(outcome->status, 409);
+  EXPECT_EQ(server.Requests(), 2);
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
