Let a report without all ends settle no run that is missing from it

Callers could see a task run twice, or start again after it had succeeded: a worker lists at most 500 ends in a report, and a run that was neither among them nor among the running ones was given up as missing, although its end may have been the 501st.

Evidence: the new test, before the change: SchedulerTest.RunWhoseEndDoesNotFitIntoTheReportIsNotStartedAgain Value of: bench.Step().starts Expected: is empty Actual: { ... }, whose size is 1

The worker is asked again anyway while it lists ends that are not stored, so the missing ends follow once the listed ones are acknowledged. The model of a worker cuts its reports in the same way.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -194,7 +194,8 @@
   // A worker has reported; `asked_at` is when the report was requested. A run
   // that is missing from it has ended if it was recovered or was confirmed
   // before `asked_at`; it is stopped if its start became unknown before that. A
-  // report of an older incarnation is ignored.
+  // report without all ends settles no run that is missing from it. A report of
+  // an older incarnation is ignored.
   void WorkerReported(const std::string& worker,
                       const WorkerReport& report,
                       base::TimePoint asked_at,
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -123,12 +123,14 @@
 };
 
 // A worker's answer to a lease extension: all its runs, and the ends that are
-// not acknowledged.
+// not acknowledged, oldest first.
 struct WorkerReport {
   std::int64_t incarnation_ms = 0;
   std::chrono::milliseconds clock{0};  // The worker's own steady clock.
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
+  // Whether there may be further ends, for which the report has no room.
+  bool ends_cut = false;
 };
 
 // How a worker answered an order to start a run.
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -204,6 +204,9 @@
       listed.emplace_back(*ref, run.run);
     }
   }
+  if (report.ends_cut) {
+    return;
+  }
   // A run that is missing from a newer report has ended without being listed
   // or, once its stop order was answered, cannot start any more.
   const auto runs = worker->runs;
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -446,5 +446,22 @@
   EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
 }
 
+TEST(SchedulerTest, RunWhoseEndDoesNotFitIntoTheReportIsNotStartedAgain) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto starts = bench.StepAndStart();
+  ASSERT_THAT(starts, SizeIs(1));
+  bench.Advance(milliseconds(1000));
+  WorkerReport cut = bench.Listing("a");
+  cut.running.clear();
+  cut.ends_cut = true;
+  bench.Report("a", cut);
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+  bench.End(starts.front(), RunEnd::kDone, 501);
+  bench.Step();
+  EXPECT_EQ(bench.GetScheduler().FindJob(kJob)->stored_phase, JobPhase::kDone);
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/sim/worker_model.cpp
+++ b/src/cassiastile/sim/worker_model.cpp
@@ -11,6 +11,8 @@
 
 // Time that a long-running task takes to start up before it serves.
 constexpr milliseconds kStartupTime{300};
+// Ends in one report.
+constexpr std::size_t kMaxListedEnds = 500;
 
 }  // namespace
 
@@ -112,7 +114,11 @@
       listed.percent = static_cast<int>(100 * age / (run.ends - run.began));
     }
   }
-  report.ended = m_ended;
+  const auto listed_ends = std::min(m_ended.size(), kMaxListedEnds);
+  report.ended.assign(
+      m_ended.begin(),
+      m_ended.begin() + static_cast<std::ptrdiff_t>(listed_ends));
+  report.ends_cut = listed_ends == kMaxListedEnds;
   return report;
 }
 
