Acknowledge ends only to an incarnation that has answered since the last failure

Callers could see a task run again after it had succeeded: the number up to which ends are acknowledged went to whatever incarnation answered the worker's id. A worker that restarts under its id numbers its ends anew, so it forgot ends that nobody had read, and their runs counted as missing.

Evidence: the virtual world now notes an acknowledgement in the first lease extension after one that had not reached its worker. The new test, before the change: HostNodeTest.EndsAreNotAcknowledgedToAWorkerThatMayHaveRestarted Value of: world.Violations() Expected: is empty Actual: { "worker-3 got an acknowledgement of ends in the first call after one that had not reached it" }, whose size is 1

After a failed call of any kind (extension, start, stop, pace), nothing is acknowledged until a report that was requested later has come from the same incarnation. A report that is asked for beside a long poll acknowledges nothing at all: it may be the first call to reach the next incarnation while the poll still hangs. Only time is lost, since ends are listed until they are acknowledged. What stays open is a restart between two polls without any failed call.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -90,6 +90,11 @@
     bool silent = false;   // Was logged as silent.
     std::uint32_t failures = 0;  // Consecutive, of extensions with a long poll.
     base::TimePoint next_poll_at{};
+    // When the newest report of this incarnation was requested, and when a call
+    // last failed. After a failure the incarnation may be over, and the next
+    // one numbers its ends anew.
+    base::TimePoint heard_at{};
+    base::TimePoint failed_at{};
     // The worker's clock, and our time when it was received.
     bool clock_known = false;
     std::chrono::milliseconds clock{0};
@@ -146,6 +151,8 @@
   void SendOrders(const jobs::Orders& orders);
   void SendStart(const jobs::StartOrder& order);
   void SendStop(const jobs::StopOrder& order);
+  // Notes that a call to a worker failed or that its outcome is unknown.
+  void CallFailed(const std::string& worker);
   std::chrono::milliseconds WorkerClock(const Link& link) const;
 
   HostDependencies& m_dependencies;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -67,6 +67,7 @@
         link.address.endpoint != worker.entry.endpoint) {
       link.address = {worker.entry.id, worker.entry.endpoint};
       link.clock_known = false;
+      link.heard_at = {};
       link.failures = 0;
       link.next_poll_at = now;
     }
@@ -91,7 +92,11 @@
   const auto found = m_scheduler.Workers().find(link.address.id.id);
   LeaseExtension extension;
   extension.fence = FencingToken();
-  extension.acknowledged_end = found->second.acked_end;
+  // A call in parallel with a long poll may be the first to reach the next
+  // incarnation, before the poll fails.
+  if (!probe && link.heard_at > link.failed_at) {
+    extension.acknowledged_end = found->second.acked_end;
+  }
   extension.fresh_connection = link.failures > 0;
   // A worker that may have missed the last extension gets no further one:
   // otherwise the latest possible end of its lease would grow with each
@@ -126,6 +131,7 @@
   Link& link = found->second;
   (probe ? link.probing : link.polling) = false;
   if (!result) {
+    link.failed_at = now;
     if (probe) {
       return;
     }
@@ -154,7 +160,9 @@
   if (result->incarnation_ms < link.address.id.incarnation_ms) {
     return;
   }
-  if (result->incarnation_ms > link.address.id.incarnation_ms) {
+  if (result->incarnation_ms == link.address.id.incarnation_ms) {
+    link.heard_at = std::max(link.heard_at, asked_at);
+  } else {
     m_log.Write("worker.restarted",
                 {{"worker", id},
                  {"born", result->incarnation_ms},
@@ -203,8 +211,13 @@
     m_log.Write("run.paced", {{"job", order.task.job},
                               {"worker", order.worker.id},
                               {"percent", order.percent}});
-    m_dependencies.workers.Pace(link->second.address, order, FencingToken(),
-                                [](bool) {});
+    m_dependencies.workers.Pace(
+        link->second.address, order, FencingToken(),
+        m_lifetime.Guard([this, id = order.worker.id](bool answered) {
+          if (!answered) {
+            CallFailed(id);
+          }
+        }));
   }
   for (const jobs::AdviceRequest& request : orders.advice) {
     m_dependencies.advice.Advise(
@@ -222,6 +235,12 @@
   }
 }
 
+void Dispatcher::CallFailed(const std::string& worker) {
+  if (const auto link = m_links.find(worker); link != m_links.end()) {
+    link->second.failed_at = m_loop.GetClock().Now();
+  }
+}
+
 void Dispatcher::SendStart(const jobs::StartOrder& order) {
   const base::TimePoint now = m_loop.GetClock().Now();
   const auto found = m_links.find(order.worker.id);
@@ -253,6 +272,11 @@
                                   answered - job->arrived_at);
         }
         m_scheduler.StartAnswered(worker, task, run, result, answered);
+        if (result == jobs::StartResult::kUnknown ||
+            result == jobs::StartResult::kUnreachable ||
+            result == jobs::StartResult::kOtherIncarnation) {
+          CallFailed(worker.id);
+        }
         if (result == jobs::StartResult::kFenced) {
           // Commits at once, to learn whether leadership is lost.
           m_last_commit_at = {};
@@ -278,6 +302,8 @@
                                   m_scheduler.StopAnswered(
                                       order.worker, order.task, order.run,
                                       m_loop.GetClock().Now());
+                                } else {
+                                  CallFailed(order.worker.id);
                                 }
                               }));
 }
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -247,6 +247,21 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// The next incarnation of a worker may keep its id and numbers its ends anew.
+TEST(HostNodeTest, EndsAreNotAcknowledgedToAWorkerThatMayHaveRestarted) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  world.Submit(0, 1, 8, milliseconds(300));
+  world.RunFor(milliseconds(2000));
+  for (const std::string& id : world.WorkerIds()) {
+    world.Faults().silent_workers.insert(id);
+  }
+  world.RunFor(milliseconds(3000));
+  world.Faults().silent_workers.clear();
+  world.RunFor(milliseconds(3000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
 TEST(HostNodeTest, WaveOfAllMachinesIsDoneWithinItsTime) {
   VirtualWorld world;
   world.RunFor(kSettled);
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -287,11 +287,18 @@
     m_world.Post(kCallLatency, [this, address, extension, done] {
       VirtualWorld::Worker* worker = Find(address);
       if (worker == nullptr) {
+        m_unreached.insert(address.id.id);
         m_world.Post(kCallTimeout, [done] {
           done(tl::unexpected(WorkerCallFailure{.message = "silent"}));
         });
         return;
       }
+      if (m_unreached.erase(address.id.id) > 0 &&
+          extension.acknowledged_end > 0) {
+        m_world.AddViolation(address.id.id +
+                             " got an acknowledgement of ends in the first "
+                             "call after one that had not reached it");
+      }
       if (!worker->model->ExtendLease(extension, m_world.m_loop.Now())) {
         m_world.Post(kCallLatency, [done] {
           done(tl::unexpected(
@@ -384,6 +391,8 @@
 
   VirtualWorld& m_world;
   HostLoop& m_loop;
+  // Workers that the last lease extension did not reach.
+  std::set<std::string> m_unreached;
 };
 
 class WorldMachines final : public MachinePort {
