--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -308,10 +308,17 @@
     m_world.Post(delivery.delay, [this, address, extension, done, fail] {
       VirtualWorld::Worker* worker = Find(address);
       if (worker == nullptr) {
+        m_unreached.insert(address.id.id);
         const bool refused = IsRefused(address);
         fail(refused ? milliseconds(0) : kCallTimeout, refused);
         return;
       }
+      if (m_unreached.erase(address.id.id) > 0 &&
+          extension.acknowledged_end > 0) {
+        m_world.AddViolation(address.id.id +
+                             " got an acknowledgement of ends in the first "
+                             "call after one that had not reached it");
+      }
       if (!worker->model->ExtendLease(extension, m_world.m_loop.Now())) {
         m_world.Post(kCallLatency, [done] {
           done(tl::unexpected(
@@ -430,6 +437,8 @@
 
   VirtualWorld& m_world;
   HostLoop& m_loop;
+  // Workers that the last lease extension did not reach.
+  std::set<std::string> m_unreached;
 };
 
 class WorldMachines final : public MachinePort {
--- a/src/cassiastile/sim/worker_model.cpp
+++ b/src/cassiastile/sim/worker_model.cpp
@@ -119,6 +119,7 @@
   const std::size_t ends = std::min(m_ended.size(), kMaxEndsInReport);
   report.ended.assign(m_ended.begin(),
                       m_ended.begin() + static_cast<std::ptrdiff_t>(ends));
+  report.ends_cut = ends == kMaxEndsInReport;
   return report;
 }
 
