Notice an end that is acknowledged after its task has started again

The checker reported a start after an acknowledged end, but not the reverse order, a start after a successful end that is acknowledged later. It does now, unless the lease has expired between the end and the acknowledgement.

--- a/include/cassiastile/sim/invariant_checker.hpp
+++ b/include/cassiastile/sim/invariant_checker.hpp
@@ -30,7 +30,9 @@
                 const jobs::TaskId& task,
                 std::uint32_t run,
                 jobs::RunEnd how) override;
-  void EndAcknowledged(const jobs::TaskId& task) override;
+  void EndAcknowledged(const jobs::TaskId& task,
+                       std::uint32_t run,
+                       bool lease_held) override;
 
   // Adds a violation.
   void AddViolation(std::string what) {
@@ -53,6 +55,9 @@
     bool accepted = false;  // Accepted, and not cancelled since.
     // Tasks that have ended successfully, acknowledged or not.
     std::set<jobs::TaskId> done;
+    // Runs that ended successfully, and whether a run of the task has started
+    // since.
+    std::map<std::pair<jobs::TaskId, std::uint32_t>, bool> done_runs;
     // Workers that run each task.
     std::map<jobs::TaskId, std::vector<std::string>> running;
   };
--- a/src/cassiastile/sim/invariant_checker.cpp
+++ b/src/cassiastile/sim/invariant_checker.cpp
@@ -93,6 +93,9 @@
                              FormatTask(task), running.front(), worker.id));
   }
   running.push_back(worker.id);
+  for (auto& [done, followed] : state.done_runs) {
+    followed = followed || done.first == task;
+  }
   if (m_acknowledged.contains(task)) {
     AddViolation(fmt::format("task {} started after its end was acknowledged",
                              FormatTask(task)));
@@ -101,7 +104,7 @@
 
 void InvariantChecker::RunEnded(const jobs::WorkerId& worker,
                                 const jobs::TaskId& task,
-                                std::uint32_t /*run*/,
+                                std::uint32_t run,
                                 jobs::RunEnd how) {
   const auto found = m_job_states.find(task.job);
   if (found == m_job_states.end()) {
@@ -110,11 +113,21 @@
   std::erase(found->second.running[task], worker.id);
   if (how == jobs::RunEnd::kDone) {
     found->second.done.insert(task);
+    found->second.done_runs.emplace(std::pair(task, run), false);
   }
 }
 
-void InvariantChecker::EndAcknowledged(const jobs::TaskId& task) {
+void InvariantChecker::EndAcknowledged(const jobs::TaskId& task,
+                                       std::uint32_t run,
+                                       bool lease_held) {
   m_acknowledged.insert(task);
+  const auto& done = m_job_states[task.job].done_runs;
+  const auto found = done.find(std::pair(task, run));
+  if (lease_held && found != done.end() && found->second) {
+    AddViolation(
+        fmt::format("task {} started after an end that was acknowledged later",
+                    FormatTask(task)));
+  }
 }
 
 std::size_t InvariantChecker::CountDoneTasks(const std::string& job) const {
--- a/src/cassiastile/sim/worker_model.cpp
+++ b/src/cassiastile/sim/worker_model.cpp
@@ -86,6 +86,7 @@
   }
   m_fence = extension.fence;
   Advance(now);
+  NoteExpiry(now);
   if (extension.until) {
     HoldUntil(*extension.until, now);
   }
@@ -94,7 +95,8 @@
       return false;
     }
     if (end.how == jobs::RunEnd::kDone) {
-      m_observer.EndAcknowledged(end.task);
+      m_observer.EndAcknowledged(end.task, end.run,
+                                 end.sequence > m_expired_up_to);
     }
     return true;
   });
@@ -160,7 +162,14 @@
   }
 }
 
+void WorkerModel::NoteExpiry(base::TimePoint now) {
+  if (Clock(now) > m_lease_until) {
+    m_expired_up_to = m_sequence;
+  }
+}
+
 void WorkerModel::HoldUntil(milliseconds until, base::TimePoint now) {
+  NoteExpiry(now);
   m_lease_until =
       std::max(m_lease_until, std::min(until, Clock(now) + kMaxLease));
 }
