Test starts that a worker takes before the leader knows that it restarted (red)

Callers could see all tasks that were started on a restarted worker in that time run twice, without any late call.

Cause: a worker counts as usable 0.3 s after a call to it failed, while its last report is less than 2.5 s old. If it is back under its id by then, the next incarnation takes the starts, which are confirmed under the former incarnation. When the entry or the first report shows the next one, all runs of the former are dropped as "incarnation over", also those that this very report lists, and start elsewhere; the stop of the listed ones is sent, or not yet sent since the link has the former incarnation's address, while they run.

--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -333,6 +333,33 @@
   ExpectDoneWithoutViolation();
 }
 
+// No order is late. The next incarnation answers starts before the leader has
+// heard of it, and lists their runs in its first report.
+TEST_F(WorkerRestartTest, RunsStartedBeforeTheFirstReportAreNotGivenUp) {
+  constexpr std::uint32_t kTasks = 8;
+  // The leader learns of the next incarnation from its entry or by its report.
+  for (const milliseconds listed_after :
+       {milliseconds(500), milliseconds(2000)}) {
+    VirtualWorld world(
+        {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+    // Short enough that idle machines have not moved to other pools yet.
+    world.RunFor(milliseconds(500));
+    const auto ids = world.WorkerIds();
+    ASSERT_EQ(ids.size(), 2U);
+    // The leader's second call to this one hangs until 1.7 s.
+    world.Faults().silent_workers = {ids[0]};
+    world.RestartWorker(ids[0], milliseconds(1150), listed_after);
+    // Gets no starts until its report at 1.6 s.
+    world.RestartWorker(ids[1], milliseconds(1250), milliseconds(0));
+    world.RunFor(milliseconds(1200));
+    world.Faults() = {};
+    const std::string job = world.Submit(0, 1, kTasks, milliseconds(2000));
+    world.RunFor(milliseconds(30000));
+    EXPECT_THAT(world.Violations(), IsEmpty());
+    EXPECT_EQ(world.CountDoneTasks(job), kTasks);
+  }
+}
+
 // Ends are numbered from 1 in each incarnation, so an acknowledgement makes the
 // next one forget an end that the leader has not read.
 TEST_F(WorkerRestartTest, AcknowledgementArrivesAtTheNextIncarnation) {
