Expect unlisted starts at the next incarnation of their worker

A run counts as listed once a report of its incarnation lists it as running; ended runs are gone. When a newer incarnation shows, by list, report or in the rows of a takeover, only listed runs are dropped. The others move to it: a start is looked for and stopped there, a run that was being stopped is stopped again. That works because an answered stop makes just the incarnation that is asked refuse the run. An answered start moves too, since the answer may be the next incarnation's.

The test NewIncarnationOfAWorkerStartsWithoutRuns took an answer alone as a proof that the former incarnation had carried the start out. It now reports the run before the restart and asks the same after it; what it asked before is the wrong behaviour, and AnsweredStartThatWasNeverListedIsStoppedAtTheNextLife asks the opposite.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -58,6 +58,9 @@
   std::string machine;  // The machine of the worker.
   RunPhase phase = RunPhase::kPlanned;
   StopReason stop_reason = StopReason::kUnknown;  // Valid in phase kStopping.
+  // Whether this incarnation of the worker has listed it. Until then its start
+  // order may be on its way, and a later incarnation may carry it out.
+  bool listed = false;
   // When it was placed, or a start, stop or pace order was last given.
   base::TimePoint ordered_at{};
   // When the worker last confirmed the run or a stop order, or the outcome of
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -187,8 +187,8 @@
   // Observations of workers, and answers to orders.
 
   // The platform's whole list was read. A newer incarnation of a worker drops
-  // the runs of the one before; an unlisted worker is kept while it has runs or
-  // its lease may be valid.
+  // the listed runs of the one before and takes over the others; an unlisted
+  // worker is kept while it has runs or its lease may be valid.
   void WorkersListed(const std::vector<WorkerEntry>& entries,
                      base::TimePoint now);
   // A worker has reported; `asked_at` is when the report was requested. A run
@@ -343,10 +343,6 @@
                base::TimePoint now);
   // Drops the runs of one incarnation of a worker.
   void DropRunsOf(const WorkerId& id, DropReason reason, base::TimePoint now);
-  // Drops the runs of all incarnations of the worker but this one.
-  void DropRunsOfOtherIncarnations(WorkerState& worker,
-                                   std::int64_t incarnation_ms,
-                                   base::TimePoint now);
   // Orders the worker to stop a run. The run is kept until it is known to have
   // ended.
   void StopRun(const TaskRef& ref,
@@ -373,6 +369,14 @@
   // in time, and repeats stop orders that were not answered.
   void ExpireRuns(base::TimePoint now);
 
+  // scheduler_incarnations.cpp
+  // Makes a newer incarnation of the worker the current one. Runs that a former
+  // one has listed are dropped. The start orders of the others may still be
+  // carried out, so they are expected and stopped at the new one.
+  void BeginIncarnation(WorkerState& worker,
+                        std::int64_t incarnation_ms,
+                        base::TimePoint now);
+
   // scheduler_place.cpp
   void BeginDueOccurrences(base::WallTime wall);
   void PlaceService(const std::string& service,
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -162,6 +162,8 @@
               worker.entry.machine = run.machine;
               worker.entry.service = ServiceOf(job);
             }
+            worker.entry.id.incarnation_ms = std::max(
+                worker.entry.id.incarnation_ms, run.worker.incarnation_ms);
             worker.lease_bound = std::max(worker.lease_bound, latest_lease_end);
             worker.runs.emplace_back(ref, run.number);
             worker.Use(SpecOf(ref));
@@ -177,6 +179,9 @@
     }
     m_jobs.emplace(job.id, std::move(owned));
   }
+  for (auto& [id, worker] : m_workers) {
+    BeginIncarnation(worker, worker.entry.id.incarnation_ms, now);
+  }
   IndexMachines();
 }
 
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -105,18 +105,6 @@
   MarkDirty(*ref.job, false);
 }
 
-void Scheduler::DropRunsOfOtherIncarnations(WorkerState& worker,
-                                            std::int64_t incarnation_ms,
-                                            base::TimePoint now) {
-  const auto runs = worker.runs;
-  for (const auto& [ref, number] : runs) {
-    const Run* run = FindRun(ref, number);
-    if (run != nullptr && run->worker.incarnation_ms != incarnation_ms) {
-      DropRun(ref, number, DropReason::kIncarnationOver, now);
-    }
-  }
-}
-
 void Scheduler::StopRun(const TaskRef& ref,
                         Run& run,
                         StopReason reason,
@@ -144,11 +132,8 @@
       continue;
     }
     if (other_incarnation) {
-      DropRunsOfOtherIncarnations(worker, entry.id.incarnation_ms, now);
+      BeginIncarnation(worker, entry.id.incarnation_ms, now);
       worker.has_reported = false;
-      worker.last_end = 0;
-      worker.acked_end = 0;
-      worker.health = {};
       worker.cordoned = false;
       worker.terminated = false;
     }
@@ -178,11 +163,7 @@
     return;
   }
   if (report.incarnation_ms > worker->entry.id.incarnation_ms) {
-    DropRunsOfOtherIncarnations(*worker, report.incarnation_ms, now);
-    worker->entry.id.incarnation_ms = report.incarnation_ms;
-    worker->last_end = 0;
-    worker->acked_end = 0;
-    worker->health = {};
+    BeginIncarnation(*worker, report.incarnation_ms, now);
   }
   worker->has_reported = true;
   worker->silent = false;
@@ -257,6 +238,7 @@
     run->progressed_at = now;
   }
   run->load = listed.load;
+  run->listed = true;
   const StepSpec& spec = SpecOf(*ref);
   Task& task = *FindTask(*ref);
   if (spec.long_running) {
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -178,6 +178,7 @@
   bench.AddWorker("a");
   bench.Submit(kJob, SchedulerBench::OneTask());
   bench.StepAndStart();
+  bench.Report("a", bench.Listing("a"));
   bench.AddWorker("a", 2);
   const auto starts = bench.StepAndStart();
   ASSERT_THAT(starts, SizeIs(1));
@@ -446,5 +447,90 @@
   EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
 }
 
+// The next incarnation may be the one that answered.
+TEST(SchedulerTest, AnsweredStartThatWasNeverListedIsStoppedAtTheNextLife) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  ASSERT_THAT(bench.StepAndStart(), SizeIs(1));
+  bench.AddWorker("b");
+  bench.AddWorker("a", 2);
+  const Orders orders = bench.Step();
+  EXPECT_THAT(orders.starts, IsEmpty());
+  ASSERT_THAT(orders.stops, SizeIs(1));
+  EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
+}
+
+TEST(SchedulerTest, StartCarriedOutByTheNextLifeOfItsWorkerIsKept) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const StartOrder start = bench.Step().starts.front();
+  bench.GetScheduler().StartAnswered(start.worker, start.task, start.run,
+                                     StartResult::kRunning, bench.Now());
+  bench.AddWorker("b");
+  WorkerReport report = bench.Listing("a");
+  report.incarnation_ms = 2;
+  ListedRun& run = report.running.emplace_back();
+  run.task = start.task;
+  run.run = start.run;
+  bench.Report("a", report);
+  const Orders orders = bench.Step();
+  EXPECT_THAT(orders.starts, IsEmpty());
+  EXPECT_THAT(orders.stops, IsEmpty());
+}
+
+// A stop protects only the incarnation that answered it.
+TEST(SchedulerTest, RunStoppedBeforeItWasListedIsStoppedAtTheNextLifeToo) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const StartOrder start = bench.Step().starts.front();
+  bench.GetScheduler().StartAnswered(start.worker, start.task, start.run,
+                                     StartResult::kUnknown, bench.Now());
+  bench.Advance(milliseconds(10));
+  bench.Report("a", bench.Listing("a"));
+  ASSERT_THAT(bench.Step().stops, SizeIs(1));
+  bench.GetScheduler().StopAnswered(start.worker, start.task, start.run,
+                                    bench.Now());
+  bench.AddWorker("b");
+  bench.AddWorker("a", 2);
+  Orders orders = bench.Step();
+  EXPECT_THAT(orders.starts, IsEmpty());
+  ASSERT_THAT(orders.stops, SizeIs(1));
+  EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
+  // An answer of the former incarnation says nothing about this one.
+  bench.GetScheduler().StopAnswered(start.worker, start.task, start.run,
+                                    bench.Now());
+  bench.Advance(milliseconds(10));
+  bench.Report("a", bench.Listing("a"));
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+}
+
+// All members of a gang have one run number, and a new attempt needs all of
+// them.
+TEST(SchedulerTest, GangWaitsForItsMemberThatMayStartAtTheNextLife) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  JobSpec spec = SchedulerBench::OneTask(10000);
+  spec.steps.front().count = 2;
+  spec.steps.front().gang = true;
+  bench.Submit(kJob, spec);
+  const auto starts = bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(2));
+  for (const StartOrder& start : starts) {
+    bench.GetScheduler().StartAnswered(start.worker, start.task, start.run,
+                                       StartResult::kUnknown, bench.Now());
+  }
+  bench.AddWorker("c");
+  bench.AddWorker("d");
+  bench.AddWorker("a", 2);
+  bench.AddWorker("b", 2);
+  const Orders orders = bench.Step();
+  EXPECT_THAT(orders.starts, IsEmpty());
+  EXPECT_THAT(orders.stops, SizeIs(2));
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
