--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -134,6 +134,10 @@
   Resources reserved;
   // Runs that may be alive, as task and run number.
   std::vector<std::pair<TaskRef, std::uint32_t>> runs;
+  // Tasks with withdrawn starts on this worker, in any order.
+  std::vector<TaskRef> withdrawn;
+  // Kept free in this planning round for those of them that wait.
+  Resources withheld;
   std::uint64_t last_end = 0;  // Sequence number of the newest end seen.
   // Sequence number of the newest end that the store covers.
   std::uint64_t acked_end = 0;
@@ -147,6 +151,9 @@
   // Add a run of a step to the capacity in use, and remove it.
   void Use(const StepSpec& step);
   void Release(const StepSpec& step);
+  // Whether a task is among `withdrawn`, and adds it once.
+  bool HasWithdrawn(const TaskRef& ref) const;
+  void AddWithdrawn(const TaskRef& ref);
 };
 
 // Decides which tasks run where, on the leader only and without I/O:
@@ -187,8 +194,8 @@
   // Observations of workers, and answers to orders.
 
   // The platform's whole list was read. A newer incarnation of a worker drops
-  // the runs of the one before; an unlisted worker is kept while it has runs or
-  // its lease may be valid.
+  // the listed runs of the one before and takes over the others; an unlisted
+  // worker is kept while it has runs or its lease may be valid.
   void WorkersListed(const std::vector<WorkerEntry>& entries,
                      base::TimePoint now);
   // A worker has reported; `asked_at` is when the report was requested. A run
@@ -318,6 +325,10 @@
   };
 
   // scheduler.cpp
+  // The worker of a recovered run or withdrawn start.
+  WorkerState& RecoverWorker(const Job& job,
+                             const WorkerId& id,
+                             const std::string& machine);
   void MarkDirty(Job& job, bool urgent);
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
@@ -344,10 +355,6 @@
                base::TimePoint now);
   // Drops the runs of one incarnation of a worker.
   void DropRunsOf(const WorkerId& id, DropReason reason, base::TimePoint now);
-  // Drops the runs of all incarnations of the worker but this one.
-  void DropRunsOfOtherIncarnations(WorkerState& worker,
-                                   std::int64_t incarnation_ms,
-                                   base::TimePoint now);
   // Orders the worker to stop a run. The run is kept until it is known to have
   // ended.
   void StopRun(const TaskRef& ref,
@@ -374,6 +381,31 @@
   // in time, and repeats stop orders that were not answered.
   void ExpireRuns(base::TimePoint now);
 
+  // scheduler_incarnations.cpp
+  // Makes a newer incarnation of the worker the current one. Runs that a former
+  // one has listed are dropped. The start orders of the others may still be
+  // carried out, so they are expected and stopped at the new one.
+  void BeginIncarnation(WorkerState& worker,
+                        std::int64_t incarnation_ms,
+                        base::TimePoint now);
+  // Whether the order of a run that was stopped, or was recovered and is not
+  // listed, may still be carried out by a later incarnation.
+  bool MayStartLater(const TaskRef& ref,
+                     const Run& run,
+                     base::TimePoint now) const;
+  void Withdraw(const TaskRef& ref, const Run& run);
+  // Turns a withdrawn start of a task into a run again, which the worker's
+  // incarnation is ordered to stop.
+  void StopWithdrawn(const TaskRef& ref,
+                     const WithdrawnStart& start,
+                     WorkerState& worker,
+                     base::TimePoint now);
+  // Forgets withdrawn starts on a worker whose order can't be carried out any
+  // more, or all of them.
+  void ForgetLateWithdrawn(WorkerState& worker, base::TimePoint now);
+  void ForgetWithdrawnOn(WorkerState& worker);
+  void ForgetWithdrawnOf(const TaskRef& ref);
+
   // scheduler_place.cpp
   void BeginDueOccurrences(base::WallTime wall);
   void PlaceService(const std::string& service,
@@ -390,6 +422,13 @@
                  std::uint32_t step,
                  std::vector<WorkerState*>& workers,
                  base::TimePoint now);
+  // Whether the task of a withdrawn start need not stay on its worker, since
+  // the worker gets no new tasks.
+  bool MayLeave(const WithdrawnStart& start) const;
+  // Whether withdrawn starts bind a task to one worker.
+  bool IsBound(const Task& task) const;
+  // Sums up WorkerState::withheld.
+  static void WithholdCapacity(WorkerState& worker);
   // Whether no worker has room for `need`, regardless of other constraints.
   bool IsFull(const Resources& need, const std::vector<WorkerState*>& workers);
   // Reserves capacity that becomes free on one worker for a task that could not
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -38,11 +38,15 @@
                          WorkerState& worker,
                          base::TimePoint now) {
   Task& task = *FindTask(ref);
+  if (task.runs.empty() && worker.HasWithdrawn(ref)) {
+    worker.withheld -= CapacityNeed(SpecOf(ref));
+  }
   Run& run = task.runs.emplace_back();
   run.number = ++task.last_run;
   run.worker = worker.entry.id;
   run.machine = worker.entry.machine;
   run.ordered_at = now;
+  run.start_ordered_at = now;
   run.progressed_at = now;
   run.checkpoint = task.checkpoint;
   const StepSpec& spec = SpecOf(ref);
@@ -88,6 +92,9 @@
   std::erase_if(m_planned, [&](const auto& planned) {
     return planned.first == ref && planned.second == number;
   });
+  if (reason == DropReason::kMissing && MayStartLater(ref, *run, now)) {
+    Withdraw(ref, *run);
+  }
   std::erase_if(task->runs,
                 [number](const Run& each) { return each.number == number; });
   if (IsFinished(ref.job->phase) || task->done) {
@@ -105,18 +112,6 @@
   MarkDirty(*ref.job, false);
 }
 
-void Scheduler::DropRunsOfOtherIncarnations(WorkerState& worker,
-                                            std::int64_t incarnation_ms,
-                                            base::TimePoint now) {
-  const auto runs = worker.runs;
-  for (const auto& [ref, number] : runs) {
-    const Run* run = FindRun(ref, number);
-    if (run != nullptr && run->worker.incarnation_ms != incarnation_ms) {
-      DropRun(ref, number, DropReason::kIncarnationOver, now);
-    }
-  }
-}
-
 void Scheduler::StopRun(const TaskRef& ref,
                         Run& run,
                         StopReason reason,
@@ -144,11 +139,8 @@
       continue;
     }
     if (other_incarnation) {
-      DropRunsOfOtherIncarnations(worker, entry.id.incarnation_ms, now);
+      BeginIncarnation(worker, entry.id.incarnation_ms, now);
       worker.has_reported = false;
-      worker.last_end = 0;
-      worker.acked_end = 0;
-      worker.health = {};
       worker.cordoned = false;
       worker.terminated = false;
     }
@@ -157,7 +149,8 @@
   }
   std::erase_if(m_workers, [now](const auto& row) {
     const WorkerState& worker = row.second;
-    return !worker.listed && worker.runs.empty() && now > worker.lease_bound;
+    return !worker.listed && worker.runs.empty() && worker.withdrawn.empty() &&
+           now > worker.lease_bound;
   });
   IndexMachines();
 }
@@ -178,11 +171,7 @@
     return;
   }
   if (report.incarnation_ms > worker->entry.id.incarnation_ms) {
-    DropRunsOfOtherIncarnations(*worker, report.incarnation_ms, now);
-    worker->entry.id.incarnation_ms = report.incarnation_ms;
-    worker->last_end = 0;
-    worker->acked_end = 0;
-    worker->health = {};
+    BeginIncarnation(*worker, report.incarnation_ms, now);
   }
   worker->has_reported = true;
   worker->silent = false;
@@ -261,6 +250,13 @@
   }
   run->load = listed.load;
   const StepSpec& spec = SpecOf(*ref);
+  if (!run->listed) {
+    run->listed = true;
+    if (spec.long_running) {
+      // Stored, so that the next leader need not wait for a late start.
+      MarkDirty(job, false);
+    }
+  }
   Task& task = *FindTask(*ref);
   if (spec.long_running) {
     const bool serving = listed.percent >= 100;
@@ -328,6 +324,7 @@
       continue;
     }
     task.done = true;
+    ForgetWithdrawnOf({&job, ref.occurrence, ref.step, i});
     ++step.tasks_done;
     std::erase(step.waiting, i);
     if (!whole_gang) {
@@ -473,6 +470,7 @@
   DropRunsOf(id, DropReason::kTerminated, now);
   WorkerState* worker = FindWorker(id.id);
   if (worker != nullptr && worker->entry.id == id) {
+    ForgetWithdrawnOn(*worker);
     worker->terminated = true;
     worker->silent = true;
   }
@@ -482,6 +480,7 @@
   // A stop order that has not been answered is repeated at this interval.
   constexpr std::chrono::milliseconds kStopRetryInterval{700};
   for (auto& [id, worker] : m_workers) {
+    ForgetLateWithdrawn(worker, now);
     const auto runs = worker.runs;
     for (const auto& [ref, number] : runs) {
       Run* run = FindRun(ref, number);
