Merge leases by recent clocks and machine orders that were stored late (paths)

A leader that was paused between storing an order for a machine and learning that it was stored sent the order after its successor had ordered the same machine. An order that was stored too late is not sent any more; HostNodeTest.FrozenLeaderOrdersNoMachineThatItsSuccessorHasOrdered brings the pause about.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -153,6 +153,8 @@
   void SendStop(const jobs::StopOrder& order);
   // Notes that a call to a worker failed or that its outcome is unknown.
   void CallFailed(const std::string& worker);
+  // Whether the worker's clock was read recently enough to give a lease by it.
+  bool IsClockKnown(const Link& link) const;
   std::chrono::milliseconds WorkerClock(const Link& link) const;
 
   HostDependencies& m_dependencies;
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -69,6 +69,9 @@
   std::chrono::milliseconds start_delay{0};
   std::chrono::milliseconds stop_delay{0};
   std::chrono::milliseconds extension_delay{0};
+  // The next leader that records an order for a machine stands still for this
+  // long, from when the record is stored and its answer is on its way.
+  std::chrono::milliseconds freeze_at_order{0};
   std::set<std::string> hosts_without_store;  // For them the store is down.
   std::set<std::string> silent_workers;       // Unreachable, but running.
 };
@@ -82,6 +85,7 @@
   std::size_t services = 2;
   std::size_t workers_per_service = 4;
   std::size_t spare_machines = 2;
+  double worker_clock_rate = 1.0;  // Speed of the workers' own clocks.
   bool keep_log = false;
 };
 
@@ -112,7 +116,8 @@
   void KillHost(std::size_t index);
   void StartHost(std::size_t index);
   void StopHost(std::size_t index);
-  // Index of a host that is the leader and serves; empty if there is none.
+  // Index of a host that is the leader, serves and isn't frozen; empty if there
+  // is none.
   std::optional<std::size_t> LeaderIndex() const;
   // Requires that there is a leader.
   const jobs::Scheduler& LeaderScheduler() const;
