Take a machine as removed only when two lists in a row lack it

Callers could see a task run twice: a machine that was missing from one list counted as proof that its silent worker had ended, and its runs were started elsewhere while they went on. The platform lists machines in pages of different moments on large deployments, so a machine that another operation moves between two pages may be missing. In the same way a wave could be shown as done although one of its machines had not begun its maintenance.

Evidence: the virtual world can now leave a machine out of a number of lists.

A machine now counts as removed when the two newest lists lack it, for a worker only if both were asked for after its last report. The second list is asked for soon. An incarnation also counts as alive when it is first listed, so a slow answer from before says nothing about it (no test of its own).

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -67,8 +67,9 @@
 
   struct TrackedMachine {
     Machine machine;
-    bool listed = false;
-    jobs::WorkerId incarnation;  // Of the worker at the time of the order.
+    bool listed = false;             // In the newest list.
+    std::uint32_t missed_lists = 0;  // Newest lists in a row that lack it.
+    jobs::WorkerId incarnation;      // Of the worker at the time of the order.
     PendingOrder pending = PendingOrder::kNone;  // Order whose outcome is open.
     bool accepted = false;
     base::TimePoint ordered_at{};
@@ -109,6 +110,9 @@
   void SendMaintain(std::uint64_t wave,
                     const std::string& name,
                     bool first_order);
+  // Whether a machine is missing from the newest two lists. The pages of one
+  // list are of different moments, so a single list may lack a machine.
+  bool IsRemoved(const std::string& machine) const;
   // Tells the scheduler which silent workers are gone, since their machine is
   // removed, down or runs another worker.
   void ReportLostWorkers(base::TimePoint asked_at);
@@ -150,7 +154,10 @@
   std::chrono::milliseconds m_term_began{0};
   bool m_listing = false;
   bool m_list_soon = false;
-  bool m_has_list = false;
+  std::uint32_t m_lists = 0;  // Number of lists read.
+  // When the newest list and the one before were requested.
+  base::TimePoint m_list_asked_at{};
+  base::TimePoint m_previous_list_asked_at{};
   Lifetime m_lifetime;
 };
 
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -124,6 +124,7 @@
   bool listed = false;        // In the platform's newest list.
   bool has_reported = false;  // Has reported to this scheduler.
   base::TimePoint last_report{};
+  base::TimePoint listed_since{};  // This incarnation was first listed then.
   // Upper bound of its lease: nothing ordered so far can still run after it.
   base::TimePoint lease_bound{};
   Resources used;               // By runs that may be alive.
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -247,6 +247,42 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// The platform lists machines in pages of different moments.
+TEST(HostNodeTest, MachineMissingFromOneListIsNotTakenAsRemoved) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  world.Submit(0, 1, 1, milliseconds(8000));
+  world.RunFor(milliseconds(300));
+  std::string id;
+  for (const auto& [each, worker] : world.LeaderScheduler().Workers()) {
+    if (!worker.runs.empty()) {
+      id = each;
+    }
+  }
+  ASSERT_FALSE(id.empty());
+  world.Faults().silent_workers.insert(id);
+  const jobs::WorkerState& worker = world.LeaderScheduler().Workers().at(id);
+  for (int i = 0; i < 40 && !worker.silent; ++i) {
+    world.RunFor(milliseconds(50));
+  }
+  ASSERT_TRUE(worker.silent);
+  world.Faults().unlisted_machines[worker.entry.machine] = 1;
+  world.RunFor(milliseconds(3000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+TEST(HostNodeTest, WaveWaitsForAMachineMissingFromOneList) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string machine = world.MachineNames().front();
+  world.Faults().unlisted_machines[machine] = 1;
+  world.RequestWave({machine}, 1);
+  world.RunFor(milliseconds(700));
+  EXPECT_FALSE(world.WaveIsDone(1));
+  world.RunFor(milliseconds(5000));
+  EXPECT_TRUE(world.WaveIsDone(1));
+}
+
 // The next incarnation of a worker may keep its id and numbers its ends anew.
 TEST(HostNodeTest, EndsAreNotAcknowledgedToAWorkerThatMayHaveRestarted) {
   VirtualWorld world;
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -168,7 +168,7 @@
   if (!m_listing && now - m_listed_at >= interval) {
     ListMachines();
   }
-  if (!m_has_list || !may_order) {
+  if (m_lists == 0 || !may_order) {
     return;
   }
   const PoolLoads loads = m_scheduler.GetPoolLoads(now);
@@ -202,16 +202,19 @@
 
 void MachineController::HandleMachineList(std::vector<Machine> machines,
                                           base::TimePoint asked_at) {
+  ++m_lists;
+  m_previous_list_asked_at = std::exchange(m_list_asked_at, asked_at);
   for (auto& [name, tracked] : m_machines) {
     tracked.listed = false;
+    ++tracked.missed_lists;
   }
   for (Machine& machine : machines) {
     TrackedMachine& tracked = m_machines[machine.name];
     tracked.machine = std::move(machine);
     tracked.listed = true;
+    tracked.missed_lists = 0;
     ClearSettledOrder(tracked, asked_at);
   }
-  m_has_list = true;
   ReportLostWorkers(asked_at);
 }
 
@@ -230,21 +233,34 @@
   }
 }
 
+bool MachineController::IsRemoved(const std::string& machine) const {
+  constexpr std::uint32_t kListsWithout = 2;
+  const auto found = m_machines.find(machine);
+  const std::uint32_t missed =
+      found == m_machines.end() ? m_lists : found->second.missed_lists;
+  return missed >= kListsWithout;
+}
+
 void MachineController::ReportLostWorkers(base::TimePoint asked_at) {
   std::vector<jobs::WorkerId> lost;
   for (const auto& [id, worker] : m_scheduler.Workers()) {
     // A worker that answers is alive, even if the list says otherwise.
     const bool answers = worker.has_reported && !worker.silent;
+    const base::TimePoint alive_at =
+        std::max(worker.last_report, worker.listed_since);
     if (worker.runs.empty() || answers || worker.entry.machine.empty() ||
-        worker.last_report > asked_at) {
+        alive_at > asked_at) {
       continue;
     }
     const auto found = m_machines.find(worker.entry.machine);
     const bool unlisted = found == m_machines.end() || !found->second.listed;
-    const bool is_lost = unlisted ||
-                         found->second.machine.state == MachineState::kDown ||
-                         (!found->second.machine.worker.empty() &&
-                          found->second.machine.worker != id);
+    const bool is_lost =
+        unlisted ? IsRemoved(worker.entry.machine) &&
+                       alive_at <= m_previous_list_asked_at
+                 : found->second.machine.state == MachineState::kDown ||
+                       (!found->second.machine.worker.empty() &&
+                        found->second.machine.worker != id);
+    m_list_soon = m_list_soon || (unlisted && !is_lost);
     if (is_lost) {
       m_log.Write("worker.gone", {{"worker", id},
                                   {"machine", worker.entry.machine},
@@ -291,7 +307,8 @@
   for (const std::string& name : wave.request.machines) {
     const auto found = m_machines.find(name);
     if (found == m_machines.end() || !found->second.listed) {
-      continue;  // The machine was removed.
+      all_begun = all_begun && (wave.begun[name] || IsRemoved(name));
+      continue;
     }
     TrackedMachine& tracked = found->second;
     jobs::WaveMachine& machine = machines.emplace_back();
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -406,6 +406,9 @@
     m_world.Post(kStoreLatency, [this, done] {
       std::vector<host::Machine> machines;
       for (const auto& [name, machine] : m_world.m_machines) {
+        if (m_world.m_faults.unlisted_machines[name]-- > 0) {
+          continue;
+        }
         machines.push_back({name,
                             machine.pool,
                             machine.state,
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -62,6 +62,8 @@
   double late_start_chance = 0;
   std::set<std::string> hosts_without_store;  // For them the store is down.
   std::set<std::string> silent_workers;       // Unreachable, but running.
+  // Machines that are missing from this many further lists.
+  std::map<std::string, int> unlisted_machines;
 };
 
 // Size and seed of a simulated fleet.
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -146,6 +146,7 @@
     if (other_incarnation) {
       DropRunsOfOtherIncarnations(worker, entry.id.incarnation_ms, now);
       worker.has_reported = false;
+      worker.listed_since = now;
       worker.last_end = 0;
       worker.acked_end = 0;
       worker.health = {};
