Don't take a machine in an unreadable state as down

A machine whose state is missing from the list, or is none of the known words, was read as down, which counts as proof that its worker has ended: its runs could be started elsewhere while they went on. Such a state is now kUnknown: the machine gets no orders, and nothing follows for its worker.

--- a/include/cassiastile/host/ports.hpp
+++ b/include/cassiastile/host/ports.hpp
@@ -164,7 +164,13 @@
                     std::function<void(bool)> done) = 0;
 };
 
-enum class MachineState : std::uint8_t { kUp, kMoving, kMaintenance, kDown };
+enum class MachineState : std::uint8_t {
+  kUp,
+  kMoving,
+  kMaintenance,
+  kDown,
+  kUnknown,  // Not one of these; says nothing about its worker.
+};
 
 // A machine; it runs one incarnation of a worker at a time.
 struct Machine {
