Send no start to a worker whose last long poll failed

Callers could see a task run twice: a start that was planned before its worker fell silent was sent all the same. The next call may reach another incarnation of the worker, which takes the start as its own while the scheduler counts the run to the former one and drops it with that; and the bound of the lease grew with each such start, which delayed the restart of the worker's other tasks.

Evidence: the new test, before the change: HostNodeTest.NoStartIsSentToAWorkerThatDoesNotAnswer Expected: has no substring "run.start" Actual: ... "event":"run.start" ... "result":"unknown" ... "worker":"worker-1"

Such a start is refused before it is sent, so its task can be placed elsewhere.

--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -245,7 +245,8 @@
   const base::TimePoint now = m_loop.GetClock().Now();
   const auto found = m_links.find(order.worker.id);
   if (found == m_links.end() || !found->second.clock_known ||
-      found->second.address.id != order.worker || !MayGiveOrders()) {
+      found->second.failures > 0 || found->second.address.id != order.worker ||
+      !MayGiveOrders()) {
     m_scheduler.StartAnswered(order.worker, order.task, order.run,
                               jobs::StartResult::kUnreachable, now);
     RequestPlan();
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -14,7 +14,9 @@
 using std::chrono::milliseconds;
 using testing::AnyOf;
 using testing::Each;
+using testing::HasSubstr;
 using testing::IsEmpty;
+using testing::Not;
 
 // Long enough for a new world to elect a leader that serves.
 constexpr milliseconds kSettled{3000};
@@ -283,6 +285,26 @@
   EXPECT_TRUE(world.WaveIsDone(1));
 }
 
+// The next call may reach another incarnation of the worker.
+TEST(HostNodeTest, NoStartIsSentToAWorkerThatDoesNotAnswer) {
+  VirtualWorld world({.hosts = 1,
+                      .services = 1,
+                      .workers_per_service = 1,
+                      .spare_machines = 0,
+                      .keep_log = true});
+  world.RunFor(milliseconds(6000));
+  ASSERT_TRUE(world.LeaderIndex().has_value());
+  // The start is planned before the worker falls silent and recorded after.
+  world.Faults().lost_answer_chance = 1;
+  world.Submit(0, 1, 1, milliseconds(300));
+  world.RunFor(milliseconds(100));
+  world.Faults().silent_workers.insert("worker-1");
+  world.Faults().lost_answer_chance = 0;
+  world.RunFor(milliseconds(3000));
+  EXPECT_THAT(world.Log(), Not(HasSubstr("run.start")));
+  EXPECT_THAT(world.Log(), HasSubstr("run.dropped"));
+}
+
 // The next incarnation of a worker may keep its id and numbers its ends anew.
 TEST(HostNodeTest, EndsAreNotAcknowledgedToAWorkerThatMayHaveRestarted) {
   VirtualWorld world;
