Place no tasks on a worker that did not answer the last call

A silent worker kept getting tasks for 2.5 s after its last report, every 300 ms; their starts stayed without an answer and had to be settled by a look and a stop. A silent worker is now not usable until it reports, for placement and for admission.

The new test, before the change: SchedulerTest.SilentWorkerGetsNoTasksUntilItReports Value of: bench.Step().starts Expected: is empty Actual: { ... }

--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -113,8 +113,8 @@
 }  // namespace
 
 bool Scheduler::IsUsable(const WorkerState& worker, base::TimePoint now) const {
-  return worker.listed && worker.has_reported && !worker.entry.draining &&
-         !worker.cordoned &&
+  return worker.listed && worker.has_reported && !worker.silent &&
+         !worker.entry.draining && !worker.cordoned &&
          now - worker.last_report < m_options.max_report_age &&
          !worker.health.IsQuarantined(now);
 }
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -446,6 +446,17 @@
   EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
 }
 
+TEST(SchedulerTest, SilentWorkerGetsNoTasksUntilItReports) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.GetScheduler().WorkerSilent("a", bench.Now());
+  bench.Advance(milliseconds(1000));
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+  bench.Report("a", bench.Listing("a"));
+  EXPECT_THAT(bench.Step().starts, SizeIs(1));
+}
+
 TEST(SchedulerTest, RunWhoseEndDoesNotFitIntoTheReportIsNotStartedAgain) {
   SchedulerBench bench;
   bench.AddWorker("a");
