--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -141,6 +141,7 @@
     if (other_incarnation) {
       BeginIncarnation(worker, entry.id.incarnation_ms, now);
       worker.has_reported = false;
+      worker.listed_since = now;
       worker.cordoned = false;
       worker.terminated = false;
     }
