Test a start that arrives after its task has ended (red)

Callers could see a task start again after its end was noted.

Cause: a doubtful start is stopped, the task's next run ends and is acknowledged, and the worker of the first start restarts under its id; the late start then runs there.

Evidence: the scripted test fails with a restart before and after that end: "started after its end was acknowledged".

--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -270,10 +270,11 @@
 
   // Submits a job of one task whose start order arrives `delay` after it was
   // sent, and returns once it is sent.
-  void SubmitWithSlowStart(milliseconds delay) {
+  void SubmitWithSlowStart(milliseconds delay,
+                           milliseconds task_time = kTaskTime) {
     m_world.Faults().start_delay = delay;
     const std::uint64_t sent = m_world.StartsSent();
-    m_job = m_world.Submit(0, 1, 1, kTaskTime);
+    m_job = m_world.Submit(0, 1, 1, task_time);
     for (int i = 0; i < 500 && m_world.StartsSent() == sent; ++i) {
       m_world.RunFor(milliseconds(1));
     }
@@ -333,6 +334,18 @@
   ExpectDoneWithoutViolation();
 }
 
+// The task's second run has ended when the first start arrives; the next
+// incarnation knows neither the end nor the stop of the first run.
+TEST_F(WorkerRestartTest, StartArrivesAtTheNextIncarnationAfterTheTasksEnd) {
+  for (const milliseconds restart_after :
+       {milliseconds(2000), milliseconds(4000)}) {
+    SubmitWithSlowStart(milliseconds(8000), milliseconds(1500));
+    m_world.RunFor(restart_after);
+    m_world.RestartWorker(m_worker, milliseconds(200), milliseconds(100));
+    ExpectDoneWithoutViolation();
+  }
+}
+
 // No order is late. The next incarnation answers starts before the leader has
 // heard of it, and lists their runs in its first report.
 TEST_F(WorkerRestartTest, RunsStartedBeforeTheFirstReportAreNotGivenUp) {
