Pause leaders in the tests of restarted workers

The virtual world could kill and stop hosts, not pause them. PauseHost runs no callbacks of a host for a time; its calls on the way are carried out, and what came due meanwhile runs afterwards. WorkerRestartFaultsTest pauses leaders for 0.5 to 6 s.

--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -482,8 +482,8 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, HostFaultsTest, testing::Range(1, 201));
 
 // Random mixes of workers that restart under their ids, calls to workers that
-// come late, killed and stopped hosts, silent workers, and a store that loses
-// answers or applies writes late.
+// come late, killed, stopped and paused hosts, silent workers, and a store that
+// loses answers or applies writes late.
 std::vector<std::string> RunWithRestarts(std::uint64_t seed) {
   VirtualWorld world({.seed = seed});
   base::Random& random = world.RandomSource();
@@ -515,7 +515,7 @@
     }
     world.RunFor(milliseconds(300));
     kill_stopped();
-    switch (pick(10)) {
+    switch (pick(11)) {
       case 0:
         world.KillHost(pick(6));
         break;
@@ -539,6 +539,11 @@
       case 5:
         world.CrashWorker(pick_worker(), milliseconds(3000));
         break;
+      case 7:
+        if (world.LeaderIndex()) {
+          world.PauseHost(*world.LeaderIndex(), milliseconds(500 + pick(5500)));
+        }
+        break;
       case 6:
         world.StartHost(pick(6));
         break;
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -142,19 +142,37 @@
   std::set<std::uint64_t> waves;
 };
 
-// The loop of one host; it runs no callbacks after Die.
+// The loop of one host; it runs no callbacks after Die, and those that come due
+// during a pause after its end.
 class HostLoop final : public Loop {
  public:
   explicit HostLoop(VirtualLoop& loop) : m_loop(loop) {}
   const base::Clock& GetClock() const override { return m_loop.GetClock(); }
   void Die() { m_token.reset(); }
+  void Pause() { m_paused = true; }
+  void Resume() {
+    m_paused = false;
+    for (auto& callback : std::exchange(m_deferred, {})) {
+      m_loop.After(base::Duration::zero(), std::move(callback));
+    }
+  }
+  bool IsPaused() const { return m_paused; }
   template <typename Function>
-  auto Guard(Function function) const {
-    return [alive = std::weak_ptr<int>(m_token),
+  auto Guard(Function function) {
+    return [this, alive = std::weak_ptr<int>(m_token),
             function = std::move(function)](auto&&... arguments) {
-      if (!alive.expired()) {
-        function(std::forward<decltype(arguments)>(arguments)...);
+      if (alive.expired()) {
+        return;
       }
+      if (m_paused) {
+        m_deferred.emplace_back([alive, function, arguments...] {
+          if (!alive.expired()) {
+            function(arguments...);
+          }
+        });
+        return;
+      }
+      function(std::forward<decltype(arguments)>(arguments)...);
     };
   }
   void After(base::Duration delay, std::function<void()> callback) override {
@@ -164,6 +182,8 @@
  private:
   VirtualLoop& m_loop;
   std::shared_ptr<int> m_token = std::make_shared<int>(0);
+  bool m_paused = false;
+  std::vector<std::function<void()>> m_deferred;
 };
 
 class WorldStore final : public RowStore {
@@ -617,6 +637,11 @@
   m_world.Post(kCallLatency, [this, endpoint, gossip, done] {
     for (const auto& host : m_world.m_hosts) {
       if (host && host->name + ":1" == endpoint) {
+        if (host->loop.IsPaused()) {
+          m_world.Post(kCallTimeout,
+                       [done] { done(tl::unexpected(Failure{})); });
+          return;
+        }
         const GossipMessage answer = host->node.HandleGossip(gossip);
         m_world.m_configs_from_peers += answer.config.empty() ? 0 : 1;
         m_world.Post(kCallLatency, [done, answer] { done(answer); });
@@ -636,6 +661,9 @@
   m_world.Post(kCallLatency, [this, endpoint, request, done, answered] {
     for (const auto& host : m_world.m_hosts) {
       if (host && host->name + ":1" == endpoint) {
+        if (host->loop.IsPaused()) {
+          return;
+        }
         host->node.HandleJobRequest(
             request, [this, done, answered](const JobAnswer& answer) {
               m_world.Post(kCallLatency, [done, answered, answer] {
@@ -868,7 +896,7 @@
   m_submission_statuses[job] = 0;
   std::vector<Host*> live;
   for (const auto& host : m_hosts) {
-    if (host) {
+    if (host && !host->loop.IsPaused()) {
       live.push_back(host.get());
     }
   }
@@ -919,7 +947,7 @@
   auto status = std::make_shared<int>(0);
   auto text = std::make_shared<std::string>();
   for (const auto& host : m_hosts) {
-    if (host) {
+    if (host && !host->loop.IsPaused()) {
       host->node.ServeCaller(
           request, [status, text](const wire::HttpResponse& response) {
             *status = response.status;
@@ -973,6 +1001,15 @@
   }
 }
 
+void VirtualWorld::PauseHost(std::size_t index, milliseconds time) {
+  if (!m_hosts[index] || m_hosts[index]->loop.IsPaused()) {
+    return;
+  }
+  HostLoop& loop = m_hosts[index]->loop;
+  loop.Pause();
+  Post(time, [&loop] { loop.Resume(); });
+}
+
 const std::string& VirtualWorld::Log() {
   for (const auto& host : m_hosts) {
     if (host) {
@@ -984,7 +1021,8 @@
 
 std::optional<std::size_t> VirtualWorld::LeaderIndex() const {
   for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-    if (m_hosts[i] && m_hosts[i]->node.LeaderDispatcher() != nullptr &&
+    if (m_hosts[i] && !m_hosts[i]->loop.IsPaused() &&
+        m_hosts[i]->node.LeaderDispatcher() != nullptr &&
         m_hosts[i]->node.LeaderDispatcher()->IsServing()) {
       return i;
     }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -112,6 +112,9 @@
   void KillHost(std::size_t index);
   void StartHost(std::size_t index);
   void StopHost(std::size_t index);
+  // Runs no callbacks of a host for this time; others get no answer from it.
+  // Calls that it sent before are carried out.
+  void PauseHost(std::size_t index, std::chrono::milliseconds time);
   // Index of a host that is the leader and serves; empty if there is none.
   std::optional<std::size_t> LeaderIndex() const;
   // Requires that there is a leader.
