--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -343,10 +343,11 @@
 
   // Submits a job of one task whose start order arrives `delay` after it was
   // sent, and returns once it is sent.
-  void SubmitWithSlowStart(milliseconds delay) {
+  void SubmitWithSlowStart(milliseconds delay,
+                           milliseconds task_time = kTaskTime) {
     m_world.Faults().start_delay = delay;
     const std::uint64_t sent = m_world.StartsSent();
-    m_job = m_world.Submit(0, 1, 1, kTaskTime);
+    m_job = m_world.Submit(0, 1, 1, task_time);
     for (int i = 0; i < 500 && m_world.StartsSent() == sent; ++i) {
       m_world.RunFor(milliseconds(1));
     }
@@ -406,6 +407,18 @@
   ExpectDoneWithoutViolation();
 }
 
+// The task's second run has ended when the first start arrives; the next
+// incarnation knows neither the end nor the stop of the first run.
+TEST_F(WorkerRestartTest, StartArrivesAtTheNextIncarnationAfterTheTasksEnd) {
+  for (const milliseconds restart_after :
+       {milliseconds(2000), milliseconds(4000)}) {
+    SubmitWithSlowStart(milliseconds(8000), milliseconds(1500));
+    m_world.RunFor(restart_after);
+    m_world.RestartWorker(m_worker, milliseconds(200), milliseconds(100));
+    ExpectDoneWithoutViolation();
+  }
+}
+
 // No order is late. The next incarnation answers starts before the leader has
 // heard of it, and lists their runs in its first report.
 TEST_F(WorkerRestartTest, RunsStartedBeforeTheFirstReportAreNotGivenUp) {
@@ -582,8 +595,8 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, HostFaultsTest, testing::Range(1, 201));
 
 // Random mixes of workers that restart under their ids, calls to workers that
-// come late, killed and stopped hosts, silent workers, and a store that loses
-// answers or applies writes late.
+// come late, killed, stopped and paused hosts, silent workers, and a store that
+// loses answers or applies writes late.
 std::vector<std::string> RunWithRestarts(std::uint64_t seed) {
   VirtualWorld world({.seed = seed});
   base::Random& random = world.RandomSource();
@@ -615,7 +628,7 @@
     }
     world.RunFor(milliseconds(300));
     kill_stopped();
-    switch (pick(10)) {
+    switch (pick(11)) {
       case 0:
         world.KillHost(pick(6));
         break;
@@ -639,6 +652,11 @@
       case 5:
         world.CrashWorker(pick_worker(), milliseconds(3000));
         break;
+      case 7:
+        if (world.LeaderIndex()) {
+          world.PauseHost(*world.LeaderIndex(), milliseconds(500 + pick(5500)));
+        }
+        break;
       case 6:
         world.StartHost(pick(6));
         break;
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -143,23 +143,21 @@
   std::uint64_t highest_fence = 0;  // Of the orders so far.
 };
 
-// The loop of one host; it runs no callbacks after Die.
+// The loop of one host; it runs no callbacks after Die, and those that come due
+// during a pause after its end.
 class HostLoop final : public Loop {
  public:
   explicit HostLoop(VirtualLoop& loop) : m_loop(loop) {}
   const base::Clock& GetClock() const override { return m_loop.GetClock(); }
   void Die() { m_token.reset(); }
-  // Holds back all callbacks for a while, then runs them in their order.
-  void Freeze(base::Duration time) {
-    m_frozen = true;
-    m_loop.After(time, [this] {
-      m_frozen = false;
-      for (const auto& callback : std::exchange(m_held, {})) {
-        callback();
-      }
-    });
+  void Pause() { m_paused = true; }
+  void Resume() {
+    m_paused = false;
+    for (auto& callback : std::exchange(m_deferred, {})) {
+      m_loop.After(base::Duration::zero(), std::move(callback));
+    }
   }
-  bool IsFrozen() const { return m_frozen; }
+  bool IsPaused() const { return m_paused; }
   template <typename Function>
   auto Guard(Function function) {
     return [this, alive = std::weak_ptr<int>(m_token),
@@ -167,10 +165,10 @@
       if (alive.expired()) {
         return;
       }
-      if (m_frozen) {
-        m_held.emplace_back([alive, function, ... held = arguments] {
+      if (m_paused) {
+        m_deferred.emplace_back([alive, function, arguments...] {
           if (!alive.expired()) {
-            function(held...);
+            function(arguments...);
           }
         });
         return;
@@ -184,9 +182,9 @@
 
  private:
   VirtualLoop& m_loop;
-  bool m_frozen = false;
-  std::vector<std::function<void()>> m_held;
   std::shared_ptr<int> m_token = std::make_shared<int>(0);
+  bool m_paused = false;
+  std::vector<std::function<void()>> m_deferred;
 };
 
 class WorldStore final : public RowStore {
@@ -221,7 +219,9 @@
           TransactionReply reply = m_world.Apply(transaction);
           if (RecordsMachineOrder(transaction) &&
               m_world.m_faults.freeze_at_order.count() > 0) {
-            m_loop.Freeze(std::exchange(m_world.m_faults.freeze_at_order, {}));
+            m_loop.Pause();
+            m_world.Post(std::exchange(m_world.m_faults.freeze_at_order, {}),
+                         [this] { m_loop.Resume(); });
           }
           if (!lost) {
             m_world.Post(kStoreLatency / 2, [done, reply] { done(reply); });
@@ -675,11 +675,12 @@
   done = m_loop.Guard(std::move(done));
   m_world.Post(kCallLatency, [this, endpoint, gossip, done] {
     for (const auto& host : m_world.m_hosts) {
-      if (host && host->name + ":1" == endpoint && host->loop.IsFrozen()) {
-        m_world.Post(kCallTimeout, [done] { done(tl::unexpected(Failure{})); });
-        return;
-      }
       if (host && host->name + ":1" == endpoint) {
+        if (host->loop.IsPaused()) {
+          m_world.Post(kCallTimeout,
+                       [done] { done(tl::unexpected(Failure{})); });
+          return;
+        }
         const GossipMessage answer = host->node.HandleGossip(gossip);
         m_world.m_configs_from_peers += answer.config.empty() ? 0 : 1;
         m_world.Post(kCallLatency, [done, answer] { done(answer); });
@@ -698,10 +699,10 @@
   auto answered = std::make_shared<bool>(false);
   m_world.Post(kCallLatency, [this, endpoint, request, done, answered] {
     for (const auto& host : m_world.m_hosts) {
-      if (host && host->name + ":1" == endpoint && host->loop.IsFrozen()) {
-        return;
-      }
       if (host && host->name + ":1" == endpoint) {
+        if (host->loop.IsPaused()) {
+          return;
+        }
         host->node.HandleJobRequest(
             request, [this, done, answered](const JobAnswer& answer) {
               m_world.Post(kCallLatency, [done, answered, answer] {
@@ -934,7 +935,7 @@
   m_submission_statuses[job] = 0;
   std::vector<Host*> live;
   for (const auto& host : m_hosts) {
-    if (host && !host->loop.IsFrozen()) {
+    if (host && !host->loop.IsPaused()) {
       live.push_back(host.get());
     }
   }
@@ -985,7 +986,7 @@
   auto status = std::make_shared<int>(0);
   auto text = std::make_shared<std::string>();
   for (const auto& host : m_hosts) {
-    if (host && !host->loop.IsFrozen()) {
+    if (host && !host->loop.IsPaused()) {
       host->node.ServeCaller(
           request, [status, text](const wire::HttpResponse& response) {
             *status = response.status;
@@ -1039,6 +1040,15 @@
   }
 }
 
+void VirtualWorld::PauseHost(std::size_t index, milliseconds time) {
+  if (!m_hosts[index] || m_hosts[index]->loop.IsPaused()) {
+    return;
+  }
+  HostLoop& loop = m_hosts[index]->loop;
+  loop.Pause();
+  Post(time, [&loop] { loop.Resume(); });
+}
+
 const std::string& VirtualWorld::Log() {
   for (const auto& host : m_hosts) {
     if (host) {
@@ -1050,7 +1060,7 @@
 
 std::optional<std::size_t> VirtualWorld::LeaderIndex() const {
   for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-    if (m_hosts[i] && !m_hosts[i]->loop.IsFrozen() &&
+    if (m_hosts[i] && !m_hosts[i]->loop.IsPaused() &&
         m_hosts[i]->node.LeaderDispatcher() != nullptr &&
         m_hosts[i]->node.LeaderDispatcher()->IsServing()) {
       return i;
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -118,7 +118,10 @@
   void KillHost(std::size_t index);
   void StartHost(std::size_t index);
   void StopHost(std::size_t index);
-  // Index of a host that is the leader, serves and isn't frozen; empty if there
+  // Runs no callbacks of a host for this time; others get no answer from it.
+  // Calls that it sent before are carried out.
+  void PauseHost(std::size_t index, std::chrono::milliseconds time);
+  // Index of a host that is the leader, serves and isn't paused; empty if there
   // is none.
   std::optional<std::size_t> LeaderIndex() const;
   // Requires that there is a leader.
