--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -86,6 +86,7 @@
   std::size_t strong_hosts = 0;
   std::size_t services = 2;
   std::size_t workers_per_service = 4;
+  std::int64_t tasks_per_worker = 16;
   std::size_t spare_machines = 2;
   double worker_clock_rate = 1.0;  // Speed of the workers' own clocks.
   bool keep_log = false;
