--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -265,35 +265,43 @@
 }
 
 void MachineController::ReportLostWorkers(base::TimePoint asked_at) {
-  std::vector<jobs::WorkerId> lost;
+  std::vector<jobs::WorkerId> gone;
+  std::vector<jobs::WorkerId> replaced;
   for (const auto& [id, worker] : m_scheduler.Workers()) {
     // A worker that answers is alive, even if the list says otherwise.
     const bool answers = worker.has_reported && !worker.silent;
+    const bool holds_tasks = !worker.runs.empty() || !worker.withdrawn.empty();
     const base::TimePoint alive_at =
         std::max(worker.last_report, worker.listed_since);
-    if (worker.runs.empty() || answers || worker.entry.machine.empty() ||
+    if (!holds_tasks || answers || worker.entry.machine.empty() ||
         alive_at > asked_at) {
       continue;
     }
     const auto found = m_machines.find(worker.entry.machine);
     const bool unlisted = found == m_machines.end() || !found->second.listed;
-    const bool is_lost =
-        unlisted ? IsRemoved(worker.entry.machine) &&
-                       alive_at <= m_previous_list_asked_at
-                 : found->second.machine.state == MachineState::kDown ||
-                       (!found->second.machine.worker.empty() &&
-                        found->second.machine.worker != id);
-    m_list_soon = m_list_soon || (unlisted && !is_lost);
-    if (is_lost) {
+    const bool is_removed = unlisted && IsRemoved(worker.entry.machine) &&
+                            alive_at <= m_previous_list_asked_at;
+    const bool is_down =
+        !unlisted && found->second.machine.state == MachineState::kDown;
+    const bool is_replaced = !unlisted &&
+                             !found->second.machine.worker.empty() &&
+                             found->second.machine.worker != id;
+    m_list_soon = m_list_soon || (unlisted && !is_removed);
+    if (is_removed || is_down || is_replaced) {
       m_log.Write("worker.gone", {{"worker", id},
                                   {"machine", worker.entry.machine},
                                   {"machine_listed", !unlisted},
+                                  {"replaced", is_replaced},
                                   {"runs", worker.runs.size()}});
-      lost.push_back(worker.entry.id);
+      (is_replaced ? replaced : gone).push_back(worker.entry.id);
     }
   }
-  for (const jobs::WorkerId& id : lost) {
-    m_scheduler.WorkerGone(id, m_loop.GetClock().Now());
+  const base::TimePoint now = m_loop.GetClock().Now();
+  for (const jobs::WorkerId& id : gone) {
+    m_scheduler.WorkerGone(id, now);
+  }
+  for (const jobs::WorkerId& id : replaced) {
+    m_scheduler.WorkerReplaced(id, now);
   }
 }
 
