Settle a start refused as stale, or refused though it is listed, by a report

Callers could see a task run twice, or start again after it had succeeded: every refusal of a start was taken as proof that nothing runs and nothing will. "Stale" says only that this run can't start any more; it may have run there and ended, and the task was started again before its end was read. A run that the worker had listed as running meanwhile was given up by a refusal as well, without a stop.

Evidence: the new tests, before the change: SchedulerTest.StartRefusedAsStaleIsSettledByAReport Value of: bench.Step().starts Expected: is empty Actual: { ... } SchedulerTest.RefusalOfARunThatIsListedIsSettledByAReport Value of: bench.Step().starts Expected: is empty Actual: { ... } Both need two copies of a start, which the HTTP client no longer makes.

A stale start now counts like an answered stop: the next report lists its end or settles it by absence. A refusal of a run that is listed only asks for a report. The other refusals (fence, late, room, ticket, 400, 421, 429, 503, connection refused) are proof for the one copy that was sent.

--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -386,6 +386,12 @@
   if (run == nullptr || worker == nullptr || run->worker != id) {
     return;
   }
+  if (run->phase == RunPhase::kRunning) {
+    // Already listed. A refusal contradicts that; the next report settles it.
+    worker->wants_report |=
+        result != StartResult::kRunning && result != StartResult::kUnknown;
+    return;
+  }
   switch (result) {
     case StartResult::kRunning:
       if (run->phase == RunPhase::kStarting) {
@@ -416,8 +422,11 @@
       worker->wants_report = true;
       DropRun(*ref, number, DropReason::kRefused, now);
       return;
-    case StartResult::kFenced:
     case StartResult::kStaleRun:
+      // It can't start any more, but it may have run; then its end is listed.
+      StopAnswered(id, task, number, now);
+      return;
+    case StartResult::kFenced:
     case StartResult::kTooLate:
     case StartResult::kOtherIncarnation:
     case StartResult::kRejected:
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -446,6 +446,43 @@
   EXPECT_EQ(orders.stops.front().worker, (WorkerId{"a", 2}));
 }
 
+// The end of the run may be listed in a report that is still on its way.
+TEST(SchedulerTest, StartRefusedAsStaleIsSettledByAReport) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto starts = bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  bench.GetScheduler().StartAnswered(starts.front().worker, starts.front().task,
+                                     starts.front().run, StartResult::kStaleRun,
+                                     bench.Now());
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+  bench.Advance(milliseconds(10));
+  bench.End(starts.front(), RunEnd::kDone, 1);
+  bench.Step();
+  EXPECT_EQ(bench.GetScheduler().FindJob(kJob)->stored_phase, JobPhase::kDone);
+}
+
+TEST(SchedulerTest, RefusalOfARunThatIsListedIsSettledByAReport) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto starts = bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  WorkerReport report = bench.Listing("a");
+  ListedRun& run = report.running.emplace_back();
+  run.task = starts.front().task;
+  run.run = starts.front().run;
+  bench.Report("a", report);
+  bench.GetScheduler().StartAnswered(starts.front().worker, starts.front().task,
+                                     starts.front().run, StartResult::kNoRoom,
+                                     bench.Now());
+  bench.Advance(milliseconds(1000));
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+  bench.Report("a", bench.Listing("a"));
+  EXPECT_THAT(bench.Step().starts, SizeIs(1));
+}
+
 TEST(SchedulerTest, SilentWorkerGetsNoTasksUntilItReports) {
   SchedulerBench bench;
   bench.AddWorker("a");
