Keep finite tasks from a worker that may get a late acknowledgement

Callers could see a task start again after it had ended: a call that acknowledged ends of a worker's former incarnation was carried out by the next one, whose ends count from 1 again, so it forgot an end that the leader had not read, and the run counted as gone.

An acknowledgement is now sent until it is answered, no longer in every call.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -93,6 +93,8 @@
     // The worker's clock, and our time when it was received.
     bool clock_known = false;
     std::chrono::milliseconds clock{0};
+    // The newest end of this incarnation that is known to be acknowledged.
+    std::uint64_t acknowledged_end = 0;
     base::TimePoint clock_at{};
   };
   // A job's encoded rows as read from the table.
@@ -143,6 +145,11 @@
                     bool probe,
                     base::TimePoint asked_at,
                     tl::expected<jobs::WorkerReport, WorkerCallFailure> result);
+  // A call to the worker that acknowledged ends up to `end` was answered.
+  void HandleAcknowledged(const jobs::WorkerId& worker,
+                          std::uint64_t end,
+                          base::TimePoint sent_at,
+                          std::int64_t answered_by);
   void SendOrders(const jobs::Orders& orders);
   void SendStart(const jobs::StartOrder& order);
   void SendStop(const jobs::StopOrder& order);
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -141,6 +141,12 @@
   std::uint64_t last_end = 0;  // Sequence number of the newest end seen.
   // Sequence number of the newest end that the store covers.
   std::uint64_t acked_end = 0;
+  // When calls that acknowledge ends were sent that have no answer yet.
+  std::vector<base::TimePoint> unanswered_acks;
+  // Gets no finite tasks before this time: an acknowledgement for a former
+  // incarnation may come until then and make this one forget an end.
+  base::TimePoint finite_from{};
+  bool takes_finite = true;  // In this planning round, by `finite_from`.
   WorkerHealth health;
   bool terminated = false;  // Ended by the leader's own order.
   bool silent = false;      // Did not answer the last call, or was terminated.
@@ -220,6 +226,10 @@
   void WorkerTerminated(const WorkerId& worker, base::TimePoint now);
   // A lease was sent to the worker that ends at `bound` at the latest.
   void LeaseSent(const std::string& worker, base::TimePoint bound);
+  // A call that acknowledges ends was sent to the worker, and was answered.
+  void AcknowledgementSent(const std::string& worker, base::TimePoint now);
+  void AcknowledgementAnswered(const std::string& worker,
+                               base::TimePoint sent_at);
   // A start order was answered, or its outcome is unknown.
   void StartAnswered(const WorkerId& worker,
                      const TaskId& task,
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -67,6 +67,7 @@
         link.address.endpoint != worker.entry.endpoint) {
       link.address = {worker.entry.id, worker.entry.endpoint};
       link.clock_known = false;
+      link.acknowledged_end = 0;
       link.failures = 0;
       link.next_poll_at = now;
     }
@@ -91,7 +92,12 @@
   const auto found = m_scheduler.Workers().find(link.address.id.id);
   LeaseExtension extension;
   extension.fence = FencingToken();
-  extension.acknowledged_end = found->second.acked_end;
+  // Sent until it is answered and not again: carried out late, it would make a
+  // later incarnation forget its own ends.
+  if (found->second.acked_end > link.acknowledged_end) {
+    extension.acknowledged_end = found->second.acked_end;
+    m_scheduler.AcknowledgementSent(link.address.id.id, now);
+  }
   extension.fresh_connection = link.failures > 0;
   // A worker that may have missed the last extension gets no further one:
   // otherwise the latest possible end of its lease would grow with each
@@ -107,12 +113,30 @@
   m_dependencies.workers.Extend(
       link.address, extension,
       m_lifetime.Guard(
-          [this, id, probe,
-           now](tl::expected<jobs::WorkerReport, WorkerCallFailure> result) {
+          [this, id, probe, now, born = link.address.id.incarnation_ms,
+           acknowledged = extension.acknowledged_end](
+              tl::expected<jobs::WorkerReport, WorkerCallFailure> result) {
+            if (result && acknowledged > 0) {
+              HandleAcknowledged({id, born}, acknowledged, now,
+                                 result->incarnation_ms);
+            }
             HandleReport(id, probe, now, std::move(result));
           }));
 }
 
+void Dispatcher::HandleAcknowledged(const jobs::WorkerId& worker,
+                                    std::uint64_t end,
+                                    base::TimePoint sent_at,
+                                    std::int64_t answered_by) {
+  m_scheduler.AcknowledgementAnswered(worker.id, sent_at);
+  const auto link = m_links.find(worker.id);
+  if (link != m_links.end() && link->second.address.id == worker &&
+      answered_by == worker.incarnation_ms) {
+    link->second.acknowledged_end =
+        std::max(link->second.acknowledged_end, end);
+  }
+}
+
 void Dispatcher::HandleReport(
     const std::string& id,
     bool probe,
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -29,6 +29,11 @@
                  now + m_options.max_order_delay + m_options.max_worker_lease);
   }
   worker.entry.id.incarnation_ms = incarnation_ms;
+  for (const base::TimePoint sent_at :
+       std::exchange(worker.unanswered_acks, {})) {
+    worker.finite_from =
+        std::max(worker.finite_from, sent_at + m_options.max_order_delay);
+  }
   worker.last_end = 0;
   worker.acked_end = 0;
   worker.health = {};
@@ -111,6 +116,26 @@
   MarkDirty(*ref.job, false);
 }
 
+void Scheduler::AcknowledgementSent(const std::string& id,
+                                    base::TimePoint now) {
+  if (WorkerState* worker = FindWorker(id)) {
+    std::erase_if(worker->unanswered_acks, [&](base::TimePoint sent_at) {
+      return now > sent_at + m_options.max_order_delay;
+    });
+    worker->unanswered_acks.push_back(now);
+  }
+}
+
+void Scheduler::AcknowledgementAnswered(const std::string& id,
+                                        base::TimePoint sent_at) {
+  if (WorkerState* worker = FindWorker(id)) {
+    const auto sent = std::ranges::find(worker->unanswered_acks, sent_at);
+    if (sent != worker->unanswered_acks.end()) {
+      worker->unanswered_acks.erase(sent);
+    }
+  }
+}
+
 bool Scheduler::IsStartOver(const Run& run, base::TimePoint now) const {
   const base::TimePoint latest_start =
       run.answered_at != base::TimePoint{}
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -200,6 +200,7 @@
   m_reserved_for_finite = 0;
   for (WorkerState* worker : workers) {
     worker->reserved = {};
+    worker->takes_finite = now >= worker->finite_from;
     WithholdCapacity(*worker);
   }
   for (const auto& [rank, job] : ranked) {
@@ -419,7 +420,8 @@
       FindTask(ref)->withdrawn, [this, &entry](const WithdrawnStart& start) {
         return start.worker.id == entry.id.id || MayLeave(start);
       });
-  return has_label && advised && healthy && expected &&
+  const bool lasting = worker.takes_finite || spec.long_running;
+  return has_label && advised && healthy && expected && lasting &&
          (spec.max_per_worker == 0 ||
           RunsOfStep(worker, ref) < spec.max_per_worker);
 }
