Let tasks leave a worker whose entry is gone from the list

The platform's pages say that an entry which is still missing is to be treated as gone. So a task may leave a worker whose entry has left the list, and runs there are given up by the lease as before. An answered start waits no longer either: the incarnation that answered is listed before the lease is over.

Two tests used a removed entry only to make the worker unusable; they now use a silent worker with the same times, and TaskLeavesAWorkerWhoseEntryIsGone is new.

--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -136,12 +136,14 @@
   }
 }
 
-bool Scheduler::IsStartOver(const Run& run, base::TimePoint now) const {
-  const base::TimePoint latest_start =
-      run.answered_at != base::TimePoint{}
-          ? run.answered_at
-          : run.start_ordered_at + m_options.max_order_delay;
-  return run.listed || now > latest_start + m_options.max_worker_lease;
+bool Scheduler::IsStartOver(const Run& run,
+                            const WorkerState& worker,
+                            base::TimePoint now) const {
+  // An incarnation that has answered is listed before the lease is over, and a
+  // worker whose entry is gone does not come back under its id.
+  return run.listed || run.answered_at != base::TimePoint{} || !worker.listed ||
+         now > run.start_ordered_at + m_options.max_order_delay +
+                   m_options.max_worker_lease;
 }
 
 void Scheduler::WorkerGone(const WorkerId& id,
@@ -160,6 +162,7 @@
     const bool answered =
         run->answered_at != base::TimePoint{} && run->answered_at < seen_at;
     if (run->listed || run->phase == RunPhase::kPlanned || answered ||
+        !worker->listed ||
         seen_at > run->start_ordered_at + m_options.max_order_delay) {
       DropRun(ref, number, DropReason::kWorkerGone, now);
     }
@@ -177,10 +180,14 @@
 void Scheduler::ForgetLateWithdrawn(WorkerState& worker, base::TimePoint now) {
   std::erase_if(worker.withdrawn, [&](const TaskRef& ref) {
     auto& starts = FindTask(ref)->withdrawn;
-    std::erase_if(starts, [&](const WithdrawnStart& start) {
-      return start.worker.id == worker.entry.id.id &&
-             now > start.ordered_at + m_options.max_order_delay;
-    });
+    const auto forgotten =
+        std::erase_if(starts, [&](const WithdrawnStart& start) {
+          return start.worker.id == worker.entry.id.id &&
+                 now > start.ordered_at + m_options.max_order_delay;
+        });
+    if (forgotten > 0) {
+      MarkDirty(*ref.job, false);
+    }
     return std::ranges::none_of(starts, [&](const WithdrawnStart& start) {
       return start.worker.id == worker.entry.id.id;
     });
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -493,7 +493,8 @@
         continue;
       }
       if (run->phase != RunPhase::kPlanned && now > worker.lease_bound &&
-          worker.lease_bound != base::TimePoint{} && IsStartOver(*run, now)) {
+          worker.lease_bound != base::TimePoint{} &&
+          IsStartOver(*run, worker, now)) {
         DropRun(ref, number, DropReason::kLeaseOver, now);
       } else if (run->phase == RunPhase::kStarting &&
                  now - run->ordered_at > kStartTimeout) {
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -121,7 +121,7 @@
 
 TEST_F(WithdrawnStartTest, TaskLeavesOnceTheOrderCannotComeAnyMore) {
   Withdraw();
-  m_bench.RemoveWorker("a");
+  m_bench.GetScheduler().WorkerSilent("a", m_bench.Now());
   m_bench.Advance(milliseconds(12500));
   m_bench.Report("b", m_bench.Listing("b"));
   EXPECT_THAT(m_bench.Step().starts, IsEmpty());
@@ -132,10 +132,20 @@
   EXPECT_EQ(starts.front().worker.id, "b");
 }
 
+// A worker whose entry is gone does not come back under its id.
+TEST_F(WithdrawnStartTest, TaskLeavesAWorkerWhoseEntryIsGone) {
+  Withdraw();
+  m_bench.RemoveWorker("a");
+  m_bench.Report("b", m_bench.Listing("b"));
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker.id, "b");
+}
+
 // The next leader reads what may still start from the store.
 TEST_F(WithdrawnStartTest, SuccessorKeepsTheTaskOnItsWorker) {
   Withdraw();
-  m_bench.RemoveWorker("a");
+  m_bench.GetScheduler().WorkerSilent("a", m_bench.Now());
   EXPECT_THAT(m_bench.Step().starts, IsEmpty());
   SchedulerBench next = m_bench.Successor(milliseconds(8000));
   next.Advance(milliseconds(12500));
