Don't send a machine order whose record was stored late

Cause: a machine order is recorded with the leader's next commit and sent once the commit is known. A leader that is frozen meanwhile learns of it when it wakes. Its successor waits for the machine order lease (3 s, and a margin) after the recorded time and then orders the machine itself. That it waited for its record rather than for its connection (a later commit) is not shown. Why the fix works: an order whose record takes longer than half of the machine order lease is not sent and the machine is planned again. The successor's wait begins when the order is planned, so it can't have ended by then. The virtual world can freeze a leader with an answer on its way, and reports orders with a lower fencing token than one before.

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -117,10 +117,13 @@
   // Whether no order of a previous leader to the machine can still be in
   // flight.
   bool MayOrder(const std::string& machine) const;
-  // Stores the time of an order together with `rows`, then sends it.
+  // Stores the time of an order together with `rows`, then sends it, unless
+  // the next leader could give orders by then.
   void RecordOrder(const std::string& machine,
                    std::vector<Row> rows,
                    std::function<void()> order);
+  // Ends an order that was not carried out; the machine is planned again.
+  void CancelOrder(TrackedMachine& tracked, base::TimePoint now);
   void SendMove(const jobs::MachineMove& move);
   void StoreWaveState(Wave& wave, bool done);
   const jobs::WorkerState* WorkerOf(const TrackedMachine& tracked) const;
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -258,6 +258,17 @@
   EXPECT_EQ(world.CountRuns(long_running_job), 2U);
 }
 
+// By the time the answer arrives, the next leader may have ordered the machine.
+TEST(HostNodeTest, FrozenLeaderOrdersNoMachineThatItsSuccessorHasOrdered) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  world.Faults().freeze_at_order = milliseconds(6000);
+  world.RequestWave(world.MachineNames(), 2);
+  world.RunFor(milliseconds(25000));
+  EXPECT_TRUE(world.WaveIsDone(1));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
 // Random mixes of killed hosts, crashed and silent workers, late orders, and a
 // store that hosts can't reach, that loses answers or applies writes late; one
 // seed per test.
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -127,9 +127,32 @@
   for (Row& row : rows) {
     m_store_row(std::move(row), [] {});
   }
+  // A leader that was paused learns of the commit so late that its successor
+  // may give orders by then. It sends nothing, and plans anew if it still
+  // leads.
   m_store_row(
       {kMachineTable, kLeaderPart, kOrdersKey, std::move(lines), 0, false},
-      m_lifetime.Guard(std::move(order)));
+      m_lifetime.Guard([this, machine, order = std::move(order),
+                        recorded_at = m_loop.GetClock().Now()] {
+        const base::TimePoint stored_at = m_loop.GetClock().Now();
+        if (stored_at - recorded_at > m_options.machine_order_lease / 2) {
+          m_log.Write(
+              "machine.order_too_late",
+              {{"machine", machine},
+               {"fence", m_fencing_token},
+               {"after_ms", base::Milliseconds(stored_at - recorded_at)}});
+          CancelOrder(m_machines[machine], stored_at);
+          return;
+        }
+        order();
+      }));
+}
+
+void MachineController::CancelOrder(TrackedMachine& tracked,
+                                    base::TimePoint now) {
+  tracked.pending = PendingOrder::kNone;
+  tracked.retry_at = now + kRefusedPause;
+  SetCordoned(tracked, false, now);
 }
 
 void MachineController::ApplyConfig(
@@ -407,9 +430,7 @@
             m_scheduler.WorkerTerminated(tracked.incarnation, now);
           }
         } else if (result == MachineOrderResult::kRefused) {
-          tracked.pending = PendingOrder::kNone;
-          tracked.retry_at = now + kRefusedPause;
-          SetCordoned(tracked, false, now);
+          CancelOrder(tracked, now);
         }
       }));
 }
@@ -533,9 +554,7 @@
           tracked.idle_since = {};
           m_scheduler.WorkerTerminated(tracked.incarnation, now);
         } else if (result == MachineOrderResult::kRefused) {
-          tracked.pending = PendingOrder::kNone;
-          tracked.retry_at = now + kRefusedPause;
-          SetCordoned(tracked, false, now);
+          CancelOrder(tracked, now);
         }
       }));
 }
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -138,6 +138,7 @@
   MachineState state = MachineState::kUp;
   std::string worker;
   std::set<std::uint64_t> waves;
+  std::uint64_t highest_fence = 0;  // Of the orders so far.
 };
 
 // The loop of one host; it runs no callbacks after Die.
@@ -146,13 +147,33 @@
   explicit HostLoop(VirtualLoop& loop) : m_loop(loop) {}
   const base::Clock& GetClock() const override { return m_loop.GetClock(); }
   void Die() { m_token.reset(); }
+  // Holds back all callbacks for a while, then runs them in their order.
+  void Freeze(base::Duration time) {
+    m_frozen = true;
+    m_loop.After(time, [this] {
+      m_frozen = false;
+      for (const auto& callback : std::exchange(m_held, {})) {
+        callback();
+      }
+    });
+  }
+  bool IsFrozen() const { return m_frozen; }
   template <typename Function>
-  auto Guard(Function function) const {
-    return [alive = std::weak_ptr<int>(m_token),
+  auto Guard(Function function) {
+    return [this, alive = std::weak_ptr<int>(m_token),
             function = std::move(function)](auto&&... arguments) {
-      if (!alive.expired()) {
-        function(std::forward<decltype(arguments)>(arguments)...);
+      if (alive.expired()) {
+        return;
       }
+      if (m_frozen) {
+        m_held.emplace_back([alive, function, ... held = arguments] {
+          if (!alive.expired()) {
+            function(held...);
+          }
+        });
+        return;
+      }
+      function(std::forward<decltype(arguments)>(arguments)...);
     };
   }
   void After(base::Duration delay, std::function<void()> callback) override {
@@ -161,6 +182,8 @@
 
  private:
   VirtualLoop& m_loop;
+  bool m_frozen = false;
+  std::vector<std::function<void()>> m_held;
   std::shared_ptr<int> m_token = std::make_shared<int>(0);
 };
 
@@ -194,6 +217,10 @@
     m_world.Post(
         delay, [this, transaction = std::move(transaction), lost, done] {
           TransactionReply reply = m_world.Apply(transaction);
+          if (RecordsMachineOrder(transaction) &&
+              m_world.m_faults.freeze_at_order.count() > 0) {
+            m_loop.Freeze(std::exchange(m_world.m_faults.freeze_at_order, {}));
+          }
           if (!lost) {
             m_world.Post(kStoreLatency / 2, [done, reply] { done(reply); });
           }
@@ -263,6 +290,12 @@
   }
 
  private:
+  static bool RecordsMachineOrder(const RowTransaction& transaction) {
+    return std::ranges::any_of(transaction.puts, [](const Row& row) {
+      return row.table == kMachineTable && row.key == "orders";
+    });
+  }
+
   bool IsUnavailable() const {
     return m_world.m_faults.store_down || m_world.m_faults.store_silent ||
            m_world.m_faults.hosts_without_store.contains(m_host);
@@ -409,11 +442,12 @@
 
   void Move(const std::string& name,
             const std::string& pool,
-            const OrderAuthority&,
+            const OrderAuthority& authority,
             std::function<void(MachineOrderResult)> done) override {
     done = m_loop.Guard(std::move(done));
-    m_world.Post(kStoreLatency, [this, name, pool, done] {
+    m_world.Post(kStoreLatency, [this, name, pool, authority, done] {
       auto& machine = m_world.m_machines.at(name);
+      CheckAuthority(machine, authority);
       if (machine.state != MachineState::kUp) {
         done(MachineOrderResult::kRefused);
         return;
@@ -427,11 +461,12 @@
 
   void Maintain(const std::string& name,
                 std::uint64_t wave,
-                const OrderAuthority&,
+                const OrderAuthority& authority,
                 std::function<void(MachineOrderResult)> done) override {
     done = m_loop.Guard(std::move(done));
-    m_world.Post(kStoreLatency, [this, name, wave, done] {
+    m_world.Post(kStoreLatency, [this, name, wave, authority, done] {
       auto& machine = m_world.m_machines.at(name);
+      CheckAuthority(machine, authority);
       if (machine.waves.contains(wave)) {
         done(MachineOrderResult::kAccepted);
         return;
@@ -448,6 +483,18 @@
   }
 
  private:
+  // The platform may check no fencing tokens, so a leader must not give orders
+  // after its successor has.
+  void CheckAuthority(VirtualWorld::Machine& machine,
+                      const OrderAuthority& authority) {
+    if (authority.fence < machine.highest_fence) {
+      m_world.AddViolation(
+          fmt::format("{} was ordered with fencing token {} after {}",
+                      machine.name, authority.fence, machine.highest_fence));
+    }
+    machine.highest_fence = std::max(machine.highest_fence, authority.fence);
+  }
+
   void Restart(VirtualWorld::Machine& machine,
                MachineState state,
                milliseconds time,
@@ -570,6 +617,10 @@
   done = m_loop.Guard(std::move(done));
   m_world.Post(kCallLatency, [this, endpoint, gossip, done] {
     for (const auto& host : m_world.m_hosts) {
+      if (host && host->name + ":1" == endpoint && host->loop.IsFrozen()) {
+        m_world.Post(kCallTimeout, [done] { done(tl::unexpected(Failure{})); });
+        return;
+      }
       if (host && host->name + ":1" == endpoint) {
         const GossipMessage answer = host->node.HandleGossip(gossip);
         m_world.m_configs_from_peers += answer.config.empty() ? 0 : 1;
@@ -589,6 +640,9 @@
   auto answered = std::make_shared<bool>(false);
   m_world.Post(kCallLatency, [this, endpoint, request, done, answered] {
     for (const auto& host : m_world.m_hosts) {
+      if (host && host->name + ":1" == endpoint && host->loop.IsFrozen()) {
+        return;
+      }
       if (host && host->name + ":1" == endpoint) {
         host->node.HandleJobRequest(
             request, [this, done, answered](const JobAnswer& answer) {
@@ -793,7 +847,7 @@
   m_submission_statuses[job] = 0;
   std::vector<Host*> live;
   for (const auto& host : m_hosts) {
-    if (host) {
+    if (host && !host->loop.IsFrozen()) {
       live.push_back(host.get());
     }
   }
@@ -844,7 +898,7 @@
   auto status = std::make_shared<int>(0);
   auto text = std::make_shared<std::string>();
   for (const auto& host : m_hosts) {
-    if (host) {
+    if (host && !host->loop.IsFrozen()) {
       host->node.ServeCaller(
           request, [status, text](const wire::HttpResponse& response) {
             *status = response.status;
@@ -909,7 +963,8 @@
 
 std::optional<std::size_t> VirtualWorld::LeaderIndex() const {
   for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-    if (m_hosts[i] && m_hosts[i]->node.LeaderDispatcher() != nullptr &&
+    if (m_hosts[i] && !m_hosts[i]->loop.IsFrozen() &&
+        m_hosts[i]->node.LeaderDispatcher() != nullptr &&
         m_hosts[i]->node.LeaderDispatcher()->IsServing()) {
       return i;
     }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -60,6 +60,9 @@
   double late_commit_chance = 0;
   // Starts carried out 2 to 12 s later, without an answer.
   double late_start_chance = 0;
+  // The next leader that records an order for a machine stands still for this
+  // long, from when the record is stored and its answer is on its way.
+  std::chrono::milliseconds freeze_at_order{0};
   std::set<std::string> hosts_without_store;  // For them the store is down.
   std::set<std::string> silent_workers;       // Unreachable, but running.
 };
@@ -103,7 +106,8 @@
   void KillHost(std::size_t index);
   void StartHost(std::size_t index);
   void StopHost(std::size_t index);
-  // Index of a host that is the leader and serves; empty if there is none.
+  // Index of a host that is the leader, serves and isn't frozen; empty if there
+  // is none.
   std::optional<std::size_t> LeaderIndex() const;
   // Requires that there is a leader.
   const jobs::Scheduler& LeaderScheduler() const;
