Give no lease by a reading of a worker's clock older than 2 s

Cause: extensions and starts extrapolated the last reading of a worker's clock for any length of time. Why the fix works: with a reading at most 2 s old, a clock that is 2 % slow reaches the end of a lease of 5 s at most (5000 + 40) / 0.98 = 5143 ms after it was sent, within the 5150 ms that LeaseEnd allows before its margin. With an older reading an extension only asks for a report, which brings a new one at once, and a start is not sent; its task is planned again after the report. Reports come about once a second while the leader extends leases.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -146,6 +146,8 @@
   void SendOrders(const jobs::Orders& orders);
   void SendStart(const jobs::StartOrder& order);
   void SendStop(const jobs::StopOrder& order);
+  // Whether the worker's clock was read recently enough to give a lease by it.
+  bool IsClockKnown(const Link& link) const;
   std::chrono::milliseconds WorkerClock(const Link& link) const;
 
   HostDependencies& m_dependencies;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds kUnstoredEndsPause{150};
 constexpr std::chrono::milliseconds kMaxFailurePause{500};
 constexpr std::uint32_t kFailuresUntilSilent = 2;
+// A worker's clock is not extrapolated for longer than this, since it may be
+// slow and a lease would then end later than LeaseEnd allows for.
+constexpr std::chrono::milliseconds kMaxClockAge{2000};
 
 nlohmann::json DescribeRun(const jobs::WorkerId& worker,
                            const jobs::TaskId& task,
@@ -46,6 +49,11 @@
                           m_loop.GetClock().Now() - link.clock_at);
 }
 
+bool Dispatcher::IsClockKnown(const Link& link) const {
+  return link.clock_known &&
+         m_loop.GetClock().Now() - link.clock_at <= kMaxClockAge;
+}
+
 // Grows with the fleet: more runs end in a given time, while each report costs
 // about the same.
 std::chrono::milliseconds Dispatcher::PollPause() const {
@@ -96,7 +104,7 @@
   // A worker that may have missed the last extension gets no further one:
   // otherwise the latest possible end of its lease would grow with each
   // attempt, and an unreachable worker's lease would never expire.
-  if (link.clock_known && link.failures == 0) {
+  if (IsClockKnown(link) && link.failures == 0) {
     extension.until =
         WorkerClock(link) + std::min(kWorkerLease, m_settings.max_worker_lease);
     extension.wait = probe ? std::chrono::milliseconds(0) : kPollWait;
@@ -225,7 +233,7 @@
 void Dispatcher::SendStart(const jobs::StartOrder& order) {
   const base::TimePoint now = m_loop.GetClock().Now();
   const auto found = m_links.find(order.worker.id);
-  if (found == m_links.end() || !found->second.clock_known ||
+  if (found == m_links.end() || !IsClockKnown(found->second) ||
       found->second.address.id != order.worker || !MayGiveOrders()) {
     m_scheduler.StartAnswered(order.worker, order.task, order.run,
                               jobs::StartResult::kUnreachable, now);
