Allow for late calls to a former incarnation in the bound of a lease

Cause: the bound of a worker's lease counted only the extensions that the leader gave to this incarnation. Why the fix works: when the leader learns that a worker has restarted under its id, it raises the bound to the latest end of a lease that a call for the former incarnation may still give: 13 s until the last of them comes, and the longest lease that a worker accepts, by a clock that is 2 % slow (23.3 s with 10 s). Runs of such a worker are still given up at once when the list of machines says that it is gone. Workers that come back under a new id are not concerned. Not covered: a leader that takes over after the restart and has not seen the former incarnation itself.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -347,6 +347,8 @@
   void DropRunsOfOtherIncarnations(WorkerState& worker,
                                    std::int64_t incarnation_ms,
                                    base::TimePoint now);
+  // Raises the bound of the lease of a worker that has restarted under its id.
+  void AllowForLateExtensions(WorkerState& worker, base::TimePoint now) const;
   // Orders the worker to stop a run. The run is kept until it is known to have
   // ended.
   void StopRun(const TaskRef& ref,
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -41,6 +41,9 @@
 jobs::SchedulerOptions MakeSchedulerOptions(const HostSettings& settings) {
   jobs::SchedulerOptions options;
   options.keep_finished = settings.keep_finished;
+  constexpr std::chrono::milliseconds kMaxCallDelay{13000};
+  options.lease_after_restart =
+      kMaxCallDelay + settings.max_worker_lease * 103 / 100;
   return options;
 }
 
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -143,6 +143,9 @@
     if (entry.id.incarnation_ms < worker.entry.id.incarnation_ms) {
       continue;
     }
+    if (other_incarnation && !worker.entry.id.id.empty()) {
+      AllowForLateExtensions(worker, now);
+    }
     if (other_incarnation) {
       DropRunsOfOtherIncarnations(worker, entry.id.incarnation_ms, now);
       worker.has_reported = false;
@@ -162,6 +165,12 @@
   IndexMachines();
 }
 
+void Scheduler::AllowForLateExtensions(WorkerState& worker,
+                                       base::TimePoint now) const {
+  worker.lease_bound =
+      std::max(worker.lease_bound, now + m_options.lease_after_restart);
+}
+
 void Scheduler::LeaseSent(const std::string& id, base::TimePoint bound) {
   if (WorkerState* worker = FindWorker(id)) {
     worker->lease_bound = std::max(worker->lease_bound, bound);
@@ -178,6 +187,7 @@
     return;
   }
   if (report.incarnation_ms > worker->entry.id.incarnation_ms) {
+    AllowForLateExtensions(*worker, now);
     DropRunsOfOtherIncarnations(*worker, report.incarnation_ms, now);
     worker->entry.id.incarnation_ms = report.incarnation_ms;
     worker->last_end = 0;
