Guard against starts of a leader that was frozen

What callers could see: a leader that is frozen as the answer to a commit with starts is on its way sends them when it wakes, up to 8 s later, though its successor may have placed the tasks again. Workers that have heard of the successor refuse them; one that has restarted under its id since then would not, and the task would run twice. Cause: starts follow their commit, however late it is learnt of.

--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -269,6 +269,19 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// A worker that has restarted meanwhile would carry such a start out, since it
+// has seen no fencing token.
+TEST(HostNodeTest, FrozenLeaderSendsNoStartThatItsSuccessorMayRepeat) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  world.Faults().freeze_at_progress = milliseconds(4000);
+  const std::string job = world.Submit(0, 1, 2, milliseconds(300));
+  world.RunFor(milliseconds(5000));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_EQ(world.FencedStarts(), 0U);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
 // A worker's clock may be 2 % slow, so what the leader knew of it before an
 // outage is far ahead of it afterwards.
 TEST(HostNodeTest, LeaseAfterALongOutageIsOverBeforeItsTasksStartElsewhere) {
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -217,9 +217,11 @@
     m_world.Post(
         delay, [this, transaction = std::move(transaction), lost, done] {
           TransactionReply reply = m_world.Apply(transaction);
-          if (RecordsMachineOrder(transaction) &&
-              m_world.m_faults.freeze_at_order.count() > 0) {
-            m_loop.Freeze(std::exchange(m_world.m_faults.freeze_at_order, {}));
+          if (RecordsMachineOrder(transaction)) {
+            FreezeOnce(m_world.m_faults.freeze_at_order);
+          }
+          if (RecordsProgress(transaction)) {
+            FreezeOnce(m_world.m_faults.freeze_at_progress);
           }
           if (!lost) {
             m_world.Post(kStoreLatency / 2, [done, reply] { done(reply); });
@@ -290,6 +292,22 @@
   }
 
  private:
+  void FreezeOnce(milliseconds& time) {
+    if (time.count() > 0) {
+      m_loop.Freeze(std::exchange(time, {}));
+    }
+  }
+
+  // Whether it stores the progress of jobs that were accepted before.
+  static bool RecordsProgress(const RowTransaction& transaction) {
+    const auto has_job_row = [&transaction](std::string_view suffix) {
+      return std::ranges::any_of(transaction.puts, [suffix](const Row& row) {
+        return row.table == kJobTable && row.key.ends_with(suffix);
+      });
+    };
+    return has_job_row(".p") && !has_job_row(".r");
+  }
+
   static bool RecordsMachineOrder(const RowTransaction& transaction) {
     return std::ranges::any_of(transaction.puts, [](const Row& row) {
       return row.table == kMachineTable && row.key == "orders";
@@ -797,6 +815,7 @@
   const auto result = worker.model->Start(order, spec->steps[order.task.step],
                                           fence, until, m_loop.Now());
   ArmWorkerTimer(worker);
+  m_fenced_starts += result == jobs::StartResult::kFenced ? 1 : 0;
   return result;
 }
 
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -63,6 +63,8 @@
   // The next leader that records an order for a machine stands still for this
   // long, from when the record is stored and its answer is on its way.
   std::chrono::milliseconds freeze_at_order{0};
+  // The same for the next leader that stores the progress of an accepted job.
+  std::chrono::milliseconds freeze_at_progress{0};
   std::set<std::string> hosts_without_store;  // For them the store is down.
   std::set<std::string> silent_workers;       // Unreachable, but running.
 };
@@ -143,6 +145,8 @@
   bool WaveIsDone(std::uint64_t wave) const;
   // Version that a host has in force; 0 if it is not running or has none.
   std::uint64_t ConfigVersionOf(std::size_t host) const;
+  // Number of starts that workers refused for their fencing token.
+  std::uint64_t FencedStarts() const { return m_fenced_starts; }
   std::uint64_t StoreCalls() const { return m_store_calls; }
   // Number of configurations that hosts got from peers.
   std::uint64_t ConfigsFromPeers() const { return m_configs_from_peers; }
@@ -212,6 +216,7 @@
   sim::TableModel m_table;
   sim::InvariantChecker m_checker;
   std::uint64_t m_store_calls = 0;
+  std::uint64_t m_fenced_starts = 0;
   std::uint64_t m_configs_from_peers = 0;
   std::vector<std::function<bool()>> m_feeds;
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
