Record a red test of calls that are sent after their deadline

What callers could see: a leader that is paused while the connection of a call is made sends the order when it wakes, however long after: to a machine that its successor has ordered meanwhile, or to a worker. Cause: LoopClient sends a call as soon as its connection stands and checks the deadline after that.

--- a/src/cassiastile/wire/loop_client_test.cpp
+++ b/src/cassiastile/wire/loop_client_test.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/wire/loop_client.hpp"
 
 #include <mutex>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -88,5 +89,26 @@
   EXPECT_EQ(outcome.error().state, SendState::kMaybeSent);
 }
 
+// A process that is paused while the connection is made must not send an order
+// that is out of date by then.
+TEST_F(LoopClientTest, CallIsNotSentAfterItsDeadline) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://127.0.0.1:" + std::to_string(m_server->Port()) + "/silent";
+  call.timeout = std::chrono::milliseconds(20);
+  std::optional<HttpOutcome> result;
+  m_client->Start(std::move(call), [&result](HttpOutcome outcome) {
+    result = std::move(outcome);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  while (!result) {
+    m_context.restart();
+    m_context.run_one();
+  }
+  ASSERT_FALSE(result->has_value());
+  EXPECT_EQ(result->error().state, SendState::kNotSent);
+  EXPECT_TRUE(result->error().timed_out);
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
