Send no call after its deadline

Cause: the deadline was checked only after the call was sent. Why the fix works: the deadline is checked when the connection stands; a call whose time is over ends as timed out and not sent, which is true.

--- a/src/cassiastile/wire/loop_client.cpp
+++ b/src/cassiastile/wire/loop_client.cpp
@@ -266,6 +266,11 @@
             self->Fail(exchange, error.message(), false);
             return;
           }
+          if (steady_clock::now() >= exchange->deadline) {
+            self->Fail(exchange, "the deadline was over before it was sent",
+                       true);
+            return;
+          }
           self->SetSocketOptions(*connection);
           self->Write(exchange);
         });
