Store progress with MessagePack and each worker's name once

Change: layout 4 of the progress rows names each worker once; layouts 2 and 3 are still read. libmsgpack-cxx-dev is a new package.

--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -1,10 +1,15 @@
-// Serialization of jobs with cereal's portable binary archive.
+// Serialization of jobs: records with cereal's portable binary archive,
+// progress with MessagePack.
+#include <algorithm>
+#include <map>
 #include <sstream>
+#include <tuple>
 
 #include <fmt/format.h>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <msgpack.hpp>
 
 #include "cassiastile/jobs/job.hpp"
 
@@ -14,9 +19,13 @@
 
 // Incremented when older programs can't read the new layout.
 constexpr std::uint8_t kRecordLayout = 2;
-constexpr std::uint8_t kProgressLayout = 3;
-// Has neither withdrawn starts nor which runs are listed.
-constexpr std::uint8_t kFormerProgressLayout = 2;
+constexpr std::uint8_t kProgressLayout = 4;
+// Layouts of older programs, in cereal's archive. Layout 2 has neither
+// withdrawn starts nor which runs are listed.
+constexpr std::uint8_t kCerealProgressLayout = 3;
+constexpr std::uint8_t kOldestProgressLayout = 2;
+// The first byte of such an archive: whether it is little-endian.
+constexpr char kCerealMarkers[] = {0, 1};
 
 template <typename Archive>
 void Visit(Archive& archive, Resources& value) {
@@ -88,19 +97,199 @@
   return rows;
 }
 
-void EncodeTask(cereal::PortableBinaryOutputArchive& archive,
-                const TaskRow& row) {
-  const Task& task = *row.task;
-  archive(row.step, row.index, task.done, task.failed_runs, task.last_run,
-          task.checkpoint, static_cast<std::uint32_t>(task.runs.size()));
-  for (const Run& run : task.runs) {
-    archive(run.number, run.worker.id, run.worker.incarnation_ms, run.machine,
-            run.listed);
+// The rows of layout 4. Each is an array, so fields may be added at the end. A
+// job's progress is written several times for each of its tasks, and most of it
+// would be names of workers: each is stored once and referred to by its index.
+struct PackedWorker {
+  std::string id;
+  std::int64_t incarnation_ms = 0;
+  std::string machine;
+
+  auto Key() const { return std::tie(id, incarnation_ms, machine); }
+  bool operator<(const PackedWorker& other) const {
+    return Key() < other.Key();
   }
-  archive(static_cast<std::uint32_t>(task.withdrawn.size()));
-  for (const WithdrawnStart& start : task.withdrawn) {
-    archive(start.run, start.worker.id, start.worker.incarnation_ms,
-            start.machine);
+  MSGPACK_DEFINE(id, incarnation_ms, machine);
+};
+
+struct PackedRun {
+  std::uint32_t number = 0;
+  std::uint32_t worker = 0;
+  bool listed = false;
+
+  MSGPACK_DEFINE(number, worker, listed);
+};
+
+struct PackedTask {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  bool done = false;
+  std::uint32_t last_run = 0;
+  std::string checkpoint;
+  std::vector<std::uint32_t> failed_runs;
+  std::vector<PackedRun> runs;
+  std::vector<PackedRun> withdrawn;
+
+  MSGPACK_DEFINE(step,
+                 index,
+                 done,
+                 last_run,
+                 checkpoint,
+                 failed_runs,
+                 runs,
+                 withdrawn);
+};
+
+struct PackedOccurrence {
+  std::uint32_t number = 0;
+  std::vector<PackedTask> tasks;
+
+  MSGPACK_DEFINE(number, tasks);
+};
+
+struct PackedProgress {
+  std::uint8_t layout = kProgressLayout;
+  std::uint8_t phase = 0;
+  bool started = false;
+  std::uint32_t next_occurrence = 0;
+  std::uint32_t occurrences_done = 0;
+  std::vector<PackedWorker> workers;
+  std::vector<PackedOccurrence> occurrences;
+
+  MSGPACK_DEFINE(layout,
+                 phase,
+                 started,
+                 next_occurrence,
+                 occurrences_done,
+                 workers,
+                 occurrences);
+};
+
+class ProgressPacker {
+ public:
+  PackedProgress Pack(const Job& job) {
+    m_progress.phase = static_cast<std::uint8_t>(job.phase);
+    m_progress.started = job.started;
+    m_progress.next_occurrence = job.next_occurrence;
+    m_progress.occurrences_done = job.occurrences_done;
+    if (!IsFinished(job.phase)) {
+      for (const Occurrence& occurrence : job.occurrences) {
+        PackedOccurrence& packed = m_progress.occurrences.emplace_back();
+        packed.number = occurrence.number;
+        for (const TaskRow& row : TouchedTasks(occurrence)) {
+          packed.tasks.push_back(PackTask(row));
+        }
+      }
+    }
+    return std::move(m_progress);
+  }
+
+ private:
+  std::uint32_t IndexOf(const WorkerId& id, const std::string& machine) {
+    const auto [found, is_new] =
+        m_index.emplace(PackedWorker{id.id, id.incarnation_ms, machine},
+                        static_cast<std::uint32_t>(m_progress.workers.size()));
+    if (is_new) {
+      m_progress.workers.push_back(found->first);
+    }
+    return found->second;
+  }
+
+  PackedTask PackTask(const TaskRow& row) {
+    const Task& task = *row.task;
+    PackedTask packed;
+    packed.step = row.step;
+    packed.index = row.index;
+    packed.done = task.done;
+    packed.last_run = task.last_run;
+    packed.checkpoint = task.checkpoint;
+    packed.failed_runs = task.failed_runs;
+    for (const Run& run : task.runs) {
+      packed.runs.push_back(
+          {run.number, IndexOf(run.worker, run.machine), run.listed});
+    }
+    for (const WithdrawnStart& start : task.withdrawn) {
+      packed.withdrawn.push_back(
+          {start.run, IndexOf(start.worker, start.machine), false});
+    }
+    return packed;
+  }
+
+  PackedProgress m_progress;
+  std::map<PackedWorker, std::uint32_t> m_index;
+};
+
+Task& TaskAt(Occurrence& occurrence, std::uint32_t step, std::uint32_t index) {
+  if (step >= occurrence.steps.size() ||
+      index >= occurrence.steps[step].tasks.size()) {
+    throw std::out_of_range("task outside the steps of the job");
+  }
+  return occurrence.steps[step].tasks[index];
+}
+
+Occurrence& AddOccurrence(Job& job, std::uint32_t number) {
+  Occurrence& occurrence = job.occurrences.emplace_back();
+  occurrence.number = number;
+  occurrence.steps.resize(job.spec.steps.size());
+  for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+    occurrence.steps[i].tasks.resize(job.spec.steps[i].count);
+  }
+  return occurrence;
+}
+
+void FinishOccurrence(Job& job, Occurrence& occurrence) {
+  for (StepState& step : occurrence.steps) {
+    step.tasks_done = static_cast<std::uint32_t>(
+        std::ranges::count_if(step.tasks, &Task::done));
+    occurrence.steps_done += step.tasks_done == step.tasks.size() ? 1 : 0;
+  }
+  RefreshReadySteps(job, occurrence);
+}
+
+void UnpackTask(const PackedProgress& progress,
+                const PackedTask& packed,
+                Occurrence& occurrence) {
+  Task& task = TaskAt(occurrence, packed.step, packed.index);
+  task.done = packed.done;
+  task.last_run = packed.last_run;
+  task.checkpoint = packed.checkpoint;
+  task.failed_runs = packed.failed_runs;
+  for (const PackedRun& each : packed.runs) {
+    const PackedWorker& worker = progress.workers.at(each.worker);
+    Run& run = task.runs.emplace_back();
+    run.number = each.number;
+    run.worker = {worker.id, worker.incarnation_ms};
+    run.machine = worker.machine;
+    run.listed = each.listed;
+    run.phase = RunPhase::kRecovered;
+    run.checkpoint = task.checkpoint;
+  }
+  for (const PackedRun& each : packed.withdrawn) {
+    const PackedWorker& worker = progress.workers.at(each.worker);
+    WithdrawnStart& start = task.withdrawn.emplace_back();
+    start.run = each.number;
+    start.worker = {worker.id, worker.incarnation_ms};
+    start.machine = worker.machine;
+  }
+}
+
+void UnpackProgress(Job& job, const std::string& bytes) {
+  const auto progress =
+      msgpack::unpack(bytes.data(), bytes.size()).get().as<PackedProgress>();
+  if (progress.layout != kProgressLayout) {
+    throw std::invalid_argument("unknown layout");
+  }
+  job.phase = static_cast<JobPhase>(progress.phase);
+  job.stored_phase = job.phase;
+  job.started = progress.started;
+  job.next_occurrence = progress.next_occurrence;
+  job.occurrences_done = progress.occurrences_done;
+  for (const PackedOccurrence& packed : progress.occurrences) {
+    Occurrence& occurrence = AddOccurrence(job, packed.number);
+    for (const PackedTask& task : packed.tasks) {
+      UnpackTask(progress, task, occurrence);
+    }
+    FinishOccurrence(job, occurrence);
   }
 }
 
@@ -110,24 +299,20 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
   archive(step, index);
-  if (step >= occurrence.steps.size() ||
-      index >= occurrence.steps[step].tasks.size()) {
-    throw cereal::Exception("task outside the steps of the job");
-  }
-  Task& task = occurrence.steps[step].tasks[index];
+  Task& task = TaskAt(occurrence, step, index);
   std::uint32_t runs = 0;
   archive(task.done, task.failed_runs, task.last_run, task.checkpoint, runs);
   for (std::uint32_t i = 0; i < runs; ++i) {
     Run& run = task.runs.emplace_back();
     archive(run.number, run.worker.id, run.worker.incarnation_ms, run.machine);
-    if (layout != kFormerProgressLayout) {
+    if (layout != kOldestProgressLayout) {
       archive(run.listed);
     }
     run.phase = RunPhase::kRecovered;
     run.checkpoint = task.checkpoint;
   }
   std::uint32_t withdrawn = 0;
-  if (layout != kFormerProgressLayout) {
+  if (layout != kOldestProgressLayout) {
     archive(withdrawn);
   }
   for (std::uint32_t i = 0; i < withdrawn; ++i) {
@@ -135,9 +320,6 @@
     archive(start.run, start.worker.id, start.worker.incarnation_ms,
             start.machine);
   }
-  if (task.done) {
-    ++occurrence.steps[step].tasks_done;
-  }
 }
 
 void DecodeOccurrence(cereal::PortableBinaryInputArchive& archive,
@@ -146,19 +328,11 @@
   std::uint32_t number = 0;
   std::uint32_t tasks = 0;
   archive(number, tasks);
-  Occurrence& occurrence = job.occurrences.emplace_back();
-  occurrence.number = number;
-  occurrence.steps.resize(job.spec.steps.size());
-  for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
-    occurrence.steps[i].tasks.resize(job.spec.steps[i].count);
-  }
+  Occurrence& occurrence = AddOccurrence(job, number);
   for (std::uint32_t i = 0; i < tasks; ++i) {
     DecodeTask(archive, layout, occurrence);
   }
-  for (const StepState& step : occurrence.steps) {
-    occurrence.steps_done += step.tasks_done == step.tasks.size() ? 1 : 0;
-  }
-  RefreshReadySteps(job, occurrence);
+  FinishOccurrence(job, occurrence);
 }
 
 }  // namespace
@@ -187,26 +361,18 @@
 }
 
 std::string EncodeProgress(const Job& job) {
-  std::ostringstream out;
-  cereal::PortableBinaryOutputArchive archive(out);
-  archive(kProgressLayout, static_cast<std::uint8_t>(job.phase), job.started,
-          job.next_occurrence, job.occurrences_done,
-          static_cast<std::uint32_t>(
-              IsFinished(job.phase) ? 0 : job.occurrences.size()));
-  if (!IsFinished(job.phase)) {
-    for (const Occurrence& occurrence : job.occurrences) {
-      const std::vector<TaskRow> rows = TouchedTasks(occurrence);
-      archive(occurrence.number, static_cast<std::uint32_t>(rows.size()));
-      for (const TaskRow& row : rows) {
-        EncodeTask(archive, row);
-      }
-    }
-  }
-  return std::move(out).str();
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, ProgressPacker().Pack(job));
+  return {buffer.data(), buffer.size()};
 }
 
 base::Result<void> DecodeProgress(Job& job, const std::string& bytes) {
   try {
+    if (!bytes.empty() && std::ranges::find(kCerealMarkers, bytes[0]) ==
+                              std::end(kCerealMarkers)) {
+      UnpackProgress(job, bytes);
+      return {};
+    }
     std::istringstream in(bytes);
     cereal::PortableBinaryInputArchive archive(in);
     std::uint8_t layout = 0;
@@ -214,7 +380,7 @@
     std::uint32_t occurrences = 0;
     archive(layout, phase, job.started, job.next_occurrence,
             job.occurrences_done, occurrences);
-    if (layout != kProgressLayout && layout != kFormerProgressLayout) {
+    if (layout != kCerealProgressLayout && layout != kOldestProgressLayout) {
       throw cereal::Exception("unknown layout");
     }
     job.phase = static_cast<JobPhase>(phase);
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -307,7 +307,82 @@
   EXPECT_EQ(back.withdrawn.front().machine, "machine-a");
 }
 
-// Rows of a leader of the former version, read during a rolling update.
+// Names of workers would be most of a row, which is written again with each
+// change to one of its tasks.
+TEST(JobCodecTest, ProgressNamesEachWorkerOnce) {
+  Job job;
+  job.spec = SchedulerBench::OneTask();
+  job.spec.steps[0].count = 16;
+  BeginOccurrence(job, 0);
+  for (Task& task : job.occurrences.front().steps.front().tasks) {
+    jobs::Run& run = task.runs.emplace_back();
+    run.number = task.last_run = 1;
+    run.worker = {"i-b5cfaf194e", 1770617328467};
+    run.machine = "m-4899d";
+  }
+  const std::string row = EncodeProgress(job);
+  EXPECT_EQ(row.find("i-b5cfaf194e"), row.rfind("i-b5cfaf194e"));
+  EXPECT_EQ(row.find("m-4899d"), row.rfind("m-4899d"));
+  Job read;
+  read.spec = job.spec;
+  ASSERT_TRUE(DecodeProgress(read, row));
+  for (const Task& task : read.occurrences.front().steps.front().tasks) {
+    ASSERT_THAT(task.runs, SizeIs(1));
+    EXPECT_EQ(task.runs.front().worker,
+              (WorkerId{"i-b5cfaf194e", 1770617328467}));
+  }
+}
+
+TEST(JobCodecTest, CutOrChangedProgressIsReadOrRefused) {
+  Job job;
+  job.spec = SchedulerBench::OneTask();
+  BeginOccurrence(job, 0);
+  Task& task = job.occurrences.front().steps.front().tasks.front();
+  task.runs.emplace_back().worker = {"a", 7};
+  task.last_run = 1;
+  const std::string whole = EncodeProgress(job);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    Job read;
+    read.spec = job.spec;
+    EXPECT_FALSE(DecodeProgress(read, whole.substr(0, size))) << size;
+    std::string changed = whole;
+    changed[size] = static_cast<char>(changed[size] ^ 0x55);
+    Job other;
+    other.spec = job.spec;
+    static_cast<void>(DecodeProgress(other, changed));
+  }
+}
+
+// Rows of leaders of former versions, read during a rolling update.
+TEST(JobCodecTest, ReadsProgressOfLayoutThree) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    constexpr std::uint8_t kLayout = 3;
+    archive(kLayout, static_cast<std::uint8_t>(JobPhase::kRunning), true);
+    // Next occurrence, occurrences done, occurrences; number and tasks.
+    archive(1U, 0U, 1U, 0U, 1U);
+    // Step, index, done, failed runs, last run, checkpoint, runs.
+    archive(0U, 0U, false, std::vector<std::uint32_t>{2U}, 3U, std::string("c"),
+            1U);
+    archive(3U, std::string("a"), std::int64_t{7}, std::string("machine-a"),
+            true);
+    // Withdrawn starts.
+    archive(1U);
+    archive(1U, std::string("b"), std::int64_t{8}, std::string("machine-b"));
+  }
+  Job job;
+  job.spec = SchedulerBench::OneTask();
+  ASSERT_TRUE(DecodeProgress(job, out.str()));
+  const Task& task = job.occurrences.front().steps.front().tasks.front();
+  ASSERT_THAT(task.runs, SizeIs(1));
+  EXPECT_TRUE(task.runs.front().listed);
+  EXPECT_EQ(task.checkpoint, "c");
+  EXPECT_EQ(task.failed_runs, std::vector<std::uint32_t>{2U});
+  ASSERT_THAT(task.withdrawn, SizeIs(1));
+  EXPECT_EQ(task.withdrawn.front().worker, (WorkerId{"b", 8}));
+}
+
 TEST(JobCodecTest, ReadsProgressOfTheFormerLayout) {
   std::ostringstream out;
   {
