Share machines between pools, and vacate those of a turn that ends

Change: long-running tasks are provided for first, then accepted finite ones, then what is submitted, each by the same share where it is not enough. The pool that lacks most is filled first; where no machine is idle, busy ones of pools above their share are vacated. Long-running tasks that fit nowhere count with the whole machines of the others, and are evacuated only to where there is room. Admission counts the capacity that will be there after 2 s. A plan looks at waiting tasks of a full step once, and follows events after 5 to 25 ms by the size of the fleet.

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -75,7 +75,8 @@
     base::TimePoint ordered_at{};
     base::TimePoint accepted_at{};
     std::string destination;
-    bool cordoned = false;
+    bool cordoned = false;  // For a wave or a move.
+    bool vacating = false;  // To be moved once it is idle.
     base::TimePoint cordoned_at{};
     base::TimePoint idle_since{};
     base::TimePoint retry_at{};
@@ -118,6 +119,10 @@
   void ReportLostWorkers(base::TimePoint asked_at);
   void Move(TrackedMachine& tracked, const jobs::MachineMove& move);
   void SetCordoned(TrackedMachine& tracked, bool cordoned, base::TimePoint now);
+  // Sets which machines are to be moved once they are idle.
+  void SetVacating(const std::set<std::string>& machines);
+  // Cordons the machine's worker or not, by what the machine is kept for.
+  void ApplyCordon(const TrackedMachine& tracked);
   // Whether no order of a previous leader to the machine can still be in
   // flight.
   bool MayOrder(const std::string& machine) const;
--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -36,6 +36,10 @@
   // Capacity usable by finite tasks, including machines being moved
   // into the pool.
   Resources pool;
+  // What it would grow to if it needed it, at least `pool`, and after which
+  // time: machines of other pools finish their tasks and are moved.
+  Resources reachable;
+  std::chrono::milliseconds reach_delay{2000};
   // Whether the job's customer submits more jobs per second than its weight.
   bool beyond_share = false;
   bool fits_now = false;  // There is free capacity for the job's first step.
@@ -62,8 +66,13 @@
 // Decides whether a job is admitted. A customer beyond its share gets only free
 // capacity, so that its burst doesn't displace the jobs of others; any other
 // job is refused if it would miss its objective behind the backlog, since it
-// would be late and make the jobs behind it late. A pool without capacity
-// admits every job, since machines may be on their way to it.
+// would be late and make the jobs behind it late.
+//
+// A queue whose turn begins finds a small pool, which grows to most of the
+// fleet within seconds: the jobs that it can finish in time by then are
+// admitted, not only those for which it has capacity now. A pool that has no
+// capacity and can get none admits every job, since machines may be on their
+// way to it.
 AdmissionVerdict Admit(const AdmissionInput& input);
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/pool_plan.hpp
+++ b/include/cassiastile/jobs/pool_plan.hpp
@@ -18,6 +18,11 @@
   bool movable = false;          // Up and without runs.
   bool arriving = false;         // Being moved into the pool.
   base::TimePoint idle_since{};  // Used only if the machine is movable.
+  // Up and with finite runs only, so that it will be idle soon if it gets no
+  // further ones.
+  bool can_be_vacated = false;
+  bool vacating = false;        // Gets no further runs, by an earlier plan.
+  std::int64_t finite_cpu = 0;  // Used by finite tasks.
 };
 
 // The demand on one pool.
@@ -26,7 +31,13 @@
   Resources used;               // By all tasks.
   Resources long_running_used;  // By long-running tasks.
   Resources unplaced;           // Needed by tasks that could not be placed.
-  Work arriving_work;           // Submitted per millisecond.
+  // The part of `unplaced` for long-running tasks, and what those use that
+  // must leave their machine.
+  Resources unplaced_long_running;
+  Resources evacuating;
+  // Capacity of the machines that have long-running tasks.
+  Resources long_running_capacity;
+  Work arriving_work;  // Submitted per millisecond.
   // Least number of machines, if above PoolPlanOptions::min_machines.
   std::size_t min_machines = 0;
 };
@@ -55,20 +66,43 @@
   std::chrono::milliseconds idle_before_release{2000};
 };
 
-// The capacity that a pool should have: that of its long-running tasks, plus
-// the larger of what arriving work needs and what running and unplaced tasks
-// need.
-Resources DesiredCapacity(const PoolDemand& demand,
+// The capacity that a pool should have for its long-running tasks, which serve
+// users as long as they run. If some fit nowhere, what is free beside the
+// others is too small for them.
+Resources LongRunningDemand(const PoolDemand& demand);
+
+// The capacity that a pool should have for the finite tasks that run or could
+// not be placed, and for the work that is being submitted to it.
+Resources AcceptedDemand(const PoolDemand& demand,
+                         const PoolPlanOptions& options);
+Resources SubmittedDemand(const PoolDemand& demand,
                           const PoolPlanOptions& options);
 
+// What is to be done with machines, and what pools can count on.
+struct PoolPlan {
+  std::vector<MachineMove> moves;
+  // Machines that should get no further runs, to be moved once they are idle.
+  // One that is not named any more may get runs again.
+  std::vector<std::string> vacate;
+  // The capacity for finite tasks that each pool would get if it needed it,
+  // once machines have moved.
+  std::map<std::string, Resources> reachable;
+};
+
 // Plans moves of machines between pools, for queues whose load rises in turn to
-// several times its mean. A pool that needs capacity gets idle surplus machines
-// of other pools at once, then machines of the spare pool. Surplus machines
-// that stay idle go back to the spare pool, where they cost nothing.
-std::vector<MachineMove> PlanMoves(
-    const std::vector<PoolMachine>& machines,
-    const std::map<std::string, PoolDemand>& pools,
-    const PoolPlanOptions& options,
-    base::TimePoint now);
+// several times its mean, so that one pool at a time needs most of the fleet.
+//
+// Long-running tasks are provided for first, then accepted finite ones, then
+// what is being submitted; of what is not enough for all, each pool gets the
+// same share. The pool that lacks most is filled first, with idle surplus
+// machines of other pools, then with machines of the spare pool. If there are
+// none, busy machines of pools that have more than their share are vacated: at
+// the end of its turn a pool's tasks would otherwise keep all of its machines
+// half used for as long as they take. Surplus machines that stay idle go back
+// to the spare pool, where they cost nothing.
+PoolPlan PlanPools(const std::vector<PoolMachine>& machines,
+                   const std::map<std::string, PoolDemand>& pools,
+                   const PoolPlanOptions& options,
+                   base::TimePoint now);
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -260,8 +260,8 @@
   // also covers the ends that workers have listed.
   enum class RowChoice : std::uint8_t { kUrgent, kAll };
   // The next batch to commit, of at most `max_rows` rows, which must be 2 or
-  // more, urgent ones first. Its jobs count as written, so a scheduler whose batch could not be
-  // committed must be discarded.
+  // more, urgent ones first. Its jobs count as written, so a scheduler whose
+  // batch could not be committed must be discarded.
   Batch TakeBatch(std::size_t max_rows,
                   base::TimePoint now,
                   RowChoice choice = RowChoice::kAll);
@@ -279,8 +279,9 @@
   // their runs may be alive.
   bool CanDrainMachine(const std::string& machine) const;
   // Stops the long-running tasks of a cordoned worker that may become
-  // unavailable now by their step's max_unavailable; they are restarted
-  // elsewhere. Tasks without such a limit run until the worker ends.
+  // unavailable now by their step's max_unavailable and for which another
+  // worker has room; they are restarted there. Tasks without such a limit run
+  // until the worker ends.
   void Evacuate(const std::string& worker, base::TimePoint now);
   // A task because of which CanDrainMachine is false, or nothing.
   std::optional<TaskId> DrainBlocker(const std::string& machine) const;
@@ -295,8 +296,14 @@
     Resources used;
     Resources long_running_used;  // Used by long-running tasks.
     Resources unplaced;           // Needed by tasks that could not be placed.
-    Work backlog;                 // Remaining, of jobs not yet worthless.
-    Work arriving_work;           // Submitted per millisecond.
+    // The part of it for long-running tasks, with those that can't leave a
+    // cordoned worker for want of room; and what those use that must leave one.
+    Resources unplaced_long_running;
+    Resources evacuating;
+    // Capacity of the workers that have long-running tasks.
+    Resources long_running_capacity;
+    Work backlog;        // Remaining, of jobs not yet worthless.
+    Work arriving_work;  // Submitted per millisecond.
     std::size_t workers = 0;
     // Distinct workers that long-running steps need, plus one to move a task
     // to.
@@ -304,9 +311,12 @@
   };
   using PoolLoads = std::map<std::string, PoolLoad>;  // By service.
   PoolLoads GetPoolLoads(base::TimePoint now);
-  // Sets the capacity that is being moved into each pool.
-  void SetArrivingCapacity(std::map<std::string, Resources> arriving) {
+  // Sets the capacity that is being moved into each pool, and that for finite
+  // tasks which it would get if it needed it.
+  void SetPoolProspects(std::map<std::string, Resources> arriving,
+                        std::map<std::string, Resources> reachable) {
     m_arriving_capacity = std::move(arriving);
+    m_reachable_capacity = std::move(reachable);
   }
 
   const std::map<std::string, WorkerState>& Workers() const {
@@ -336,6 +346,8 @@
     // into the pool.
     Resources pool;
     Resources free;  // Free now, minus the need of unplaced tasks.
+    // What `pool` would grow to if it needed it, once machines have moved.
+    Resources reachable;
   };
 
   // The answer of a placement advisor about one step.
@@ -474,6 +486,10 @@
   // Whether the max_unavailable of the task's step allows all its runs on a
   // worker to end.
   bool CanEndRunsOn(const TaskRef& ref, const std::string& worker) const;
+  // Whether another usable worker of the service has room for the task now.
+  bool HasRoomElsewhere(const TaskRef& ref,
+                        const WorkerState& worker,
+                        base::TimePoint now) const;
   // Number of other tasks of the same step that are not serving now.
   std::uint32_t CountOtherUnavailable(const TaskRef& ref) const;
   // Whether the job's customer may use this much more.
@@ -505,9 +521,14 @@
   std::map<std::string, Resources> m_used_by_customer;
   FirstArrivals m_first_arrivals;
   std::map<std::string, ArrivalMeter> m_customer_arrivals;
-  std::map<std::string, ArrivalMeter> m_arrivals;        // By service.
-  std::map<std::string, Resources> m_arriving_capacity;  // By service.
-  std::map<std::string, Resources> m_unplaced;           // By service.
+  std::map<std::string, ArrivalMeter> m_arrivals;         // By service.
+  std::map<std::string, Resources> m_arriving_capacity;   // By service.
+  std::map<std::string, Resources> m_reachable_capacity;  // By service.
+  std::map<std::string, Resources> m_unplaced;            // By service.
+  std::map<std::string, Resources> m_unplaced_long_running;
+  // Needed by tasks that could not be evacuated for want of room since the last
+  // GetPoolLoads, by service.
+  std::map<std::string, Resources> m_blocked_evacuations;
   std::map<std::string, AdmissionSnapshot>
       m_admission_snapshots;  // By service.
   // Needs found to fit nowhere in the current planning round of a service.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-// Events that arrive within this time are planned together.
-constexpr std::chrono::milliseconds kPlanDelay{5};
+// Events that arrive within this time for each worker are planned together: a
+// plan looks at all waiting tasks and workers, however few have changed.
+constexpr std::chrono::microseconds kPlanDelayPerWorker{20};
+constexpr std::chrono::microseconds kMinPlanDelay{5000};
+constexpr std::chrono::microseconds kMaxPlanDelay{25000};
 constexpr std::chrono::milliseconds kTickInterval{20};
 // Rows that no caller waits for are written together after this time for each
 // worker: at peak load every running job changes several times in it, and its
@@ -311,7 +314,11 @@
     return;
   }
   m_plan_requested = true;
-  m_loop.After(kPlanDelay, m_lifetime.Guard([this] {
+  const auto delay = std::clamp<std::chrono::microseconds>(
+      kPlanDelayPerWorker *
+          static_cast<std::int64_t>(m_scheduler.Workers().size()),
+      kMinPlanDelay, kMaxPlanDelay);
+  m_loop.After(delay, m_lifetime.Guard([this] {
     m_plan_requested = false;
     Plan();
   }));
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -325,8 +325,13 @@
                                     base::TimePoint now) {
   tracked.cordoned = cordoned;
   tracked.cordoned_at = now;
+  ApplyCordon(tracked);
+}
+
+void MachineController::ApplyCordon(const TrackedMachine& tracked) {
   if (const jobs::WorkerState* worker = WorkerOf(tracked)) {
-    m_scheduler.SetCordoned(worker->entry.id.id, cordoned);
+    m_scheduler.SetCordoned(worker->entry.id.id,
+                            tracked.cordoned || tracked.vacating);
   }
 }
 
@@ -494,6 +499,9 @@
     jobs::PoolDemand& demand = pools[service];
     demand.long_running_used = load.long_running_used;
     demand.unplaced = load.unplaced;
+    demand.unplaced_long_running = load.unplaced_long_running;
+    demand.evacuating = load.evacuating;
+    demand.long_running_capacity = load.long_running_capacity;
     demand.used = load.used;
     demand.arriving_work = load.arriving_work;
     demand.min_machines = load.min_workers;
@@ -522,10 +530,15 @@
       tracked.idle_since = now;
     }
     machine.idle_since = tracked.idle_since;
-    machine.movable = idle && tracked.pending == PendingOrder::kNone &&
-                      tracked.machine.state == MachineState::kUp &&
-                      !tracked.cordoned && now >= tracked.retry_at &&
-                      MayOrder(name);
+    const bool can_leave = tracked.pending == PendingOrder::kNone &&
+                           tracked.machine.state == MachineState::kUp &&
+                           !tracked.cordoned && now >= tracked.retry_at &&
+                           MayOrder(name);
+    machine.movable = idle && can_leave;
+    machine.vacating = tracked.vacating;
+    machine.can_be_vacated = !idle && can_leave && worker != nullptr &&
+                             worker->long_running_used == jobs::Resources{};
+    machine.finite_cpu = worker == nullptr ? 0 : worker->used.cpu;
   }
   std::map<std::string, jobs::Resources> arriving;
   for (const jobs::PoolMachine& machine : machines) {
@@ -533,11 +546,22 @@
       arriving[machine.pool] += machine.capacity;
     }
   }
-  m_scheduler.SetArrivingCapacity(std::move(arriving));
-  for (const jobs::MachineMove& move :
-       jobs::PlanMoves(machines, pools, {}, now)) {
+  jobs::PoolPlan plan = jobs::PlanPools(machines, pools, {}, now);
+  m_scheduler.SetPoolProspects(std::move(arriving), std::move(plan.reachable));
+  for (const jobs::MachineMove& move : plan.moves) {
     Move(m_machines[move.machine], move);
   }
+  SetVacating({plan.vacate.begin(), plan.vacate.end()});
+}
+
+void MachineController::SetVacating(const std::set<std::string>& machines) {
+  for (auto& [name, tracked] : m_machines) {
+    const bool vacating = machines.contains(name);
+    if (vacating != tracked.vacating) {
+      tracked.vacating = vacating;
+      ApplyCordon(tracked);
+    }
+  }
 }
 
 void MachineController::LogLoads(const PoolLoads& loads) {
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds kAskInterval{1000};
 constexpr std::chrono::milliseconds kAvoidRelay{5000};
 constexpr std::chrono::milliseconds kAvoidRelayedWorker{5000};
-constexpr std::chrono::milliseconds kCheckInterval{50};
+constexpr std::chrono::milliseconds kCheckInterval{100};
 // Each relay exchanges one batch and one message of results with the leader in
 // this time for each relay there is, so that their number does not grow.
 constexpr std::chrono::milliseconds kCollectPerRelay{1};
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -16,19 +16,35 @@
 constexpr std::chrono::milliseconds kMinRetryAfter{1000};
 constexpr std::chrono::milliseconds kMaxRetryAfter{10000};
 
+// Milliseconds until `work` is done, at the rate `now` first and `later` after
+// a delay.
+double WaitFor(double work, double now, double later, double delay_ms) {
+  now = std::max(now, 0.0);
+  later = std::max(now, later);
+  if (work <= now * delay_ms || later <= 0) {
+    return now > 0 ? work / now : 0;
+  }
+  return delay_ms + (work - now * delay_ms) / later;
+}
+
 }  // namespace
 
 AdmissionVerdict Admit(const AdmissionInput& input) {
-  if (input.fits_now || input.pool.cpu <= 0 || input.pool.memory <= 0) {
-    // A pool without capacity may be getting machines; the job waits for them.
+  const bool has_pool = input.pool.cpu > 0 && input.pool.memory > 0;
+  const bool has_prospect =
+      input.reachable.cpu > 0 && input.reachable.memory > 0;
+  if (input.fits_now || (!has_pool && !has_prospect)) {
     return {};
   }
   // The scarcer resource decides.
   constexpr double kMillicoresPerCore = 1000.0;
-  const double wait_ms =
-      std::max(input.backlog.cpu * kMillicoresPerCore /
-                   static_cast<double>(input.pool.cpu),
-               input.backlog.memory / static_cast<double>(input.pool.memory));
+  const auto delay_ms = static_cast<double>(input.reach_delay.count());
+  const double wait_ms = std::max(
+      WaitFor(input.backlog.cpu * kMillicoresPerCore,
+              static_cast<double>(input.pool.cpu),
+              static_cast<double>(input.reachable.cpu), delay_ms),
+      WaitFor(input.backlog.memory, static_cast<double>(input.pool.memory),
+              static_cast<double>(input.reachable.memory), delay_ms));
   AdmissionVerdict verdict;
   verdict.wait = std::chrono::milliseconds(std::llround(wait_ms));
   verdict.slack =
--- a/src/cassiastile/jobs/admission_test.cpp
+++ b/src/cassiastile/jobs/admission_test.cpp
@@ -87,5 +87,24 @@
   EXPECT_EQ(verdict.slack, milliseconds(1000));
 }
 
+// The begin of a queue's turn: 160 cores are there, 1,600 will be after 2 s,
+// and work for 800 core seconds waits.
+TEST(AdmissionTest, CapacityThatWillBeThereCounts) {
+  AdmissionInput input;
+  input.backlog = {.cpu = 800000, .memory = 0};
+  input.pool = {160000, 655360, 0};
+  input.reachable = input.pool;
+  input.critical_path = std::chrono::milliseconds(2600);
+  input.time_to_objective = std::chrono::milliseconds(6300);
+  EXPECT_FALSE(Admit(input).admitted);
+  input.reachable = {1600000, 6553600, 0};
+  EXPECT_TRUE(Admit(input).admitted);
+  // 2 s until it is there, then 480 core seconds at 1,600 cores.
+  EXPECT_EQ(Admit(input).wait, std::chrono::milliseconds(2300));
+  // Not in time once the backlog is larger than all of it can do.
+  input.backlog.cpu = 8000000;
+  EXPECT_FALSE(Admit(input).admitted);
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/pool_plan.cpp
+++ b/src/cassiastile/jobs/pool_plan.cpp
@@ -2,16 +2,43 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace cassiastile::jobs {
 
 namespace {
 
+constexpr double kMillicoresPerCore = 1000.0;
+
 bool IsAnyPositive(const Resources& value) {
   return value.cpu > 0 || value.memory > 0 || value.gpus > 0;
 }
 
+Resources Scale(const Resources& value, double factor) {
+  return {std::llround(static_cast<double>(value.cpu) * factor),
+          std::llround(static_cast<double>(value.memory) * factor), value.gpus};
+}
+
+Resources AtMost(const Resources& value, const Resources& limit) {
+  return {std::min(value.cpu, limit.cpu), std::min(value.memory, limit.memory),
+          std::min(value.gpus, limit.gpus)};
+}
+
+Resources AtLeast(const Resources& value, const Resources& limit) {
+  return {std::max(value.cpu, limit.cpu), std::max(value.memory, limit.memory),
+          std::max(value.gpus, limit.gpus)};
+}
+
+// The part of `wanted` that is missing from `have`, of the scarcer resource.
+double MissingPart(const Resources& wanted, const Resources& have) {
+  const auto part = [](std::int64_t want, std::int64_t has) {
+    return want <= has
+               ? 0.0
+               : static_cast<double>(want - has) / static_cast<double>(want);
+  };
+  return std::max({part(wanted.cpu, have.cpu), part(wanted.memory, have.memory),
+                   part(wanted.gpus, have.gpus)});
+}
+
 // One round of planning.
 class Planner {
  public:
@@ -19,88 +46,220 @@
           const std::map<std::string, PoolDemand>& pools,
           const PoolPlanOptions& options,
           base::TimePoint now)
-      : m_machines(machines), m_pools(pools), m_options(options), m_now(now) {
+      : m_options(options), m_now(now) {
+    for (const auto& [name, demand] : pools) {
+      Pool& pool = m_pools[name];
+      pool.is_spare = demand.is_spare;
+      if (!demand.is_spare) {
+        pool.min_machines = std::max(options.min_machines, demand.min_machines);
+        pool.long_running = LongRunningDemand(demand);
+        pool.accepted = AcceptedDemand(demand, options);
+        pool.submitted =
+            AtLeast(SubmittedDemand(demand, options) - pool.accepted, {});
+      }
+    }
     for (const PoolMachine& machine : machines) {
-      m_capacity[machine.pool] += machine.capacity;
-      ++m_machine_count[machine.pool];
+      AddMachine(machine);
     }
-    for (const auto& [pool, demand] : pools) {
-      m_wanted[pool] = DesiredCapacity(demand, options);
+    for (auto& [name, pool] : m_pools) {
+      // Those that are vacated already are taken first, so that plans do not
+      // change with every task that ends.
+      std::ranges::stable_sort(pool.idle, std::ranges::greater{},
+                               &PoolMachine::vacating);
+      std::ranges::stable_sort(
+          pool.busy, [](const PoolMachine* left, const PoolMachine* right) {
+            return std::pair(!left->vacating, left->finite_cpu) <
+                   std::pair(!right->vacating, right->finite_cpu);
+          });
     }
+    ShareCapacity();
   }
 
-  std::vector<MachineMove> Plan() {
-    for (const auto& [pool, demand] : m_pools) {
-      if (!demand.is_spare) {
-        FillPool(pool);
+  PoolPlan Plan() {
+    while (Pool* pool = FindNeediest()) {
+      if (!Fill(*pool)) {
+        pool->is_done = true;
       }
     }
     ReleaseIdle();
-    return std::move(m_moves);
+    return std::move(m_plan);
   }
 
  private:
-  bool IsSparePool(const std::string& pool) const {
-    const auto found = m_pools.find(pool);
-    return found != m_pools.end() && found->second.is_spare;
+  struct Pool {
+    bool is_spare = false;
+    bool is_done = false;  // Nothing can be had for it.
+    std::size_t min_machines = 0;
+    Resources long_running;
+    // For finite tasks: what accepted ones need, and what is submitted beyond.
+    Resources accepted;
+    Resources submitted;
+    Resources target;
+    // Including what this plan brings, without what it takes.
+    Resources capacity;
+    std::size_t machines = 0;
+    std::vector<const PoolMachine*> idle;
+    std::vector<const PoolMachine*> busy;
+    std::size_t next_idle = 0;
+    std::size_t next_busy = 0;
+  };
+
+  void AddMachine(const PoolMachine& machine) {
+    Pool& pool = m_pools[machine.pool];
+    pool.capacity += machine.capacity;
+    ++pool.machines;
+    const bool idle_long_enough =
+        pool.is_spare || machine.vacating ||
+        m_now - machine.idle_since >= m_options.idle_before_lending;
+    if (machine.movable && idle_long_enough) {
+      pool.idle.push_back(&machine);
+    } else if (machine.can_be_vacated) {
+      pool.busy.push_back(&machine);
+    }
   }
 
-  std::size_t MinMachines(const std::string& pool) const {
-    const auto found = m_pools.find(pool);
-    return found == m_pools.end() || found->second.is_spare
-               ? 0
-               : std::max(m_options.min_machines, found->second.min_machines);
+  // Sets each pool's target and what it could get.
+  void ShareCapacity() {
+    Resources left;
+    for (const auto& [name, pool] : m_pools) {
+      left += pool.capacity;
+    }
+    for (const auto& [name, pool] : m_pools) {
+      left -= pool.long_running;
+    }
+    left = AtLeast(left, {});
+    // What was accepted comes before what is only being submitted: it could not
+    // be done in time on less.
+    const Resources taken = Share(left, &Pool::accepted);
+    const Resources rest = AtLeast(left - taken, {});
+    const Resources wanted = Share(rest, &Pool::submitted);
+    for (auto& [name, pool] : m_pools) {
+      const Resources finite = pool.accepted + pool.submitted;
+      pool.target = pool.long_running + finite;
+      m_plan.reachable[name] =
+          AtLeast(finite, left - (taken + wanted - finite));
+    }
   }
 
-  // Whether the machine's pool has enough capacity and machines without it;
-  // true for every machine of the spare pool.
-  bool IsSurplus(const PoolMachine& machine) {
-    if (IsSparePool(machine.pool)) {
-      return true;
+  // Limits one kind of demand of all pools to what there is, by the same factor
+  // for each, and returns its sum.
+  Resources Share(const Resources& left, Resources Pool::*demand) {
+    Resources needed;
+    for (auto& [name, pool] : m_pools) {
+      // No pool's claim is above what there is, however much is submitted to
+      // it.
+      pool.*demand = AtMost(pool.*demand, left);
+      needed += pool.*demand;
     }
-    const Resources left = m_capacity[machine.pool] - machine.capacity;
-    return Fits(m_wanted[machine.pool], left) &&
-           m_machine_count[machine.pool] > MinMachines(machine.pool);
+    const auto part_of = [](std::int64_t have, std::int64_t need) {
+      return need <= have
+                 ? 1.0
+                 : static_cast<double>(have) / static_cast<double>(need);
+    };
+    const double part = std::min(part_of(left.cpu, needed.cpu),
+                                 part_of(left.memory, needed.memory));
+    Resources sum;
+    for (auto& [name, pool] : m_pools) {
+      pool.*demand = Scale(pool.*demand, part);
+      sum += pool.*demand;
+    }
+    return sum;
   }
 
-  // The machine to move into `pool` next, or null.
-  const PoolMachine* FindDonor(const std::string& pool) {
-    const PoolMachine* best = nullptr;
-    for (const PoolMachine& machine : m_machines) {
-      const bool is_spare = IsSparePool(machine.pool);
-      const bool idle = is_spare || m_now - machine.idle_since >=
-                                        m_options.idle_before_lending;
-      if (!machine.movable || machine.pool == pool || !idle ||
-          m_moved.contains(machine.name) || !IsSurplus(machine)) {
+  // The pool that lacks most of its target, or null. Pools without room for
+  // their long-running tasks come first.
+  Pool* FindNeediest() {
+    Pool* neediest = nullptr;
+    double most = 0;
+    for (auto& [name, pool] : m_pools) {
+      if (pool.is_spare || pool.is_done) {
         continue;
       }
-      // A machine that is already running costs no more in its new pool.
-      if (best == nullptr || (IsSparePool(best->pool) && !is_spare)) {
-        best = &machine;
+      constexpr double kLongRunningFirst = 10;
+      double missing = MissingPart(pool.target, pool.capacity);
+      if (IsShort(pool)) {
+        missing += kLongRunningFirst;
+      }
+      if (missing > most) {
+        most = missing;
+        neediest = &pool;
       }
     }
-    return best;
+    return neediest;
   }
 
-  void Move(const PoolMachine& machine, const std::string& to) {
-    m_moved.insert(machine.name);
-    m_capacity[machine.pool] -= machine.capacity;
-    m_capacity[to] += machine.capacity;
-    --m_machine_count[machine.pool];
-    ++m_machine_count[to];
-    m_moves.push_back({machine.name, machine.pool, to});
+  // Whether the pool has no room for its long-running tasks, or is below its
+  // minimum.
+  static bool IsShort(const Pool& pool) {
+    return pool.machines < pool.min_machines ||
+           IsAnyPositive(pool.long_running - pool.capacity);
   }
 
-  // Moves machines into a pool until it has enough or there is no donor.
-  void FillPool(const std::string& pool) {
-    while (IsAnyPositive(m_wanted[pool] - m_capacity[pool]) ||
-           m_machine_count[pool] < MinMachines(pool)) {
-      const PoolMachine* donor = FindDonor(pool);
-      if (donor == nullptr) {
-        return;
+  // Whether the pool has enough without the machine; true for the spare pool.
+  // A pool that is short takes what another has for finite tasks.
+  static bool IsSurplus(const Pool& pool,
+                        const PoolMachine& machine,
+                        bool for_short_pool) {
+    const Resources& wanted = for_short_pool ? pool.long_running : pool.target;
+    return pool.is_spare || (Fits(wanted, pool.capacity - machine.capacity) &&
+                             pool.machines > pool.min_machines);
+  }
+
+  const std::string& NameOf(const Pool& pool) const {
+    return std::ranges::find_if(
+               m_pools,
+               [&pool](const auto& entry) { return &entry.second == &pool; })
+        ->first;
+  }
+
+  static void Take(Pool& from, Pool& to, const PoolMachine& machine) {
+    from.capacity -= machine.capacity;
+    to.capacity += machine.capacity;
+    --from.machines;
+    ++to.machines;
+  }
+
+  // Gives the pool one machine. Returns false if there is none for it.
+  bool Fill(Pool& pool) {
+    for (const bool from_spare : {false, true}) {
+      for (auto& [name, donor] : m_pools) {
+        if (&donor == &pool || donor.is_spare != from_spare ||
+            donor.next_idle == donor.idle.size() ||
+            !IsSurplus(donor, *donor.idle[donor.next_idle], IsShort(pool))) {
+          continue;
+        }
+        const PoolMachine& machine = *donor.idle[donor.next_idle++];
+        Take(donor, pool, machine);
+        m_plan.moves.push_back({machine.name, name, NameOf(pool)});
+        return true;
+      }
+    }
+    return Vacate(pool);
+  }
+
+  // Has a machine vacated for the pool, from the one with the most surplus.
+  bool Vacate(Pool& pool) {
+    Pool* richest = nullptr;
+    std::int64_t most = 0;
+    for (auto& [name, donor] : m_pools) {
+      if (&donor == &pool || donor.is_spare ||
+          donor.next_busy == donor.busy.size() ||
+          !IsSurplus(donor, *donor.busy[donor.next_busy], IsShort(pool))) {
+        continue;
       }
-      Move(*donor, pool);
+      const std::int64_t surplus = donor.capacity.cpu - donor.target.cpu;
+      if (richest == nullptr || surplus > most) {
+        richest = &donor;
+        most = surplus;
+      }
+    }
+    if (richest == nullptr) {
+      return false;
     }
+    const PoolMachine& machine = *richest->busy[richest->next_busy++];
+    Take(*richest, pool, machine);
+    m_plan.vacate.push_back(machine.name);
+    return true;
   }
 
   // Moves surplus machines that stay idle to the spare pool.
@@ -110,54 +269,60 @@
     if (spare == m_pools.end()) {
       return;
     }
-    for (const PoolMachine& machine : m_machines) {
-      const bool long_idle =
-          m_now - machine.idle_since >= m_options.idle_before_release;
-      if (machine.movable && long_idle && !IsSparePool(machine.pool) &&
-          !m_moved.contains(machine.name) && IsSurplus(machine)) {
-        Move(machine, spare->first);
+    for (auto& [name, pool] : m_pools) {
+      if (pool.is_spare) {
+        continue;
+      }
+      for (; pool.next_idle < pool.idle.size(); ++pool.next_idle) {
+        const PoolMachine& machine = *pool.idle[pool.next_idle];
+        if (m_now - machine.idle_since >= m_options.idle_before_release &&
+            IsSurplus(pool, machine, false)) {
+          Take(pool, spare->second, machine);
+          m_plan.moves.push_back({machine.name, name, spare->first});
+        }
       }
     }
   }
 
-  const std::vector<PoolMachine>& m_machines;
-  const std::map<std::string, PoolDemand>& m_pools;
   const PoolPlanOptions& m_options;
   base::TimePoint m_now;
-  std::map<std::string, Resources> m_capacity;
-  std::map<std::string, std::size_t> m_machine_count;
-  std::map<std::string, Resources> m_wanted;
-  std::set<std::string> m_moved;
-  std::vector<MachineMove> m_moves;
+  std::map<std::string, Pool> m_pools;
+  PoolPlan m_plan;
 };
 
 }  // namespace
 
-Resources DesiredCapacity(const PoolDemand& demand,
-                          const PoolPlanOptions& options) {
-  constexpr double kMillicoresPerCore = 1000.0;
-  const auto need = [&options](double arriving, std::int64_t running,
-                               std::int64_t unplaced) {
-    const double waiting =
-        options.unplaced_share * static_cast<double>(unplaced);
-    const double now = static_cast<double>(running) + waiting;
-    return std::llround(std::max(options.headroom * arriving, now));
+Resources LongRunningDemand(const PoolDemand& demand) {
+  if (IsAnyPositive(demand.unplaced_long_running)) {
+    return demand.long_running_capacity + demand.unplaced_long_running +
+           demand.evacuating;
+  }
+  return demand.long_running_used + demand.evacuating;
+}
+
+Resources AcceptedDemand(const PoolDemand& demand,
+                         const PoolPlanOptions& options) {
+  const auto need = [&options](std::int64_t running, std::int64_t unplaced) {
+    return running +
+           std::llround(options.unplaced_share * static_cast<double>(unplaced));
   };
   const Resources running = demand.used - demand.long_running_used;
-  Resources wanted = demand.long_running_used;
-  wanted.cpu += need(demand.arriving_work.cpu * kMillicoresPerCore, running.cpu,
-                     demand.unplaced.cpu);
-  wanted.memory +=
-      need(demand.arriving_work.memory, running.memory, demand.unplaced.memory);
-  wanted.gpus += running.gpus + demand.unplaced.gpus;
-  return wanted;
+  const Resources unplaced = demand.unplaced - demand.unplaced_long_running;
+  return {need(running.cpu, unplaced.cpu),
+          need(running.memory, unplaced.memory), running.gpus + unplaced.gpus};
+}
+
+Resources SubmittedDemand(const PoolDemand& demand,
+                          const PoolPlanOptions& options) {
+  return {std::llround(options.headroom * demand.arriving_work.cpu *
+                       kMillicoresPerCore),
+          std::llround(options.headroom * demand.arriving_work.memory), 0};
 }
 
-std::vector<MachineMove> PlanMoves(
-    const std::vector<PoolMachine>& machines,
-    const std::map<std::string, PoolDemand>& pools,
-    const PoolPlanOptions& options,
-    base::TimePoint now) {
+PoolPlan PlanPools(const std::vector<PoolMachine>& machines,
+                   const std::map<std::string, PoolDemand>& pools,
+                   const PoolPlanOptions& options,
+                   base::TimePoint now) {
   return Planner(machines, pools, options, now).Plan();
 }
 
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -16,9 +16,11 @@
       wall.time_since_epoch());
 }
 
-// How long an AdmissionSnapshot is reused: a pool changes little in so short a
-// time, and each new snapshot visits all of its jobs.
-constexpr std::chrono::milliseconds kMaxSnapshotAge{20};
+// How long an AdmissionSnapshot is reused, at least and for each unfinished
+// job: a pool changes little in so short a time, and each new snapshot visits
+// all jobs.
+constexpr std::chrono::microseconds kMinSnapshotAge{20000};
+constexpr std::chrono::microseconds kSnapshotAgePerJob{25};
 
 // The result of a job has no value after this many times the time from its
 // first submission to its objective.
@@ -211,8 +213,11 @@
     const std::string& service,
     base::TimePoint now) {
   AdmissionSnapshot& snapshot = m_admission_snapshots[service];
+  const auto max_age = std::max<std::chrono::microseconds>(
+      kMinSnapshotAge,
+      kSnapshotAgePerJob * static_cast<std::int64_t>(m_unfinished.size()));
   if (snapshot.taken_at != base::TimePoint{} &&
-      now - snapshot.taken_at < kMaxSnapshotAge) {
+      now - snapshot.taken_at < max_age) {
     return snapshot;
   }
   snapshot = {};
@@ -236,6 +241,13 @@
       unplaced != m_unplaced.end()) {
     snapshot.free -= unplaced->second;
   }
+  snapshot.reachable = snapshot.pool;
+  if (const auto reachable = m_reachable_capacity.find(service);
+      reachable != m_reachable_capacity.end()) {
+    snapshot.reachable.cpu = std::max(snapshot.pool.cpu, reachable->second.cpu);
+    snapshot.reachable.memory =
+        std::max(snapshot.pool.memory, reachable->second.memory);
+  }
   return snapshot;
 }
 
@@ -245,6 +257,7 @@
   AdmissionInput input;
   input.backlog = snapshot.backlog;
   input.pool = snapshot.pool;
+  input.reachable = snapshot.reachable;
   const StepSpec& first = job.spec.steps.front();
   input.fits_now = Fits(CapacityNeed(first) * first.count, snapshot.free);
   input.critical_path = std::ranges::max(job.critical_paths);
@@ -513,19 +526,33 @@
 Scheduler::PoolLoads Scheduler::GetPoolLoads(base::TimePoint now) {
   PoolLoads pools;
   for (const auto& [id, worker] : m_workers) {
-    if (!worker.listed || worker.entry.draining || worker.cordoned ||
-        worker.silent) {
+    if (!worker.listed || worker.entry.draining || worker.silent) {
       continue;
     }
     PoolLoad& load = pools[worker.entry.service];
+    if (worker.cordoned) {
+      // Its finite tasks end there; those that follow them need as much.
+      load.used += worker.used - worker.long_running_used;
+      load.evacuating += worker.long_running_used;
+      continue;
+    }
     ++load.workers;
     load.capacity += worker.entry.capacity;
     load.used += worker.used;
     load.long_running_used += worker.long_running_used;
+    if (worker.long_running_runs > 0) {
+      load.long_running_capacity += worker.entry.capacity;
+    }
   }
   for (const auto& [service, need] : m_unplaced) {
     pools[service].unplaced = need;
   }
+  for (const auto& [service, need] : m_unplaced_long_running) {
+    pools[service].unplaced_long_running = need;
+  }
+  for (const auto& [service, need] : std::exchange(m_blocked_evacuations, {})) {
+    pools[service].unplaced_long_running += need;
+  }
   for (auto& [service, meter] : m_arrivals) {
     pools[service].arriving_work = meter.Rate(now);
   }
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -174,6 +174,7 @@
     }
   }
   m_unplaced.clear();
+  m_unplaced_long_running.clear();
   for (auto& [service, jobs] : waiting) {
     PlaceService(service, jobs, now);
   }
@@ -289,9 +290,10 @@
     may_reserve = kReservedForFinite - m_reserved_for_finite;
   }
   bool full = IsFull(CapacityNeed(spec), workers);
+  bool allowed = IsWithinLimit(job, spec.need);
+  std::int64_t unplaced = 0;
   for (const std::uint32_t index : step.waiting) {
     const TaskRef ref{&job, occurrence.number, step_number, index};
-    const bool allowed = IsWithinLimit(job, spec.need);
     // Its capacity is withheld on the only worker that may run it.
     const bool bound = IsBound(step.tasks[index]);
     WorkerState* worker = nullptr;
@@ -301,7 +303,7 @@
     }
     if (worker == nullptr) {
       if (allowed && !bound) {
-        m_unplaced[ServiceOf(job)] += CapacityNeed(spec);
+        ++unplaced;
         if (may_reserve > 0) {
           --may_reserve;
           m_reserved_for_finite += spec.long_running ? 0 : 1;
@@ -312,8 +314,16 @@
       continue;
     }
     BeginRun(ref, *worker, now);
+    allowed = IsWithinLimit(job, spec.need);
   }
   step.waiting = std::move(left);
+  if (unplaced > 0) {
+    const Resources need = CapacityNeed(spec) * unplaced;
+    m_unplaced[ServiceOf(job)] += need;
+    if (spec.long_running) {
+      m_unplaced_long_running[ServiceOf(job)] += need;
+    }
+  }
 }
 
 bool Scheduler::PlaceGang(Job& job,
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -160,6 +160,19 @@
   return unavailable;
 }
 
+bool Scheduler::HasRoomElsewhere(const TaskRef& ref,
+                                 const WorkerState& worker,
+                                 base::TimePoint now) const {
+  const Resources need = CapacityNeed(SpecOf(ref));
+  return std::ranges::any_of(m_workers, [&](const auto& entry) {
+    const WorkerState& other = entry.second;
+    return &other != &worker && other.entry.service == worker.entry.service &&
+           IsUsable(other, now) &&
+           Fits(other.used + need, other.entry.capacity) &&
+           IsEligible(other, ref, nullptr);
+  });
+}
+
 void Scheduler::Evacuate(const std::string& id, base::TimePoint now) {
   WorkerState* worker = FindWorker(id);
   if (worker == nullptr || !worker->has_reported || worker->silent) {
@@ -168,9 +181,14 @@
   for (const auto& [ref, number] : worker->runs) {
     Run* run = FindRun(ref, number);
     const StepSpec& spec = SpecOf(ref);
-    if (run != nullptr && spec.max_unavailable > 0 && IsServing(*run) &&
-        CountOtherUnavailable(ref) < spec.max_unavailable) {
+    if (run == nullptr || spec.max_unavailable == 0 || !IsServing(*run) ||
+        CountOtherUnavailable(ref) >= spec.max_unavailable) {
+      continue;
+    }
+    if (HasRoomElsewhere(ref, *worker, now)) {
       StopRun(ref, *run, StopReason::kEvacuated, now);
+    } else {
+      m_blocked_evacuations[worker->entry.service] += CapacityNeed(spec);
     }
   }
 }
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -599,6 +599,26 @@
   EXPECT_THAT(orders.stops, SizeIs(2));
 }
 
+// A wave ends a long-running task while every other worker is full of finite
+// work: it would not run again until that is done.
+TEST(EvacuationTest, LongRunningTaskStaysUntilThereIsRoomElsewhere) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.Submit("lasting", SchedulerBench::LongRunning(2, 1));
+  const auto started = bench.StepAndStart();
+  ASSERT_THAT(started, SizeIs(2));
+  bench.Report("a", bench.Listing("a"));
+  bench.GetScheduler().SetCordoned("a", true);
+  bench.GetScheduler().Evacuate("a", bench.Now());
+  EXPECT_THAT(bench.GetScheduler().TakeOrders().stops, IsEmpty());
+  // The pool planner is told.
+  const auto loads = bench.GetScheduler().GetPoolLoads(bench.Now());
+  EXPECT_GT(loads.begin()->second.unplaced_long_running.cpu, 0);
+  bench.AddWorker("b");
+  bench.GetScheduler().Evacuate("a", bench.Now());
+  EXPECT_THAT(bench.GetScheduler().TakeOrders().stops, SizeIs(1));
+}
+
 // At peak load a task of every job begins or ends between two commits. Only
 // what a caller or a start waits for is written at once.
 TEST(SchedulerRowsTest, UrgentBatchLeavesWhatMayWait) {
