Refuse malformed messages without ending the process

Cause, found by reading for the users' list of failures elsewhere: (1) an error answer quoted bytes of the request that need not be UTF-8; nlohmann::json then throws, and when the leader's answer comes over the network nobody catches it: the host ends. (2) cereal allocates as much as a length in the input says: a message of twelve bytes to the peer port could take all memory.

Change: invalid bytes are replaced; messages between hosts and rows are read by base::BoundedReader, which checks each length and reads cereal's format.

Tests: MalformedInputTest, seeded.

--- a/include/cassiastile/jobs/job_spec.hpp
+++ b/include/cassiastile/jobs/job_spec.hpp
@@ -11,6 +11,9 @@
 
 namespace cassiastile::jobs {
 
+// Limit on the memory that one job takes in the scheduler.
+inline constexpr std::size_t kMaxSteps = 256;
+
 // A step of a job: `count` tasks that do the same work on different data.
 struct StepSpec {
   std::uint32_t count = 1;
--- a/src/cassiastile/host/job_frontend.cpp
+++ b/src/cassiastile/host/job_frontend.cpp
@@ -68,7 +68,10 @@
 }
 
 HttpResponse AnswerError(int status, std::string_view error) {
-  return Answer(status, nlohmann::json{{"error", error}}.dump());
+  // The error may quote bytes of the request, which need not be UTF-8.
+  return Answer(status,
+                nlohmann::json{{"error", error}}.dump(
+                    -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 HttpResponse AnswerWithRetryAfter(int status,
--- /dev/null
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -0,0 +1,165 @@
+// One malformed message must not end a process.
+#include <gtest/gtest.h>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
+#include <sstream>
+
+#include "cassiastile/host/job_frontend.hpp"
+#include "cassiastile/host/peer_message.hpp"
+#include "cassiastile/host/settings.hpp"
+#include "cassiastile/jobs/duration_model.hpp"
+#include "cassiastile/jobs/job.hpp"
+#include "virtual_world_bench.hpp"
+
+namespace cassiastile::host {
+namespace {
+
+// Bytes that are `whole` with a few changes, cut, or random.
+std::string Garble(const std::string& whole, base::Random& random) {
+  constexpr std::size_t kMaxRandomBytes = 80;
+  std::string bytes = whole;
+  switch (random() % 3) {
+    case 0:
+      bytes.resize(random() % (whole.size() + 1));
+      break;
+    case 1:
+      for (int i = 0; i < 3 && !bytes.empty(); ++i) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+      break;
+    default:
+      bytes.assign(random() % kMaxRandomBytes, 0);
+      for (char& byte : bytes) {
+        byte = static_cast<char>(random());
+      }
+      break;
+  }
+  return bytes;
+}
+
+// A length of 16 GiB in a message of a few bytes: memory of that size would end
+// the process, before the message is found to be too short.
+TEST(MalformedInputTest, LengthBeyondTheMessageIsRefused) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(std::uint64_t{1} << 34U);
+  }
+  const std::string bytes = out.str() + "abc";
+  EXPECT_FALSE(DecodeGossipMessage(bytes));
+  EXPECT_FALSE(DecodeLeaderRecord(bytes));
+}
+
+TEST(MalformedInputTest, MessagesOfPeersAreReadOrRefused) {
+  GossipMessage gossip;
+  gossip.host = "host";
+  gossip.config = "configuration";
+  JobRequest request;
+  request.job = "5c0e7a21d94b36f8";
+  request.spec = "{}";
+  base::Random random(11);
+  constexpr int kMessages = 5000;
+  for (int i = 0; i < kMessages; ++i) {
+    static_cast<void>(DecodeGossipMessage(Garble(Encode(gossip), random)));
+    static_cast<void>(DecodeJobRequest(Garble(Encode(request), random)));
+    static_cast<void>(DecodeJobAnswer(Garble(Encode(JobAnswer{}), random)));
+    static_cast<void>(
+        DecodeLeaderRecord(Garble(Encode(LeaderRecord{}), random)));
+  }
+}
+
+TEST(MalformedInputTest, MessagesOfPeersAreReadAsWritten) {
+  GossipMessage gossip;
+  gossip.host = "host";
+  gossip.config_version = 7;
+  gossip.leader = {9, "leader", "leader:1"};
+  gossip.processor_share = 0.25;
+  gossip.store_reachable = true;
+  const auto read = DecodeGossipMessage(Encode(gossip));
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read->host, "host");
+  EXPECT_EQ(read->config_version, 7U);
+  EXPECT_EQ(read->leader.fence, 9U);
+  EXPECT_EQ(read->leader.endpoint, "leader:1");
+  EXPECT_EQ(read->processor_share, 0.25);
+  EXPECT_TRUE(read->store_reachable);
+  EXPECT_FALSE(read->is_leader);
+}
+
+TEST(MalformedInputTest, RowsOfTheStoreAreReadOrRefused) {
+  jobs::Job job;
+  job.id = "5c0e7a21d94b36f8";
+  job.queue = "queue";
+  job.spec.payload = "payload";
+  job.spec.steps.emplace_back().count = 3;
+  jobs::BeginOccurrence(job, 0);
+  jobs::DurationModel durations;
+  durations.Observe("queue", std::chrono::milliseconds(500),
+                    std::chrono::milliseconds(700));
+  base::Random random(12);
+  constexpr int kRows = 3000;
+  for (int i = 0; i < kRows; ++i) {
+    static_cast<void>(
+        jobs::DecodeRecord(job.id, Garble(jobs::EncodeRecord(job), random)));
+    jobs::Job read;
+    read.spec = job.spec;
+    static_cast<void>(
+        jobs::DecodeProgress(read, Garble(jobs::EncodeProgress(job), random)));
+    static_cast<void>(
+        jobs::DurationModel::Decode(Garble(durations.Encode(), random)));
+  }
+}
+
+TEST(MalformedInputTest, SettingsAreReadOrRefused) {
+  base::Random random(13);
+  constexpr int kTexts = 2000;
+  for (int i = 0; i < kTexts; ++i) {
+    static_cast<void>(ParseHostSettings(
+        Garble(R"({"host":"a","peer_port":7000,"stop_grace_s":6})", random)));
+  }
+}
+
+// A submission that is no JSON: the error quotes its bytes, which are not
+// UTF-8. The leader's answer arrives outside the request's handler, where an
+// exception would end the process.
+TEST(MalformedInputTest, ErrorThatQuotesBytesOfTheRequestIsAnswered) {
+  VirtualLoop loop;
+  HostMetrics metrics;
+  EventLog log(loop.GetClock(), "host", metrics,
+               [](std::string_view bytes) { return bytes.size(); });
+  JobFrontend frontend(
+      {}, loop, log,
+      [&loop](const JobRequest& request, std::chrono::milliseconds,
+              const std::function<void(JobAnswer)>& respond) {
+        loop.After(std::chrono::milliseconds(1),
+                   [respond, spec = request.spec] {
+                     respond({.kind = JobAnswerKind::kInvalid,
+                              .detail = "unexpected '" + spec + "'"});
+                   });
+      },
+      [] { return JobFrontend::LeaderView{}; });
+  auto config = std::make_shared<jobs::FleetConfig>();
+  config->queues.push_back({.name = "queue",
+                            .host = "host",
+                            .path_prefix = "/queue/",
+                            .service = "service",
+                            .open = true,
+                            .advice = {}});
+  config->BuildIndex();
+  frontend.ApplyConfig(config);
+  wire::HttpRequest request;
+  request.method = "POST";
+  request.path = "/queue/5c0e7a21d94b36f8";
+  request.headers.emplace_back("Host", "host");
+  request.body = "\xff\xfe{";
+  int status = 0;
+  frontend.Serve(request, [&status](const wire::HttpResponse& response) {
+    status = response.status;
+  });
+  loop.RunFor(std::chrono::milliseconds(10));
+  EXPECT_EQ(status, 400);
+}
+
+}  // namespace
+}  // namespace cassiastile::host
--- a/src/cassiastile/host/peer_message.cpp
+++ b/src/cassiastile/host/peer_message.cpp
@@ -6,6 +6,8 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 
+#include "cassiastile/base/bounded_reader.hpp"
+
 namespace cassiastile::host {
 
 namespace {
@@ -21,10 +23,9 @@
 template <typename Message>
 base::Result<Message> DecodeMessage(const std::string& bytes) {
   try {
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
+    base::BoundedReader reader(bytes);
     Message message;
-    archive(message);
+    reader(message);
     return message;
   } catch (const std::exception& error) {
     return base::Fail(
--- a/src/cassiastile/jobs/duration_model.cpp
+++ b/src/cassiastile/jobs/duration_model.cpp
@@ -8,6 +8,8 @@
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 
+#include "cassiastile/base/bounded_reader.hpp"
+
 namespace cassiastile::jobs {
 
 namespace {
@@ -90,14 +92,13 @@
 }
 
 base::Result<DurationModel> DurationModel::Decode(const std::string& bytes) {
-  std::istringstream stream(bytes);
   DurationModel model;
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    base::BoundedReader archive(bytes);
     std::uint8_t layout = 0;
     archive(layout);
     if (layout != kLayout) {
-      throw cereal::Exception("unknown layout");
+      throw std::invalid_argument("unknown layout");
     }
     archive(model.m_entries);
   } catch (const std::exception& error) {
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -11,6 +11,7 @@
 #include <cereal/types/vector.hpp>
 #include <msgpack.hpp>
 
+#include "cassiastile/base/bounded_reader.hpp"
 #include "cassiastile/jobs/job.hpp"
 
 namespace cassiastile::jobs {
@@ -56,6 +57,9 @@
   archive(spec.payload, spec.repeats, count);
   Visit(archive, spec.first_due);
   Visit(archive, spec.interval);
+  if (count > kMaxSteps) {
+    throw std::invalid_argument("too many steps");
+  }
   spec.steps.resize(count);
   for (StepSpec& step : spec.steps) {
     Visit(archive, step);
@@ -67,7 +71,7 @@
   std::uint8_t layout = kRecordLayout;
   archive(layout, job.queue, job.service, job.customer);
   if (layout != kRecordLayout) {
-    throw cereal::Exception("unknown layout");
+    throw std::invalid_argument("unknown layout");
   }
   Visit(archive, job.arrived_wall);
   Visit(archive, job.spec);
@@ -293,7 +297,7 @@
   }
 }
 
-void DecodeTask(cereal::PortableBinaryInputArchive& archive,
+void DecodeTask(base::BoundedReader& archive,
                 std::uint8_t layout,
                 Occurrence& occurrence) {
   std::uint32_t step = 0;
@@ -322,7 +326,7 @@
   }
 }
 
-void DecodeOccurrence(cereal::PortableBinaryInputArchive& archive,
+void DecodeOccurrence(base::BoundedReader& archive,
                       std::uint8_t layout,
                       Job& job) {
   std::uint32_t number = 0;
@@ -348,8 +352,7 @@
 base::Result<Job> DecodeRecord(const std::string& id,
                                const std::string& bytes) {
   try {
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
+    base::BoundedReader archive(bytes);
     Job job;
     job.id = id;
     VisitRecord(archive, job);
@@ -373,15 +376,14 @@
       UnpackProgress(job, bytes);
       return {};
     }
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
+    base::BoundedReader archive(bytes);
     std::uint8_t layout = 0;
     std::uint8_t phase = 0;
     std::uint32_t occurrences = 0;
     archive(layout, phase, job.started, job.next_occurrence,
             job.occurrences_done, occurrences);
     if (layout != kCerealProgressLayout && layout != kOldestProgressLayout) {
-      throw cereal::Exception("unknown layout");
+      throw std::invalid_argument("unknown layout");
     }
     job.phase = static_cast<JobPhase>(phase);
     job.stored_phase = job.phase;
--- a/src/cassiastile/jobs/job_spec.cpp
+++ b/src/cassiastile/jobs/job_spec.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 // Limits on the memory that one job takes in the scheduler.
-constexpr std::size_t kMaxSteps = 256;
 constexpr std::uint32_t kMaxTasksOfStep = 10000;
 constexpr std::uint32_t kMaxRepeats = 100000;
 
