Walk over workers and machines of a large fleet less often

Change: links and workers are walked together, links are pruned once a second, pools are planned every 220 ms at 1,100 machines.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -191,6 +191,7 @@
   std::map<std::string, jobs::WorkerEntry> m_worker_entries;
   std::uint64_t m_worker_feed_version = 0;
   std::map<std::string, Link> m_links;
+  base::TimePoint m_links_pruned_at{};
   // Callers to answer once the acceptance or the cancellation is stored, by
   // job.
   std::map<std::string, std::vector<Responder>> m_await_accept;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -24,6 +24,7 @@
 // A worker's clock is not extrapolated for longer than this, since it may be
 // slow and a lease would then end later than LeaseEnd allows for.
 constexpr std::chrono::milliseconds kMaxClockAge{2000};
+constexpr std::chrono::milliseconds kPruneInterval{1000};
 
 nlohmann::json DescribeRun(const jobs::WorkerId& worker,
                            const jobs::TaskId& task,
@@ -66,11 +67,19 @@
 
 void Dispatcher::PollWorkers() {
   const base::TimePoint now = m_loop.GetClock().Now();
+  // Both maps are in the order of ids, so no link is searched for.
+  auto position = m_links.begin();
   for (const auto& [id, worker] : m_scheduler.Workers()) {
     if (worker.entry.endpoint.empty() || worker.terminated) {
       continue;
     }
-    Link& link = m_links[id];
+    while (position != m_links.end() && position->first < id) {
+      ++position;
+    }
+    if (position == m_links.end() || position->first != id) {
+      position = m_links.emplace_hint(position, id, Link{});
+    }
+    Link& link = position->second;
     if (link.address.id != worker.entry.id ||
         link.address.endpoint != worker.entry.endpoint) {
       link.address = {worker.entry.id, worker.entry.endpoint,
@@ -91,6 +100,10 @@
       Extend(link, false);
     }
   }
+  if (now - m_links_pruned_at < kPruneInterval) {
+    return;
+  }
+  m_links_pruned_at = now;
   std::erase_if(m_links, [this](const auto& entry) {
     return !entry.second.polling && !entry.second.probing &&
            !m_scheduler.Workers().contains(entry.first);
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -15,7 +15,10 @@
 
 namespace {
 
+// A plan looks at all machines, so a large fleet is planned less often.
 constexpr std::chrono::milliseconds kPlanInterval{100};
+constexpr std::chrono::microseconds kPlanIntervalPerMachine{200};
+constexpr std::chrono::milliseconds kMaxPlanInterval{300};
 // Between reads of the machine list: while a wave or an order is open,
 // otherwise, and once after a worker did not answer.
 constexpr std::chrono::milliseconds kListInterval{500};
@@ -178,7 +181,10 @@
 
 void MachineController::Tick(bool may_order) {
   const base::TimePoint now = m_loop.GetClock().Now();
-  if (now - m_planned_at < kPlanInterval) {
+  const auto plan_interval = std::clamp<std::chrono::microseconds>(
+      kPlanIntervalPerMachine * static_cast<std::int64_t>(m_machines.size()),
+      kPlanInterval, kMaxPlanInterval);
+  if (now - m_planned_at < plan_interval) {
     return;
   }
   m_planned_at = now;
