--- a/include/cassiastile/jobs/fleet_config.hpp
+++ b/include/cassiastile/jobs/fleet_config.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -74,7 +75,8 @@
 
  private:
   std::unordered_map<std::string, std::size_t> m_customer_of_key;
-  std::unordered_map<std::string, std::size_t> m_queue_of_name;
+  std::map<std::string, std::size_t, std::less<>> m_queue_of_name;
+  std::map<std::string, std::size_t, std::less<>> m_customer_of_name;
 };
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -368,7 +368,7 @@
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
   void IndexMachines();
-  std::string ServiceOf(const Job& job) const;
+  const std::string& ServiceOf(const Job& job) const;
   const QueueConfig* QueueOf(const Job& job) const;
   bool IsBeyondShare(const std::string& customer, base::TimePoint now);
   AdmissionSnapshot& AdmissionSnapshotOf(const std::string& service,
@@ -512,13 +512,13 @@
 
   SchedulerOptions m_options;
   std::shared_ptr<const FleetConfig> m_config;
-  std::map<std::string, std::unique_ptr<Job>> m_jobs;
+  std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, Job*> m_unfinished;
   std::map<std::string, WorkerState> m_workers;
   // Ids of the workers known on each machine, listed or not.
   std::unordered_map<std::string, std::vector<std::string>>
       m_workers_on_machine;
-  std::map<std::string, Resources> m_used_by_customer;
+  std::unordered_map<std::string, Resources> m_used_by_customer;
   FirstArrivals m_first_arrivals;
   std::map<std::string, ArrivalMeter> m_customer_arrivals;
   std::map<std::string, ArrivalMeter> m_arrivals;         // By service.
--- a/src/cassiastile/jobs/fleet_config.cpp
+++ b/src/cassiastile/jobs/fleet_config.cpp
@@ -5,7 +5,7 @@
 namespace cassiastile::jobs {
 
 const QueueConfig* FleetConfig::FindQueue(std::string_view name) const {
-  const auto found = m_queue_of_name.find(std::string(name));
+  const auto found = m_queue_of_name.find(name);
   return found == m_queue_of_name.end() ? nullptr : &queues[found->second];
 }
 
@@ -15,8 +15,9 @@
 }
 
 const CustomerConfig* FleetConfig::FindCustomer(std::string_view name) const {
-  const auto found = std::ranges::find(customers, name, &CustomerConfig::name);
-  return found == customers.end() ? nullptr : &*found;
+  const auto found = m_customer_of_name.find(name);
+  return found == m_customer_of_name.end() ? nullptr
+                                           : &customers[found->second];
 }
 
 const QueueConfig* FleetConfig::Route(std::string_view host,
@@ -39,8 +40,10 @@
 
 void FleetConfig::BuildIndex() {
   m_customer_of_key.clear();
+  m_customer_of_name.clear();
   m_queue_of_name.clear();
   for (std::size_t i = 0; i < customers.size(); ++i) {
+    m_customer_of_name.emplace(customers[i].name, i);
     for (const std::string& key : customers[i].keys) {
       m_customer_of_key.emplace(key, i);
     }
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -118,7 +118,7 @@
   return m_config->FindQueue(job.queue);
 }
 
-std::string Scheduler::ServiceOf(const Job& job) const {
+const std::string& Scheduler::ServiceOf(const Job& job) const {
   const QueueConfig* queue = QueueOf(job);
   return queue == nullptr ? job.service : queue->service;
 }
--- a/src/cassiastile/standin/backend.cpp
+++ b/src/cassiastile/standin/backend.cpp
@@ -203,13 +203,23 @@
     return received;
   }
 
-  // Frees the slot of a request when it goes out of scope.
-  struct WorkGuard {
-    Impl& backend;
-    explicit WorkGuard(Impl& owner) : backend(owner) {}
+  // Frees the slot of a request once, when its work ends or when it goes out of
+  // scope.
+  class WorkGuard {
+   public:
+    explicit WorkGuard(Impl& owner) : m_backend(&owner) {}
     WorkGuard(const WorkGuard&) = delete;
     WorkGuard& operator=(const WorkGuard&) = delete;
-    ~WorkGuard() { backend.EndWork(); }
+    ~WorkGuard() { End(); }
+
+    void End() {
+      if (Impl* backend = std::exchange(m_backend, nullptr)) {
+        backend->EndWork();
+      }
+    }
+
+   private:
+    Impl* m_backend;
   };
 
   // Answers a request. Returns false when the connection must be closed.
@@ -221,13 +231,14 @@
       return Write(socket, FormatResponse("", HandleAdminRequest(received)));
     }
     const BackendFault fault = StartWork(received);
-    const WorkGuard end(*this);
-    return Work(socket, received, fault);
+    WorkGuard guard(*this);
+    return Work(socket, received, fault, guard);
   }
 
   bool Work(tcp::socket& socket,
             const ReceivedRequest& received,
-            BackendFault fault) {
+            BackendFault fault,
+            WorkGuard& guard) {
     const std::chrono::milliseconds stop(
         ParseNumberOr(wire::FindHeader(received.headers, "Request-Timeout-Ms"),
                       std::chrono::milliseconds(kDefaultTimeout).count()));
@@ -240,6 +251,8 @@
       Reset(socket);
     }
     Wait(fault == BackendFault::kLate ? stop + kLateness : service);
+    // The caller may send the next request as soon as it has the answer.
+    guard.End();
     const std::string id =
         wire::FindHeader(received.headers, "X-Request-Id").value_or("");
     if (fault == BackendFault::kNone || fault == BackendFault::kLate) {
