--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -44,8 +44,7 @@
   std::chrono::milliseconds keep_finished{120000};
   // How long a machine order of a previous leader may still be in flight.
   std::chrono::milliseconds machine_order_lease{3000};
-  // Fleets of fewer workers are called by the leader itself. Not read from the
-  // settings file.
+  // Fleets of fewer workers are called by the leader itself. May be missing.
   std::size_t min_relayed_workers = 100;
   double processor_share = 1.0;  // Of one core.
 
--- a/include/cassiastile/soak/soak.hpp
+++ b/include/cassiastile/soak/soak.hpp
@@ -18,6 +18,8 @@
   FaultPlan faults;  // If empty, the plan is made from the seed.
   std::string host_program;
   std::string folder;  // For settings, logs and the plan; must exist.
+  // From how many workers on other hosts relay the leader's calls.
+  std::size_t min_relayed_workers = 100;
   // Submissions per second over all services.
   double jobs_per_second = 8;
   // How long accepted jobs may take to be done after all faults have ended.
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -80,6 +80,9 @@
                               "processes of cassia-host")(
       "workers", po::value(&options.plan.workers)->default_value(10),
       "workers that run tasks")(
+      "min-relayed-workers",
+      po::value(&options.min_relayed_workers)->default_value(100),
+      "from how many workers on other hosts relay the leader's calls")(
       "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
       "hand-ins of the callers")(
       "plan", po::value(&plan_file),
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -16,6 +16,7 @@
 using std::chrono::milliseconds;
 using testing::AnyOf;
 using testing::Each;
+using testing::Gt;
 using testing::HasSubstr;
 using testing::IsEmpty;
 using testing::Not;
@@ -235,6 +236,55 @@
   EXPECT_EQ(world.ConfigsFromPeers(), 0U);
 }
 
+// A key may have been withdrawn while the host was down. It takes no request
+// before it has a configuration, and the first one that it gets is the newest.
+TEST(HostNodeTest, RestartedHostStartsWithTheNewestConfiguration) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::uint64_t first = world.ConfigVersionOf(2);
+  world.KillHost(2);
+  world.PublishNextConfig();
+  world.RunFor(milliseconds(1000));
+  world.StartHost(2);
+  for (int i = 0; i < 200; ++i) {
+    world.RunFor(milliseconds(10));
+    const std::uint64_t version = world.ConfigVersionOf(2);
+    ASSERT_TRUE(version == 0 || version > first) << version;
+  }
+  EXPECT_GT(world.ConfigVersionOf(2), first);
+}
+
+TEST(HostNodeTest, RestartedHostWithoutStoreAccessGetsTheNewestConfiguration) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::uint64_t first = world.ConfigVersionOf(2);
+  world.KillHost(2);
+  world.PublishNextConfig();
+  world.RunFor(milliseconds(1000));
+  world.Faults().hosts_without_store = {"host-2"};
+  world.StartHost(2);
+  world.RunFor(milliseconds(3000));
+  EXPECT_THAT(world.ConfigVersionOf(2), AnyOf(0U, Gt(first)));
+}
+
+TEST(HostNodeTest, NewLeaderDoesNotUseAWorkerThatHasLeft) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  const std::string gone = world.WorkerIds().front();
+  world.CrashWorker(gone, milliseconds(60000));
+  world.RunFor(milliseconds(8000));
+  world.KillHost(*world.LeaderIndex());
+  world.RunFor(milliseconds(4000));
+  ASSERT_TRUE(world.LeaderIndex().has_value());
+  const auto& workers = world.LeaderScheduler().Workers();
+  const auto found = workers.find(gone);
+  EXPECT_TRUE(found == workers.end() || !found->second.listed);
+  const std::string job = world.Submit(0, 1, 8, milliseconds(300));
+  world.RunFor(milliseconds(2000));
+  EXPECT_EQ(world.CountDoneTasks(job), 8U);
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
 TEST(HostNodeTest, LostWorkersTasksStartElsewhere) {
   VirtualWorld world;
   world.RunFor(kSettled);
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -120,6 +120,26 @@
   }
 }
 
+TEST(HostSettingsTest, NumberOfRelayedWorkersMayBeMissingButNotWrong) {
+  const std::string rest =
+      R"("host":"a","availability_zone":"z","address":"127.0.0.1",
+         "peer_port":7000,"metrics_port":7001,"client_endpoint":"127.0.0.1:1",
+         "ready_endpoint":"127.0.0.1:2","table_endpoint":"127.0.0.1:3",
+         "machines_endpoint":"127.0.0.1:4","advice_endpoint":"",
+         "max_worker_lease_ms":10000,"stop_grace_s":6,"finished_state_s":120,
+         "machine_order_lease_ms":3000,"processor_share":0.5})";
+  const auto missing = ParseHostSettings("{" + rest);
+  ASSERT_TRUE(missing.has_value()) << missing.error().message;
+  EXPECT_EQ(missing->min_relayed_workers, 100U);
+  EXPECT_EQ(ParseHostSettings(R"({"min_relayed_workers":7,)" + rest)
+                ->min_relayed_workers,
+            7U);
+  const auto wrong = ParseHostSettings(R"({"min_relayed_workers":-1,)" + rest);
+  ASSERT_FALSE(wrong.has_value());
+  EXPECT_EQ(wrong.error().message,
+            "min_relayed_workers must be a whole number, 0 or more");
+}
+
 // A submission that is no JSON: the error quotes its bytes, which are not
 // UTF-8. The leader's answer arrives outside the request's handler, where an
 // exception would end the process.
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -81,6 +81,19 @@
     return true;
   }
 
+  // Reads a whole number that may be missing.
+  void OptionalCount(const char* name, std::size_t& value) {
+    const auto found = m_json.find(name);
+    if (found == m_json.end()) {
+      return;
+    }
+    if (found->is_number_unsigned()) {
+      value = found->get<std::size_t>();
+    } else {
+      AddError(name, "must be a whole number, 0 or more");
+    }
+  }
+
   const std::string& Errors() const { return m_errors; }
 
  private:
@@ -150,6 +163,7 @@
   reader.Time("machine_order_lease_ms", kMillisecond,
               settings.machine_order_lease);
   reader.Number("processor_share", settings.processor_share);
+  reader.OptionalCount("min_relayed_workers", settings.min_relayed_workers);
   if (!reader.Errors().empty()) {
     return base::Fail(base::ErrorCode::kInvalid, reader.Errors());
   }
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -191,7 +191,8 @@
       {"max_worker_lease_ms", 10000},
       {"stop_grace_s", 6},
       {"finished_state_s", kFinishedStateSeconds + host.reloads},
-      {"machine_order_lease_ms", 3000}};
+      {"machine_order_lease_ms", 3000},
+      {"min_relayed_workers", m_options.min_relayed_workers}};
   std::ofstream(host.settings_path) << settings.dump(2) << "\n";
 }
 
