--- a/include/cassiastile/host/event_log.hpp
+++ b/include/cassiastile/host/event_log.hpp
@@ -31,6 +31,11 @@
   // Buffers a line with `fields`, the time, the host and the event's name, and
   // counts it in the metrics. `fields` must be an object.
   void Write(std::string_view event, nlohmann::json fields);
+  // The same for lines that are written for each run of a large fleet.
+  // `members` are the fields as JSON text without braces, see QuoteJson.
+  void WriteMembers(std::string_view event,
+                    std::string_view outcome,
+                    std::string_view members);
   // Passes the buffered lines to the sink; call it a few times a second.
   void Flush();
   HostMetrics& Metrics() { return m_metrics; }
@@ -38,8 +43,13 @@
   std::uint64_t Dropped() const { return m_dropped; }
 
  private:
+  // Whether a line has room; counts it as dropped otherwise.
+  bool HasRoom();
+  // Begins a line with the time, the host and the event's name.
+  void BeginLine(std::string_view event);
+
   const base::Clock& m_clock;
-  std::string m_host;
+  std::string m_quoted_host;
   HostMetrics& m_metrics;
   Sink m_sink;
   std::string m_buffer;
@@ -47,6 +57,9 @@
   std::uint64_t m_dropped_logged = 0;
 };
 
+// A JSON string with this text; bytes that are not UTF-8 are replaced.
+std::string QuoteJson(std::string_view text);
+
 // Returns a sink for standard output and makes that descriptor non-blocking.
 EventLog::Sink StandardOutputSink();
 
--- a/include/cassiastile/host/host_metrics.hpp
+++ b/include/cassiastile/host/host_metrics.hpp
@@ -2,10 +2,10 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/wire/metrics.hpp"
@@ -37,7 +37,10 @@
 
  private:
   wire::Metrics m_metrics;
-  std::map<std::pair<std::string, std::string>, prometheus::Counter*>
+  // By event and outcome.
+  std::map<std::string,
+           std::map<std::string, prometheus::Counter*, std::less<>>,
+           std::less<>>
       m_counters;
   std::array<prometheus::Histogram*, 5> m_histograms{};
   prometheus::Gauge* m_processor = nullptr;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -1,6 +1,7 @@
 // Dispatcher: calls to workers.
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "cassiastile/host/dispatcher.hpp"
@@ -36,6 +37,16 @@
           {"born", worker.incarnation_ms}};
 }
 
+// The same as the text of JSON members, for lines of each run.
+std::string DescribeRunAsText(const jobs::WorkerId& worker,
+                              const jobs::TaskId& task,
+                              std::uint32_t run) {
+  return fmt::format(
+      R"("job":{},"task":[{},{},{}],"run":{},"worker":{},"born":{})",
+      QuoteJson(task.job), task.occurrence, task.step, task.index, run,
+      QuoteJson(worker.id), worker.incarnation_ms);
+}
+
 nlohmann::json DescribeDrop(const jobs::DroppedRun& drop) {
   nlohmann::json line = DescribeRun(drop.worker, drop.task, drop.run);
   line["reason"] = base::FindName(jobs::kDropReasonNames, drop.reason);
@@ -236,10 +247,13 @@
     const auto worker = m_scheduler.Workers().find(id);
     if (worker != m_scheduler.Workers().end() &&
         end.sequence > worker->second.last_end) {
-      nlohmann::json line =
-          DescribeRun({id, result->incarnation_ms}, end.task, end.run);
-      line["how"] = base::FindName(jobs::kRunEndNames, end.how);
-      m_log.Write("run.ended", std::move(line));
+      const std::string_view how = base::FindName(jobs::kRunEndNames, end.how);
+      m_log.WriteMembers(
+          "run.ended", how,
+          fmt::format(R"({},"how":"{}")",
+                      DescribeRunAsText({id, result->incarnation_ms}, end.task,
+                                        end.run),
+                      how));
     }
   }
   m_scheduler.WorkerReported(id, *result, asked_at, now);
@@ -320,14 +334,17 @@
       link.address, order, FencingToken(), until,
       m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
                         run = order.run](jobs::StartResult result) {
-        nlohmann::json line = DescribeRun(worker, task, run);
-        line["result"] = base::FindName(jobs::kStartResultNames, result);
+        const std::string_view name =
+            base::FindName(jobs::kStartResultNames, result);
+        std::string line = fmt::format(
+            R"({},"result":"{}")", DescribeRunAsText(worker, task, run), name);
         const base::TimePoint answered = m_loop.GetClock().Now();
         const jobs::Job* job = m_scheduler.FindJob(task.job);
         if (job != nullptr) {
-          line["age_ms"] = base::Milliseconds(answered - job->arrived_at);
+          line += fmt::format(R"(,"age_ms":{})",
+                              base::Milliseconds(answered - job->arrived_at));
         }
-        m_log.Write("run.start", std::move(line));
+        m_log.WriteMembers("run.start", name, line);
         m_log.Metrics().Observe(Latency::kStart, answered - now);
         if (job != nullptr && !job->started) {
           m_log.Metrics().Observe(Latency::kFirstStart,
--- a/src/cassiastile/host/event_log.cpp
+++ b/src/cassiastile/host/event_log.cpp
@@ -1,8 +1,8 @@
 #include "cassiastile/host/event_log.hpp"
 
-#include <utility>
-
+#include <algorithm>
 #include <climits>
+#include <utility>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -34,29 +34,62 @@
                    HostMetrics& metrics,
                    Sink sink)
     : m_clock(clock),
-      m_host(std::move(host)),
+      m_quoted_host(QuoteJson(host)),
       m_metrics(metrics),
       m_sink(std::move(sink)) {}
 
-void EventLog::Write(std::string_view event, nlohmann::json fields) {
-  m_metrics.Count(event, OutcomeOf(fields));
+bool EventLog::HasRoom() {
   if (m_buffer.size() > kMaxBufferedBytes) {
     ++m_dropped;
-    return;
+    return false;
   }
   if (m_dropped_logged != m_dropped) {
     const std::uint64_t lost = m_dropped - m_dropped_logged;
     m_dropped_logged = m_dropped;
     Write("log.dropped", {{"lines", lost}});
   }
-  fields["at"] = base::FormatWallTime(m_clock.WallNow());
-  fields["host"] = m_host;
-  fields["event"] = event;
-  m_buffer +=
+  return true;
+}
+
+void EventLog::BeginLine(std::string_view event) {
+  m_buffer += R"({"at":")";
+  m_buffer += base::FormatWallTime(m_clock.WallNow());
+  m_buffer += R"(","host":)";
+  m_buffer += m_quoted_host;
+  m_buffer += R"(,"event":)";
+  m_buffer += QuoteJson(event);
+}
+
+void EventLog::Write(std::string_view event, nlohmann::json fields) {
+  m_metrics.Count(event, OutcomeOf(fields));
+  if (!HasRoom()) {
+    return;
+  }
+  BeginLine(event);
+  if (fields.empty()) {
+    m_buffer += "}\n";
+    return;
+  }
+  const std::string text =
       fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  m_buffer += ',';
+  m_buffer.append(text, 1);
   m_buffer += '\n';
 }
 
+void EventLog::WriteMembers(std::string_view event,
+                            std::string_view outcome,
+                            std::string_view members) {
+  m_metrics.Count(event, outcome);
+  if (!HasRoom()) {
+    return;
+  }
+  BeginLine(event);
+  m_buffer += ',';
+  m_buffer += members;
+  m_buffer += "}\n";
+}
+
 void EventLog::Flush() {
   if (m_buffer.empty()) {
     return;
@@ -64,6 +97,22 @@
   m_buffer.erase(0, m_sink(m_buffer));
 }
 
+std::string QuoteJson(std::string_view text) {
+  const bool is_plain = std::ranges::all_of(text, [](char each) {
+    return (each >= 'a' && each <= 'z') || (each >= 'A' && each <= 'Z') ||
+           (each >= '0' && each <= '9') || each == '-' || each == '.' ||
+           each == '_' || each == ':' || each == ' ';
+  });
+  if (is_plain) {
+    std::string quoted = "\"";
+    quoted += text;
+    quoted += '"';
+    return quoted;
+  }
+  return nlohmann::json(text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
 EventLog::Sink StandardOutputSink() {
   const int flags = fcntl(STDOUT_FILENO, F_GETFL);
   if (flags >= 0) {
--- a/src/cassiastile/host/event_log_test.cpp
+++ b/src/cassiastile/host/event_log_test.cpp
@@ -70,5 +70,13 @@
   EXPECT_THAT(m_written, Not(HasSubstr("\xff")));
 }
 
+// Ids come from outside; a line must stay one JSON object whatever they hold.
+TEST(QuoteJsonTest, AnyBytesMakeAString) {
+  EXPECT_EQ(QuoteJson("i-b5cf.1"), R"("i-b5cf.1")");
+  EXPECT_EQ(QuoteJson("a\"b\\c\n"), R"("a\"b\\c\n")");
+  const auto read = nlohmann::json::parse(QuoteJson("\xff{"), nullptr, false);
+  EXPECT_TRUE(read.is_string());
+}
+
 }  // namespace
 }  // namespace cassiastile::host
--- a/src/cassiastile/host/host_metrics.cpp
+++ b/src/cassiastile/host/host_metrics.cpp
@@ -47,13 +47,18 @@
 }
 
 void HostMetrics::Count(std::string_view event, std::string_view outcome) {
-  auto& counter = m_counters[{std::string(event), std::string(outcome)}];
-  if (counter == nullptr) {
-    counter = &m_metrics.Counter(
+  auto of_event = m_counters.find(event);
+  if (of_event == m_counters.end()) {
+    of_event = m_counters.emplace(event, decltype(of_event->second){}).first;
+  }
+  auto found = of_event->second.find(outcome);
+  if (found == of_event->second.end()) {
+    prometheus::Counter& counter = m_metrics.Counter(
         "cassia_events_total", "Lines of the event log by event and outcome.",
         {{"event", std::string(event)}, {"outcome", std::string(outcome)}});
+    found = of_event->second.emplace(outcome, &counter).first;
   }
-  counter->Increment();
+  found->second->Increment();
 }
 
 void HostMetrics::Observe(Latency latency, base::Duration duration) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -20,7 +20,7 @@
 // job: a pool changes little in so short a time, and each new snapshot visits
 // all jobs.
 constexpr std::chrono::microseconds kMinSnapshotAge{20000};
-constexpr std::chrono::microseconds kSnapshotAgePerJob{25};
+constexpr std::chrono::microseconds kSnapshotAgePerJob{40};
 
 // After which time a pool has the machines that it could get from others: their
 // tasks end, they are moved, and they report.
