--- a/include/cassiastile/host/event_log.hpp
+++ b/include/cassiastile/host/event_log.hpp
@@ -24,13 +24,13 @@
 
   // `clock` and `metrics` must outlive the log.
   EventLog(const base::Clock& clock,
-           std::string host,
+           std::string_view host,
            HostMetrics& metrics,
            Sink sink);
 
   // Buffers a line with `fields`, the time, the host and the event's name, and
   // counts it in the metrics. `fields` must be an object.
-  void Write(std::string_view event, nlohmann::json fields);
+  void Write(std::string_view event, const nlohmann::json& fields);
   // The same for lines that are written for each run of a large fleet.
   // `members` are the fields as JSON text without braces, see QuoteJson.
   void WriteMembers(std::string_view event,
--- a/include/cassiastile/host/relay_message.hpp
+++ b/include/cassiastile/host/relay_message.hpp
@@ -116,10 +116,10 @@
 struct RelayReply {
   RelayVerdict verdict = RelayVerdict::kExpired;
   std::string incarnation;
-  std::int64_t clock_ms = 0;  // The relay's steady clock.
+  std::int64_t steady_ms = 0;  // The relay's steady clock.
   std::string availability_zone;
 
-  MSGPACK_DEFINE(verdict, incarnation, clock_ms, availability_zone);
+  MSGPACK_DEFINE(verdict, incarnation, steady_ms, availability_zone);
 };
 
 // A jobs::ListedRun.
@@ -148,12 +148,12 @@
   std::int64_t incarnation_ms = 0;
   // The worker's clock. The report is as old as it takes to arrive, so the
   // leader reads the clock as earlier than it is, and leases end no later.
-  std::int64_t clock_ms = 0;
+  std::int64_t steady_ms = 0;
   bool ends_cut = false;
   std::vector<RelayedListedRun> running;
   std::vector<RelayedEnd> ended;
 
-  MSGPACK_DEFINE(call, incarnation_ms, clock_ms, ends_cut, running, ended);
+  MSGPACK_DEFINE(call, incarnation_ms, steady_ms, ends_cut, running, ended);
 };
 
 // A WorkerCallFailure, the outcome of an extension.
--- a/include/cassiastile/host/relayed_workers.hpp
+++ b/include/cassiastile/host/relayed_workers.hpp
@@ -89,7 +89,7 @@
     std::string availability_zone;
     std::string incarnation;  // Empty until it has answered.
     // Its clock, and our time when it was received.
-    std::int64_t clock_ms = 0;
+    std::int64_t steady_ms = 0;
     base::TimePoint clock_at{};
     base::TimePoint asked_at{};
     bool is_asking = false;
--- a/include/cassiastile/host/worker_relay.hpp
+++ b/include/cassiastile/host/worker_relay.hpp
@@ -46,7 +46,7 @@
   // yet. Another incarnation may answer the next one, and must get no
   // acknowledgement of ends that it did not list.
   bool MayHaveRestarted(const std::string& worker) const;
-  RelayVerdict Check(const RelayBatch& batch, std::int64_t clock_ms) const;
+  RelayVerdict Check(const RelayBatch& batch, std::int64_t steady_ms) const;
   void Carry(const RelayBatch& batch);
   // The outbox of the leader with this fencing token, which will be sent soon;
   // null if there is another leader by now.
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -374,7 +374,7 @@
   }
   nlohmann::json line = DescribeRun(order.worker, order.task, order.run);
   line["reason"] = base::FindName(jobs::kStopReasonNames, order.reason);
-  m_log.Write("run.stop", std::move(line));
+  m_log.Write("run.stop", line);
   m_workers.Stop(found->second.address, order, FencingToken(),
                  m_lifetime.Guard([this, order](bool answered) {
                    if (answered) {
--- a/src/cassiastile/host/event_log.cpp
+++ b/src/cassiastile/host/event_log.cpp
@@ -30,7 +30,7 @@
 }  // namespace
 
 EventLog::EventLog(const base::Clock& clock,
-                   std::string host,
+                   std::string_view host,
                    HostMetrics& metrics,
                    Sink sink)
     : m_clock(clock),
@@ -60,7 +60,7 @@
   m_buffer += QuoteJson(event);
 }
 
-void EventLog::Write(std::string_view event, nlohmann::json fields) {
+void EventLog::Write(std::string_view event, const nlohmann::json& fields) {
   m_metrics.Count(event, OutcomeOf(fields));
   if (!HasRoom()) {
     return;
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -41,7 +41,7 @@
 jobs::WorkerReport ReportOf(const RelayedReport& relayed) {
   jobs::WorkerReport report;
   report.incarnation_ms = relayed.incarnation_ms;
-  report.clock = std::chrono::milliseconds(relayed.clock_ms);
+  report.clock = std::chrono::milliseconds(relayed.steady_ms);
   report.ends_cut = relayed.ends_cut;
   for (const RelayedListedRun& run : relayed.running) {
     report.running.push_back(
@@ -302,7 +302,7 @@
   batch.relay_incarnation = relay.incarnation;
   // The relay's clock was read before its answer came, so it is at least this
   // far by now.
-  batch.valid_until_ms = relay.clock_ms +
+  batch.valid_until_ms = relay.steady_ms +
                          base::Milliseconds(now - relay.clock_at) +
                          kMaxRelayDelay.count();
   batch.collect_ms = m_collect.count();
@@ -335,7 +335,7 @@
   }
   relay.availability_zone = reply->availability_zone;
   if (relay.clock_at == base::TimePoint{} || sent_at > relay.clock_at) {
-    relay.clock_ms = reply->clock_ms;
+    relay.steady_ms = reply->steady_ms;
     relay.clock_at = m_loop.GetClock().Now();
   }
   if (reply->verdict != RelayVerdict::kTaken) {
--- a/src/cassiastile/host/worker_relay.cpp
+++ b/src/cassiastile/host/worker_relay.cpp
@@ -25,7 +25,7 @@
   RelayedReport relayed;
   relayed.call = call;
   relayed.incarnation_ms = report.incarnation_ms;
-  relayed.clock_ms = report.clock.count();
+  relayed.steady_ms = report.clock.count();
   relayed.ends_cut = report.ends_cut;
   for (const jobs::ListedRun& run : report.running) {
     relayed.running.push_back(
@@ -61,9 +61,9 @@
   RelayReply reply;
   reply.incarnation = m_identity.incarnation;
   reply.availability_zone = m_identity.availability_zone;
-  reply.clock_ms =
+  reply.steady_ms =
       base::Milliseconds(m_loop.GetClock().Now().time_since_epoch());
-  reply.verdict = Check(batch, reply.clock_ms);
+  reply.verdict = Check(batch, reply.steady_ms);
   if (reply.verdict == RelayVerdict::kTaken) {
     if (batch.fence != m_highest_fence) {
       m_highest_fence = batch.fence;
@@ -79,22 +79,22 @@
     m_log.Write("relay.refused",
                 {{"fence", batch.fence},
                  {"highest_fence", m_highest_fence},
-                 {"late_ms", reply.clock_ms - batch.valid_until_ms},
+                 {"late_ms", reply.steady_ms - batch.valid_until_ms},
                  {"verdict", static_cast<int>(reply.verdict)}});
   }
   return reply;
 }
 
 RelayVerdict WorkerRelay::Check(const RelayBatch& batch,
-                                std::int64_t clock_ms) const {
+                                std::int64_t steady_ms) const {
   if (batch.fence < m_highest_fence) {
     return RelayVerdict::kFenced;
   }
   if (batch.relay_incarnation != m_identity.incarnation) {
     return RelayVerdict::kOtherIncarnation;
   }
-  return clock_ms > batch.valid_until_ms ? RelayVerdict::kExpired
-                                         : RelayVerdict::kTaken;
+  return steady_ms > batch.valid_until_ms ? RelayVerdict::kExpired
+                                          : RelayVerdict::kTaken;
 }
 
 bool WorkerRelay::MayHaveRestarted(const std::string& worker) const {
