Count what an order is about to end as unavailable until it has ended

Its tasks were marked as unavailable when it was decided, but the worker's next report marked them as serving again, and another task of the step was evacuated on the strength of that: four away where three may be.

Change: the worker is marked, not its runs, until its machine is released or another incarnation is there.

Test: EvacuationTest.MachineAboutToBeEndedDoesNotCountAsServing, failed before.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -153,6 +153,9 @@
   bool silent = false;      // Did not answer the last call, or was terminated.
   // Gets no new tasks, since it is about to be moved or maintained.
   bool cordoned = false;
+  // Its runs are about to be ended by an order that may not have been sent yet.
+  // Until then it reports them as serving, which they do not count as.
+  bool is_ending = false;
   bool wants_report = false;  // A report is needed to settle a run.
 
   // Add a run of a step to the capacity in use, and remove it.
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -42,7 +42,7 @@
 constexpr std::chrono::milliseconds kLoadLogInterval{1000};
 // From the order to move a machine until its new worker is listed and has
 // reported, where the move itself takes 1.5 s; a later one counts as due next.
-constexpr std::chrono::milliseconds kExpectedMoveTime{2000};
+constexpr std::chrono::milliseconds kExpectedMoveTime{1700};
 constexpr std::chrono::milliseconds kArrivalStep{200};
 // A pool that uses more than this share of its processor capacity needs all of
 // its machines.
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -143,6 +143,7 @@
       worker.has_reported = false;
       worker.listed_since = now;
       worker.cordoned = false;
+      worker.is_ending = false;
       worker.terminated = false;
     }
     worker.entry = entry;
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -31,7 +31,7 @@
   const auto worker = m_workers.find(run.worker.id);
   return run.phase == RunPhase::kRunning &&
          run.serving_since != base::TimePoint{} && worker != m_workers.end() &&
-         !worker->second.silent;
+         !worker->second.silent && !worker->second.is_ending;
 }
 
 void Scheduler::SuperviseRuns(base::TimePoint now) {
@@ -129,6 +129,7 @@
 void Scheduler::SetCordoned(const std::string& id, bool cordoned) {
   if (WorkerState* worker = FindWorker(id)) {
     worker->cordoned = cordoned;
+    worker->is_ending = worker->is_ending && cordoned;
   }
 }
 
@@ -139,6 +140,7 @@
     return;
   }
   worker->cordoned = true;
+  worker->is_ending = true;
   for (const auto& [ref, number] : worker->runs) {
     Run* run = FindRun(ref, number);
     if (run != nullptr && run->serving_since != base::TimePoint{}) {
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -599,6 +599,28 @@
   EXPECT_THAT(orders.stops, SizeIs(2));
 }
 
+// An order to maintain a machine is stored before it is sent. Meanwhile its
+// worker reports its tasks as serving, and another machine must not be ended on
+// the strength of that. Replayed from trouble-2 of the large site.
+TEST(EvacuationTest, MachineAboutToBeEndedDoesNotCountAsServing) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  bench.AddWorker("b");
+  bench.Submit("lasting", SchedulerBench::LongRunning(2, 1));
+  JobSpec spread = SchedulerBench::LongRunning(2, 1);
+  spread.steps[0].max_per_worker = 1;
+  bench.Submit("spread", spread);
+  bench.StepAndStart();
+  bench.Report("a", bench.Listing("a"));
+  bench.Report("b", bench.Listing("b"));
+  Scheduler& scheduler = bench.GetScheduler();
+  const std::string machine = scheduler.FindWorker("b")->entry.machine;
+  ASSERT_TRUE(scheduler.CanDrainMachine(machine));
+  scheduler.CordonAndMarkUnavailable("a", bench.Now());
+  bench.Report("a", bench.Listing("a"));
+  EXPECT_FALSE(scheduler.CanDrainMachine(machine));
+}
+
 // A wave ends a long-running task while every other worker is full of finite
 // work: it would not run again until that is done.
 TEST(EvacuationTest, LongRunningTaskStaysUntilThereIsRoomElsewhere) {
