--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -135,6 +135,9 @@
   void StoreDurations();
   void CommitPending();
   void HandleCommitted(const jobs::Batch& batch);
+  // Logs a commit of rows taken at `taken_at` if it was slow or others wait.
+  void LogSlowCommit(std::size_t rows, base::TimePoint taken_at);
+  void LogStalledTasks();
   void LogAccepted(const std::string& id);
   void LogFinished(const std::string& id, jobs::JobPhase phase);
   void LoseLeadership();
@@ -199,6 +202,8 @@
   base::TimePoint m_last_commit_at{};
   // When a commit last left no row to write.
   base::TimePoint m_last_full_commit_at{};
+  base::TimePoint m_slow_commit_logged_at{};
+  base::TimePoint m_stalls_logged_at{};
   // Rows of the machine controller and of learnt durations for the next commit,
   // with callbacks that run once they are stored.
   std::vector<std::pair<Row, std::function<void()>>> m_pending_rows;
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -61,6 +61,7 @@
   // Whether this incarnation of the worker has listed it. Until then a later
   // incarnation may have carried its start out, or may do so.
   bool listed = false;
+  base::TimePoint placed_at{};  // Zero for a recovered run.
   // When it was placed, or a start, stop or pace order was last given.
   base::TimePoint ordered_at{};
   // When the start was ordered; a takeover counts as such a time.
@@ -110,6 +111,9 @@
   DropReason drop_reason = DropReason::kNone;
   // When a long-running task stopped serving; zero otherwise.
   base::TimePoint unavailable_since{};
+  // Since when FindStalledTasks has found a long-running task without a run
+  // that its worker has confirmed; zero while it has one.
+  base::TimePoint stalled_since{};
 };
 
 // The progress of one step of an occurrence.
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +32,7 @@
   std::string payload;     // JobSpec::payload.
   std::string checkpoint;  // To resume from; empty to start anew.
   std::string ticket;      // Of the placement advisor; empty without one.
+  base::TimePoint placed_at{};
 };
 
 // Orders a worker to stop a run.
@@ -80,6 +82,38 @@
   std::vector<DroppedRun> resurfaced;
 };
 
+// Why a long-running task has no confirmed run.
+enum class StallReason : std::uint8_t {
+  kNotPlaced,     // No usable worker has room for it.
+  kOverLimit,     // Its customer's limit is reached.
+  kBound,         // A withdrawn start binds it to a worker.
+  kNotCommitted,  // Placed; its row is not committed yet.
+  kStarting,      // The start order is not answered yet.
+  kStartUnknown,  // The outcome of the start order is unknown.
+  kStopping,      // A run is being stopped.
+  kNotConfirmed,  // Recovered; its worker has not reported yet.
+};
+
+inline constexpr std::array<base::EnumName<StallReason>, 8> kStallReasonNames{{
+    {StallReason::kNotPlaced, "not placed"},
+    {StallReason::kOverLimit, "over limit"},
+    {StallReason::kBound, "bound"},
+    {StallReason::kNotCommitted, "not committed"},
+    {StallReason::kStarting, "starting"},
+    {StallReason::kStartUnknown, "start unknown"},
+    {StallReason::kStopping, "stopping"},
+    {StallReason::kNotConfirmed, "not confirmed"},
+}};
+
+// A long-running task without a confirmed run, and its worker, if it has a run
+// or is bound to one.
+struct StalledTask {
+  TaskId task;
+  StallReason reason = StallReason::kNotPlaced;
+  base::Duration stalled{};
+  std::string worker;
+};
+
 // A row of the store to write, or to remove if it has no bytes.
 struct JobRow {
   std::string job;
@@ -277,6 +311,19 @@
   // Returns the orders given since the last call.
   Orders TakeOrders();
 
+  // The long-running tasks that have had no confirmed run for this long, in
+  // calls that follow each other closely. For logs.
+  std::vector<StalledTask> FindStalledTasks(base::Duration at_least,
+                                            base::TimePoint now);
+  // What waits to be written. For logs.
+  struct RowBacklog {
+    std::size_t urgent = 0;         // Jobs whose rows must not wait.
+    std::size_t deferred = 0;       // Other jobs.
+    std::size_t starts = 0;         // Placed runs that are in no batch yet.
+    base::Duration oldest_start{};  // Since the oldest of them was placed.
+  };
+  RowBacklog GetRowBacklog(base::TimePoint now) const;
+
   // Whether all runs on a machine may be ended now without exceeding the
   // max_unavailable of a step. Includes workers that are not listed, since
   // their runs may be alive.
@@ -505,6 +552,12 @@
                           const std::vector<WorkerState*>& workers,
                           base::TimePoint now);
 
+  // scheduler_stalls.cpp
+  // Notes since when a long-running task has had no confirmed run, and returns
+  // for how long.
+  static base::Duration UpdateStall(const TaskRef& ref, base::TimePoint now);
+  StalledTask DescribeStall(const TaskRef& ref, base::TimePoint now) const;
+
   // scheduler_supervision.cpp
   void SuperviseRuns(base::TimePoint now);
   void PaceFillers(WorkerState& worker, base::TimePoint now);
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -38,6 +38,12 @@
 constexpr std::chrono::milliseconds kReadRetryDelay{200};
 constexpr std::chrono::milliseconds kWorkerFeedWait{1000};
 constexpr std::chrono::milliseconds kWorkerFeedPause{200};
+// A commit that takes longer, or a placed run that waits longer for one, is
+// logged, at most once in kSlowLogInterval.
+constexpr std::chrono::milliseconds kSlowCommit{300};
+constexpr std::chrono::milliseconds kSlowLogInterval{1000};
+constexpr std::chrono::milliseconds kStalledAfter{2000};
+constexpr std::size_t kMaxLoggedStalls = 5;
 // Learnt durations change slowly, so they are stored rarely.
 constexpr std::chrono::milliseconds kDurationsInterval{3000};
 constexpr char kDurationsKey[] = "durations";
@@ -341,6 +347,7 @@
   PollWorkers();
   m_machine_controller.Tick(!IsStoreUnavailable() && MayGiveOrders());
   StoreDurations();
+  LogStalledTasks();
   CommitPending();
   m_loop.After(kTickInterval, m_lifetime.Guard([this] { Tick(); }));
 }
@@ -390,17 +397,58 @@
   for (auto& [key, row] : rows) {
     puts.push_back(std::move(row));
   }
-  m_transactions->Commit(std::move(puts), std::move(deletes),
-                         m_lifetime.Guard([this, batch, stored](bool applied) {
-                           if (applied) {
-                             for (const auto& done : stored) {
-                               done();
-                             }
-                             HandleCommitted(batch);
-                           } else {
-                             LoseLeadership();
-                           }
-                         }));
+  m_transactions->Commit(
+      std::move(puts), std::move(deletes),
+      m_lifetime.Guard([this, batch, stored, now](bool applied) {
+        if (applied) {
+          LogSlowCommit(batch.rows.size(), now);
+          for (const auto& done : stored) {
+            done();
+          }
+          HandleCommitted(batch);
+        } else {
+          LoseLeadership();
+        }
+      }));
+}
+
+void Dispatcher::LogSlowCommit(std::size_t rows, base::TimePoint taken_at) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const auto backlog = m_scheduler.GetRowBacklog(now);
+  if ((now - taken_at < kSlowCommit && backlog.oldest_start < kSlowCommit) ||
+      now - m_slow_commit_logged_at < kSlowLogInterval) {
+    return;
+  }
+  m_slow_commit_logged_at = now;
+  m_log.Write("commit.slow",
+              {{"after_ms", base::Milliseconds(now - taken_at)},
+               {"rows", rows},
+               {"urgent_jobs", backlog.urgent},
+               {"deferred_jobs", backlog.deferred},
+               {"waiting_starts", backlog.starts},
+               {"oldest_start_ms", base::Milliseconds(backlog.oldest_start)}});
+}
+
+void Dispatcher::LogStalledTasks() {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  if (!m_serving || now - m_stalls_logged_at < kSlowLogInterval) {
+    return;
+  }
+  m_stalls_logged_at = now;
+  std::size_t logged = 0;
+  for (const jobs::StalledTask& task :
+       m_scheduler.FindStalledTasks(kStalledAfter, now)) {
+    if (++logged > kMaxLoggedStalls) {
+      break;
+    }
+    m_log.Write(
+        "task.stalled",
+        {{"job", task.task.job},
+         {"task", {task.task.occurrence, task.task.step, task.task.index}},
+         {"reason", base::FindName(jobs::kStallReasonNames, task.reason)},
+         {"stalled_ms", base::Milliseconds(task.stalled)},
+         {"worker", task.worker}});
+  }
 }
 
 void Dispatcher::HandleCommitted(const jobs::Batch& batch) {
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -329,15 +329,21 @@
   }
   const Link& link = found->second;
   const auto until = WorkerClock(link) + kWorkerLease;
+  const jobs::WorkerState* state = m_scheduler.FindWorker(order.worker.id);
+  const bool draining =
+      state != nullptr && (state->entry.draining || !state->listed);
   m_scheduler.LeaseSent(order.worker.id, LeaseEnd(now));
   m_workers.Start(
       link.address, order, FencingToken(), until,
       m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
-                        run = order.run](jobs::StartResult result) {
+                        run = order.run, waited = now - order.placed_at,
+                        draining](jobs::StartResult result) {
         const std::string_view name =
             base::FindName(jobs::kStartResultNames, result);
-        std::string line = fmt::format(
-            R"({},"result":"{}")", DescribeRunAsText(worker, task, run), name);
+        std::string line =
+            fmt::format(R"({},"result":"{}","placed_ms":{},"draining":{})",
+                        DescribeRunAsText(worker, task, run), name,
+                        base::Milliseconds(waited), draining);
         const base::TimePoint answered = m_loop.GetClock().Now();
         const jobs::Job* job = m_scheduler.FindJob(task.job);
         if (job != nullptr) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -512,7 +512,8 @@
     run->ordered_at = now;
     run->start_ordered_at = now;
     m_orders.starts.push_back({run->worker, IdOf(ref), number,
-                               ref.job->spec.payload, run->checkpoint, ""});
+                               ref.job->spec.payload, run->checkpoint, "",
+                               run->placed_at});
     const auto advice =
         m_advice.find(StepKey(ref.job->id, ref.occurrence, ref.step));
     if (advice != m_advice.end()) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -45,6 +45,7 @@
   run.number = ++task.last_run;
   run.worker = worker.entry.id;
   run.machine = worker.entry.machine;
+  run.placed_at = now;
   run.ordered_at = now;
   run.start_ordered_at = now;
   run.progressed_at = now;
