--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -1,6 +1,10 @@
 // Starts that were stopped before any report listed them: the next incarnation
 // of their worker knows nothing of the stop.
+#include <map>
+#include <optional>
 #include <sstream>
+#include <string>
+#include <vector>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -199,6 +203,45 @@
   EXPECT_THAT(m_bench.Step().stops, IsEmpty());
 }
 
+// Two long-running tasks that may not share a worker, of which one may still
+// start on "a", and the other has lost its worker.
+class WithdrawnPlaceTest : public testing::Test {
+ protected:
+  // The starts of the leader that takes over before any answer to the first
+  // ones, with an empty worker "c".
+  std::vector<StartOrder> StartsAfterATakeover() {
+    JobSpec spec = SchedulerBench::LongRunning(2, 1);
+    spec.steps.front().max_per_worker = 1;
+    m_bench.AddWorker("a");
+    m_bench.AddWorker("b");
+    m_bench.Submit(kJob, spec);
+    const auto starts = m_bench.Step().starts;
+    EXPECT_THAT(starts, SizeIs(2));
+    for (const StartOrder& start : starts) {
+      m_task_of_worker[start.worker.id] = start.task;
+    }
+    m_next.emplace(m_bench.Successor(milliseconds(8000)));
+    m_next->GetScheduler().WorkerReplaced({"b", 1}, m_next->Now());
+    m_next->RemoveWorker("b");
+    m_next->Report("a", m_next->Listing("a"));
+    m_next->AddWorker("c");
+    return m_next->Step().starts;
+  }
+
+  SchedulerBench m_bench;
+  std::optional<SchedulerBench> m_next;
+  std::map<std::string, TaskId> m_task_of_worker;
+};
+
+TEST_F(WithdrawnPlaceTest, LongRunningTaskIsNotShutOutByAnotherOfItsStep) {
+  const auto starts = StartsAfterATakeover();
+  ASSERT_THAT(starts, SizeIs(2));
+  for (const StartOrder& start : starts) {
+    const bool stays = start.task == m_task_of_worker["a"];
+    EXPECT_EQ(start.worker.id, stays ? "a" : "c");
+  }
+}
+
 // A start without an answer on a worker that fell silent.
 class UnlistedStartTest : public testing::Test {
  protected:
