Keep the place of a task that a withdrawn start binds to its worker

After a takeover, or when a start gets no answer, a start may still be carried out by a later incarnation of its worker, so for 13 s its task may be placed on that worker only. Its capacity there is withheld from others, but not its place under max_per_worker: another task of the step took it, and the bound one could run nowhere until the 13 s were over; a second takeover began them anew.

Tasks of a step now count those that are bound to a worker as being there. The place can't get lost between: the count covers the run until it is dropped and the withdrawn start from the same call on. Class: a task is bound to one worker, and what it needs there is not all kept for it.

--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -108,13 +108,26 @@
   return false;
 }
 
+bool IsOfSameStep(const TaskRef& left, const TaskRef& right) {
+  return left.job == right.job && left.occurrence == right.occurrence &&
+         left.step == right.step;
+}
+
 std::uint32_t RunsOfStep(const WorkerState& worker, const TaskRef& ref) {
   std::uint32_t count = 0;
   for (const auto& [other, run] : worker.runs) {
-    count += other.job == ref.job && other.occurrence == ref.occurrence &&
-                     other.step == ref.step
-                 ? 1
-                 : 0;
+    count += IsOfSameStep(other, ref) ? 1 : 0;
+  }
+  return count;
+}
+
+// The same with the other tasks of the step that withdrawn starts bind to the
+// worker: they may run nowhere else, so their places are kept for them.
+std::uint32_t TakenPlacesOfStep(const WorkerState& worker, const TaskRef& ref) {
+  std::uint32_t count = RunsOfStep(worker, ref);
+  for (const TaskRef& other : worker.withdrawn) {
+    const bool waits = FindTask(other)->runs.empty();
+    count += waits && !(other == ref) && IsOfSameStep(other, ref) ? 1 : 0;
   }
   return count;
 }
@@ -433,7 +446,7 @@
   const bool lasting = worker.takes_finite || spec.long_running;
   return has_label && advised && healthy && expected && lasting &&
          (spec.max_per_worker == 0 ||
-          RunsOfStep(worker, ref) < spec.max_per_worker);
+          TakenPlacesOfStep(worker, ref) < spec.max_per_worker);
 }
 
 void Scheduler::Reserve(const TaskRef& ref,
