Restart a bound long-running task on a worker on probation

What callers would see: a long-running task without a run for up to 13 s, with room. A worker with three failed runs in a row gets one task at a time; long-running tasks never end well, so on a worker that has some it stays so until a finite one succeeds. A task that a withdrawn start binds to it may run nowhere else and waited for the 13 s to pass. It may go back now, as the only ones: nothing else is placed there. WithdrawnPlaceTest.LongRunningTaskIsNotShutOutByProbation failed before (no start) and passes; jobs_test otherwise as before.

--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -438,7 +438,8 @@
                          entry.rack == spec.required_label;
   const bool advised =
       advice == nullptr || advice->ticket_of_worker.contains(entry.id.id);
-  const bool healthy = !worker.health.IsOnProbation() || worker.used.cpu == 0;
+  const bool healthy = !worker.health.IsOnProbation() || worker.used.cpu == 0 ||
+                       (spec.long_running && worker.HasWithdrawn(ref));
   const bool expected = std::ranges::all_of(
       FindTask(ref)->withdrawn, [this, &entry](const WithdrawnStart& start) {
         return start.worker.id == entry.id.id || MayLeave(start);
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -228,6 +228,20 @@
     return m_next->Step().starts;
   }
 
+  // Leaves a start without an answer until its stop is confirmed.
+  void Withdraw(const StartOrder& start) {
+    m_bench.GetScheduler().StartAnswered(start.worker, start.task, start.run,
+                                         StartResult::kUnknown, m_bench.Now());
+    m_bench.Advance(milliseconds(10));
+    m_bench.Report(start.worker.id, m_bench.Listing(start.worker.id));
+    m_bench.GetScheduler().StopAnswered(start.worker, start.task, start.run,
+                                        m_bench.Now());
+    m_bench.Advance(milliseconds(10));
+    m_bench.Report(start.worker.id, m_bench.Listing(start.worker.id));
+    ASSERT_THAT(m_bench.GetScheduler().FindWorker(start.worker.id)->withdrawn,
+                SizeIs(1));
+  }
+
   SchedulerBench m_bench;
   std::optional<SchedulerBench> m_next;
   std::map<std::string, TaskId> m_task_of_worker;
@@ -242,6 +256,35 @@
   }
 }
 
+// A worker on probation gets one task at a time, so a task that may run nowhere
+// else would wait for long-running ones there that never end.
+TEST_F(WithdrawnPlaceTest, LongRunningTaskIsNotShutOutByProbation) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::LongRunning(1, 1));
+  for (const char* id : {"2", "3", "4"}) {
+    m_bench.Submit(id, SchedulerBench::OneTask());
+  }
+  const auto others = m_bench.StepAndStart();
+  ASSERT_THAT(others, SizeIs(4));
+  m_bench.Submit(kJob, SchedulerBench::LongRunning(1, 1));
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  Withdraw(starts.front());
+  std::uint64_t sequence = 0;
+  for (const StartOrder& other : others) {
+    if (other.task.job != "1") {
+      m_bench.End(other, RunEnd::kFailed, ++sequence);
+      m_bench.GetScheduler().Cancel(other.task.job, m_bench.Now());
+    }
+  }
+  ASSERT_TRUE(m_bench.GetScheduler().FindWorker("a")->health.IsOnProbation());
+  m_bench.Advance(milliseconds(1100));
+  m_bench.Report("a", m_bench.Listing("a"));
+  const auto again = m_bench.Step().starts;
+  ASSERT_THAT(again, SizeIs(1));
+  EXPECT_EQ(again.front().task.job, kJob);
+}
+
 // A start without an answer on a worker that fell silent.
 class UnlistedStartTest : public testing::Test {
  protected:
