Ask the placement advisor first about workers that a step can use

What callers would see: a task that does not run although there is room, on a queue with a placement advisor. The advisor answers for 30 workers a call, and always the first 30 by id were named: a task that a withdrawn start binds to another worker waited for its 13 s, and a task waited for these 30 to have room. A step that needs a rack named no worker at all. Workers that a task is bound to come first now, then those with room, and a label is matched as in placement. WithdrawnPlaceTest.TaskIsNotShutOutByAdviceAboutOtherWorkers failed before (no start) and passes; jobs_test: 101 passed.

--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -51,6 +51,12 @@
   return spec;
 }
 
+void SchedulerBench::RequireAdvice(std::chrono::milliseconds validity) {
+  m_config->queues.front().advice = AdviceConfig{.validity = validity};
+  m_config->BuildIndex();
+  m_scheduler->ApplyConfig(m_config);
+}
+
 void SchedulerBench::AddWorker(const std::string& id,
                                std::int64_t incarnation_ms) {
   WorkerEntry entry;
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -22,6 +22,8 @@
   static JobSpec LongRunning(std::uint32_t tasks,
                              std::uint32_t max_unavailable);
 
+  // Makes the queue's placement advisor decide from now on.
+  void RequireAdvice(std::chrono::milliseconds validity);
   void AddWorker(const std::string& id, std::int64_t incarnation_ms = 1);
   void RemoveWorker(const std::string& id);
   Submission Submit(const std::string& id, JobSpec spec);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -113,6 +113,40 @@
          left.step == right.step;
 }
 
+bool HasLabel(const WorkerEntry& entry, const std::string& label) {
+  return label.empty() || entry.kind == label || entry.rack == label;
+}
+
+// Workers with the label of the step: first those that withdrawn starts bind a
+// task of it to, then those with room.
+std::vector<const WorkerState*> RankForAdvice(
+    Job& job,
+    const Occurrence& occurrence,
+    std::uint32_t step,
+    const std::vector<WorkerState*>& workers) {
+  const StepSpec& spec = job.spec.steps[step];
+  const TaskRef any_task{&job, occurrence.number, step, 0};
+  std::vector<std::pair<int, const WorkerState*>> ranked;
+  for (const WorkerState* worker : workers) {
+    if (!HasLabel(worker->entry, spec.required_label)) {
+      continue;
+    }
+    const bool is_bound = std::ranges::any_of(
+        worker->withdrawn, [&any_task](const TaskRef& bound) {
+          return IsOfSameStep(bound, any_task);
+        });
+    const int rank = HasRoom(*worker, CapacityNeed(spec)) ? 1 : 2;
+    ranked.emplace_back(is_bound ? 0 : rank, worker);
+  }
+  std::ranges::stable_sort(ranked, {},
+                           &std::pair<int, const WorkerState*>::first);
+  std::vector<const WorkerState*> result;
+  for (const auto& [rank, worker] : ranked) {
+    result.push_back(worker);
+  }
+  return result;
+}
+
 std::uint32_t RunsOfStep(const WorkerState& worker, const TaskRef& ref) {
   std::uint32_t count = 0;
   for (const auto& [other, run] : worker.runs) {
@@ -245,10 +279,9 @@
   if (!valid && !asking) {
     AdviceRequest request{
         job.id, occurrence.number, step, {}, queue->advice->validity};
-    for (const WorkerState* worker : workers) {
-      if (request.workers.size() < kMaxAdvisedWorkers &&
-          (worker->entry.kind == job.spec.steps[step].required_label ||
-           job.spec.steps[step].required_label.empty())) {
+    for (const WorkerState* worker :
+         RankForAdvice(job, occurrence, step, workers)) {
+      if (request.workers.size() < kMaxAdvisedWorkers) {
         request.workers.push_back(worker->entry.id.id);
       }
     }
@@ -433,9 +466,7 @@
                            const Advice* advice) const {
   const StepSpec& spec = SpecOf(ref);
   const WorkerEntry& entry = worker.entry;
-  const bool has_label = spec.required_label.empty() ||
-                         entry.kind == spec.required_label ||
-                         entry.rack == spec.required_label;
+  const bool has_label = HasLabel(entry, spec.required_label);
   const bool advised =
       advice == nullptr || advice->ticket_of_worker.contains(entry.id.id);
   const bool healthy = !worker.health.IsOnProbation() || worker.used.cpu == 0 ||
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -242,6 +242,18 @@
                 SizeIs(1));
   }
 
+  // Plans, and answers what the advisor is asked: all workers are allowed.
+  void Advise() {
+    for (const AdviceRequest& request : m_bench.Step().advice) {
+      std::vector<std::pair<std::string, std::string>> allowed;
+      for (const std::string& worker : request.workers) {
+        allowed.emplace_back(worker, "ticket");
+      }
+      m_bench.GetScheduler().AdviceAnswered(request, allowed, request.validity,
+                                            m_bench.Now());
+    }
+  }
+
   SchedulerBench m_bench;
   std::optional<SchedulerBench> m_next;
   std::map<std::string, TaskId> m_task_of_worker;
@@ -285,6 +297,26 @@
   EXPECT_EQ(again.front().task.job, kJob);
 }
 
+// The placement advisor answers for a part of a large pool only.
+TEST_F(WithdrawnPlaceTest, TaskIsNotShutOutByAdviceAboutOtherWorkers) {
+  m_bench.RequireAdvice(milliseconds(2000));
+  m_bench.AddWorker("z");
+  m_bench.Submit(kJob, SchedulerBench::LongRunning(1, 1));
+  Advise();
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  Withdraw(starts.front());
+  for (int i = 0; i < 40; ++i) {
+    m_bench.AddWorker("a" + std::to_string(i));
+  }
+  m_bench.Advance(milliseconds(2100));
+  m_bench.Report("z", m_bench.Listing("z"));
+  Advise();
+  const auto again = m_bench.Step().starts;
+  ASSERT_THAT(again, SizeIs(1));
+  EXPECT_EQ(again.front().worker.id, "z");
+}
+
 // A start without an answer on a worker that fell silent.
 class UnlistedStartTest : public testing::Test {
  protected:
