Look at the worker again before ordering a start that waited for its commit

A run is placed on a usable worker, its row is committed, and then Confirm ordered the start, whatever had become of the worker meanwhile: one that had begun to drain, was cordoned or had left the list got it all the same. While more rows wait than fit into a commit, that time has no bound.

The tests, before:

DrainingStartTest.WorkerThatDrainsBeforeTheCommitGetsNoStart Value of: Commit(batch).starts Expected: is empty Actual: { 200-byte object ... }, whose size is 1 CordonedWorkerGetsNoStart and WorkerThatLeftTheListGetsNoStart: the same

Confirm now asks what placing asked, IsUsable, for the incarnation that the run was placed on. A start that fails it is not ordered, its run is dropped with reason "not ordered" and the task is placed again. The run was never ordered, so its number is skipped and nothing has to be waited for. The other members of a gang are dropped with it, since they would wait for it in vain.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -305,7 +305,9 @@
   // Whether there are rows that should be written without delay.
   bool HasUrgentRows() const { return !m_urgent.empty(); }
   bool HasRows() const { return !m_urgent.empty() || !m_deferred.empty(); }
-  // The batch is committed: updates the jobs and orders the starts in it.
+  // The batch is committed: updates the jobs and orders the starts in it. A
+  // start whose worker takes no tasks any more is not ordered; its run is
+  // dropped and its task placed again, as are all members of its gang.
   void Confirm(const Batch& batch, base::TimePoint now);
 
   // Returns the orders given since the last call.
@@ -542,6 +544,8 @@
   std::uint32_t CountOtherUnavailable(const TaskRef& ref) const;
   // Whether the job's customer may use this much more.
   bool IsWithinLimit(const Job& job, const Resources& need) const;
+  // Orders the start of a planned run.
+  void OrderStart(const TaskRef& ref, Run& run, base::TimePoint now);
   // Whether the worker may get new tasks.
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
   // The valid advice on a step; otherwise null, after requesting it unless a
--- /dev/null
+++ b/src/cassiastile/jobs/draining_start_test.cpp
@@ -0,0 +1,103 @@
+// Starts that are placed before their worker leaves and committed after that.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "cassiastile/jobs/scheduler.hpp"
+#include "scheduler_bench.hpp"
+
+namespace cassiastile::jobs {
+namespace {
+
+using testing::IsEmpty;
+using testing::SizeIs;
+
+constexpr std::size_t kMaxRows = 80;
+
+class DrainingStartTest : public testing::Test {
+ protected:
+  // Places all waiting tasks and takes the rows, which are not committed yet.
+  Batch PlaceWithoutCommit() {
+    Scheduler& scheduler = m_bench.GetScheduler();
+    scheduler.Plan(m_bench.Now(), base::WallTime{});
+    return scheduler.TakeBatch(kMaxRows, m_bench.Now());
+  }
+
+  Orders Commit(const Batch& batch) {
+    m_bench.GetScheduler().Confirm(batch, m_bench.Now());
+    return m_bench.GetScheduler().TakeOrders();
+  }
+
+  // Expects that the only task, placed on worker "a" and not ordered, is
+  // started on worker "b".
+  void ExpectStartOnOtherWorker() {
+    m_bench.AddWorker("b");
+    const auto starts = m_bench.Step().starts;
+    ASSERT_THAT(starts, SizeIs(1));
+    EXPECT_EQ(starts.front().worker.id, "b");
+    EXPECT_GT(starts.front().run, 1U);
+  }
+
+  SchedulerBench m_bench;
+};
+
+TEST_F(DrainingStartTest, WorkerThatDrainsBeforeTheCommitGetsNoStart) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::OneTask());
+  const Batch batch = PlaceWithoutCommit();
+  m_bench.SetDraining("a");
+  EXPECT_THAT(Commit(batch).starts, IsEmpty());
+  ExpectStartOnOtherWorker();
+}
+
+TEST_F(DrainingStartTest, CordonedWorkerGetsNoStart) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::OneTask());
+  const Batch batch = PlaceWithoutCommit();
+  m_bench.GetScheduler().SetCordoned("a", true);
+  EXPECT_THAT(Commit(batch).starts, IsEmpty());
+  ExpectStartOnOtherWorker();
+}
+
+TEST_F(DrainingStartTest, WorkerThatLeftTheListGetsNoStart) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::OneTask());
+  const Batch batch = PlaceWithoutCommit();
+  m_bench.RemoveWorker("a");
+  EXPECT_THAT(Commit(batch).starts, IsEmpty());
+  ExpectStartOnOtherWorker();
+}
+
+// The others would wait for the missing member until they are given up.
+TEST_F(DrainingStartTest, GangIsPlacedAgainAsAWhole) {
+  m_bench.AddWorker("a");
+  m_bench.AddWorker("b");
+  JobSpec gang = SchedulerBench::OneTask(9000);
+  gang.steps.front().count = 2;
+  gang.steps.front().gang = true;
+  m_bench.Submit("1", gang);
+  const Batch batch = PlaceWithoutCommit();
+  ASSERT_THAT(batch.starts, SizeIs(2));
+  m_bench.SetDraining("a");
+  EXPECT_THAT(Commit(batch).starts, IsEmpty());
+  EXPECT_THAT(m_bench.Step().starts, IsEmpty());
+  m_bench.AddWorker("c");
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(2));
+  EXPECT_EQ(starts[0].run, starts[1].run);
+}
+
+TEST_F(DrainingStartTest, OtherStartsOfTheCommitAreOrdered) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::OneTask(16000));
+  m_bench.AddWorker("b");
+  m_bench.Submit("2", SchedulerBench::OneTask(16000));
+  const Batch batch = PlaceWithoutCommit();
+  ASSERT_THAT(batch.starts, SizeIs(2));
+  m_bench.SetDraining("a");
+  const auto starts = Commit(batch).starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker.id, "b");
+}
+
+}  // namespace
+}  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/jobs/scheduler.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cassiastile::jobs {
@@ -503,28 +504,51 @@
       worker->acked_end = std::max(worker->acked_end, sequence);
     }
   }
+  // The members of a gang are ordered together or not at all.
+  std::set<std::string> dropped_gangs;
+  const auto is_usable = [this, now](const Run& run) {
+    const WorkerState* worker = FindWorker(run.worker.id);
+    return worker != nullptr && worker->entry.id == run.worker &&
+           IsUsable(*worker, now);
+  };
+  for (const auto& [ref, number] : batch.starts) {
+    const Run* run = FindRun(ref, number);
+    if (SpecOf(ref).gang && (run == nullptr || !is_usable(*run))) {
+      dropped_gangs.insert(StepKey(ref.job->id, ref.occurrence, ref.step));
+    }
+  }
   for (const auto& [ref, number] : batch.starts) {
     Run* run = FindRun(ref, number);
     if (run == nullptr || run->phase != RunPhase::kPlanned) {
       continue;
     }
-    run->phase = RunPhase::kStarting;
-    run->ordered_at = now;
-    run->start_ordered_at = now;
-    m_orders.starts.push_back({run->worker, IdOf(ref), number,
-                               ref.job->spec.payload, run->checkpoint, "",
-                               run->placed_at});
-    const auto advice =
-        m_advice.find(StepKey(ref.job->id, ref.occurrence, ref.step));
-    if (advice != m_advice.end()) {
-      const auto ticket = advice->second.ticket_of_worker.find(run->worker.id);
-      if (ticket != advice->second.ticket_of_worker.end()) {
-        m_orders.starts.back().ticket = ticket->second;
-      }
+    if (is_usable(*run) && !dropped_gangs.contains(StepKey(
+                               ref.job->id, ref.occurrence, ref.step))) {
+      OrderStart(ref, *run, now);
+    } else {
+      DropRun(ref, number, DropReason::kNotOrdered, now);
     }
   }
 }
 
+void Scheduler::OrderStart(const TaskRef& ref, Run& run, base::TimePoint now) {
+  run.phase = RunPhase::kStarting;
+  run.ordered_at = now;
+  run.start_ordered_at = now;
+  m_orders.starts.push_back({run.worker, IdOf(ref), run.number,
+                             ref.job->spec.payload, run.checkpoint, "",
+                             run.placed_at});
+  const auto advice =
+      m_advice.find(StepKey(ref.job->id, ref.occurrence, ref.step));
+  if (advice == m_advice.end()) {
+    return;
+  }
+  const auto ticket = advice->second.ticket_of_worker.find(run.worker.id);
+  if (ticket != advice->second.ticket_of_worker.end()) {
+    m_orders.starts.back().ticket = ticket->second;
+  }
+}
+
 Orders Scheduler::TakeOrders() {
   return std::exchange(m_orders, {});
 }
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -76,6 +76,11 @@
   ListWorkers();
 }
 
+void SchedulerBench::SetDraining(const std::string& id) {
+  m_entries.at(id).draining = true;
+  ListWorkers();
+}
+
 void SchedulerBench::ListWorkers() {
   std::vector<WorkerEntry> entries;
   for (const auto& [id, entry] : m_entries) {
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -24,6 +24,8 @@
 
   void AddWorker(const std::string& id, std::int64_t incarnation_ms = 1);
   void RemoveWorker(const std::string& id);
+  // The worker says that it is about to leave.
+  void SetDraining(const std::string& id);
   Submission Submit(const std::string& id, JobSpec spec);
   // Plans, commits all rows and returns the orders.
   Orders Step();
