Commit the oldest change first, and some that may wait in each full batch

Ends were acknowledged only by a batch that left nothing to write.

Changes are numbered now. A job is kept under the number of its oldest change that is not written, so it waits only for those before it. A quarter of each batch of all rows is kept for jobs that may wait.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -153,7 +153,8 @@
   JobPhase phase = JobPhase::kQueued;
   JobPhase stored_phase = JobPhase::kQueued;  // The newest committed phase.
   bool accepted = false;                      // Its record is committed.
-  bool dirty = false;    // Its progress differs from the stored one.
+  // Number of its oldest change that is not written yet; 0 if there is none.
+  std::uint64_t oldest_change = 0;
   bool started = false;  // One of its tasks has run.
   std::uint32_t next_occurrence = 0;
   std::vector<Occurrence> occurrences;  // Those that have begun.
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,7 +10,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "cassiastile/base/clock.hpp"
@@ -174,6 +174,10 @@
   // Kept free in this planning round for those of them that wait.
   Resources withheld;
   std::uint64_t last_end = 0;  // Sequence number of the newest end seen.
+  // Ends that no batch covers yet, the oldest first: the sequence number of the
+  // last one in a report, and the number of the newest change when it had been
+  // applied.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> unwritten_ends;
   // Sequence number of the newest end that the store covers.
   std::uint64_t acked_end = 0;
   // When calls that acknowledge ends were sent that have no answer yet.
@@ -293,12 +297,14 @@
   void Plan(base::TimePoint now, base::WallTime wall);
 
   // Which rows a batch may have: those that must not wait (acceptances, starts,
-  // completed steps, ends of jobs), or all. A batch that leaves none to write
-  // also covers the ends that workers have listed.
+  // completed steps, ends of jobs), or all.
   enum class RowChoice : std::uint8_t { kUrgent, kAll };
   // The next batch to commit, of at most `max_rows` rows, which must be 2 or
-  // more, urgent ones first. Its jobs count as written, so a scheduler whose
-  // batch could not be committed must be discarded.
+  // more: urgent ones first, but for a share of a batch of all rows, and each
+  // kind in the order of the jobs' oldest changes. It covers the ends that
+  // workers had listed before the oldest change that it leaves to write. Its
+  // jobs count as written, so a scheduler whose batch could not be committed
+  // must be discarded.
   Batch TakeBatch(std::size_t max_rows,
                   base::TimePoint now,
                   RowChoice choice = RowChoice::kAll);
@@ -417,6 +423,10 @@
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
+  // Takes the jobs of the next batch out of those to write.
+  std::vector<Job*> TakeJobs(std::size_t max_jobs, RowChoice choice);
+  // Adds the ends whose changes are all in this batch or earlier ones.
+  void CoverEnds(Batch& batch);
   void IndexMachines();
   const std::string& ServiceOf(const Job& job) const;
   const QueueConfig* QueueOf(const Job& job) const;
@@ -596,9 +606,11 @@
   std::size_t m_reserved_for_finite = 0;
   base::TimePoint m_supervised_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
-  // Jobs whose rows are to be written: at once, and with others.
-  std::unordered_set<Job*> m_urgent;
-  std::unordered_set<Job*> m_deferred;
+  std::uint64_t m_last_change = 0;         // Counts MarkDirty.
+  // Jobs whose rows are to be written, by oldest change: at once, and with
+  // others.
+  std::map<std::uint64_t, Job*> m_urgent;
+  std::map<std::uint64_t, Job*> m_deferred;
   std::vector<std::string> m_removed_jobs;  // Their rows are to be removed.
   // Finished jobs that are still kept.
   std::vector<Job*> m_finished;
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -31,6 +31,10 @@
 // first submission to its objective.
 constexpr int kWorthlessFactor = 3;
 
+// One in so many jobs of a batch of all rows is one that could wait, so that
+// the ends of runs are acknowledged however many callers there are.
+constexpr std::size_t kDeferredShare = 4;
+
 // The fraction of a task that remains, by the progress of its most advanced
 // run.
 double RemainingFraction(const Task& task) {
@@ -393,12 +397,13 @@
 }
 
 void Scheduler::MarkDirty(Job& job, bool urgent) {
-  job.dirty = true;
+  ++m_last_change;
+  if (job.oldest_change == 0) {
+    job.oldest_change = m_last_change;
+    m_deferred.emplace(job.oldest_change, &job);
+  }
   if (urgent) {
-    m_deferred.erase(&job);
-    m_urgent.insert(&job);
-  } else if (!m_urgent.contains(&job)) {
-    m_deferred.insert(&job);
+    m_urgent.insert(m_deferred.extract(job.oldest_change));
   }
 }
 
@@ -430,7 +435,7 @@
 void Scheduler::RemoveFinished(base::TimePoint now) {
   std::erase_if(m_finished, [this, now](Job* job) {
     if (now - job->finished_at < m_options.keep_finished ||
-        job->live_runs > 0 || job->dirty) {
+        job->live_runs > 0 || job->oldest_change != 0) {
       return false;
     }
     m_removed_jobs.push_back(job->id);
@@ -444,12 +449,7 @@
                            RowChoice choice) {
   RemoveFinished(now);
   Batch batch;
-  std::vector<Job*> taken(m_urgent.begin(), m_urgent.end());
-  if (choice == RowChoice::kAll) {
-    taken.insert(taken.end(), m_deferred.begin(), m_deferred.end());
-  }
-  taken.resize(std::min(taken.size(), max_rows / 2));
-  for (Job* job : taken) {
+  for (Job* job : TakeJobs(max_rows / 2, choice)) {
     if (IsFinished(job->phase)) {
       batch.rows.push_back({job->id, true, std::nullopt});
       if (!job->accepted) {
@@ -461,12 +461,9 @@
     }
     batch.rows.push_back({job->id, false, EncodeProgress(*job)});
     batch.phases.emplace_back(job->id, job->phase);
-    job->dirty = false;
-    m_urgent.erase(job);
-    m_deferred.erase(job);
   }
   std::erase_if(m_planned, [&batch](const auto& planned) {
-    if (planned.first.job->dirty) {
+    if (planned.first.job->oldest_change != 0) {
       return false;
     }
     batch.starts.push_back(planned);
@@ -477,14 +474,50 @@
     batch.rows.push_back({m_removed_jobs.back(), false, std::nullopt});
     m_removed_jobs.pop_back();
   }
-  if (!HasRows()) {
-    for (const auto& [id, worker] : m_workers) {
-      if (worker.last_end > worker.acked_end) {
-        batch.ends.emplace_back(worker.entry.id, worker.last_end);
-      }
+  CoverEnds(batch);
+  return batch;
+}
+
+std::vector<Job*> Scheduler::TakeJobs(std::size_t max_jobs, RowChoice choice) {
+  std::vector<Job*> taken;
+  const auto take = [&taken](std::map<std::uint64_t, Job*>& jobs,
+                             std::size_t up_to) {
+    while (taken.size() < up_to && !jobs.empty()) {
+      Job* job = jobs.begin()->second;
+      jobs.erase(jobs.begin());
+      job->oldest_change = 0;
+      taken.push_back(job);
+    }
+  };
+  std::size_t kept = 0;
+  if (choice == RowChoice::kAll) {
+    kept = std::min(m_deferred.size(), max_jobs / kDeferredShare);
+  }
+  take(m_urgent, max_jobs - kept);
+  if (choice == RowChoice::kAll) {
+    take(m_deferred, max_jobs);
+  }
+  return taken;
+}
+
+void Scheduler::CoverEnds(Batch& batch) {
+  std::uint64_t oldest_left = m_last_change + 1;
+  for (const auto* jobs : {&m_urgent, &m_deferred}) {
+    if (!jobs->empty()) {
+      oldest_left = std::min(oldest_left, jobs->begin()->first);
+    }
+  }
+  for (auto& [id, worker] : m_workers) {
+    std::uint64_t covered = 0;
+    while (!worker.unwritten_ends.empty() &&
+           worker.unwritten_ends.front().second < oldest_left) {
+      covered = worker.unwritten_ends.front().first;
+      worker.unwritten_ends.pop_front();
+    }
+    if (covered > 0) {
+      batch.ends.emplace_back(worker.entry.id, covered);
     }
   }
-  return batch;
 }
 
 void Scheduler::Confirm(const Batch& batch, base::TimePoint now) {
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -36,6 +36,7 @@
   }
   worker.last_end = 0;
   worker.acked_end = 0;
+  worker.unwritten_ends.clear();
   worker.health = {};
   const auto runs = worker.runs;
   for (const auto& [ref, number] : runs) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -180,6 +180,7 @@
   worker->silent = false;
   worker->last_report = now;
   worker->wants_report = false;
+  const std::uint64_t known_end = worker->last_end;
   for (const ListedEnd& end : report.ended) {
     if (end.sequence <= worker->last_end) {
       continue;
@@ -189,6 +190,9 @@
       ApplyEnd(*ref, *worker, end, now);
     }
   }
+  if (worker->last_end > known_end) {
+    worker->unwritten_ends.emplace_back(worker->last_end, m_last_change);
+  }
   std::vector<std::pair<TaskRef, std::uint32_t>> listed;
   listed.reserve(report.running.size());
   for (const ListedRun& run : report.running) {
