Give up starts that a leader would pass to a relay late

A relay carries a batch out if it gets it within 500 ms of the sending. A slow leader, or one that stood still, sends a batch long after it gave the calls in it, and nothing counted that time: a start could leave seconds after its worker began to drain, from a relay that was not late.

The test, before:

WorkerRelayTest.SlowLeaderGivesUpStartsThatItWouldSendLate m_relayed.starts: expected empty, size is 1; m_results: {}

A start that waits more than 500 ms for its batch to be sent ends as too late, which drops its run and places the task again. It was not sent, so nothing has to be waited for, and its worker is not blamed. Leases and stops are sent all the same: late ones do no harm.

--- a/include/cassiastile/host/relayed_workers.hpp
+++ b/include/cassiastile/host/relayed_workers.hpp
@@ -94,10 +94,11 @@
     base::TimePoint asked_at{};
     bool is_asking = false;
     base::TimePoint failed_at{};
-    bool is_live = false;    // Among the newest candidates.
-    bool is_chosen = false;  // Gets calls.
-    bool is_armed = false;   // The next batch will be sent soon.
-    RelayBatch batch;        // The next one.
+    bool is_live = false;           // Among the newest candidates.
+    bool is_chosen = false;         // Gets calls.
+    bool is_armed = false;          // The next batch will be sent soon.
+    base::TimePoint batch_since{};  // When it got its first call.
+    RelayBatch batch;               // The next one.
     std::unordered_map<std::string, std::uint32_t> worker_index;
     std::unordered_map<std::string, std::uint32_t> payload_index;
   };
@@ -126,6 +127,8 @@
                    const tl::expected<RelayReply, PeerPort::Failure>& reply);
   // Completes the calls of a batch that was certainly not carried out.
   void FailUnsent(const RelayBatch& batch);
+  // Ends starts that were not sent and come too late.
+  void GiveUpStarts(const std::vector<RelayedStart>& starts);
   void FailLate();
   // Completes a call as one without an answer.
   static void FailUnanswered(const Done& done, bool surely_unsent);
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -9,10 +9,14 @@
 
 namespace {
 
-// A relay sends no call later than this after the leader gave it. Together with
-// the delay of an order on its way to a worker it stays below
-// SchedulerOptions::max_order_delay.
+// A relay sends no call later than this after it got into a batch that was
+// sent. Together with the delay of an order on its way to a worker it stays
+// below SchedulerOptions::max_order_delay.
 constexpr std::chrono::milliseconds kMaxRelayDelay{500};
+// A start that waits longer for its batch to be sent is given up: its worker
+// may have begun to drain meanwhile. A leader that is slow or stood still sends
+// its batches late.
+constexpr std::chrono::milliseconds kMaxStartWait{500};
 constexpr std::chrono::milliseconds kWorkerTimeout{800};
 // For the way to the relay and back, beside the worker's own timeout.
 constexpr std::chrono::milliseconds kRelayTimeout{700};
@@ -202,6 +206,9 @@
                     Pending{relay.host, worker.id.id,
                             now + timeout + kRelayTimeout, std::move(done)});
   const bool is_full = CountCalls(relay.batch) >= kMaxCallsOfBatch;
+  if (relay.batch_since == base::TimePoint{}) {
+    relay.batch_since = now;
+  }
   if (!relay.is_armed || is_full) {
     relay.is_armed = true;
     m_loop.After(is_full ? std::chrono::milliseconds(0) : m_collect,
@@ -292,6 +299,10 @@
   Relay& relay = m_relays[host];
   const base::TimePoint now = m_loop.GetClock().Now();
   RelayBatch batch = std::exchange(relay.batch, {});
+  const base::TimePoint batch_since = std::exchange(relay.batch_since, {});
+  if (now - batch_since > kMaxStartWait) {
+    GiveUpStarts(std::exchange(batch.starts, {}));
+  }
   relay.worker_index.clear();
   relay.payload_index.clear();
   relay.is_armed = false;
@@ -315,6 +326,16 @@
           }));
 }
 
+void RelayedWorkers::GiveUpStarts(const std::vector<RelayedStart>& starts) {
+  for (const RelayedStart& start : starts) {
+    CompleteCall(start.call, [](const Done& done) {
+      if (const auto* started = std::get_if<StartDone>(&done)) {
+        (*started)(jobs::StartResult::kTooLate);
+      }
+    });
+  }
+}
+
 void RelayedWorkers::HandleReply(
     const std::string& host,
     const RelayBatch& batch,
--- a/src/cassiastile/host/worker_relay_test.cpp
+++ b/src/cassiastile/host/worker_relay_test.cpp
@@ -86,6 +86,21 @@
   std::vector<RelayBatch> batches;
 };
 
+// The loop of a process that gets to each callback late.
+class LateLoop final : public Loop {
+ public:
+  explicit LateLoop(Loop& loop) : m_loop(loop) {}
+  const base::Clock& GetClock() const override { return m_loop.GetClock(); }
+  void After(base::Duration delay, std::function<void()> callback) override {
+    m_loop.After(delay + lag, std::move(callback));
+  }
+
+  milliseconds lag{0};
+
+ private:
+  Loop& m_loop;
+};
+
 class WorkerRelayTest : public testing::Test {
  protected:
   WorkerRelayTest() {
@@ -124,7 +139,8 @@
   RecordingWorkers m_direct;
   RecordingWorkers m_relayed;
   WorkerRelay m_relay{m_relayed, m_wire, m_loop, m_log, {"process", "zone"}};
-  RelayedWorkers m_leader{m_direct, m_wire, m_loop, m_log, "leader:1"};
+  LateLoop m_leader_loop{m_loop};
+  RelayedWorkers m_leader{m_direct, m_wire, m_leader_loop, m_log, "leader:1"};
   std::vector<jobs::StartResult> m_results;
   std::vector<bool> m_reported;
 };
@@ -157,6 +173,18 @@
                                          jobs::StartResult::kUnreachable)));
 }
 
+// The worker may have begun to drain since the start was ordered.
+TEST_F(WorkerRelayTest, SlowLeaderGivesUpStartsThatItWouldSendLate) {
+  m_leader_loop.lag = milliseconds(800);
+  Start("worker", "job");
+  Extend("worker");
+  m_loop.RunFor(milliseconds(1500));
+  EXPECT_THAT(m_relayed.starts, IsEmpty());
+  EXPECT_THAT(m_results, ElementsAre(jobs::StartResult::kTooLate));
+  // A lease that comes late does no harm.
+  EXPECT_THAT(m_relayed.extended, ElementsAre("worker"));
+}
+
 TEST_F(WorkerRelayTest, RelaySendsNothingForAFormerLeader) {
   RelayBatch newer;
   newer.fence = 8;
