Order no starts by a list of workers that may be out of date

The store had a worker's word at 19.010 s, the leader's line worker.listed has it at 25.115 s, and at 25.141 s a relay sent starts to that worker. The rule spares machines in trouble, and the leader is one, but the machine that sends the start is the relay, and nothing is wrong with that.

So a leader that is slow, stood still or gets no answers of the feed went on by a list that lacked the newest words, as long as its commits went through.

The list is complete as of the sending of the newest read or feed call that was answered: an answer that lay in a socket while the process stood still makes it no newer. Nothing is placed and no start is ordered while that is longer ago than 1.5 s. The wait of the feed is 400 ms instead of 1 s, so that a quiet list is confirmed often enough.

The virtual world's workers can drain now, and a start that reaches one later than 2 s after its word is a violation.

jobs_test: 108 passed. host_test, HostNodeTest, RelayWorldTest, WorkerRelayTest and DrainingWorkerTest: 39 passed.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -124,7 +124,9 @@
   void ReadJobs();
   void ReadWorkers();
   void FeedWorkers();
-  void ApplyWorkerRows(const std::vector<Row>& rows);
+  // Changes the list of workers by rows of the table that were asked for at
+  // `asked_at`.
+  void ApplyWorkerRows(const std::vector<Row>& rows, base::TimePoint asked_at);
   std::vector<jobs::Job> DecodeRecovered();
   void StartServing();
   void RequestPlan();
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -246,6 +246,9 @@
   // worker is kept while it has runs or its lease may be valid.
   void WorkersListed(const std::vector<WorkerEntry>& entries,
                      base::TimePoint now);
+  // The list that was given last lacked no change that the platform had at
+  // `as_of`.
+  void ListConfirmed(base::TimePoint as_of);
   // A worker has reported; `asked_at` is when the report was requested. A run
   // that is missing from it has ended if it was recovered or was confirmed
   // before `asked_at`; it is stopped if its start became unknown before that. A
@@ -293,7 +296,7 @@
       base::TimePoint now);
 
   // Drops runs that can't be alive any more, begins occurrences that are due
-  // and places waiting tasks.
+  // and places waiting tasks, unless the list of workers may be out of date.
   void Plan(base::TimePoint now, base::WallTime wall);
 
   // Which rows a batch may have: those that must not wait (acceptances, starts,
@@ -312,8 +315,9 @@
   bool HasUrgentRows() const { return !m_urgent.empty(); }
   bool HasRows() const { return !m_urgent.empty() || !m_deferred.empty(); }
   // The batch is committed: updates the jobs and orders the starts in it. A
-  // start whose worker takes no tasks any more is not ordered; its run is
-  // dropped and its task placed again, as are all members of its gang.
+  // start whose worker takes no tasks any more, as far as an up-to-date list of
+  // workers tells, is not ordered; its run is dropped and its task placed
+  // again, as are all members of its gang.
   void Confirm(const Batch& batch, base::TimePoint now);
 
   // Returns the orders given since the last call.
@@ -556,6 +560,8 @@
   bool IsWithinLimit(const Job& job, const Resources& need) const;
   // Orders the start of a planned run.
   void OrderStart(const TaskRef& ref, Run& run, base::TimePoint now);
+  // Whether the list of workers is recent enough to order starts by it.
+  bool IsListCurrent(base::TimePoint now) const;
   // Whether the worker may get new tasks.
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
   // The valid advice on a step; otherwise null, after requesting it unless a
@@ -583,6 +589,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, Job*> m_unfinished;
   std::map<std::string, WorkerState> m_workers;
+  base::TimePoint m_list_as_of{};  // See ListConfirmed.
   // Ids of the workers known on each machine, listed or not.
   std::unordered_map<std::string, std::vector<std::string>>
       m_workers_on_machine;
--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -9,6 +9,10 @@
   // A worker whose last report is older gets no new tasks. A healthy worker
   // reports at least once a second.
   std::chrono::milliseconds max_report_age{2500};
+  // Starts are ordered only if the list of workers was complete at most this
+  // long ago. A worker expects no starts from 2 s after its word that it
+  // drains.
+  std::chrono::milliseconds max_list_age{1500};
   // How long a finished job's state is kept; finished_state_s in the settings.
   std::chrono::milliseconds keep_finished{120000};
   // An order without an answer may be carried out up to this long after it was
--- a/src/bin/measure_jobs.cpp
+++ b/src/bin/measure_jobs.cpp
@@ -149,6 +149,7 @@
                            m_clock.Now(), m_clock.WallNow());
       });
     }
+    m_scheduler.ListConfirmed(m_clock.Now());
     m_plan.Measure([&] { m_scheduler.Plan(m_clock.Now(), m_clock.WallNow()); });
     m_commit.Measure([&] {
       const Batch batch = m_scheduler.TakeBatch(kMaxRows, m_clock.Now());
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -36,7 +36,9 @@
 // up silent workers.
 constexpr std::chrono::milliseconds kUnconfirmedTerm{8000};
 constexpr std::chrono::milliseconds kReadRetryDelay{200};
-constexpr std::chrono::milliseconds kWorkerFeedWait{1000};
+// Without changes, the list of workers is confirmed this often. Twice this and
+// the pause stay below SchedulerOptions::max_list_age.
+constexpr std::chrono::milliseconds kWorkerFeedWait{400};
 constexpr std::chrono::milliseconds kWorkerFeedPause{200};
 // A commit that takes longer, or a placed run that waits longer for one, is
 // logged, at most once in kSlowLogInterval.
@@ -184,22 +186,24 @@
 }
 
 void Dispatcher::ReadWorkers() {
-  ReadUntilAnswered(m_dependencies.worker_table, "",
-                    [this](const RowPage& page) {
-                      m_worker_entries.clear();
-                      m_worker_feed_version = page.version;
-                      ApplyWorkerRows(page.rows);
-                      if (!m_serving) {
-                        StartServing();
-                      }
-                      FeedWorkers();
-                    });
+  ReadUntilAnswered(
+      m_dependencies.worker_table, "",
+      [this, asked_at = m_loop.GetClock().Now()](const RowPage& page) {
+        m_worker_entries.clear();
+        m_worker_feed_version = page.version;
+        ApplyWorkerRows(page.rows, asked_at);
+        if (!m_serving) {
+          StartServing();
+        }
+        FeedWorkers();
+      });
 }
 
 void Dispatcher::FeedWorkers() {
   m_dependencies.store.Feed(
       m_dependencies.worker_table, m_worker_feed_version, kWorkerFeedWait,
-      m_lifetime.Guard([this](base::Result<FeedPage> page) {
+      m_lifetime.Guard([this, asked_at = m_loop.GetClock().Now()](
+                           base::Result<FeedPage> page) {
         if (page && page->history_compacted) {
           ReadWorkers();
           return;
@@ -207,14 +211,15 @@
         if (page) {
           m_worker_feed_version =
               std::max(m_worker_feed_version, page->version);
-          ApplyWorkerRows(page->rows);
+          ApplyWorkerRows(page->rows, asked_at);
         }
         m_loop.After(kWorkerFeedPause,
                      m_lifetime.Guard([this] { FeedWorkers(); }));
       }));
 }
 
-void Dispatcher::ApplyWorkerRows(const std::vector<Row>& rows) {
+void Dispatcher::ApplyWorkerRows(const std::vector<Row>& rows,
+                                 base::TimePoint asked_at) {
   for (const Row& row : rows) {
     if (row.deleted) {
       m_worker_entries.erase(row.key);
@@ -244,6 +249,7 @@
     entries.push_back(entry);
   }
   m_scheduler.WorkersListed(entries, m_loop.GetClock().Now());
+  m_scheduler.ListConfirmed(asked_at);
   RequestPlan();
 }
 
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds kMoveTime{1500};
 constexpr milliseconds kMaintenanceTime{2000};
 constexpr milliseconds kCallTimeout{800};
+// A worker that drains expects no starts after this time.
+constexpr milliseconds kDrainTime{2000};
 constexpr std::int64_t kCpuPerTask = 1000;
 constexpr std::int64_t kMemoryPerTask = 4096;
 constexpr char kOperatorTable[] = "operators";
@@ -62,15 +64,16 @@
   return {kCpuPerTask * tasks, kMemoryPerTask * tasks, 0};
 }
 
-// A worker's entry: incarnation, service, machine, and for how many tasks it
-// has room.
+// A worker's entry: incarnation, service, machine, for how many tasks it has
+// room, and whether it drains.
 base::Result<jobs::WorkerEntry> DecodeEntry(const std::string& id,
                                             const std::string& text) {
   std::istringstream in(text);
   jobs::WorkerEntry entry;
   entry.id.id = id;
   std::int64_t tasks = 0;
-  in >> entry.id.incarnation_ms >> entry.service >> entry.machine >> tasks;
+  in >> entry.id.incarnation_ms >> entry.service >> entry.machine >> tasks >>
+      entry.draining;
   entry.endpoint = id;
   entry.capacity = CapacityFor(tasks);
   return entry;
@@ -135,6 +138,8 @@
   bool alive = true;
   // Crashed, and starts again under its id; calls are refused until then.
   bool restarting = false;
+  // When the table got its word that it drains; zero before that.
+  base::TimePoint draining_since{};
   std::unique_ptr<sim::WorkerModel> model;
   std::unique_ptr<sim::WorkerTimer> timer;
   std::vector<std::function<void()>> waiting;  // Pending long polls.
@@ -422,7 +427,7 @@
     if (!delivery.answered) {
       m_world.Post(delivery.delay, [this, address, order, fence, until] {
         if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
-          m_world.StartRun(*worker, order, fence, until);
+          m_world.StartRun(*worker, order, fence, until, true);
         }
       });
       m_world.Post(kCallTimeout, [done] { done(jobs::StartResult::kUnknown); });
@@ -440,7 +445,7 @@
         }
         return;
       }
-      const auto result = m_world.StartRun(*worker, order, fence, until);
+      const auto result = m_world.StartRun(*worker, order, fence, until, false);
       m_world.Post(kCallLatency, [done, result] { done(result); });
     });
   }
@@ -941,12 +946,20 @@
   RowTransaction transaction;
   transaction.puts.push_back(
       {kWorkerTable, "", entry.id.id,
-       fmt::format("{} {} {} {}", entry.id.incarnation_ms, entry.service,
-                   entry.machine, m_options.tasks_per_worker),
+       fmt::format("{} {} {} {} {:d}", entry.id.incarnation_ms, entry.service,
+                   entry.machine, m_options.tasks_per_worker, entry.draining),
        0, false});
   Apply(transaction);
 }
 
+void VirtualWorld::DrainWorker(const std::string& id) {
+  Worker& worker = *m_workers.at(id);
+  worker.draining_since = m_loop.Now();
+  jobs::WorkerEntry entry = worker.model->Entry();
+  entry.draining = true;
+  PublishWorkerEntry(entry);
+}
+
 void VirtualWorld::TerminateWorker(Worker& worker) {
   worker.alive = false;
   worker.model->Crash();
@@ -960,7 +973,8 @@
 jobs::StartResult VirtualWorld::StartRun(Worker& worker,
                                          const jobs::StartOrder& order,
                                          std::uint64_t fence,
-                                         milliseconds until) {
+                                         milliseconds until,
+                                         bool is_late) {
   worker.model->Advance(m_loop.Now());
   const jobs::JobSpec* spec = m_checker.SpecOf(order.task.job);
   if (spec == nullptr) {
@@ -970,6 +984,12 @@
   const auto result = worker.model->Start(order, spec->steps[order.task.step],
                                           fence, until, m_loop.Now());
   ArmWorkerTimer(worker);
+  const auto drained = m_loop.Now() - worker.draining_since;
+  if (result == jobs::StartResult::kRunning && !is_late &&
+      worker.draining_since != base::TimePoint{} && drained > kDrainTime) {
+    AddViolation(fmt::format("{} got a start {} ms after it began to drain",
+                             worker.id, base::Milliseconds(drained)));
+  }
   m_fenced_starts += result == jobs::StartResult::kFenced ? 1 : 0;
   return result;
 }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -138,6 +138,10 @@
   void RestartWorker(const std::string& id,
                      std::chrono::milliseconds down,
                      std::chrono::milliseconds listed_after);
+  // A worker says that it is about to leave. Any start that reaches it more
+  // than 2 s later is a violation, unless its call is one of those that are
+  // carried out late.
+  void DrainWorker(const std::string& id);
   std::vector<std::string> WorkerIds() const;
   // Writes a configuration whose version is 2 higher than the last one's; the
   // first has version 2.
@@ -229,7 +233,8 @@
   jobs::StartResult StartRun(Worker& worker,
                              const jobs::StartOrder& order,
                              std::uint64_t fence,
-                             std::chrono::milliseconds until);
+                             std::chrono::milliseconds until,
+                             bool is_late);
   bool StopRun(Worker& worker,
                const jobs::StopOrder& order,
                std::uint64_t fence);
--- a/src/cassiastile/jobs/draining_start_test.cpp
+++ b/src/cassiastile/jobs/draining_start_test.cpp
@@ -8,10 +8,12 @@
 namespace cassiastile::jobs {
 namespace {
 
+using std::chrono::milliseconds;
 using testing::IsEmpty;
 using testing::SizeIs;
 
 constexpr std::size_t kMaxRows = 80;
+constexpr milliseconds kListAge = SchedulerOptions{}.max_list_age;
 
 class DrainingStartTest : public testing::Test {
  protected:
@@ -99,5 +101,26 @@
   EXPECT_EQ(starts.front().worker.id, "b");
 }
 
+// A slow or frozen leader goes on with a list that lacks the newest words of
+// its workers, while other hosts send its orders in time.
+TEST_F(DrainingStartTest, ListThatMayBeOutOfDateOrdersNoStart) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::OneTask());
+  const Batch batch = PlaceWithoutCommit();
+  m_bench.Advance(kListAge + milliseconds(1));
+  EXPECT_THAT(Commit(batch).starts, IsEmpty());
+  EXPECT_THAT(PlaceWithoutCommit().starts, IsEmpty());
+  m_bench.GetScheduler().ListConfirmed(m_bench.Now());
+  EXPECT_THAT(m_bench.Step().starts, SizeIs(1));
+}
+
+TEST_F(DrainingStartTest, ListThatIsConfirmedOrdersStarts) {
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", SchedulerBench::OneTask());
+  const Batch batch = PlaceWithoutCommit();
+  m_bench.Advance(kListAge);
+  EXPECT_THAT(Commit(batch).starts, SizeIs(1));
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -541,8 +541,8 @@
   std::set<std::string> dropped_gangs;
   const auto is_usable = [this, now](const Run& run) {
     const WorkerState* worker = FindWorker(run.worker.id);
-    return worker != nullptr && worker->entry.id == run.worker &&
-           IsUsable(*worker, now);
+    return IsListCurrent(now) && worker != nullptr &&
+           worker->entry.id == run.worker && IsUsable(*worker, now);
   };
   for (const auto& [ref, number] : batch.starts) {
     const Run* run = FindRun(ref, number);
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -87,6 +87,7 @@
     entries.push_back(entry);
   }
   m_scheduler->WorkersListed(entries, Now());
+  m_scheduler->ListConfirmed(Now());
 }
 
 Submission SchedulerBench::Submit(const std::string& id, JobSpec spec) {
@@ -95,6 +96,7 @@
 }
 
 Orders SchedulerBench::Step() {
+  m_scheduler->ListConfirmed(Now());
   m_scheduler->Plan(Now(), m_clock.WallNow());
   while (m_scheduler->HasRows() || m_scheduler->HasUrgentRows()) {
     const Batch batch = m_scheduler->TakeBatch(kMaxRows, Now());
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -121,6 +121,10 @@
 
 }  // namespace
 
+bool Scheduler::IsListCurrent(base::TimePoint now) const {
+  return now - m_list_as_of <= m_options.max_list_age;
+}
+
 bool Scheduler::IsUsable(const WorkerState& worker, base::TimePoint now) const {
   return worker.listed && worker.has_reported && !worker.silent &&
          !worker.entry.draining && !worker.cordoned &&
@@ -167,6 +171,9 @@
     SuperviseRuns(now);
   }
   BeginDueOccurrences(wall);
+  if (!IsListCurrent(now)) {
+    return;
+  }
   std::map<std::string, std::vector<Job*>> waiting;
   for (const auto& [id, job] : m_unfinished) {
     if (HasWaiting(*job)) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -158,6 +158,10 @@
   IndexMachines();
 }
 
+void Scheduler::ListConfirmed(base::TimePoint as_of) {
+  m_list_as_of = std::max(m_list_as_of, as_of);
+}
+
 void Scheduler::LeaseSent(const std::string& id, base::TimePoint bound) {
   if (WorkerState* worker = FindWorker(id)) {
     worker->lease_bound = std::max(worker->lease_bound, bound);
