--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,7 +10,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "cassiastile/base/clock.hpp"
@@ -174,6 +174,10 @@
   // Kept free in this planning round for those of them that wait.
   Resources withheld;
   std::uint64_t last_end = 0;  // Sequence number of the newest end seen.
+  // Ends that no batch covers yet, the oldest first: the sequence number of the
+  // last one in a report, and the number of the newest change when it had been
+  // applied.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> unwritten_ends;
   // Sequence number of the newest end that the store covers.
   std::uint64_t acked_end = 0;
   // When calls that acknowledge ends were sent that have no answer yet.
@@ -242,6 +246,9 @@
   // worker is kept while it has runs or its lease may be valid.
   void WorkersListed(const std::vector<WorkerEntry>& entries,
                      base::TimePoint now);
+  // The list that was given last lacked no change that the platform had at
+  // `as_of`.
+  void ListConfirmed(base::TimePoint as_of);
   // A worker has reported; `asked_at` is when the report was requested. A run
   // that is missing from it has ended if it was recovered or was confirmed
   // before `asked_at`; it is stopped if its start became unknown before that. A
@@ -289,23 +296,28 @@
       base::TimePoint now);
 
   // Drops runs that can't be alive any more, begins occurrences that are due
-  // and places waiting tasks.
+  // and places waiting tasks, unless the list of workers may be out of date.
   void Plan(base::TimePoint now, base::WallTime wall);
 
   // Which rows a batch may have: those that must not wait (acceptances, starts,
-  // completed steps, ends of jobs), or all. A batch that leaves none to write
-  // also covers the ends that workers have listed.
+  // completed steps, ends of jobs), or all.
   enum class RowChoice : std::uint8_t { kUrgent, kAll };
   // The next batch to commit, of at most `max_rows` rows, which must be 2 or
-  // more, urgent ones first. Its jobs count as written, so a scheduler whose
-  // batch could not be committed must be discarded.
+  // more: urgent ones first, but for a share of a batch of all rows, and each
+  // kind in the order of the jobs' oldest changes. It covers the ends that
+  // workers had listed before the oldest change that it leaves to write. Its
+  // jobs count as written, so a scheduler whose batch could not be committed
+  // must be discarded.
   Batch TakeBatch(std::size_t max_rows,
                   base::TimePoint now,
                   RowChoice choice = RowChoice::kAll);
   // Whether there are rows that should be written without delay.
   bool HasUrgentRows() const { return !m_urgent.empty(); }
   bool HasRows() const { return !m_urgent.empty() || !m_deferred.empty(); }
-  // The batch is committed: updates the jobs and orders the starts in it.
+  // The batch is committed: updates the jobs and orders the starts in it. A
+  // start whose worker takes no tasks any more, as far as an up-to-date list of
+  // workers tells, is not ordered; its run is dropped and its task placed
+  // again, as are all members of its gang.
   void Confirm(const Batch& batch, base::TimePoint now);
 
   // Returns the orders given since the last call.
@@ -415,6 +427,10 @@
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
+  // Takes the jobs of the next batch out of those to write.
+  std::vector<Job*> TakeJobs(std::size_t max_jobs, RowChoice choice);
+  // Adds the ends whose changes are all in this batch or earlier ones.
+  void CoverEnds(Batch& batch);
   void IndexMachines();
   const std::string& ServiceOf(const Job& job) const;
   const QueueConfig* QueueOf(const Job& job) const;
@@ -542,6 +558,10 @@
   std::uint32_t CountOtherUnavailable(const TaskRef& ref) const;
   // Whether the job's customer may use this much more.
   bool IsWithinLimit(const Job& job, const Resources& need) const;
+  // Orders the start of a planned run.
+  void OrderStart(const TaskRef& ref, Run& run, base::TimePoint now);
+  // Whether the list of workers is recent enough to order starts by it.
+  bool IsListCurrent(base::TimePoint now) const;
   // Whether the worker may get new tasks.
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
   // The valid advice on a step; otherwise null, after requesting it unless a
@@ -569,6 +589,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, Job*> m_unfinished;
   std::map<std::string, WorkerState> m_workers;
+  base::TimePoint m_list_as_of{};  // See ListConfirmed.
   // Ids of the workers known on each machine, listed or not.
   std::unordered_map<std::string, std::vector<std::string>>
       m_workers_on_machine;
@@ -592,9 +613,11 @@
   std::size_t m_reserved_for_finite = 0;
   base::TimePoint m_supervised_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
-  // Jobs whose rows are to be written: at once, and with others.
-  std::unordered_set<Job*> m_urgent;
-  std::unordered_set<Job*> m_deferred;
+  std::uint64_t m_last_change = 0;         // Counts MarkDirty.
+  // Jobs whose rows are to be written, by oldest change: at once, and with
+  // others.
+  std::map<std::uint64_t, Job*> m_urgent;
+  std::map<std::uint64_t, Job*> m_deferred;
   std::vector<std::string> m_removed_jobs;  // Their rows are to be removed.
   // Finished jobs that are still kept.
   std::vector<Job*> m_finished;
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/jobs/scheduler.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cassiastile::jobs {
@@ -30,6 +31,10 @@
 // first submission to its objective.
 constexpr int kWorthlessFactor = 3;
 
+// One in so many jobs of a batch of all rows is one that could wait, so that
+// the ends of runs are acknowledged however many callers there are.
+constexpr std::size_t kDeferredShare = 4;
+
 // The fraction of a task that remains, by the progress of its most advanced
 // run.
 double RemainingFraction(const Task& task) {
@@ -392,12 +397,13 @@
 }
 
 void Scheduler::MarkDirty(Job& job, bool urgent) {
-  job.dirty = true;
+  ++m_last_change;
+  if (job.oldest_change == 0) {
+    job.oldest_change = m_last_change;
+    m_deferred.emplace(job.oldest_change, &job);
+  }
   if (urgent) {
-    m_deferred.erase(&job);
-    m_urgent.insert(&job);
-  } else if (!m_urgent.contains(&job)) {
-    m_deferred.insert(&job);
+    m_urgent.insert(m_deferred.extract(job.oldest_change));
   }
 }
 
@@ -429,7 +435,7 @@
 void Scheduler::RemoveFinished(base::TimePoint now) {
   std::erase_if(m_finished, [this, now](Job* job) {
     if (now - job->finished_at < m_options.keep_finished ||
-        job->live_runs > 0 || job->dirty) {
+        job->live_runs > 0 || job->oldest_change != 0) {
       return false;
     }
     m_removed_jobs.push_back(job->id);
@@ -443,12 +449,7 @@
                            RowChoice choice) {
   RemoveFinished(now);
   Batch batch;
-  std::vector<Job*> taken(m_urgent.begin(), m_urgent.end());
-  if (choice == RowChoice::kAll) {
-    taken.insert(taken.end(), m_deferred.begin(), m_deferred.end());
-  }
-  taken.resize(std::min(taken.size(), max_rows / 2));
-  for (Job* job : taken) {
+  for (Job* job : TakeJobs(max_rows / 2, choice)) {
     if (IsFinished(job->phase)) {
       batch.rows.push_back({job->id, true, std::nullopt});
       if (!job->accepted) {
@@ -460,12 +461,9 @@
     }
     batch.rows.push_back({job->id, false, EncodeProgress(*job)});
     batch.phases.emplace_back(job->id, job->phase);
-    job->dirty = false;
-    m_urgent.erase(job);
-    m_deferred.erase(job);
   }
   std::erase_if(m_planned, [&batch](const auto& planned) {
-    if (planned.first.job->dirty) {
+    if (planned.first.job->oldest_change != 0) {
       return false;
     }
     batch.starts.push_back(planned);
@@ -476,14 +474,50 @@
     batch.rows.push_back({m_removed_jobs.back(), false, std::nullopt});
     m_removed_jobs.pop_back();
   }
-  if (!HasRows()) {
-    for (const auto& [id, worker] : m_workers) {
-      if (worker.last_end > worker.acked_end) {
-        batch.ends.emplace_back(worker.entry.id, worker.last_end);
-      }
+  CoverEnds(batch);
+  return batch;
+}
+
+std::vector<Job*> Scheduler::TakeJobs(std::size_t max_jobs, RowChoice choice) {
+  std::vector<Job*> taken;
+  const auto take = [&taken](std::map<std::uint64_t, Job*>& jobs,
+                             std::size_t up_to) {
+    while (taken.size() < up_to && !jobs.empty()) {
+      Job* job = jobs.begin()->second;
+      jobs.erase(jobs.begin());
+      job->oldest_change = 0;
+      taken.push_back(job);
+    }
+  };
+  std::size_t kept = 0;
+  if (choice == RowChoice::kAll) {
+    kept = std::min(m_deferred.size(), max_jobs / kDeferredShare);
+  }
+  take(m_urgent, max_jobs - kept);
+  if (choice == RowChoice::kAll) {
+    take(m_deferred, max_jobs);
+  }
+  return taken;
+}
+
+void Scheduler::CoverEnds(Batch& batch) {
+  std::uint64_t oldest_left = m_last_change + 1;
+  for (const auto* jobs : {&m_urgent, &m_deferred}) {
+    if (!jobs->empty()) {
+      oldest_left = std::min(oldest_left, jobs->begin()->first);
+    }
+  }
+  for (auto& [id, worker] : m_workers) {
+    std::uint64_t covered = 0;
+    while (!worker.unwritten_ends.empty() &&
+           worker.unwritten_ends.front().second < oldest_left) {
+      covered = worker.unwritten_ends.front().first;
+      worker.unwritten_ends.pop_front();
+    }
+    if (covered > 0) {
+      batch.ends.emplace_back(worker.entry.id, covered);
     }
   }
-  return batch;
 }
 
 void Scheduler::Confirm(const Batch& batch, base::TimePoint now) {
@@ -503,28 +537,51 @@
       worker->acked_end = std::max(worker->acked_end, sequence);
     }
   }
+  // The members of a gang are ordered together or not at all.
+  std::set<std::string> dropped_gangs;
+  const auto is_usable = [this, now](const Run& run) {
+    const WorkerState* worker = FindWorker(run.worker.id);
+    return IsListCurrent(now) && worker != nullptr &&
+           worker->entry.id == run.worker && IsUsable(*worker, now);
+  };
+  for (const auto& [ref, number] : batch.starts) {
+    const Run* run = FindRun(ref, number);
+    if (SpecOf(ref).gang && (run == nullptr || !is_usable(*run))) {
+      dropped_gangs.insert(StepKey(ref.job->id, ref.occurrence, ref.step));
+    }
+  }
   for (const auto& [ref, number] : batch.starts) {
     Run* run = FindRun(ref, number);
     if (run == nullptr || run->phase != RunPhase::kPlanned) {
       continue;
     }
-    run->phase = RunPhase::kStarting;
-    run->ordered_at = now;
-    run->start_ordered_at = now;
-    m_orders.starts.push_back({run->worker, IdOf(ref), number,
-                               ref.job->spec.payload, run->checkpoint, "",
-                               run->placed_at});
-    const auto advice =
-        m_advice.find(StepKey(ref.job->id, ref.occurrence, ref.step));
-    if (advice != m_advice.end()) {
-      const auto ticket = advice->second.ticket_of_worker.find(run->worker.id);
-      if (ticket != advice->second.ticket_of_worker.end()) {
-        m_orders.starts.back().ticket = ticket->second;
-      }
+    if (is_usable(*run) && !dropped_gangs.contains(StepKey(
+                               ref.job->id, ref.occurrence, ref.step))) {
+      OrderStart(ref, *run, now);
+    } else {
+      DropRun(ref, number, DropReason::kNotOrdered, now);
     }
   }
 }
 
+void Scheduler::OrderStart(const TaskRef& ref, Run& run, base::TimePoint now) {
+  run.phase = RunPhase::kStarting;
+  run.ordered_at = now;
+  run.start_ordered_at = now;
+  m_orders.starts.push_back({run.worker, IdOf(ref), run.number,
+                             ref.job->spec.payload, run.checkpoint, "",
+                             run.placed_at});
+  const auto advice =
+      m_advice.find(StepKey(ref.job->id, ref.occurrence, ref.step));
+  if (advice == m_advice.end()) {
+    return;
+  }
+  const auto ticket = advice->second.ticket_of_worker.find(run.worker.id);
+  if (ticket != advice->second.ticket_of_worker.end()) {
+    m_orders.starts.back().ticket = ticket->second;
+  }
+}
+
 Orders Scheduler::TakeOrders() {
   return std::exchange(m_orders, {});
 }
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -82,12 +82,18 @@
   ListWorkers();
 }
 
+void SchedulerBench::SetDraining(const std::string& id) {
+  m_entries.at(id).draining = true;
+  ListWorkers();
+}
+
 void SchedulerBench::ListWorkers() {
   std::vector<WorkerEntry> entries;
   for (const auto& [id, entry] : m_entries) {
     entries.push_back(entry);
   }
   m_scheduler->WorkersListed(entries, Now());
+  m_scheduler->ListConfirmed(Now());
 }
 
 Submission SchedulerBench::Submit(const std::string& id, JobSpec spec) {
@@ -96,6 +102,7 @@
 }
 
 Orders SchedulerBench::Step() {
+  m_scheduler->ListConfirmed(Now());
   m_scheduler->Plan(Now(), m_clock.WallNow());
   while (m_scheduler->HasRows() || m_scheduler->HasUrgentRows()) {
     const Batch batch = m_scheduler->TakeBatch(kMaxRows, Now());
