--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -92,6 +92,16 @@
   base::TimePoint ordered_at{};  // See Run::start_ordered_at.
 };
 
+// The end of a worker that nobody asked for, while a task ran there.
+struct Crash {
+  std::uint32_t run = 0;
+  // Whether the worker is known to have started the run and to have ended,
+  // rather than to have been out of reach.
+  bool certain = false;
+
+  friend bool operator==(const Crash&, const Crash&) = default;
+};
+
 // One of the parallel units of a step.
 struct Task {
   bool done = false;
@@ -100,6 +110,8 @@
   std::vector<std::uint32_t> failed_runs;
   std::uint32_t last_run = 0;  // Number of the last run; 0 for none.
   std::string checkpoint;      // The newest; empty if there is none.
+  // At most one for each run.
+  std::vector<Crash> crashes;
   // Runs that may be alive. A task is placed again only when it has none.
   std::vector<Run> runs;
   // Starts that may still arrive at later incarnations. Until then the task may
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -68,6 +68,15 @@
   std::uint32_t run = 0;
   DropReason reason = DropReason::kNone;
   RunPhase phase = RunPhase::kPlanned;  // When it was given up.
+  std::size_t crashes = 0;  // Of its task so far; see Task::crashes.
+};
+
+// A worker whose capacity has changed while it runs.
+struct ResizedWorker {
+  WorkerId worker;
+  Resources before;
+  Resources after;
+  Resources used;
 };
 
 // Orders that the caller must carry out, and what it should log. Only Confirm
@@ -80,6 +89,10 @@
   std::vector<DroppedRun> dropped;
   // Runs that a worker lists as running although they were given up.
   std::vector<DroppedRun> resurfaced;
+  // Runs of a worker's former incarnation whose starts the next one may still
+  // carry out.
+  std::vector<DroppedRun> outlived;
+  std::vector<ResizedWorker> resized;
 };
 
 // Why a long-running task has no confirmed run.
@@ -492,6 +505,11 @@
   void ForgetWithdrawnOn(WorkerState& worker);
   void ForgetWithdrawnOf(const TaskRef& ref);
 
+  // scheduler_crashes.cpp
+  // Notes under a task that its worker has ended unasked, unless the run can't
+  // have been there.
+  void RecordCrash(const TaskRef& ref, const Run& run, DropReason reason);
+
   // scheduler_place.cpp
   void BeginDueOccurrences(base::WallTime wall);
   void PlaceService(const std::string& service,
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -51,9 +51,16 @@
   nlohmann::json line = DescribeRun(drop.worker, drop.task, drop.run);
   line["reason"] = base::FindName(jobs::kDropReasonNames, drop.reason);
   line["phase"] = base::FindName(jobs::kRunPhaseNames, drop.phase);
+  line["crashes"] = drop.crashes;
   return line;
 }
 
+nlohmann::json Describe(const jobs::Resources& resources) {
+  return {{"cpu", resources.cpu},
+          {"memory", resources.memory},
+          {"gpus", resources.gpus}};
+}
+
 }  // namespace
 
 std::chrono::milliseconds Dispatcher::WorkerClock(const Link& link) const {
@@ -272,6 +279,16 @@
   for (const jobs::DroppedRun& drop : orders.resurfaced) {
     m_log.Write("run.resurfaced", DescribeDrop(drop));
   }
+  for (const jobs::DroppedRun& drop : orders.outlived) {
+    m_log.Write("run.outlived", DescribeDrop(drop));
+  }
+  for (const jobs::ResizedWorker& resized : orders.resized) {
+    m_log.Write("worker.resized", {{"worker", resized.worker.id},
+                                   {"born", resized.worker.incarnation_ms},
+                                   {"before", Describe(resized.before)},
+                                   {"after", Describe(resized.after)},
+                                   {"used", Describe(resized.used)}});
+  }
   for (const jobs::StartOrder& order : orders.starts) {
     SendStart(order);
   }
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -47,6 +47,10 @@
       DropRun(ref, number, DropReason::kIncarnationOver, now);
       continue;
     }
+    RecordCrash(ref, *run, DropReason::kIncarnationOver);
+    m_orders.outlived.push_back({run->worker, IdOf(ref), number,
+                                 DropReason::kIncarnationOver, run->phase,
+                                 FindTask(ref)->crashes.size()});
     run->worker = worker.entry.id;
     run->confirmed_at = {};
     MarkDirty(*ref.job, false);
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -81,9 +81,11 @@
     }
   }
   if (reason != DropReason::kNone) {
+    RecordCrash(ref, *run, reason);
     task->dropped_run = number;
     task->drop_reason = reason;
-    m_orders.dropped.push_back({where, IdOf(ref), number, reason, run->phase});
+    m_orders.dropped.push_back(
+        {where, IdOf(ref), number, reason, run->phase, task->crashes.size()});
   }
   m_used_by_customer[ref.job->customer] -= spec.need;
   --ref.job->live_runs;
@@ -147,6 +149,11 @@
       worker.is_ending = false;
       worker.terminated = false;
     }
+    if (!other_incarnation && worker.entry.capacity != Resources{} &&
+        entry.capacity != worker.entry.capacity) {
+      m_orders.resized.push_back(
+          {entry.id, worker.entry.capacity, entry.capacity, worker.used});
+    }
     worker.entry = entry;
     worker.listed = true;
   }
