Reproduce tasks that are started on every worker in turn though each crashes

A task that crashes its workers is started as often as the test lasts (20 times, or 10, where 5 are the most) and its job never fails: IsNotStartedOnEveryWorkerInTurn, ThatCrashesLateIsNotStartedOnEveryWorkerInTurn, LongRunningOneIsNotStartedOnEveryWorkerInTurn, IsGivenUpWhenOtherWorkersTakeThePlaceOfThoseItCrashed, CrashesCountAcrossChangesOfLeader, CrashJustBeforeAChangeOfLeaderCounts; the tasks next to it are never done (TasksThatRanNextToItAreDone).

--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -76,6 +76,17 @@
   ListWorkers();
 }
 
+void SchedulerBench::SetDraining(const std::string& id) {
+  m_entries.at(id).draining = true;
+  ListWorkers();
+}
+
+void SchedulerBench::SetCapacity(const std::string& id,
+                                 const Resources& capacity) {
+  m_entries.at(id).capacity = capacity;
+  ListWorkers();
+}
+
 void SchedulerBench::ListWorkers() {
   std::vector<WorkerEntry> entries;
   for (const auto& [id, entry] : m_entries) {
@@ -107,7 +118,21 @@
 }
 
 std::vector<StartOrder> SchedulerBench::StepAndStart() {
+  return AnswerStarts(Step());
+}
+
+std::vector<StartOrder> SchedulerBench::StepStartAndStop() {
   const Orders orders = Step();
+  for (const StopOrder& order : orders.stops) {
+    std::erase_if(m_running[order.worker.id], [&order](const auto& each) {
+      return each.task == order.task && each.run == order.run;
+    });
+    m_scheduler->StopAnswered(order.worker, order.task, order.run, Now());
+  }
+  return AnswerStarts(orders);
+}
+
+std::vector<StartOrder> SchedulerBench::AnswerStarts(const Orders& orders) {
   for (const StartOrder& order : orders.starts) {
     m_running[order.worker.id].push_back(order);
     m_scheduler->StartAnswered(order.worker, order.task, order.run,
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -24,11 +24,16 @@
 
   void AddWorker(const std::string& id, std::int64_t incarnation_ms = 1);
   void RemoveWorker(const std::string& id);
+  // Changes what a worker says of itself while it runs.
+  void SetDraining(const std::string& id);
+  void SetCapacity(const std::string& id, const Resources& capacity);
   Submission Submit(const std::string& id, JobSpec spec);
   // Plans, commits all rows and returns the orders.
   Orders Step();
   // The same; also answers all starts with success and returns them.
   std::vector<StartOrder> StepAndStart();
+  // The same; also answers all stops, after which no report lists their runs.
+  std::vector<StartOrder> StepStartAndStop();
   void Report(const std::string& worker, const WorkerReport& report);
   // A report that lists the runs and ends of the worker.
   WorkerReport Listing(const std::string& worker) const;
@@ -44,6 +49,7 @@
   Scheduler& GetScheduler() { return *m_scheduler; }
 
  private:
+  std::vector<StartOrder> AnswerStarts(const Orders& orders);
   void ListWorkers();
 
   base::ManualClock m_clock;
