Count the crashes of workers under each task, and give up the one to blame

Each task keeps its crashes: one for each run whose worker ended unasked, certain where the worker is known to have started the run and to have ended without draining or being cordoned, proven where a report had listed the run 0.2 s after its start. They are stored as a last field of the task's row, which older rows lack and older programs skip; a crash around a change of leader is found by the recovered run. A task with a crash at its start, or two crashes, is suspected: its next worker takes no other new task until that run is proven, so that a second crash points at it. With more, it is isolated on a worker without finite tasks. A crash of a run that alone can be to blame fails the job, if two crashes are certain; otherwise three crashes and two more starts are the most. A worker that crashed is not held back. Long-running tasks obey the same, and are cleared once they have worked for 5 s: a crash after that is no sign of a start that kills.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -51,6 +51,16 @@
     {RunPhase::kRecovered, "recovered"},
 }};
 
+// How far a task is suspected of crashing the workers that start it.
+enum class Suspicion : std::uint8_t {
+  kNone,
+  // A worker has crashed under it. Its worker gets no other new tasks until the
+  // run is proven.
+  kSuspected,
+  // Several have. Its worker gets no other tasks, and has no finite ones.
+  kIsolated,
+};
+
 // One attempt at a task on one worker.
 struct Run {
   std::uint32_t number = 0;
@@ -80,6 +90,13 @@
   std::int64_t load = 0;    // See ListedRun::load.
   // The newest checkpoint of this run, or the one it was started from.
   std::string checkpoint;
+  // Whether a report has listed it some time after its start: its start has not
+  // crashed the worker.
+  bool proven = false;
+  Suspicion suspicion = Suspicion::kNone;  // Of its task when it was placed.
+  // Whether no other run can be to blame if its worker crashes before it is
+  // proven.
+  bool alone = false;
 };
 
 // A start whose run was stopped before any report listed it. A later
@@ -98,6 +115,7 @@
   // Whether the worker is known to have started the run and to have ended,
   // rather than to have been out of reach.
   bool certain = false;
+  bool proven = false;  // See Run::proven.
 
   friend bool operator==(const Crash&, const Crash&) = default;
 };
@@ -173,6 +191,8 @@
   std::uint32_t live_runs = 0;  // Runs of its tasks that may be alive.
 };
 
+Suspicion SuspicionOf(const Task& task);
+
 // Refers to a task inside the scheduler. Valid while the scheduler keeps the
 // job.
 struct TaskRef {
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -79,6 +79,12 @@
   Resources used;
 };
 
+// A task whose job has failed since workers crashed under it.
+struct GivenUpTask {
+  TaskId task;
+  std::vector<Crash> crashes;
+};
+
 // Orders that the caller must carry out, and what it should log. Only Confirm
 // adds starts.
 struct Orders {
@@ -93,6 +99,7 @@
   // carry out.
   std::vector<DroppedRun> outlived;
   std::vector<ResizedWorker> resized;
+  std::vector<GivenUpTask> given_up;
 };
 
 // Why a long-running task has no confirmed run.
@@ -507,8 +514,27 @@
 
   // scheduler_crashes.cpp
   // Notes under a task that its worker has ended unasked, unless the run can't
-  // have been there.
-  void RecordCrash(const TaskRef& ref, const Run& run, DropReason reason);
+  // have been there. Returns whether the task is to blame.
+  bool RecordCrash(const TaskRef& ref, const Run& run, DropReason reason);
+  // Whether it may not be started again, since workers have crashed under it.
+  static bool IsStartLimitReached(const Task& task);
+  void GiveUp(const TaskRef& ref, base::TimePoint now);
+  // Updates Run::proven, and ends the suspicion against a run that works for
+  // long.
+  void ProveRun(const TaskRef& ref, Run& run, base::TimePoint now);
+  // Asks for a report of the worker when a suspected run may be proven.
+  void RequestProof(WorkerState& worker, base::TimePoint now);
+  // Whether suspicion against the task, or against a run on the worker, keeps
+  // the task off the worker.
+  bool IsKeptApart(const WorkerState& worker, const TaskRef& ref) const;
+  // Whether a run on the worker is unproven.
+  static bool HasUnprovenRun(const WorkerState& worker);
+  // What a crash of the worker would cost, to choose one for a suspected task.
+  static std::int64_t CrashCost(const WorkerState& worker);
+  // Reserves a whole worker for a task that must be isolated.
+  void ReserveWorker(const TaskRef& ref,
+                     const std::vector<WorkerState*>& workers,
+                     const Advice* advice) const;
 
   // scheduler_place.cpp
   void BeginDueOccurrences(base::WallTime wall);
@@ -540,7 +566,12 @@
   void Reserve(const TaskRef& ref,
                const std::vector<WorkerState*>& workers,
                const Advice* advice);
-  // Whether the worker may run the task, apart from its free capacity.
+  // Whether the worker may run the task, apart from its free capacity and from
+  // suspicion.
+  bool IsSuitable(const WorkerState& worker,
+                  const TaskRef& ref,
+                  const Advice* advice) const;
+  // The same, with regard to suspicion.
   bool IsEligible(const WorkerState& worker,
                   const TaskRef& ref,
                   const Advice* advice) const;
@@ -618,6 +649,8 @@
   std::vector<Job*> m_finished;
   DurationModel m_durations;
   Orders m_orders;
+  // Number of runs that were placed under suspicion.
+  std::size_t m_suspected_runs = 0;
   // Runs in phase kPlanned that are not yet in a batch.
   std::vector<std::pair<TaskRef, std::uint32_t>> m_planned;
 };
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -282,6 +282,17 @@
   for (const jobs::DroppedRun& drop : orders.outlived) {
     m_log.Write("run.outlived", DescribeDrop(drop));
   }
+  for (const jobs::GivenUpTask& given_up : orders.given_up) {
+    const jobs::TaskId& task = given_up.task;
+    nlohmann::json crashes = nlohmann::json::array();
+    for (const jobs::Crash& crash : given_up.crashes) {
+      crashes.push_back({crash.run, crash.certain, crash.proven});
+    }
+    m_log.Write("task.given_up",
+                {{"job", task.job},
+                 {"task", {task.occurrence, task.step, task.index}},
+                 {"crashes", std::move(crashes)}});
+  }
   for (const jobs::ResizedWorker& resized : orders.resized) {
     m_log.Write("worker.resized", {{"worker", resized.worker.id},
                                    {"born", resized.worker.incarnation_ms},
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -124,6 +124,14 @@
   MSGPACK_DEFINE(number, worker, listed);
 };
 
+struct PackedCrash {
+  std::uint32_t run = 0;
+  bool certain = false;
+  bool proven = false;
+
+  MSGPACK_DEFINE(run, certain, proven);
+};
+
 struct PackedTask {
   std::uint32_t step = 0;
   std::uint32_t index = 0;
@@ -133,6 +141,7 @@
   std::vector<std::uint32_t> failed_runs;
   std::vector<PackedRun> runs;
   std::vector<PackedRun> withdrawn;
+  std::vector<PackedCrash> crashes;  // Missing in rows of older programs.
 
   MSGPACK_DEFINE(step,
                  index,
@@ -141,7 +150,8 @@
                  checkpoint,
                  failed_runs,
                  runs,
-                 withdrawn);
+                 withdrawn,
+                 crashes);
 };
 
 struct PackedOccurrence {
@@ -216,6 +226,9 @@
       packed.withdrawn.push_back(
           {start.run, IndexOf(start.worker, start.machine), false});
     }
+    for (const Crash& crash : task.crashes) {
+      packed.crashes.push_back({crash.run, crash.certain, crash.proven});
+    }
     return packed;
   }
 
@@ -275,6 +288,9 @@
     start.worker = {worker.id, worker.incarnation_ms};
     start.machine = worker.machine;
   }
+  for (const PackedCrash& each : packed.crashes) {
+    task.crashes.push_back({each.run, each.certain, each.proven});
+  }
 }
 
 void UnpackProgress(Job& job, const std::string& bytes) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -183,6 +183,10 @@
             m_used_by_customer[job.customer] += SpecOf(ref).need;
             run.ordered_at = now;
             run.start_ordered_at = now;
+            run.proven = run.listed;
+            run.suspicion = SuspicionOf(tasks[i]);
+            run.alone = run.suspicion == Suspicion::kIsolated;
+            m_suspected_runs += run.suspicion != Suspicion::kNone ? 1 : 0;
             ++job.live_runs;
           }
           for (WithdrawnStart& start : tasks[i].withdrawn) {
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -1,30 +1,179 @@
-// Workers that end unasked, and the tasks that ran there.
+// Tasks that may crash the workers that start them.
 #include <algorithm>
 
 #include "cassiastile/jobs/scheduler.hpp"
 
 namespace cassiastile::jobs {
 
-void Scheduler::RecordCrash(const TaskRef& ref,
+namespace {
+
+// A run that is listed this long after its start is proven.
+constexpr std::chrono::milliseconds kProvenAfter{200};
+// A suspected run that works for this long is no longer kept apart, and a
+// long-running task that does is cleared.
+constexpr std::chrono::milliseconds kClearedAfter{5000};
+// A job is given up only if this many workers have certainly crashed under one
+// of its tasks.
+constexpr std::size_t kMinCertainCrashes = 2;
+// After this many crashes, certain or not, a task is started kLastStarts times
+// at most.
+constexpr std::size_t kMaxCrashes = 3;
+constexpr std::uint32_t kLastStarts = 2;
+
+bool IsCertain(const Task& task) {
+  return std::ranges::count_if(task.crashes, &Crash::certain) >=
+         static_cast<std::ptrdiff_t>(kMinCertainCrashes);
+}
+
+}  // namespace
+
+Suspicion SuspicionOf(const Task& task) {
+  const std::size_t crashes = task.crashes.size();
+  if (crashes == 0) {
+    return Suspicion::kNone;
+  }
+  const auto at_start = static_cast<std::size_t>(std::ranges::count_if(
+      task.crashes, [](const Crash& crash) { return !crash.proven; }));
+  if (crashes >= kMaxCrashes || at_start > 1) {
+    return Suspicion::kIsolated;
+  }
+  return crashes > 1 || at_start > 0 ? Suspicion::kSuspected : Suspicion::kNone;
+}
+
+bool Scheduler::RecordCrash(const TaskRef& ref,
                             const Run& run,
                             DropReason reason) {
   const bool ended_unasked = reason == DropReason::kIncarnationOver ||
                              reason == DropReason::kWorkerGone ||
                              reason == DropReason::kLeaseOver;
   if (!ended_unasked || run.phase == RunPhase::kPlanned) {
-    return;
+    return false;
   }
   const WorkerState* worker = FindWorker(run.worker.id);
   const bool leaving =
       worker != nullptr && (worker->entry.draining || worker->cordoned);
+  const bool out_of_reach = reason == DropReason::kLeaseOver;
   const bool started = run.listed || run.answered_at != base::TimePoint{};
-  const bool certain = started && !leaving && reason != DropReason::kLeaseOver;
-  auto& crashes = FindTask(ref)->crashes;
-  const auto known = std::ranges::find(crashes, run.number, &Crash::run);
-  if (known == crashes.end()) {
-    crashes.push_back({run.number, certain});
+  const Crash crash{.run = run.number,
+                    .certain = started && !leaving && !out_of_reach,
+                    .proven = run.proven || leaving || out_of_reach};
+  Task& task = *FindTask(ref);
+  const auto known = std::ranges::find(task.crashes, run.number, &Crash::run);
+  if (known == task.crashes.end()) {
+    task.crashes.push_back(crash);
   } else {
-    known->certain = known->certain || certain;
+    known->certain = known->certain || crash.certain;
+  }
+  const bool only_suspect =
+      run.suspicion == Suspicion::kIsolated ||
+      (run.suspicion == Suspicion::kSuspected && !run.proven);
+  return crash.certain && run.alone && only_suspect && IsCertain(task);
+}
+
+bool Scheduler::IsStartLimitReached(const Task& task) {
+  return task.crashes.size() >= kMaxCrashes && IsCertain(task) &&
+         task.last_run >= task.crashes[kMaxCrashes - 1].run + kLastStarts;
+}
+
+void Scheduler::GiveUp(const TaskRef& ref, base::TimePoint now) {
+  m_orders.given_up.push_back({IdOf(ref), FindTask(ref)->crashes});
+  Finish(*ref.job, JobPhase::kFailed, now);
+}
+
+void Scheduler::ProveRun(const TaskRef& ref, Run& run, base::TimePoint now) {
+  if (run.phase != RunPhase::kRunning ||
+      run.confirmed_at == base::TimePoint{}) {
+    return;
+  }
+  run.proven = run.proven || now - run.confirmed_at >= kProvenAfter;
+  if (now - run.confirmed_at < kClearedAfter) {
+    return;
+  }
+  Task& task = *FindTask(ref);
+  if (run.suspicion != Suspicion::kNone) {
+    run.suspicion = Suspicion::kNone;
+    --m_suspected_runs;
+  }
+  if (SpecOf(ref).long_running && !task.crashes.empty()) {
+    task.crashes.clear();
+    MarkDirty(*ref.job, false);
+  }
+}
+
+void Scheduler::RequestProof(WorkerState& worker, base::TimePoint now) {
+  if (m_suspected_runs == 0) {
+    return;
+  }
+  for (const auto& [ref, number] : worker.runs) {
+    const Run* run = FindRun(ref, number);
+    worker.wants_report =
+        worker.wants_report ||
+        (run != nullptr && run->suspicion == Suspicion::kSuspected &&
+         !run->proven && run->phase == RunPhase::kRunning &&
+         now - run->confirmed_at >= kProvenAfter);
+  }
+}
+
+bool Scheduler::IsKeptApart(const WorkerState& worker,
+                            const TaskRef& ref) const {
+  const Suspicion suspicion = SuspicionOf(*FindTask(ref));
+  if (m_suspected_runs == 0 && suspicion != Suspicion::kIsolated) {
+    return false;
+  }
+  const bool gang = SpecOf(ref).gang;
+  return std::ranges::any_of(worker.runs, [&](const auto& entry) {
+    const auto& [other, number] = entry;
+    if (gang && other.job == ref.job && other.occurrence == ref.occurrence &&
+        other.step == ref.step) {
+      return false;
+    }
+    const Task& task = *FindTask(other);
+    const auto run = std::ranges::find(task.runs, number, &Run::number);
+    if (run == task.runs.end()) {
+      return false;
+    }
+    const bool unsettled = run->phase == RunPhase::kPlanned ||
+                           run->phase == RunPhase::kStarting ||
+                           run->phase == RunPhase::kRunning;
+    return run->suspicion == Suspicion::kIsolated ||
+           (run->suspicion == Suspicion::kSuspected && !run->proven &&
+            unsettled) ||
+           (suspicion == Suspicion::kIsolated && !SpecOf(other).long_running);
+  });
+}
+
+bool Scheduler::HasUnprovenRun(const WorkerState& worker) {
+  return std::ranges::any_of(worker.runs, [](const auto& entry) {
+    const auto& [ref, number] = entry;
+    const Task& task = *FindTask(ref);
+    const auto run = std::ranges::find(task.runs, number, &Run::number);
+    return run != task.runs.end() && !run->proven;
+  });
+}
+
+std::int64_t Scheduler::CrashCost(const WorkerState& worker) {
+  constexpr std::int64_t kPerRun = 10000;
+  constexpr std::int64_t kUnproven = 1000000;
+  return kPerRun * static_cast<std::int64_t>(worker.runs.size()) +
+         (HasUnprovenRun(worker) ? kUnproven : 0);
+}
+
+void Scheduler::ReserveWorker(const TaskRef& ref,
+                              const std::vector<WorkerState*>& workers,
+                              const Advice* advice) const {
+  WorkerState* best = nullptr;
+  for (WorkerState* worker : workers) {
+    if (worker->reserved != Resources{} || !IsSuitable(*worker, ref, advice) ||
+        !Fits(worker->long_running_used + CapacityNeed(SpecOf(ref)),
+              worker->entry.capacity)) {
+      continue;
+    }
+    if (best == nullptr || worker->runs.size() < best->runs.size()) {
+      best = worker;
+    }
+  }
+  if (best != nullptr) {
+    best->reserved = best->entry.capacity;
   }
 }
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -47,7 +47,7 @@
       DropRun(ref, number, DropReason::kIncarnationOver, now);
       continue;
     }
-    RecordCrash(ref, *run, DropReason::kIncarnationOver);
+    const bool to_blame = RecordCrash(ref, *run, DropReason::kIncarnationOver);
     m_orders.outlived.push_back({run->worker, IdOf(ref), number,
                                  DropReason::kIncarnationOver, run->phase,
                                  FindTask(ref)->crashes.size()});
@@ -63,6 +63,9 @@
       run->phase = RunPhase::kStartUnknown;
       worker.wants_report = true;
     }
+    if (to_blame && !IsFinished(ref.job->phase)) {
+      GiveUp(ref, now);
+    }
   }
   for (const TaskRef& ref : std::exchange(worker.withdrawn, {})) {
     Task& task = *FindTask(ref);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -18,6 +18,7 @@
 // together, and finite tasks kept away from them.
 constexpr std::int64_t kLongRunningPackingBonus = 20000;
 constexpr std::int64_t kInterferenceCost = 1000;
+constexpr std::int64_t kWholeCore = 1000;
 
 // Runs are supervised at this interval, since supervising them in every
 // planning round took most of a loaded scheduler's time. Leases and timeouts
@@ -296,13 +297,21 @@
     const TaskRef ref{&job, occurrence.number, step_number, index};
     // Its capacity is withheld on the only worker that may run it.
     const bool bound = IsBound(step.tasks[index]);
+    const Suspicion suspicion = SuspicionOf(step.tasks[index]);
     WorkerState* worker = nullptr;
     if (allowed && (bound || !full)) {
       worker = ChooseWorker(ref, workers, advice);
-      full = full || (worker == nullptr && !bound);
+      full = full ||
+             (worker == nullptr && !bound && suspicion == Suspicion::kNone);
     }
     if (worker == nullptr) {
-      if (allowed && !bound) {
+      if (allowed && suspicion == Suspicion::kIsolated) {
+        if (may_reserve > 0) {
+          --may_reserve;
+          m_reserved_for_finite += spec.long_running ? 0 : 1;
+          ReserveWorker(ref, workers, advice);
+        }
+      } else if (allowed && !bound) {
         ++unplaced;
         if (may_reserve > 0) {
           --may_reserve;
@@ -418,6 +427,12 @@
 bool Scheduler::IsEligible(const WorkerState& worker,
                            const TaskRef& ref,
                            const Advice* advice) const {
+  return IsSuitable(worker, ref, advice) && !IsKeptApart(worker, ref);
+}
+
+bool Scheduler::IsSuitable(const WorkerState& worker,
+                           const TaskRef& ref,
+                           const Advice* advice) const {
   const StepSpec& spec = SpecOf(ref);
   const WorkerEntry& entry = worker.entry;
   const bool has_label = spec.required_label.empty() ||
@@ -471,6 +486,7 @@
                                      const Advice* advice) const {
   const StepSpec& spec = SpecOf(ref);
   const Task& task = *FindTask(ref);
+  const bool suspected = SuspicionOf(task) != Suspicion::kNone;
   WorkerState* best = nullptr;
   std::int64_t best_cost = 0;
   for (WorkerState* worker : workers) {
@@ -492,8 +508,12 @@
       cost += kColocationCost;
     }
     const std::int64_t neighbours = worker->long_running_runs;
-    cost += spec.long_running ? -kLongRunningPackingBonus * neighbours
-                              : kInterferenceCost * neighbours;
+    cost += spec.long_running && !suspected
+                ? -kLongRunningPackingBonus * neighbours
+                : kInterferenceCost * neighbours;
+    if (suspected) {
+      cost = CrashCost(*worker) + cost / kWholeCore;
+    }
     if (best == nullptr || cost < best_cost) {
       best = worker;
       best_cost = cost;
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -50,6 +50,9 @@
   run.start_ordered_at = now;
   run.progressed_at = now;
   run.checkpoint = task.checkpoint;
+  run.suspicion = SuspicionOf(task);
+  run.alone = run.suspicion != Suspicion::kNone && !HasUnprovenRun(worker);
+  m_suspected_runs += run.suspicion != Suspicion::kNone ? 1 : 0;
   const StepSpec& spec = SpecOf(ref);
   worker.Use(spec);
   worker.runs.emplace_back(ref, run.number);
@@ -80,8 +83,9 @@
       worker->Release(spec);
     }
   }
+  bool to_blame = false;
   if (reason != DropReason::kNone) {
-    RecordCrash(ref, *run, reason);
+    to_blame = RecordCrash(ref, *run, reason);
     task->dropped_run = number;
     task->drop_reason = reason;
     m_orders.dropped.push_back(
@@ -98,11 +102,16 @@
   if (reason == DropReason::kMissing && MayStartLater(ref, *run, now)) {
     Withdraw(ref, *run);
   }
+  m_suspected_runs -= run->suspicion != Suspicion::kNone ? 1 : 0;
   std::erase_if(task->runs,
                 [number](const Run& each) { return each.number == number; });
   if (IsFinished(ref.job->phase) || task->done) {
     return;
   }
+  if (to_blame || (reason != DropReason::kNone && IsStartLimitReached(*task))) {
+    GiveUp(ref, now);
+    return;
+  }
   if (spec.long_running && was_serving) {
     task->unavailable_since = now;
   }
@@ -262,6 +271,10 @@
   const StepSpec& spec = SpecOf(*ref);
   if (!run->listed) {
     run->listed = true;
+    // It was thought to have ended with the worker's former incarnation.
+    std::erase_if(FindTask(*ref)->crashes, [run](const Crash& crash) {
+      return crash.run == run->number;
+    });
     // Stored, so that the next leader need not wait for a late start.
     MarkDirty(job, false);
   }
@@ -278,6 +291,7 @@
     run->phase = RunPhase::kRunning;
     run->confirmed_at = now;
   }
+  ProveRun(*ref, *run, now);
   return ref;
 }
 
@@ -308,10 +322,16 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(now - began));
     }
     CompleteTask(ref, now);
-  } else if (end.how == RunEnd::kFailed) {
+    return;
+  }
+  if (end.how == RunEnd::kFailed) {
     worker.health.RunFailed(now);
     RecordFailedRun(ref, end.run, worker.entry.id.id, now);
   }
+  if (!IsFinished(ref.job->phase) && !task.done && task.runs.empty() &&
+      IsStartLimitReached(task)) {
+    GiveUp(ref, now);
+  }
 }
 
 void Scheduler::CompleteTask(const TaskRef& ref, base::TimePoint now) {
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -43,6 +43,7 @@
       DrainWorker(worker, now);
     }
     PaceFillers(worker, now);
+    RequestProof(worker, now);
     const auto runs = worker.runs;
     for (const auto& [ref, number] : runs) {
       if (Run* run = FindRun(ref, number)) {
