--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -51,6 +51,16 @@
     {RunPhase::kRecovered, "recovered"},
 }};
 
+// How far a task is suspected of crashing the workers that start it.
+enum class Suspicion : std::uint8_t {
+  kNone,
+  // A worker has crashed under it. Its worker gets no other new tasks until the
+  // run is proven.
+  kSuspected,
+  // Several have. Its worker gets no other tasks, and has no finite ones.
+  kIsolated,
+};
+
 // One attempt at a task on one worker.
 struct Run {
   std::uint32_t number = 0;
@@ -80,6 +90,13 @@
   std::int64_t load = 0;    // See ListedRun::load.
   // The newest checkpoint of this run, or the one it was started from.
   std::string checkpoint;
+  // Whether a report has listed it some time after its start: its start has not
+  // crashed the worker.
+  bool proven = false;
+  Suspicion suspicion = Suspicion::kNone;  // Of its task when it was placed.
+  // Whether no other run can be to blame if its worker crashes before it is
+  // proven.
+  bool alone = false;
 };
 
 // A start whose run was stopped before any report listed it. A later
@@ -92,6 +109,17 @@
   base::TimePoint ordered_at{};  // See Run::start_ordered_at.
 };
 
+// The end of a worker that nobody asked for, while a task ran there.
+struct Crash {
+  std::uint32_t run = 0;
+  // Whether the worker is known to have started the run and to have ended,
+  // rather than to have been out of reach.
+  bool certain = false;
+  bool proven = false;  // See Run::proven.
+
+  friend bool operator==(const Crash&, const Crash&) = default;
+};
+
 // One of the parallel units of a step.
 struct Task {
   bool done = false;
@@ -100,6 +128,8 @@
   std::vector<std::uint32_t> failed_runs;
   std::uint32_t last_run = 0;  // Number of the last run; 0 for none.
   std::string checkpoint;      // The newest; empty if there is none.
+  // At most one for each run.
+  std::vector<Crash> crashes;
   // Runs that may be alive. A task is placed again only when it has none.
   std::vector<Run> runs;
   // Starts that may still arrive at later incarnations. Until then the task may
@@ -162,6 +192,8 @@
   std::uint32_t live_runs = 0;  // Runs of its tasks that may be alive.
 };
 
+Suspicion SuspicionOf(const Task& task);
+
 // Refers to a task inside the scheduler. Valid while the scheduler keeps the
 // job.
 struct TaskRef {
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -68,6 +68,21 @@
   std::uint32_t run = 0;
   DropReason reason = DropReason::kNone;
   RunPhase phase = RunPhase::kPlanned;  // When it was given up.
+  std::size_t crashes = 0;  // Of its task so far; see Task::crashes.
+};
+
+// A worker whose capacity has changed while it runs.
+struct ResizedWorker {
+  WorkerId worker;
+  Resources before;
+  Resources after;
+  Resources used;
+};
+
+// A task whose job has failed since workers crashed under it.
+struct GivenUpTask {
+  TaskId task;
+  std::vector<Crash> crashes;
 };
 
 // Orders that the caller must carry out, and what it should log. Only Confirm
@@ -80,6 +95,11 @@
   std::vector<DroppedRun> dropped;
   // Runs that a worker lists as running although they were given up.
   std::vector<DroppedRun> resurfaced;
+  // Runs of a worker's former incarnation whose starts the next one may still
+  // carry out.
+  std::vector<DroppedRun> outlived;
+  std::vector<ResizedWorker> resized;
+  std::vector<GivenUpTask> given_up;
 };
 
 // Why a long-running task has no confirmed run.
@@ -508,6 +528,30 @@
   void ForgetWithdrawnOn(WorkerState& worker);
   void ForgetWithdrawnOf(const TaskRef& ref);
 
+  // scheduler_crashes.cpp
+  // Notes under a task that its worker has ended unasked, unless the run can't
+  // have been there. Returns whether the task is to blame.
+  bool RecordCrash(const TaskRef& ref, const Run& run, DropReason reason);
+  // Whether it may not be started again, since workers have crashed under it.
+  static bool IsStartLimitReached(const Task& task);
+  void GiveUp(const TaskRef& ref, base::TimePoint now);
+  // Updates Run::proven, and ends the suspicion against a run that works for
+  // long.
+  void ProveRun(const TaskRef& ref, Run& run, base::TimePoint now);
+  // Asks for a report of the worker when a suspected run may be proven.
+  void RequestProof(WorkerState& worker, base::TimePoint now);
+  // Whether suspicion against the task, or against a run on the worker, keeps
+  // the task off the worker.
+  bool IsKeptApart(const WorkerState& worker, const TaskRef& ref) const;
+  // Whether a run on the worker is unproven.
+  static bool HasUnprovenRun(const WorkerState& worker);
+  // What a crash of the worker would cost, to choose one for a suspected task.
+  static std::int64_t CrashCost(const WorkerState& worker);
+  // Reserves a whole worker for a task that must be isolated.
+  void ReserveWorker(const TaskRef& ref,
+                     const std::vector<WorkerState*>& workers,
+                     const Advice* advice) const;
+
   // scheduler_place.cpp
   void BeginDueOccurrences(base::WallTime wall);
   void PlaceService(const std::string& service,
@@ -538,7 +582,12 @@
   void Reserve(const TaskRef& ref,
                const std::vector<WorkerState*>& workers,
                const Advice* advice);
-  // Whether the worker may run the task, apart from its free capacity.
+  // Whether the worker may run the task, apart from its free capacity and from
+  // suspicion.
+  bool IsSuitable(const WorkerState& worker,
+                  const TaskRef& ref,
+                  const Advice* advice) const;
+  // The same, with regard to suspicion.
   bool IsEligible(const WorkerState& worker,
                   const TaskRef& ref,
                   const Advice* advice) const;
@@ -623,6 +672,8 @@
   std::vector<Job*> m_finished;
   DurationModel m_durations;
   Orders m_orders;
+  // Number of runs that were placed under suspicion.
+  std::size_t m_suspected_runs = 0;
   // Runs in phase kPlanned that are not yet in a batch.
   std::vector<std::pair<TaskRef, std::uint32_t>> m_planned;
 };
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -48,6 +48,10 @@
       DropRun(ref, number, DropReason::kIncarnationOver, now);
       continue;
     }
+    const bool to_blame = RecordCrash(ref, *run, DropReason::kIncarnationOver);
+    m_orders.outlived.push_back({run->worker, IdOf(ref), number,
+                                 DropReason::kIncarnationOver, run->phase,
+                                 FindTask(ref)->crashes.size()});
     run->worker = worker.entry.id;
     run->confirmed_at = {};
     MarkDirty(*ref.job, false);
@@ -60,6 +64,9 @@
       run->phase = RunPhase::kStartUnknown;
       worker.wants_report = true;
     }
+    if (to_blame && !IsFinished(ref.job->phase)) {
+      GiveUp(ref, now);
+    }
   }
   for (const TaskRef& ref : std::exchange(worker.withdrawn, {})) {
     Task& task = *FindTask(ref);
