--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -130,6 +130,12 @@
   std::string checkpoint;      // The newest; empty if there is none.
   // At most one for each run.
   std::vector<Crash> crashes;
+  // Since when the task has waited for a worker to be isolated on; zero
+  // otherwise.
+  base::TimePoint isolation_sought{};
+  // In this planning round: it may only be placed on a worker without finite
+  // tasks.
+  bool must_be_isolated = false;
   // Runs that may be alive. A task is placed again only when it has none.
   std::vector<Run> runs;
   // Starts that may still arrive at later incarnations. Until then the task may
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -518,7 +518,11 @@
   bool RecordCrash(const TaskRef& ref, const Run& run, DropReason reason);
   // Whether it may not be started again, since workers have crashed under it.
   static bool IsStartLimitReached(const Task& task);
+  // Fails the task's job. A long-running job with tasks that serve goes on
+  // without the task.
   void GiveUp(const TaskRef& ref, base::TimePoint now);
+  // Whether the task waits for a worker without finite tasks.
+  static bool IsIsolationSought(const TaskRef& ref, base::TimePoint now);
   // Updates Run::proven, and ends the suspicion against a run that works for
   // long.
   void ProveRun(const TaskRef& ref, Run& run, base::TimePoint now);
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -19,6 +19,10 @@
 // at most.
 constexpr std::size_t kMaxCrashes = 3;
 constexpr std::uint32_t kLastStarts = 2;
+// With so many, one certain crash is enough for that.
+constexpr std::size_t kLikelyCrashes = 4;
+// A task that has waited for this long may run next to others.
+constexpr std::chrono::milliseconds kMaxIsolationWait{1500};
 
 bool IsCertain(const Task& task) {
   return std::ranges::count_if(task.crashes, &Crash::certain) >=
@@ -51,7 +55,7 @@
   }
   const WorkerState* worker = FindWorker(run.worker.id);
   const bool leaving =
-      worker != nullptr && (worker->entry.draining || worker->cordoned);
+      worker != nullptr && (worker->entry.draining || worker->is_ending);
   const bool out_of_reach = reason == DropReason::kLeaseOver;
   const bool started = run.listed || run.answered_at != base::TimePoint{};
   const Crash crash{.run = run.number,
@@ -71,15 +75,38 @@
 }
 
 bool Scheduler::IsStartLimitReached(const Task& task) {
-  return task.crashes.size() >= kMaxCrashes && IsCertain(task) &&
+  const bool likely = task.crashes.size() >= kLikelyCrashes &&
+                      std::ranges::any_of(task.crashes, &Crash::certain);
+  return task.crashes.size() >= kMaxCrashes && (likely || IsCertain(task)) &&
          task.last_run >= task.crashes[kMaxCrashes - 1].run + kLastStarts;
 }
 
 void Scheduler::GiveUp(const TaskRef& ref, base::TimePoint now) {
+  // The stops of the job's other runs are not within its max_unavailable.
+  const auto& tasks =
+      FindOccurrence(*ref.job, ref.occurrence)->steps[ref.step].tasks;
+  const bool serves = std::ranges::any_of(tasks, [this](const Task& task) {
+    return std::ranges::any_of(
+        task.runs, [this](const Run& run) { return IsServing(run); });
+  });
+  if (SpecOf(ref).long_running && serves) {
+    return;
+  }
   m_orders.given_up.push_back({IdOf(ref), FindTask(ref)->crashes});
   Finish(*ref.job, JobPhase::kFailed, now);
 }
 
+bool Scheduler::IsIsolationSought(const TaskRef& ref, base::TimePoint now) {
+  Task& task = *FindTask(ref);
+  if (SuspicionOf(task) != Suspicion::kIsolated) {
+    return false;
+  }
+  if (task.isolation_sought == base::TimePoint{}) {
+    task.isolation_sought = now;
+  }
+  return now - task.isolation_sought < kMaxIsolationWait;
+}
+
 void Scheduler::ProveRun(const TaskRef& ref, Run& run, base::TimePoint now) {
   if (run.phase != RunPhase::kRunning ||
       run.confirmed_at == base::TimePoint{}) {
@@ -116,8 +143,8 @@
 
 bool Scheduler::IsKeptApart(const WorkerState& worker,
                             const TaskRef& ref) const {
-  const Suspicion suspicion = SuspicionOf(*FindTask(ref));
-  if (m_suspected_runs == 0 && suspicion != Suspicion::kIsolated) {
+  const bool isolated = FindTask(ref)->must_be_isolated;
+  if (m_suspected_runs == 0 && !isolated) {
     return false;
   }
   const bool gang = SpecOf(ref).gang;
@@ -138,7 +165,7 @@
     return run->suspicion == Suspicion::kIsolated ||
            (run->suspicion == Suspicion::kSuspected && !run->proven &&
             unsettled) ||
-           (suspicion == Suspicion::kIsolated && !SpecOf(other).long_running);
+           (isolated && !SpecOf(other).long_running);
   });
 }
 
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -298,6 +298,11 @@
     // Its capacity is withheld on the only worker that may run it.
     const bool bound = IsBound(step.tasks[index]);
     const Suspicion suspicion = SuspicionOf(step.tasks[index]);
+    if (spec.long_running && IsStartLimitReached(step.tasks[index])) {
+      left.push_back(index);
+      continue;
+    }
+    step.tasks[index].must_be_isolated = IsIsolationSought(ref, now);
     WorkerState* worker = nullptr;
     if (allowed && (bound || !full)) {
       worker = ChooseWorker(ref, workers, advice);
@@ -305,7 +310,7 @@
              (worker == nullptr && !bound && suspicion == Suspicion::kNone);
     }
     if (worker == nullptr) {
-      if (allowed && suspicion == Suspicion::kIsolated) {
+      if (allowed && step.tasks[index].must_be_isolated) {
         if (may_reserve > 0) {
           --may_reserve;
           m_reserved_for_finite += spec.long_running ? 0 : 1;
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -51,7 +51,11 @@
   run.progressed_at = now;
   run.checkpoint = task.checkpoint;
   run.suspicion = SuspicionOf(task);
+  if (run.suspicion == Suspicion::kIsolated && !task.must_be_isolated) {
+    run.suspicion = Suspicion::kSuspected;
+  }
   run.alone = run.suspicion != Suspicion::kNone && !HasUnprovenRun(worker);
+  task.isolation_sought = {};
   m_suspected_runs += run.suspicion != Suspicion::kNone ? 1 : 0;
   const StepSpec& spec = SpecOf(ref);
   worker.Use(spec);
