Give jobs up only after three certain crashes, and spare long-running tasks that have run

What callers would see: jobs shown as failed that could be done, and long-running ones not restarted, after two ordinary crashes of workers under one of their tasks.

Two crashes under an innocent task are not rare where workers crash often, even with the isolation of suspects. Three certain ones are asked for now, which leaves the limit of starts after three crashes as it was; the crash of a worker under a long-running task that has been proven there is no sign of a start that kills, and is not counted.

--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -13,8 +13,8 @@
 // long-running task that does is cleared.
 constexpr std::chrono::milliseconds kClearedAfter{5000};
 // A job is given up only if this many workers have certainly crashed under one
-// of its tasks.
-constexpr std::size_t kMinCertainCrashes = 2;
+// of its tasks. Two may be those that ran it when a rack was lost, twice.
+constexpr std::size_t kMinCertainCrashes = 3;
 // After this many crashes, certain or not, a task is started kLastStarts times
 // at most.
 constexpr std::size_t kMaxCrashes = 3;
@@ -50,7 +50,9 @@
   const bool ended_unasked = reason == DropReason::kIncarnationOver ||
                              reason == DropReason::kWorkerGone ||
                              reason == DropReason::kLeaseOver;
-  if (!ended_unasked || run.phase == RunPhase::kPlanned) {
+  // A long-running task that works for long may see many workers end.
+  const bool is_no_sign = SpecOf(ref).long_running && run.proven;
+  if (!ended_unasked || is_no_sign || run.phase == RunPhase::kPlanned) {
     return false;
   }
   const WorkerState* worker = FindWorker(run.worker.id);
