Let the virtual world's callers be destroyed before those that answer them

A leader that is destroyed answers the requests that it still had, through the host that forwarded them. That host may be gone by then: with requests still open at the end of a test, host_test ended in a segmentation fault in VirtualLoop::After. The answer goes through the world now, which outlives its hosts.

--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -733,8 +733,10 @@
           return;
         }
         host->node.HandleJobRequest(
-            request, [this, done, answered](const JobAnswer& answer) {
-              m_world.Post(kCallLatency, [done, answered, answer] {
+            // The caller may be destroyed before the host that answers.
+            request,
+            [&world = m_world, done, answered](const JobAnswer& answer) {
+              world.Post(kCallLatency, [done, answered, answer] {
                 if (!std::exchange(*answered, true)) {
                   done(answer);
                 }
