Let the age of the list of workers follow the time that workers drain

The settings have drain_ms now. A start takes at most a second through a relay, so the list may be as old as drain_ms less that, and at least 1.5 s: where drain_ms is 2 s, fleets are small and their leader sends the starts itself. The feed's wait is 200 ms, so that a quiet list is confirmed more often.

jobs_test: 108 passed. host_test without the tests of random faults: 59 passed, 1 failed, the known WorkerRestartTest.StartArrivesAtTheNextIncarnationAfterThe- TasksEnd.

--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -10,8 +10,8 @@
   // reports at least once a second.
   std::chrono::milliseconds max_report_age{2500};
   // Starts are ordered only if the list of workers was complete at most this
-  // long ago. A worker expects no starts from 2 s after its word that it
-  // drains.
+  // long ago. It is shorter than the time within which workers that drain still
+  // expect starts, drain_ms in the settings.
   std::chrono::milliseconds max_list_age{1500};
   // How long a finished job's state is kept; finished_state_s in the settings.
   std::chrono::milliseconds keep_finished{120000};
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -38,8 +38,10 @@
 constexpr std::chrono::milliseconds kReadRetryDelay{200};
 // Without changes, the list of workers is confirmed this often. Twice this and
 // the pause stay below SchedulerOptions::max_list_age.
-constexpr std::chrono::milliseconds kWorkerFeedWait{400};
+constexpr std::chrono::milliseconds kWorkerFeedWait{200};
 constexpr std::chrono::milliseconds kWorkerFeedPause{200};
+// How long a start may be on its way through a relay.
+constexpr std::chrono::milliseconds kStartDelivery{1000};
 // A commit that takes longer, or a placed run that waits longer for one, is
 // logged, at most once in kSlowLogInterval.
 constexpr std::chrono::milliseconds kSlowCommit{300};
@@ -57,6 +59,8 @@
   jobs::SchedulerOptions options;
   options.keep_finished = settings.keep_finished;
   options.max_worker_lease = settings.max_worker_lease;
+  options.max_list_age =
+      std::max(options.max_list_age, settings.drain_time - kStartDelivery);
   return options;
 }
 
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -126,8 +126,9 @@
          "peer_port":7000,"metrics_port":7001,"client_endpoint":"127.0.0.1:1",
          "ready_endpoint":"127.0.0.1:2","table_endpoint":"127.0.0.1:3",
          "machines_endpoint":"127.0.0.1:4","advice_endpoint":"",
-         "max_worker_lease_ms":10000,"stop_grace_s":6,"finished_state_s":120,
-         "machine_order_lease_ms":3000,"processor_share":0.5})";
+         "max_worker_lease_ms":10000,"drain_ms":2000,"stop_grace_s":6,
+         "finished_state_s":120,"machine_order_lease_ms":3000,
+         "processor_share":0.5})";
   const auto missing = ParseHostSettings("{" + rest);
   ASSERT_TRUE(missing.has_value()) << missing.error().message;
   EXPECT_EQ(missing->min_relayed_workers, 100U);
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -158,6 +158,7 @@
   reader.Address("machines_endpoint", settings.machines_endpoint);
   reader.Text("advice_endpoint", settings.advice_endpoint);
   reader.Time("max_worker_lease_ms", kMillisecond, settings.max_worker_lease);
+  reader.Time("drain_ms", kMillisecond, settings.drain_time);
   reader.Time("stop_grace_s", kSecond, settings.stop_grace);
   reader.Time("finished_state_s", kSecond, settings.keep_finished);
   reader.Time("machine_order_lease_ms", kMillisecond,
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -189,6 +189,7 @@
       {"advice_endpoint", ""},
       {"processor_share", 1.0},
       {"max_worker_lease_ms", 10000},
+      {"drain_ms", 2000},
       {"stop_grace_s", 6},
       {"finished_state_s", kFinishedStateSeconds + host.reloads},
       {"machine_order_lease_ms", 3000},
