Read on at once after a page of the workers' feed that may be cut

Each heartbeat is a row of the feed, so a leader that falls behind by seconds gets its changes in several pages. Each page counted as the whole list, and 200 ms passed before the next.

A page of 100 rows or more confirms nothing now, and the next is asked for without a pause.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -124,9 +124,7 @@
   void ReadJobs();
   void ReadWorkers();
   void FeedWorkers();
-  // Changes the list of workers by rows of the table that were asked for at
-  // `asked_at`.
-  void ApplyWorkerRows(const std::vector<Row>& rows, base::TimePoint asked_at);
+  void ApplyWorkerRows(const std::vector<Row>& rows);
   std::vector<jobs::Job> DecodeRecovered();
   void StartServing();
   void RequestPlan();
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -40,6 +40,9 @@
 // the pause stay below SchedulerOptions::max_list_age.
 constexpr std::chrono::milliseconds kWorkerFeedWait{200};
 constexpr std::chrono::milliseconds kWorkerFeedPause{200};
+// A page of the feed with this many rows or more may be cut: the store holds
+// back what does not fit. Each heartbeat of a worker is a row.
+constexpr std::size_t kMaybeCutPage = 100;
 // How long a start may be on its way through a relay.
 constexpr std::chrono::milliseconds kStartDelivery{1000};
 // A commit that takes longer, or a placed run that waits longer for one, is
@@ -195,7 +198,8 @@
       [this, asked_at = m_loop.GetClock().Now()](const RowPage& page) {
         m_worker_entries.clear();
         m_worker_feed_version = page.version;
-        ApplyWorkerRows(page.rows, asked_at);
+        ApplyWorkerRows(page.rows);
+        m_scheduler.ListConfirmed(asked_at);
         if (!m_serving) {
           StartServing();
         }
@@ -215,15 +219,19 @@
         if (page) {
           m_worker_feed_version =
               std::max(m_worker_feed_version, page->version);
-          ApplyWorkerRows(page->rows, asked_at);
+          ApplyWorkerRows(page->rows);
+          if (page->rows.size() >= kMaybeCutPage) {
+            FeedWorkers();
+            return;
+          }
+          m_scheduler.ListConfirmed(asked_at);
         }
         m_loop.After(kWorkerFeedPause,
                      m_lifetime.Guard([this] { FeedWorkers(); }));
       }));
 }
 
-void Dispatcher::ApplyWorkerRows(const std::vector<Row>& rows,
-                                 base::TimePoint asked_at) {
+void Dispatcher::ApplyWorkerRows(const std::vector<Row>& rows) {
   for (const Row& row : rows) {
     if (row.deleted) {
       m_worker_entries.erase(row.key);
@@ -253,7 +261,6 @@
     entries.push_back(entry);
   }
   m_scheduler.WorkersListed(entries, m_loop.GetClock().Now());
-  m_scheduler.ListConfirmed(asked_at);
   RequestPlan();
 }
 
