Fill a commit with rows instead of half as many jobs

With a share of each commit kept for rows that may wait, up to a quarter fewer jobs that callers wait for fitted into one: at most 40 jobs a commit were taken for 80 rows, since a job may need two. Most need one, as its record is written once. Jobs are taken until the rows are full now.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -448,7 +448,7 @@
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
   // Takes the jobs of the next batch out of those to write.
-  std::vector<Job*> TakeJobs(std::size_t max_jobs, RowChoice choice);
+  std::vector<Job*> TakeJobs(std::size_t max_rows, RowChoice choice);
   // Adds the ends whose changes are all in this batch or earlier ones.
   void CoverEnds(Batch& batch);
   void IndexMachines();
--- a/src/cassiastile/jobs/commit_order_test.cpp
+++ b/src/cassiastile/jobs/commit_order_test.cpp
@@ -1,6 +1,8 @@
 // The order in which rows are committed while more of them change than fit into
 // one commit.
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -28,7 +30,7 @@
 
   Batch CommitOnce() {
     Scheduler& scheduler = m_bench.GetScheduler();
-    const Batch batch = scheduler.TakeBatch(kMaxRows, m_bench.Now());
+    Batch batch = scheduler.TakeBatch(kMaxRows, m_bench.Now());
     scheduler.Confirm(batch, m_bench.Now());
     return batch;
   }
--- a/src/cassiastile/jobs/crashing_task_test.cpp
+++ b/src/cassiastile/jobs/crashing_task_test.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using testing::IsEmpty;
 using testing::SizeIs;
 
 constexpr char kJob[] = "5c0e7a21d94b36f8";
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -31,10 +31,15 @@
 // first submission to its objective.
 constexpr int kWorthlessFactor = 3;
 
-// One in so many jobs of a batch of all rows is one that could wait, so that
+// One in so many rows of a batch of all rows is one that could wait, so that
 // the ends of runs are acknowledged however many callers there are.
 constexpr std::size_t kDeferredShare = 4;
 
+// The progress is always written; the record is written once and removed once.
+std::size_t RowsOf(const Job& job) {
+  return IsFinished(job.phase) || !job.accepted ? 2 : 1;
+}
+
 // The fraction of a task that remains, by the progress of its most advanced
 // run.
 double RemainingFraction(const Task& task) {
@@ -453,7 +458,7 @@
                            RowChoice choice) {
   RemoveFinished(now);
   Batch batch;
-  for (Job* job : TakeJobs(max_rows / 2, choice)) {
+  for (Job* job : TakeJobs(max_rows, choice)) {
     if (IsFinished(job->phase)) {
       batch.rows.push_back({job->id, true, std::nullopt});
       if (!job->accepted) {
@@ -482,12 +487,18 @@
   return batch;
 }
 
-std::vector<Job*> Scheduler::TakeJobs(std::size_t max_jobs, RowChoice choice) {
+std::vector<Job*> Scheduler::TakeJobs(std::size_t max_rows, RowChoice choice) {
   std::vector<Job*> taken;
-  const auto take = [&taken](std::map<std::uint64_t, Job*>& jobs,
-                             std::size_t up_to) {
-    while (taken.size() < up_to && !jobs.empty()) {
+  std::size_t rows = 0;
+  const auto take = [&taken, &rows](std::map<std::uint64_t, Job*>& jobs,
+                                    std::size_t up_to) {
+    while (!jobs.empty()) {
       Job* job = jobs.begin()->second;
+      const std::size_t needed = RowsOf(*job);
+      if (rows + needed > up_to) {
+        return;
+      }
+      rows += needed;
       jobs.erase(jobs.begin());
       job->oldest_change = 0;
       taken.push_back(job);
@@ -495,11 +506,11 @@
   };
   std::size_t kept = 0;
   if (choice == RowChoice::kAll) {
-    kept = std::min(m_deferred.size(), max_jobs / kDeferredShare);
+    kept = std::min(m_deferred.size(), max_rows / kDeferredShare);
   }
-  take(m_urgent, max_jobs - kept);
+  take(m_urgent, max_rows - kept);
   if (choice == RowChoice::kAll) {
-    take(m_deferred, max_jobs);
+    take(m_deferred, max_rows);
   }
   return taken;
 }
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -142,6 +142,7 @@
   std::ranges::stable_sort(ranked, {},
                            &std::pair<int, const WorkerState*>::first);
   std::vector<const WorkerState*> result;
+  result.reserve(ranked.size());
   for (const auto& [rank, worker] : ranked) {
     result.push_back(worker);
   }
