Try the suspected tasks of a job together, on at most half of a service's workers

A job is given up as a whole, so its suspected tasks share a worker now, and only runs of other jobs make a crash ambiguous. Suspects keep other jobs off at most half of the workers of a service. A long-running task whose job is not given up is queued again; it was not.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -94,7 +94,7 @@
   // crashed the worker.
   bool proven = false;
   Suspicion suspicion = Suspicion::kNone;  // Of its task when it was placed.
-  // Whether no other run can be to blame if its worker crashes before it is
+  // Whether no other job can be to blame if its worker crashes before it is
   // proven.
   bool alone = false;
 };
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -520,7 +520,8 @@
   static bool IsStartLimitReached(const Task& task);
   // Fails the task's job. A long-running job with tasks that serve goes on
   // without the task.
-  void GiveUp(const TaskRef& ref, base::TimePoint now);
+  // Returns whether the job has failed.
+  bool GiveUp(const TaskRef& ref, base::TimePoint now);
   // Whether the task waits for a worker without finite tasks.
   static bool IsIsolationSought(const TaskRef& ref, base::TimePoint now);
   // Updates Run::proven, and ends the suspicion against a run that works for
@@ -531,10 +532,12 @@
   // Whether suspicion against the task, or against a run on the worker, keeps
   // the task off the worker.
   bool IsKeptApart(const WorkerState& worker, const TaskRef& ref) const;
-  // Whether a run on the worker is unproven.
-  static bool HasUnprovenRun(const WorkerState& worker);
+  // Whether the worker has a suspected run that keeps other jobs off it.
+  static bool HasTrial(const WorkerState& worker);
+  // Whether a run of another job on the worker is unproven.
+  static bool HasUnprovenRun(const WorkerState& worker, const Job& other);
   // What a crash of the worker would cost, to choose one for a suspected task.
-  static std::int64_t CrashCost(const WorkerState& worker);
+  static std::int64_t CrashCost(const WorkerState& worker, const Job& job);
   // Reserves a whole worker for a task that must be isolated.
   void ReserveWorker(const TaskRef& ref,
                      const std::vector<WorkerState*>& workers,
@@ -641,6 +644,8 @@
       m_admission_snapshots;  // By service.
   // Needs found to fit nowhere in the current planning round of a service.
   std::vector<Resources> m_unplaceable;
+  // Workers that suspected runs keep other jobs off, in the same round.
+  std::size_t m_trials = 0;
   // Workers reserved for finite tasks in the same round.
   std::size_t m_reserved_for_finite = 0;
   base::TimePoint m_supervised_at{};
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -24,6 +24,14 @@
 // A task that has waited for this long may run next to others.
 constexpr std::chrono::milliseconds kMaxIsolationWait{1500};
 
+// Whether the run is suspected and may yet crash its worker.
+bool IsOnTrial(const Run& run) {
+  const bool may_run = run.phase == RunPhase::kPlanned ||
+                       run.phase == RunPhase::kStarting ||
+                       run.phase == RunPhase::kRunning;
+  return run.suspicion != Suspicion::kNone && !run.proven && may_run;
+}
+
 bool IsCertain(const Task& task) {
   return std::ranges::count_if(task.crashes, &Crash::certain) >=
          static_cast<std::ptrdiff_t>(kMinCertainCrashes);
@@ -81,7 +89,7 @@
          task.last_run >= task.crashes[kMaxCrashes - 1].run + kLastStarts;
 }
 
-void Scheduler::GiveUp(const TaskRef& ref, base::TimePoint now) {
+bool Scheduler::GiveUp(const TaskRef& ref, base::TimePoint now) {
   // The stops of the job's other runs are not within its max_unavailable.
   const auto& tasks =
       FindOccurrence(*ref.job, ref.occurrence)->steps[ref.step].tasks;
@@ -90,10 +98,11 @@
         task.runs, [this](const Run& run) { return IsServing(run); });
   });
   if (SpecOf(ref).long_running && serves) {
-    return;
+    return false;
   }
   m_orders.given_up.push_back({IdOf(ref), FindTask(ref)->crashes});
   Finish(*ref.job, JobPhase::kFailed, now);
+  return true;
 }
 
 bool Scheduler::IsIsolationSought(const TaskRef& ref, base::TimePoint now) {
@@ -147,11 +156,10 @@
   if (m_suspected_runs == 0 && !isolated) {
     return false;
   }
-  const bool gang = SpecOf(ref).gang;
   return std::ranges::any_of(worker.runs, [&](const auto& entry) {
     const auto& [other, number] = entry;
-    if (gang && other.job == ref.job && other.occurrence == ref.occurrence &&
-        other.step == ref.step) {
+    if (other.job == ref.job) {
+      // It would be given up as a whole.
       return false;
     }
     const Task& task = *FindTask(other);
@@ -159,30 +167,38 @@
     if (run == task.runs.end()) {
       return false;
     }
-    const bool unsettled = run->phase == RunPhase::kPlanned ||
-                           run->phase == RunPhase::kStarting ||
-                           run->phase == RunPhase::kRunning;
-    return run->suspicion == Suspicion::kIsolated ||
-           (run->suspicion == Suspicion::kSuspected && !run->proven &&
-            unsettled) ||
+    return run->suspicion == Suspicion::kIsolated || IsOnTrial(*run) ||
            (isolated && !SpecOf(other).long_running);
   });
 }
 
-bool Scheduler::HasUnprovenRun(const WorkerState& worker) {
+bool Scheduler::HasTrial(const WorkerState& worker) {
   return std::ranges::any_of(worker.runs, [](const auto& entry) {
     const auto& [ref, number] = entry;
     const Task& task = *FindTask(ref);
     const auto run = std::ranges::find(task.runs, number, &Run::number);
-    return run != task.runs.end() && !run->proven;
+    return run != task.runs.end() &&
+           (run->suspicion == Suspicion::kIsolated || IsOnTrial(*run));
+  });
+}
+
+bool Scheduler::HasUnprovenRun(const WorkerState& worker, const Job& other) {
+  return std::ranges::any_of(worker.runs, [&other](const auto& entry) {
+    const auto& [ref, number] = entry;
+    const Task& task = *FindTask(ref);
+    const auto run = std::ranges::find(task.runs, number, &Run::number);
+    return ref.job != &other && run != task.runs.end() && !run->proven;
   });
 }
 
-std::int64_t Scheduler::CrashCost(const WorkerState& worker) {
+std::int64_t Scheduler::CrashCost(const WorkerState& worker, const Job& job) {
   constexpr std::int64_t kPerRun = 10000;
   constexpr std::int64_t kUnproven = 1000000;
-  return kPerRun * static_cast<std::int64_t>(worker.runs.size()) +
-         (HasUnprovenRun(worker) ? kUnproven : 0);
+  // Tasks of one job go together: one crash tells of all of them.
+  const auto others = std::ranges::count_if(
+      worker.runs,
+      [&job](const auto& entry) { return entry.first.job != &job; });
+  return kPerRun * others + (HasUnprovenRun(worker, job) ? kUnproven : 0);
 }
 
 void Scheduler::ReserveWorker(const TaskRef& ref,
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -200,6 +200,11 @@
   });
   m_unplaceable.clear();
   m_reserved_for_finite = 0;
+  m_trials = 0;
+  if (m_suspected_runs > 0) {
+    m_trials = static_cast<std::size_t>(std::ranges::count_if(
+        workers, [](const WorkerState* worker) { return HasTrial(*worker); }));
+  }
   for (WorkerState* worker : workers) {
     worker->reserved = {};
     worker->takes_finite = now >= worker->finite_from;
@@ -304,7 +309,13 @@
     }
     step.tasks[index].must_be_isolated = IsIsolationSought(ref, now);
     WorkerState* worker = nullptr;
-    if (allowed && (bound || !full)) {
+    // A worker on trial gets no other tasks, so at least half of them are not.
+    const bool may_try =
+        suspicion == Suspicion::kNone || 2 * m_trials < workers.size() ||
+        std::ranges::any_of(workers, [&job](const WorkerState* each) {
+          return HasTrial(*each) && !HasUnprovenRun(*each, job);
+        });
+    if (allowed && may_try && (bound || !full)) {
       worker = ChooseWorker(ref, workers, advice);
       full = full ||
              (worker == nullptr && !bound && suspicion == Suspicion::kNone);
@@ -327,6 +338,7 @@
       left.push_back(index);
       continue;
     }
+    m_trials += suspicion == Suspicion::kNone || HasTrial(*worker) ? 0 : 1;
     BeginRun(ref, *worker, now);
     allowed = IsWithinLimit(job, spec.need);
   }
@@ -517,7 +529,7 @@
                 ? -kLongRunningPackingBonus * neighbours
                 : kInterferenceCost * neighbours;
     if (suspected) {
-      cost = CrashCost(*worker) + cost / kWholeCore;
+      cost = CrashCost(*worker, *ref.job) + cost / kWholeCore;
     }
     if (best == nullptr || cost < best_cost) {
       best = worker;
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -54,7 +54,8 @@
   if (run.suspicion == Suspicion::kIsolated && !task.must_be_isolated) {
     run.suspicion = Suspicion::kSuspected;
   }
-  run.alone = run.suspicion != Suspicion::kNone && !HasUnprovenRun(worker);
+  run.alone =
+      run.suspicion != Suspicion::kNone && !HasUnprovenRun(worker, *ref.job);
   task.isolation_sought = {};
   m_suspected_runs += run.suspicion != Suspicion::kNone ? 1 : 0;
   const StepSpec& spec = SpecOf(ref);
@@ -112,8 +113,9 @@
   if (IsFinished(ref.job->phase) || task->done) {
     return;
   }
-  if (to_blame || (reason != DropReason::kNone && IsStartLimitReached(*task))) {
-    GiveUp(ref, now);
+  const bool give_up =
+      to_blame || (reason != DropReason::kNone && IsStartLimitReached(*task));
+  if (give_up && GiveUp(ref, now)) {
     return;
   }
   if (spec.long_running && was_serving) {
