Check starts against the capacity when they are sent, and count runs that are unknown

A placed start was sent whatever its worker's capacity had become while its row was committed; runs that a worker lists and the scheduler does not have, such as those of a cancelled job after a change of leader, took no capacity until they had ended; and a job was refused as too large while the workers were shrunk.

Confirm drops a start that no longer fits (drop reason "no room"), of a gang all. Each report sums up the listed runs that are not the scheduler's; a run of a job that is no longer known takes the whole worker until it has ended.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -183,6 +183,11 @@
   base::TimePoint lease_bound{};
   Resources used;               // By runs that may be alive.
   Resources long_running_used;  // The part of `used` for long-running tasks.
+  // By runs that its newest report lists and that are not in `runs`. They are
+  // being stopped.
+  Resources unaccounted;
+  // The most of each that this incarnation has said it has.
+  Resources largest_capacity;
   // Number of long-running runs, without fillers.
   std::int64_t long_running_runs = 0;
   // Reserved in this planning round for a task that fits nowhere yet.
@@ -215,6 +220,8 @@
   // Add a run of a step to the capacity in use, and remove it.
   void Use(const StepSpec& step);
   void Release(const StepSpec& step);
+  // Replaces the entry by a newer one of the same incarnation.
+  void SetEntry(const WorkerEntry& newer);
   // Whether a task is among `withdrawn`, and adds it once.
   bool HasWithdrawn(const TaskRef& ref) const;
   void AddWithdrawn(const TaskRef& ref);
@@ -512,6 +519,15 @@
   void ForgetWithdrawnOn(WorkerState& worker);
   void ForgetWithdrawnOf(const TaskRef& ref);
 
+  // scheduler_capacity.cpp
+  // Drops the runs of a batch whose workers have shrunk since they were placed;
+  // of a gang, all.
+  void DropStartsWithoutRoom(const Batch& batch, base::TimePoint now);
+  // Whether the worker has room for a run that is among its runs.
+  bool StillFits(const Run& run) const;
+  // Sums up WorkerState::unaccounted.
+  void CountUnaccounted(WorkerState& worker, const WorkerReport& report);
+
   // scheduler_crashes.cpp
   // Notes under a task that its worker has ended unasked, unless the run can't
   // have been there. Returns whether the task is to blame.
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -89,9 +89,10 @@
   kTerminated,       // The worker ended by the leader's own order.
   kMissing,          // The worker's report does not list the run.
   kRefused,          // The start was not carried out.
+  kNoRoom,           // The worker shrank before the start was ordered.
 };
 
-inline constexpr std::array<base::EnumName<DropReason>, 7> kDropReasonNames{{
+inline constexpr std::array<base::EnumName<DropReason>, 8> kDropReasonNames{{
     {DropReason::kNone, "none"},
     {DropReason::kIncarnationOver, "incarnation over"},
     {DropReason::kLeaseOver, "lease over"},
@@ -99,6 +100,7 @@
     {DropReason::kTerminated, "worker terminated"},
     {DropReason::kMissing, "missing"},
     {DropReason::kRefused, "refused"},
+    {DropReason::kNoRoom, "no room"},
 }};
 
 // A run that a worker lists as running.
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -86,7 +86,8 @@
       continue;
     }
     any = true;
-    if (Fits(CapacityNeed(step), worker.entry.capacity)) {
+    // One that has shrunk grows again.
+    if (Fits(CapacityNeed(step), worker.largest_capacity)) {
       return true;
     }
   }
@@ -507,6 +508,7 @@
       worker->acked_end = std::max(worker->acked_end, sequence);
     }
   }
+  DropStartsWithoutRoom(batch, now);
   for (const auto& [ref, number] : batch.starts) {
     Run* run = FindRun(ref, number);
     if (run == nullptr || run->phase != RunPhase::kPlanned) {
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -29,6 +29,7 @@
                  now + m_options.max_order_delay + m_options.max_worker_lease);
   }
   worker.entry.id.incarnation_ms = incarnation_ms;
+  worker.unaccounted = {};
   for (const base::TimePoint sent_at :
        std::exchange(worker.unanswered_acks, {})) {
     worker.finite_from =
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -86,14 +86,16 @@
 }
 
 bool HasRoom(const WorkerState& worker, const Resources& need) {
-  return Fits(worker.used + worker.reserved + worker.withheld + need,
+  return Fits(worker.used + worker.unaccounted + worker.reserved +
+                  worker.withheld + need,
               worker.entry.capacity);
 }
 
 bool HasRoomFor(const WorkerState& worker, const TaskRef& ref) {
   if (worker.HasWithdrawn(ref)) {
     // Its capacity is withheld; no reservation goes before that.
-    return Fits(worker.used + worker.withheld, worker.entry.capacity);
+    return Fits(worker.used + worker.unaccounted + worker.withheld,
+                worker.entry.capacity);
   }
   return HasRoom(worker, CapacityNeed(SpecOf(ref)));
 }
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -163,13 +163,14 @@
       worker.cordoned = false;
       worker.is_ending = false;
       worker.terminated = false;
+      worker.largest_capacity = {};
     }
     if (!other_incarnation && worker.entry.capacity != Resources{} &&
         entry.capacity != worker.entry.capacity) {
       m_orders.resized.push_back(
           {entry.id, worker.entry.capacity, entry.capacity, worker.used});
     }
-    worker.entry = entry;
+    worker.SetEntry(entry);
     worker.listed = true;
   }
   std::erase_if(m_workers, [now](const auto& row) {
@@ -218,6 +219,7 @@
       listed.emplace_back(*ref, run.run);
     }
   }
+  CountUnaccounted(*worker, report);
   if (report.ends_cut) {
     return;
   }
