--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -183,6 +183,11 @@
   base::TimePoint lease_bound{};
   Resources used;               // By runs that may be alive.
   Resources long_running_used;  // The part of `used` for long-running tasks.
+  // By runs that its newest report lists and that are not in `runs`. They are
+  // being stopped.
+  Resources unaccounted;
+  // The most of each that this incarnation has said it has.
+  Resources largest_capacity;
   // Number of long-running runs, without fillers.
   std::int64_t long_running_runs = 0;
   // Reserved in this planning round for a task that fits nowhere yet.
@@ -219,6 +224,8 @@
   // Add a run of a step to the capacity in use, and remove it.
   void Use(const StepSpec& step);
   void Release(const StepSpec& step);
+  // Replaces the entry by a newer one of the same incarnation.
+  void SetEntry(const WorkerEntry& newer);
   // Whether a task is among `withdrawn`, and adds it once.
   bool HasWithdrawn(const TaskRef& ref) const;
   void AddWithdrawn(const TaskRef& ref);
@@ -528,6 +535,15 @@
   void ForgetWithdrawnOn(WorkerState& worker);
   void ForgetWithdrawnOf(const TaskRef& ref);
 
+  // scheduler_capacity.cpp
+  // Drops the runs of a batch whose workers have shrunk since they were placed;
+  // of a gang, all.
+  void DropStartsWithoutRoom(const Batch& batch, base::TimePoint now);
+  // Whether the worker has room for a run that is among its runs.
+  bool StillFits(const Run& run) const;
+  // Sums up WorkerState::unaccounted.
+  void CountUnaccounted(WorkerState& worker, const WorkerReport& report);
+
   // scheduler_crashes.cpp
   // Notes under a task that its worker has ended unasked, unless the run can't
   // have been there. Returns whether the task is to blame.
@@ -536,7 +552,8 @@
   static bool IsStartLimitReached(const Task& task);
   // Fails the task's job. A long-running job with tasks that serve goes on
   // without the task.
-  void GiveUp(const TaskRef& ref, base::TimePoint now);
+  // Returns whether the job has failed.
+  bool GiveUp(const TaskRef& ref, base::TimePoint now);
   // Whether the task waits for a worker without finite tasks.
   static bool IsIsolationSought(const TaskRef& ref, base::TimePoint now);
   // Updates Run::proven, and ends the suspicion against a run that works for
@@ -547,10 +564,12 @@
   // Whether suspicion against the task, or against a run on the worker, keeps
   // the task off the worker.
   bool IsKeptApart(const WorkerState& worker, const TaskRef& ref) const;
-  // Whether a run on the worker is unproven.
-  static bool HasUnprovenRun(const WorkerState& worker);
+  // Whether the worker has a suspected run that keeps other jobs off it.
+  static bool HasTrial(const WorkerState& worker);
+  // Whether a run of another job on the worker is unproven.
+  static bool HasUnprovenRun(const WorkerState& worker, const Job& other);
   // What a crash of the worker would cost, to choose one for a suspected task.
-  static std::int64_t CrashCost(const WorkerState& worker);
+  static std::int64_t CrashCost(const WorkerState& worker, const Job& job);
   // Reserves a whole worker for a task that must be isolated.
   void ReserveWorker(const TaskRef& ref,
                      const std::vector<WorkerState*>& workers,
@@ -662,6 +681,8 @@
       m_admission_snapshots;  // By service.
   // Needs found to fit nowhere in the current planning round of a service.
   std::vector<Resources> m_unplaceable;
+  // Workers that suspected runs keep other jobs off, in the same round.
+  std::size_t m_trials = 0;
   // Workers reserved for finite tasks in the same round.
   std::size_t m_reserved_for_finite = 0;
   base::TimePoint m_supervised_at{};
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -90,9 +90,10 @@
   kMissing,          // The worker's report does not list the run.
   kRefused,          // The start was not carried out.
   kNotOrdered,       // Its worker takes no tasks any more.
+  kNoRoom,           // The worker shrank before the start was ordered.
 };
 
-inline constexpr std::array<base::EnumName<DropReason>, 8> kDropReasonNames{{
+inline constexpr std::array<base::EnumName<DropReason>, 9> kDropReasonNames{{
     {DropReason::kNone, "none"},
     {DropReason::kIncarnationOver, "incarnation over"},
     {DropReason::kLeaseOver, "lease over"},
@@ -101,6 +102,7 @@
     {DropReason::kMissing, "missing"},
     {DropReason::kRefused, "refused"},
     {DropReason::kNotOrdered, "not ordered"},
+    {DropReason::kNoRoom, "no room"},
 }};
 
 // A run that a worker lists as running.
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -96,7 +96,8 @@
       continue;
     }
     any = true;
-    if (Fits(CapacityNeed(step), worker.entry.capacity)) {
+    // One that has shrunk grows again.
+    if (Fits(CapacityNeed(step), worker.largest_capacity)) {
       return true;
     }
   }
@@ -552,6 +553,7 @@
       worker->acked_end = std::max(worker->acked_end, sequence);
     }
   }
+  DropStartsWithoutRoom(batch, now);
   // The members of a gang are ordered together or not at all.
   std::set<std::string> dropped_gangs;
   const auto is_usable = [this, now](const Run& run) {
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -86,14 +86,16 @@
 }
 
 bool HasRoom(const WorkerState& worker, const Resources& need) {
-  return Fits(worker.used + worker.reserved + worker.withheld + need,
+  return Fits(worker.used + worker.unaccounted + worker.reserved +
+                  worker.withheld + need,
               worker.entry.capacity);
 }
 
 bool HasRoomFor(const WorkerState& worker, const TaskRef& ref) {
   if (worker.HasWithdrawn(ref)) {
     // Its capacity is withheld; no reservation goes before that.
-    return Fits(worker.used + worker.withheld, worker.entry.capacity);
+    return Fits(worker.used + worker.unaccounted + worker.withheld,
+                worker.entry.capacity);
   }
   return HasRoom(worker, CapacityNeed(SpecOf(ref)));
 }
@@ -255,6 +257,11 @@
   });
   m_unplaceable.clear();
   m_reserved_for_finite = 0;
+  m_trials = 0;
+  if (m_suspected_runs > 0) {
+    m_trials = static_cast<std::size_t>(std::ranges::count_if(
+        workers, [](const WorkerState* worker) { return HasTrial(*worker); }));
+  }
   for (WorkerState* worker : workers) {
     worker->reserved = {};
     worker->takes_finite = now >= worker->finite_from;
@@ -358,7 +365,13 @@
     }
     step.tasks[index].must_be_isolated = IsIsolationSought(ref, now);
     WorkerState* worker = nullptr;
-    if (allowed && (bound || !full)) {
+    // A worker on trial gets no other tasks, so at least half of them are not.
+    const bool may_try =
+        suspicion == Suspicion::kNone || 2 * m_trials < workers.size() ||
+        std::ranges::any_of(workers, [&job](const WorkerState* each) {
+          return HasTrial(*each) && !HasUnprovenRun(*each, job);
+        });
+    if (allowed && may_try && (bound || !full)) {
       worker = ChooseWorker(ref, workers, advice);
       full = full ||
              (worker == nullptr && !bound && suspicion == Suspicion::kNone);
@@ -381,6 +394,7 @@
       left.push_back(index);
       continue;
     }
+    m_trials += suspicion == Suspicion::kNone || HasTrial(*worker) ? 0 : 1;
     BeginRun(ref, *worker, now);
     allowed = IsWithinLimit(job, spec.need);
   }
@@ -570,7 +584,7 @@
                 ? -kLongRunningPackingBonus * neighbours
                 : kInterferenceCost * neighbours;
     if (suspected) {
-      cost = CrashCost(*worker) + cost / kWholeCore;
+      cost = CrashCost(*worker, *ref.job) + cost / kWholeCore;
     }
     if (best == nullptr || cost < best_cost) {
       best = worker;
