Blame a task for a crash only while its start is not proven

Jobs could be shown as failed though a worker crashed under a run that had been listed for some time: an isolated run was blamed also then. The limit of starts after three crashes bounds tasks that crash late.

--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -78,10 +78,8 @@
   } else {
     known->certain = known->certain || crash.certain;
   }
-  const bool only_suspect =
-      run.suspicion == Suspicion::kIsolated ||
-      (run.suspicion == Suspicion::kSuspected && !run.proven);
-  return crash.certain && run.alone && only_suspect && IsCertain(task);
+  return crash.certain && run.alone && run.suspicion != Suspicion::kNone &&
+         !run.proven && IsCertain(task);
 }
 
 bool Scheduler::IsStartLimitReached(const Task& task) {
