Evacuate no task into capacity that is kept for a bound one

What callers would see: a long-running task ended by its evacuation that finds no place. HasRoomElsewhere ignored what is withheld for tasks that withdrawn starts bind to the other worker. WithdrawnPlaceTest.TaskIsNotEvacuatedIntoCapacityOfABoundOne failed before (a stop was ordered) and passes; jobs_test: 130 passed.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -596,8 +596,8 @@
   bool MayLeave(const WithdrawnStart& start) const;
   // Whether withdrawn starts bind a task to one worker.
   bool IsBound(const Task& task) const;
-  // Sums up WorkerState::withheld.
-  static void WithholdCapacity(WorkerState& worker);
+  // What tasks need that wait and that withdrawn starts bind to the worker.
+  static Resources WithheldCapacity(const WorkerState& worker);
   // Whether no worker has room for `need`, regardless of other constraints.
   bool IsFull(const Resources& need, const std::vector<WorkerState*>& workers);
   // Reserves capacity that becomes free on one worker for a task that could not
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -265,7 +265,7 @@
   for (WorkerState* worker : workers) {
     worker->reserved = {};
     worker->takes_finite = now >= worker->finite_from;
-    WithholdCapacity(*worker);
+    worker->withheld = WithheldCapacity(*worker);
   }
   for (const auto& [rank, job] : ranked) {
     for (Occurrence& occurrence : job->occurrences) {
@@ -457,13 +457,14 @@
   return true;
 }
 
-void Scheduler::WithholdCapacity(WorkerState& worker) {
-  worker.withheld = {};
+Resources Scheduler::WithheldCapacity(const WorkerState& worker) {
+  Resources withheld;
   for (const TaskRef& ref : worker.withdrawn) {
     if (FindTask(ref)->runs.empty()) {
-      worker.withheld += CapacityNeed(SpecOf(ref));
+      withheld += CapacityNeed(SpecOf(ref));
     }
   }
+  return withheld;
 }
 
 bool Scheduler::MayLeave(const WithdrawnStart& start) const {
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -171,7 +171,8 @@
     const WorkerState& other = entry.second;
     return &other != &worker && other.entry.service == worker.entry.service &&
            IsUsable(other, now) &&
-           Fits(other.used + other.unaccounted + need, other.entry.capacity) &&
+           Fits(other.used + other.unaccounted + WithheldCapacity(other) + need,
+                other.entry.capacity) &&
            IsEligible(other, ref, nullptr);
   });
 }
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -297,6 +297,25 @@
   EXPECT_EQ(again.front().task.job, kJob);
 }
 
+// Otherwise it would end its run for a place that it does not get.
+TEST_F(WithdrawnPlaceTest, TaskIsNotEvacuatedIntoCapacityOfABoundOne) {
+  JobSpec spec = SchedulerBench::LongRunning(1, 1);
+  spec.steps.front().need.cpu = kCpu;
+  m_bench.AddWorker("a");
+  m_bench.Submit("1", spec);
+  ASSERT_THAT(m_bench.StepAndStart(), SizeIs(1));
+  m_bench.Report("a", m_bench.Listing("a"));
+  m_bench.AddWorker("b");
+  m_bench.Submit(kJob, spec);
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  Withdraw(starts.front());
+  m_bench.GetScheduler().TakeOrders();
+  m_bench.GetScheduler().SetCordoned("a", true);
+  m_bench.GetScheduler().Evacuate("a", m_bench.Now());
+  EXPECT_THAT(m_bench.GetScheduler().TakeOrders().stops, IsEmpty());
+}
+
 // The placement advisor answers for a part of a large pool only.
 TEST_F(WithdrawnPlaceTest, TaskIsNotShutOutByAdviceAboutOtherWorkers) {
   m_bench.RequireAdvice(milliseconds(2000));
