Order a gang only if no member was dropped before its batch

What callers would see: members of a gang that wait in vain for one that was never started. A planned run that was dropped before the batch was taken, as its worker began another incarnation, was not in the batch, and the check of whole gangs in Confirm saw only what is.

--- a/include/cassiastile/host/relayed_workers.hpp
+++ b/include/cassiastile/host/relayed_workers.hpp
@@ -97,7 +97,7 @@
     bool is_live = false;           // Among the newest candidates.
     bool is_chosen = false;         // Gets calls.
     bool is_armed = false;          // The next batch will be sent soon.
-    base::TimePoint batch_since{};  // When it got its first call.
+    base::TimePoint batch_since{};  // When the batch got its first call.
     RelayBatch batch;               // The next one.
     std::unordered_map<std::string, std::uint32_t> worker_index;
     std::unordered_map<std::string, std::uint32_t> payload_index;
--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -38,7 +38,7 @@
   std::string advice_endpoint;  // Empty if no queue uses advice.
   // Upper bound of lease extensions; a start extends the lease by kWorkerLease.
   std::chrono::milliseconds max_worker_lease{10000};
-  // A worker expects no starts later than this after its word that it drains.
+  // A worker expects no starts later than this after it reports that it drains.
   std::chrono::milliseconds drain_time{2000};
   // How long a graceful stop may take.
   std::chrono::milliseconds stop_grace{6000};
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -89,7 +89,7 @@
   kTerminated,       // The worker ended by the leader's own order.
   kMissing,          // The worker's report does not list the run.
   kRefused,          // The start was not carried out.
-  kNotOrdered,       // Its worker takes no tasks any more.
+  kNotOrdered,       // Its worker or its gang could not take it.
   kNoRoom,           // The worker shrank before the start was ordered.
 };
 
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// A relay sends no call later than this after it got into a batch that was
-// sent. Together with the delay of an order on its way to a worker it stays
+// A relay carries out no call later than this after the leader sent the batch.
+// Together with the delay of an order on its way to a worker it stays
 // below SchedulerOptions::max_order_delay.
 constexpr std::chrono::milliseconds kMaxRelayDelay{500};
 // A start that waits longer for its batch to be sent is given up: its worker
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -138,7 +138,7 @@
   bool alive = true;
   // Crashed, and starts again under its id; calls are refused until then.
   bool restarting = false;
-  // When the table got its word that it drains; zero before that.
+  // When the table got its report that it drains; zero before that.
   base::TimePoint draining_since{};
   std::unique_ptr<sim::WorkerModel> model;
   std::unique_ptr<sim::WorkerTimer> timer;
--- a/src/cassiastile/jobs/draining_start_test.cpp
+++ b/src/cassiastile/jobs/draining_start_test.cpp
@@ -101,8 +101,22 @@
   EXPECT_EQ(starts.front().worker.id, "b");
 }
 
-// A slow or frozen leader goes on with a list that lacks the newest words of
+// A slow or frozen leader goes on with a list that lacks the newest reports of
 // its workers, while other hosts send its orders in time.
+TEST_F(DrainingStartTest, GangWithoutAMemberThatWasDroppedBeforeIsNotOrdered) {
+  m_bench.AddWorker("a");
+  m_bench.AddWorker("b");
+  JobSpec gang = SchedulerBench::OneTask(9000);
+  gang.steps.front().count = 2;
+  gang.steps.front().gang = true;
+  m_bench.Submit("1", gang);
+  m_bench.GetScheduler().Plan(m_bench.Now(), {});
+  m_bench.AddWorker("a", 2);
+  const Batch batch = m_bench.GetScheduler().TakeBatch(80, m_bench.Now());
+  EXPECT_THAT(batch.starts, SizeIs(1));
+  EXPECT_THAT(Commit(batch).starts, IsEmpty());
+}
+
 TEST_F(DrainingStartTest, ListThatMayBeOutOfDateOrdersNoStart) {
   m_bench.AddWorker("a");
   m_bench.Submit("1", SchedulerBench::OneTask());
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -561,10 +561,26 @@
     return IsListCurrent(now) && worker != nullptr &&
            worker->entry.id == run.worker && IsUsable(*worker, now);
   };
+  std::map<std::string, std::uint32_t> members;
   for (const auto& [ref, number] : batch.starts) {
+    if (!SpecOf(ref).gang) {
+      continue;
+    }
     const Run* run = FindRun(ref, number);
-    if (SpecOf(ref).gang && (run == nullptr || !is_usable(*run))) {
-      dropped_gangs.insert(StepKey(ref.job->id, ref.occurrence, ref.step));
+    const std::string gang = StepKey(ref.job->id, ref.occurrence, ref.step);
+    ++members[gang];
+    if (run == nullptr || !is_usable(*run)) {
+      dropped_gangs.insert(gang);
+    }
+  }
+  for (const auto& [ref, number] : batch.starts) {
+    if (!SpecOf(ref).gang) {
+      continue;
+    }
+    const std::string gang = StepKey(ref.job->id, ref.occurrence, ref.step);
+    // A member may have been dropped before the batch was taken.
+    if (members[gang] < SpecOf(ref).count) {
+      dropped_gangs.insert(gang);
     }
   }
   for (const auto& [ref, number] : batch.starts) {
@@ -572,8 +588,10 @@
     if (run == nullptr || run->phase != RunPhase::kPlanned) {
       continue;
     }
-    if (is_usable(*run) && !dropped_gangs.contains(StepKey(
-                               ref.job->id, ref.occurrence, ref.step))) {
+    const bool is_whole =
+        !SpecOf(ref).gang ||
+        !dropped_gangs.contains(StepKey(ref.job->id, ref.occurrence, ref.step));
+    if (is_whole && is_usable(*run)) {
       OrderStart(ref, *run, now);
     } else {
       DropRun(ref, number, DropReason::kNotOrdered, now);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -159,8 +159,9 @@
   return count;
 }
 
-// The same with the other tasks of the step that withdrawn starts bind to the
-// worker: they may run nowhere else, so their places are kept for them.
+// Number of places of the step on the worker that are taken: by runs, and by
+// other tasks of the step that withdrawn starts bind to it, since those may run
+// nowhere else.
 std::uint32_t TakenPlacesOfStep(const WorkerState& worker, const TaskRef& ref) {
   std::uint32_t count = RunsOfStep(worker, ref);
   for (const TaskRef& other : worker.withdrawn) {
