--- a/src/cassiastile/jobs/draining_start_test.cpp
+++ b/src/cassiastile/jobs/draining_start_test.cpp
@@ -101,8 +101,6 @@
   EXPECT_EQ(starts.front().worker.id, "b");
 }
 
-// A slow or frozen leader goes on with a list that lacks the newest reports of
-// its workers, while other hosts send its orders in time.
 TEST_F(DrainingStartTest, GangWithoutAMemberThatWasDroppedBeforeIsNotOrdered) {
   m_bench.AddWorker("a");
   m_bench.AddWorker("b");
@@ -117,6 +115,8 @@
   EXPECT_THAT(Commit(batch).starts, IsEmpty());
 }
 
+// A slow or frozen leader goes on with a list that lacks the newest reports of
+// its workers, while other hosts send its orders in time.
 TEST_F(DrainingStartTest, ListThatMayBeOutOfDateOrdersNoStart) {
   m_bench.AddWorker("a");
   m_bench.Submit("1", SchedulerBench::OneTask());
