Evacuate availability zones, and let a bound task that has left a worker stay away

Three tests were known to fail: a long-running task waited 13 s for a worker that a withdrawn start bound it to, although it had left that worker before, or the worker would refuse it. Change: every host follows the requests with the configuration; the leader's scheduler asks ZoneEvacuations before it places or orders a start, orders none by an old reading (evacuate_ms), and moves long-running tasks out of the zone within their limits. Machines of the zone count for no pool. Workers that say that they are still cold are used after others. A withdrawn start does not bind its task again once the task has been placed elsewhere, nor to a worker too small for it that guards its capacity.

--- a/include/cassiastile/host/config_watcher.hpp
+++ b/include/cassiastile/host/config_watcher.hpp
@@ -3,22 +3,25 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "cassiastile/host/dispatcher.hpp"
 
 namespace cassiastile::host {
 
-// Follows the operators' table: the fleet configuration and the maintenance
-// waves. The configuration's version never decreases; newer ones may also come
-// from other hosts.
+// Follows the operators' table: the fleet configuration, the maintenance waves
+// and the evacuations of zones. The configuration's version never decreases;
+// newer ones may also come from other hosts.
 class ConfigWatcher {
  public:
-  // Called on the loop after a new configuration or changed waves.
+  // Called on the loop after a new configuration or changed waves, and whenever
+  // the evacuations were read, also if they have not changed.
   struct Listener {
     std::function<void(const std::shared_ptr<const jobs::FleetConfig>&)>
         on_config;
     std::function<void()> on_waves;
+    std::function<void()> on_evacuations_read;
   };
 
   // `dependencies`, `loop` and `log` must outlive the watcher.
@@ -44,6 +47,11 @@
   std::shared_ptr<const jobs::FleetConfig> Config() const { return m_config; }
   // Requested maintenance waves by number.
   const std::map<std::uint64_t, WaveRequest>& Waves() const { return m_waves; }
+  // Zones to evacuate, and a time before which all requests are among these.
+  const std::set<std::string>& EvacuatedZones() const {
+    return m_evacuated_zones;
+  }
+  base::TimePoint EvacuationsAsOf() const { return m_read_as_of; }
   // Whether the store answered a read or a feed within the last 2.5 seconds.
   bool IsStoreReachable() const;
 
@@ -51,6 +59,12 @@
   void ReadAll();
   void FollowFeed();
   void ApplyRows(const std::vector<Row>& rows);
+  // Adds or removes the zone of a row; returns false if the row is not about a
+  // zone.
+  bool ApplyEvacuation(const Row& row);
+  // Rows that were requested at `asked_at` have been applied; no later change
+  // was left out.
+  void HandleRead(base::TimePoint asked_at);
 
   HostDependencies& m_dependencies;
   Loop& m_loop;
@@ -59,6 +73,9 @@
   std::shared_ptr<const jobs::FleetConfig> m_config;
   std::string m_text;
   std::map<std::uint64_t, WaveRequest> m_waves;
+  std::set<std::string> m_evacuated_zones;
+  std::set<std::string> m_logged_zones;
+  base::TimePoint m_read_as_of{};
   std::uint64_t m_feed_version = 0;
   base::TimePoint m_store_answered_at{};
   bool m_feed_failing = false;
--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
   std::string config_key;
   // Keys of waves start with it, in the operators' and in the status table.
   std::string wave_prefix;
+  // Keys of requests to evacuate a zone, in the operators' table, are this and
+  // the zone's name.
+  std::string evacuation_prefix;
 };
 
 // Does the leader's work during one term: stores the scheduler's rows, extends
@@ -64,6 +68,9 @@
   void Begin();
   void ApplyConfig(std::shared_ptr<const jobs::FleetConfig> config);
   void ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves);
+  // Takes the zones to evacuate; see jobs::ZoneEvacuations::Update.
+  void ApplyEvacuations(const std::set<std::string>& zones,
+                        base::TimePoint as_of);
   // Answers a job request. `respond` runs once; with kNotLeader before the
   // state is read, after resigning, and for a submission to a queue that the
   // configuration doesn't have yet. A submission or cancellation is answered
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -100,6 +100,8 @@
   void YieldToStrongerPeer();
   void ResignLeadership();
   void BecomeLeader();
+  // Tells the dispatcher of a leader which zones to evacuate.
+  void ApplyEvacuations();
   // Ends the term of this host after it resigned or lost the leadership.
   void HandleTermEnded();
   void SendToLeader(const JobRequest& request,
--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -104,6 +104,8 @@
   void ClearSettledOrder(TrackedMachine& tracked, base::TimePoint asked_at);
   void RunWave(Wave& wave, const PoolLoads& pools, base::TimePoint now);
   void MoveMachines(const PoolLoads& loads, base::TimePoint now);
+  // Whether the machine's zone is being evacuated: pools can't count on it.
+  bool IsEvacuated(const TrackedMachine& tracked) const;
   void LogLoads(const PoolLoads& loads);
   static Row MakeWaveRow(const Wave& wave);
   void Maintain(Wave& wave, TrackedMachine& tracked);
--- a/include/cassiastile/host/ports.hpp
+++ b/include/cassiastile/host/ports.hpp
@@ -180,6 +180,7 @@
   MachineState state = MachineState::kDown;
   std::string worker;  // Id; empty if it runs none.
   jobs::Resources capacity;
+  std::string availability_zone;
 };
 
 // Outcome of an order for a machine. The numbers are written to the log.
--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -40,6 +40,9 @@
   std::chrono::milliseconds max_worker_lease{10000};
   // A worker expects no starts later than this after it reports that it drains.
   std::chrono::milliseconds drain_time{2000};
+  // How soon after operators have asked to evacuate a zone nothing may start in
+  // it any more; more than 1 s. May be missing: no zones are evacuated.
+  std::chrono::milliseconds evacuation_time{0};
   // How long a graceful stop may take.
   std::chrono::milliseconds stop_grace{6000};
   // How long a finished job's state is kept.
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -107,6 +107,10 @@
   WorkerId worker;  // The incarnation that has confirmed the stop.
   std::string machine;
   base::TimePoint ordered_at{};  // See Run::start_ordered_at.
+  // The task was placed on another worker since. Binding it again would only
+  // make it wait: the start may arrive while it runs elsewhere anyway. Not
+  // stored.
+  bool has_left = false;
 };
 
 // The end of a worker that nobody asked for, while a task ran there.
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -21,6 +21,7 @@
 #include "cassiastile/jobs/scheduler_options.hpp"
 #include "cassiastile/jobs/worker_health.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
+#include "cassiastile/jobs/zone_evacuations.hpp"
 
 namespace cassiastile::jobs {
 
@@ -242,7 +243,8 @@
   // Gets no finite tasks before this time: an acknowledgement for a former
   // incarnation may come until then and make this one forget an end.
   base::TimePoint finite_from{};
-  bool takes_finite = true;  // In this planning round, by `finite_from`.
+  bool takes_finite = true;      // In this planning round, by `finite_from`.
+  base::TimePoint cold_until{};  // Until then it is slow; see WorkerEntry.
   WorkerHealth health;
   bool terminated = false;  // Ended by the leader's own order.
   bool silent = false;      // Did not answer the last call, or was terminated.
@@ -264,6 +266,8 @@
   bool IsFormer(std::int64_t incarnation_ms) const;
   // Whether a task is among `withdrawn`, and adds it once.
   bool HasWithdrawn(const TaskRef& ref) const;
+  // Whether a withdrawn start on this worker binds the task to it.
+  bool Binds(const TaskRef& ref) const;
   void AddWithdrawn(const TaskRef& ref);
 };
 
@@ -413,6 +417,11 @@
   // worker has room; they are restarted there. Tasks without such a limit run
   // until the worker ends.
   void Evacuate(const std::string& worker, base::TimePoint now);
+  // The zones in which nothing new starts. Their long-running tasks are moved
+  // to other zones as their max_unavailable allows, those without a limit one
+  // at a time, once there is room; finite tasks end where they run.
+  ZoneEvacuations& Evacuations() { return m_evacuations; }
+  const ZoneEvacuations& Evacuations() const { return m_evacuations; }
   // A task because of which CanDrainMachine is false, or nothing.
   std::optional<TaskId> DrainBlocker(const std::string& machine) const;
   // Cordons a worker whose runs are about to be ended on purpose, and counts
@@ -649,11 +658,11 @@
                  std::uint32_t step,
                  std::vector<WorkerState*>& workers,
                  base::TimePoint now);
-  // Whether the task of a withdrawn start need not stay on its worker, since
-  // the worker gets no new tasks.
-  bool MayLeave(const WithdrawnStart& start) const;
+  // Whether the task of a withdrawn start need not stay on its worker: it has
+  // left before, or the worker gets no new tasks or would refuse this one.
+  bool MayLeave(const TaskRef& ref, const WithdrawnStart& start) const;
   // Whether withdrawn starts bind a task to one worker.
-  bool IsBound(const Task& task) const;
+  bool IsBound(const TaskRef& ref) const;
   // What tasks need that wait and that withdrawn starts bind to the worker.
   static Resources WithheldCapacity(const WorkerState& worker);
   // Whether no worker has room for `need`, regardless of other constraints.
@@ -675,7 +684,8 @@
   // The best eligible worker with room, or null.
   WorkerState* ChooseWorker(const TaskRef& ref,
                             const std::vector<WorkerState*>& workers,
-                            const Advice* advice) const;
+                            const Advice* advice,
+                            base::TimePoint now) const;
   bool IsServing(const Run& run) const;
   // Whether the max_unavailable of the task's step allows all its runs on a
   // worker to end.
@@ -692,6 +702,10 @@
   void OrderStart(const TaskRef& ref, Run& run, base::TimePoint now);
   // Whether the list of workers is recent enough to order starts by it.
   bool IsListCurrent(base::TimePoint now) const;
+  // Whether the worker is in a zone that is being evacuated.
+  bool IsEvacuated(const WorkerState& worker) const {
+    return m_evacuations.Contains(worker.entry.availability_zone);
+  }
   // Whether the worker may get new tasks.
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
   // The valid advice on a step; otherwise null, after requesting it unless a
@@ -711,6 +725,13 @@
   // scheduler_supervision.cpp
   void SuperviseRuns(base::TimePoint now);
   void PaceFillers(WorkerState& worker, base::TimePoint now);
+  // Stops long-running tasks in zones that are being evacuated.
+  void EvacuateZones(base::TimePoint now);
+  // Whether a task may be stopped to be started elsewhere, if its step allows
+  // `max_unavailable` of its tasks to be unavailable.
+  bool MayInterrupt(const TaskRef& ref,
+                    const Run& run,
+                    std::uint32_t max_unavailable) const;
   void MoveStuckRun(const TaskRef& ref, Run& run, base::TimePoint now);
   void DrainWorker(WorkerState& worker, base::TimePoint now);
 
@@ -744,6 +765,8 @@
   // Workers reserved for finite tasks in the same round.
   std::size_t m_reserved_for_finite = 0;
   base::TimePoint m_supervised_at{};
+  ZoneEvacuations m_evacuations;
+  base::TimePoint m_zones_evacuated_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
   std::uint64_t m_last_change = 0;         // Counts MarkDirty.
   // Jobs whose rows are to be written, by oldest change: at once, and with
--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -21,6 +21,9 @@
   // No worker keeps its runs longer than this without a new lease;
   // max_worker_lease_ms in the settings.
   std::chrono::milliseconds max_worker_lease{10000};
+  // Starts are ordered only if the operators' requests to evacuate zones were
+  // read at most this long ago. Zero where operators evacuate no zones.
+  std::chrono::milliseconds max_evacuations_age{0};
 };
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -35,6 +35,8 @@
   std::string rack;
   Resources capacity;
   bool draining = false;
+  // How much longer the worker is slow after its start, when this was written.
+  std::chrono::milliseconds cold_for{0};
 };
 
 // How a run ended.
--- a/include/cassiastile/sim/worker_model.hpp
+++ b/include/cassiastile/sim/worker_model.hpp
@@ -70,6 +70,7 @@
   const jobs::WorkerEntry& Entry() const { return m_entry; }
   // Whether ends have not been acknowledged yet.
   bool HasEnds() const { return !m_ended.empty(); }
+  std::size_t RunCount() const { return m_running.size(); }
   // The worker's own clock: the time since it started.
   std::chrono::milliseconds Clock(base::TimePoint now) const;
 
--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -53,7 +53,8 @@
           .operator_table = adapter::kOperatorTable,
           .status_table = adapter::kStatusTable,
           .config_key = adapter::kConfigKey,
-          .wave_prefix = adapter::kWavePrefix};
+          .wave_prefix = adapter::kWavePrefix,
+          .evacuation_prefix = adapter::kEvacuationPrefix};
 }
 
 host::JobFrontendFormat MakeFormat() {
--- a/src/cassiastile/host/config_watcher.cpp
+++ b/src/cassiastile/host/config_watcher.cpp
@@ -1,5 +1,6 @@
 #include "cassiastile/host/config_watcher.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,18 @@
 constexpr std::chrono::milliseconds kFeedWait{900};
 constexpr std::chrono::milliseconds kRetryDelay{150};
 constexpr std::chrono::milliseconds kReachableFor{2500};
+// The store cuts a page of the feed at 1 MB of base64, or at 500 rows. One that
+// is well below both has all changes.
+constexpr std::size_t kMaybeCutBytes = 500000;
+constexpr std::size_t kMaybeCutRows = 400;
+
+bool IsWhole(const std::vector<Row>& rows) {
+  std::size_t bytes = 0;
+  for (const Row& row : rows) {
+    bytes += row.value.size();
+  }
+  return bytes < kMaybeCutBytes && rows.size() < kMaybeCutRows;
+}
 
 }  // namespace
 
@@ -40,7 +53,8 @@
 
 void ConfigWatcher::ReadAll() {
   ReadAllRows(m_dependencies.store, m_dependencies.operator_table, "",
-              m_lifetime.Guard([this](base::Result<RowPage> page) {
+              m_lifetime.Guard([this, asked_at = m_loop.GetClock().Now()](
+                                   base::Result<RowPage> page) {
                 if (!page) {
                   m_loop.After(kRetryDelay,
                                m_lifetime.Guard([this] { ReadAll(); }));
@@ -48,7 +62,9 @@
                 }
                 m_store_answered_at = m_loop.GetClock().Now();
                 m_feed_version = page->version;
+                m_evacuated_zones.clear();
                 ApplyRows(page->rows);
+                HandleRead(asked_at);
                 FollowFeed();
               }));
 }
@@ -56,7 +72,8 @@
 void ConfigWatcher::FollowFeed() {
   m_dependencies.store.Feed(
       m_dependencies.operator_table, m_feed_version, kFeedWait,
-      m_lifetime.Guard([this](base::Result<FeedPage> page) {
+      m_lifetime.Guard([this, asked_at = m_loop.GetClock().Now()](
+                           base::Result<FeedPage> page) {
         if (!page) {
           if (!std::exchange(m_feed_failing, true)) {
             m_log.Write("config.feed_lost", {{"error", page.error().message}});
@@ -75,6 +92,9 @@
         }
         m_feed_version = std::max(m_feed_version, page->version);
         ApplyRows(page->rows);
+        if (IsWhole(page->rows)) {
+          HandleRead(asked_at);
+        }
         FollowFeed();
       }));
 }
@@ -82,7 +102,7 @@
 void ConfigWatcher::ApplyRows(const std::vector<Row>& rows) {
   bool waves_changed = false;
   for (const Row& row : rows) {
-    if (row.deleted) {
+    if (ApplyEvacuation(row) || row.deleted) {
       continue;
     }
     if (row.key == m_dependencies.config_key) {
@@ -102,6 +122,30 @@
   }
 }
 
+bool ConfigWatcher::ApplyEvacuation(const Row& row) {
+  const std::string& prefix = m_dependencies.evacuation_prefix;
+  if (prefix.empty() || !row.key.starts_with(prefix)) {
+    return false;
+  }
+  const std::string zone = row.key.substr(prefix.size());
+  if (row.deleted) {
+    m_evacuated_zones.erase(zone);
+  } else {
+    m_evacuated_zones.insert(zone);
+  }
+  return true;
+}
+
+void ConfigWatcher::HandleRead(base::TimePoint asked_at) {
+  m_read_as_of = std::max(m_read_as_of, asked_at);
+  if (m_logged_zones != m_evacuated_zones) {
+    m_logged_zones = m_evacuated_zones;
+    m_log.Write("zone.evacuations", {{"availability_zones", m_logged_zones},
+                                     {"position", m_feed_version}});
+  }
+  m_listener.on_evacuations_read();
+}
+
 void ConfigWatcher::ApplyConfigText(const std::string& text,
                                     std::string_view source) {
   auto config = m_dependencies.decode_config(text);
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -64,6 +64,9 @@
   options.max_worker_lease = settings.max_worker_lease;
   options.max_list_age =
       std::max(options.max_list_age, settings.drain_time - kStartDelivery);
+  if (settings.evacuation_time.count() > 0) {
+    options.max_evacuations_age = settings.evacuation_time - kStartDelivery;
+  }
   return options;
 }
 
@@ -321,6 +324,13 @@
   m_machine_controller.ApplyWaves(waves);
 }
 
+void Dispatcher::ApplyEvacuations(const std::set<std::string>& zones,
+                                  base::TimePoint as_of) {
+  if (m_scheduler.Evacuations().Update(zones, as_of)) {
+    RequestPlan();
+  }
+}
+
 bool Dispatcher::IsStoreUnavailable() const {
   const auto since = m_transactions->FailingSince();
   return since && m_loop.GetClock().Now() - *since > kOutageAfter;
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -78,7 +78,8 @@
                  if (IsLeader()) {
                    m_dispatcher->ApplyWaves(m_config_watcher.Waves());
                  }
-               }}),
+               },
+           .on_evacuations_read = [this] { ApplyEvacuations(); }}),
       m_frontend(
           std::move(format),
           loop,
@@ -451,12 +452,20 @@
       });
   m_dispatcher->ApplyConfig(m_config_watcher.Config());
   m_dispatcher->ApplyWaves(m_config_watcher.Waves());
+  ApplyEvacuations();
   m_dispatcher->Begin();
   for (const auto& [host, peer] : m_known_peers) {
     SendGossip(peer.endpoint);
   }
 }
 
+void HostNode::ApplyEvacuations() {
+  if (IsLeader()) {
+    m_dispatcher->ApplyEvacuations(m_config_watcher.EvacuatedZones(),
+                                   m_config_watcher.EvacuationsAsOf());
+  }
+}
+
 void HostNode::HandleTermEnded() {
   if (!IsLeader()) {
     return;
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -503,6 +503,10 @@
       }));
 }
 
+bool MachineController::IsEvacuated(const TrackedMachine& tracked) const {
+  return m_scheduler.Evacuations().Contains(tracked.machine.availability_zone);
+}
+
 void MachineController::MoveMachines(const PoolLoads& loads,
                                      base::TimePoint now) {
   std::map<std::string, jobs::PoolDemand> pools;
@@ -522,7 +526,7 @@
   }
   std::vector<jobs::PoolMachine> machines;
   for (auto& [name, tracked] : m_machines) {
-    if (!tracked.listed) {
+    if (!tracked.listed || IsEvacuated(tracked)) {
       continue;
     }
     jobs::PoolMachine& machine = machines.emplace_back();
@@ -564,7 +568,8 @@
   // By service and in steps of kArrivalStep.
   std::map<std::string, std::map<std::int64_t, jobs::Resources>> arriving;
   for (const auto& [name, tracked] : m_machines) {
-    if (tracked.listed && tracked.pending == PendingOrder::kMove) {
+    if (tracked.listed && tracked.pending == PendingOrder::kMove &&
+        !IsEvacuated(tracked)) {
       const auto left = std::max<base::Duration>(
           tracked.ordered_at + kExpectedMoveTime - now, kArrivalStep);
       arriving[tracked.destination][left / kArrivalStep] +=
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -132,6 +132,16 @@
   const auto missing = ParseHostSettings("{" + rest);
   ASSERT_TRUE(missing.has_value()) << missing.error().message;
   EXPECT_EQ(missing->min_relayed_workers, 100U);
+  EXPECT_EQ(missing->evacuation_time.count(), 0);
+  const auto evacuates = ParseHostSettings(R"({"evacuate_ms":5000,)" + rest);
+  ASSERT_TRUE(evacuates.has_value());
+  EXPECT_EQ(evacuates->evacuation_time.count(), 5000);
+  for (const char* invalid : {"1000", "-1", "\"5000\""}) {
+    EXPECT_FALSE(ParseHostSettings(std::string(R"({"evacuate_ms":)") + invalid +
+                                   "," + rest)
+                     .has_value())
+        << invalid;
+  }
   EXPECT_EQ(ParseHostSettings(R"({"min_relayed_workers":7,)" + rest)
                 ->min_relayed_workers,
             7U);
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -68,6 +68,22 @@
     }
   }
 
+  // Reads milliseconds that may be missing.
+  void OptionalTime(const char* name,
+                    std::chrono::milliseconds least,
+                    std::chrono::milliseconds& value) {
+    const auto found = m_json.find(name);
+    if (found == m_json.end()) {
+      return;
+    }
+    if (found->is_number() &&
+        found->get<double>() > static_cast<double>(least.count())) {
+      value = std::chrono::milliseconds(std::llround(found->get<double>()));
+    } else {
+      AddError(name, fmt::format("must be a number above {}", least.count()));
+    }
+  }
+
   bool Number(const char* name, double& value) {
     const Json* member = Find(name);
     if (member == nullptr) {
@@ -119,6 +135,8 @@
 
 constexpr std::int64_t kMillisecond = 1;
 constexpr std::int64_t kSecond = 1000;
+// A start may take this long from the leader to a worker.
+constexpr std::chrono::milliseconds kMinEvacuationTime{1000};
 
 }  // namespace
 
@@ -159,6 +177,8 @@
   reader.Text("advice_endpoint", settings.advice_endpoint);
   reader.Time("max_worker_lease_ms", kMillisecond, settings.max_worker_lease);
   reader.Time("drain_ms", kMillisecond, settings.drain_time);
+  reader.OptionalTime("evacuate_ms", kMinEvacuationTime,
+                      settings.evacuation_time);
   reader.Time("stop_grace_s", kSecond, settings.stop_grace);
   reader.Time("finished_state_s", kSecond, settings.keep_finished);
   reader.Time("machine_order_lease_ms", kMillisecond,
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -28,6 +28,10 @@
 constexpr char kStatusTable[] = "status";
 constexpr char kSparePool[] = "spare";
 
+std::string ZoneName(std::size_t index) {
+  return "zone-" + std::to_string(index);
+}
+
 std::string ServiceName(std::size_t index) {
   return "service-" + std::to_string(index);
 }
@@ -65,7 +69,7 @@
 }
 
 // A worker's entry: incarnation, service, machine, for how many tasks it has
-// room, and whether it drains.
+// room, whether it drains, and its zone.
 base::Result<jobs::WorkerEntry> DecodeEntry(const std::string& id,
                                             const std::string& text) {
   std::istringstream in(text);
@@ -73,7 +77,7 @@
   entry.id.id = id;
   std::int64_t tasks = 0;
   in >> entry.id.incarnation_ms >> entry.service >> entry.machine >> tasks >>
-      entry.draining;
+      entry.draining >> entry.availability_zone;
   entry.endpoint = id;
   entry.capacity = CapacityFor(tasks);
   return entry;
@@ -151,6 +155,7 @@
 struct VirtualWorld::Machine {
   std::string name;
   std::string pool;
+  std::string zone;
   MachineState state = MachineState::kUp;
   std::string worker;
   std::set<std::uint64_t> waves;
@@ -557,7 +562,8 @@
           continue;
         }
         machines.push_back({name, machine.pool, machine.state, machine.worker,
-                            CapacityFor(m_world.m_options.tasks_per_worker)});
+                            CapacityFor(m_world.m_options.tasks_per_worker),
+                            machine.zone});
       }
       done(std::move(machines));
     });
@@ -699,7 +705,8 @@
                               .operator_table = kOperatorTable,
                               .status_table = kStatusTable,
                               .config_key = "config",
-                              .wave_prefix = "wave/"},
+                              .wave_prefix = "wave/",
+                              .evacuation_prefix = "evacuate/"},
              peers,
              loop,
              log,
@@ -725,6 +732,8 @@
     settings.address = "host-" + std::to_string(index);
     settings.peer_port = 1;
     settings.min_relayed_workers = options.min_relayed_workers;
+    settings.availability_zone = ZoneName(index % options.zones);
+    settings.evacuation_time = options.evacuation_time;
     return settings;
   }
 
@@ -864,7 +873,11 @@
   std::size_t number = 0;
   const auto add = [this, &number](const std::string& pool) {
     const std::string name = fmt::format("machine-{:03}", number++);
-    m_machines[name] = {.name = name, .pool = pool, .worker = {}, .waves = {}};
+    m_machines[name] = {.name = name,
+                        .pool = pool,
+                        .zone = ZoneName(number % m_options.zones),
+                        .worker = {},
+                        .waves = {}};
     StartWorker(name);
   };
   for (std::size_t service = 0; service < options.services; ++service) {
@@ -1034,8 +1047,9 @@
   RowTransaction transaction;
   transaction.puts.push_back(
       {kWorkerTable, "", entry.id.id,
-       fmt::format("{} {} {} {} {:d}", entry.id.incarnation_ms, entry.service,
-                   entry.machine, m_options.tasks_per_worker, entry.draining),
+       fmt::format("{} {} {} {} {:d} {}", entry.id.incarnation_ms,
+                   entry.service, entry.machine, m_options.tasks_per_worker,
+                   entry.draining, m_machines.at(entry.machine).zone),
        0, false});
   Apply(transaction);
 }
@@ -1084,6 +1098,15 @@
     AddViolation(fmt::format("{} got a start {} ms after it began to drain",
                              worker.id, base::Milliseconds(drained)));
   }
+  const auto evacuation =
+      m_evacuated_since.find(m_machines.at(worker.machine).zone);
+  if (result == jobs::StartResult::kRunning && !is_late &&
+      evacuation != m_evacuated_since.end() &&
+      m_loop.Now() - evacuation->second > m_options.evacuation_time) {
+    AddViolation(fmt::format(
+        "{} got a start {} ms after its zone was evacuated", worker.id,
+        base::Milliseconds(m_loop.Now() - evacuation->second)));
+  }
   m_fenced_starts += result == jobs::StartResult::kFenced ? 1 : 0;
   return result;
 }
@@ -1347,6 +1370,33 @@
   Apply(transaction);
 }
 
+void VirtualWorld::EvacuateZone(std::size_t zone) {
+  RowTransaction transaction;
+  transaction.puts.push_back(
+      {kOperatorTable, "", "evacuate/" + ZoneName(zone), "{}", 0, false});
+  Apply(transaction);
+  m_evacuated_since.emplace(ZoneName(zone), m_loop.Now());
+}
+
+void VirtualWorld::EndEvacuation(std::size_t zone) {
+  RowTransaction transaction;
+  transaction.deletes.push_back(
+      {kOperatorTable, "", "evacuate/" + ZoneName(zone), "", 0, false});
+  Apply(transaction);
+  m_evacuated_since.erase(ZoneName(zone));
+}
+
+std::size_t VirtualWorld::CountRunsInZone(std::size_t zone) const {
+  std::size_t runs = 0;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker->alive &&
+        m_machines.at(worker->machine).zone == ZoneName(zone)) {
+      runs += worker->model->RunCount();
+    }
+  }
+  return runs;
+}
+
 std::vector<std::string> VirtualWorld::MachineNames() const {
   std::vector<std::string> names;
   for (const auto& [name, machine] : m_machines) {
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -100,6 +100,10 @@
   std::size_t workers_per_service = 4;
   std::int64_t tasks_per_worker = 16;
   std::size_t spare_machines = 2;
+  // Machines and hosts are spread over the zones in turn.
+  std::size_t zones = 1;
+  // Zero: the hosts expect no evacuations.
+  std::chrono::milliseconds evacuation_time{0};
   // From how many workers on other hosts relay the leader's calls.
   std::size_t min_relayed_workers = 100;
   double worker_clock_rate = 1.0;  // Speed of the workers' own clocks.
@@ -164,6 +168,13 @@
   void RequestWave(const std::vector<std::string>& machines,
                    std::uint32_t max_down);
   std::vector<std::string> MachineNames() const;
+  // Asks to evacuate a zone, and takes that back. A start there more than
+  // `evacuation_time` after the request is a violation, unless its call is one
+  // of those that are carried out late.
+  void EvacuateZone(std::size_t zone);
+  void EndEvacuation(std::size_t zone);
+  // Number of runs on the zone's workers now.
+  std::size_t CountRunsInZone(std::size_t zone) const;
 
   WorldFaults& Faults() { return m_faults; }
   base::Random& RandomSource() { return m_random; }
@@ -290,6 +301,8 @@
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
   std::map<std::string, Machine> m_machines;
   std::uint64_t m_started_workers = 0;
+  // When the evacuation of each zone was asked for.
+  std::map<std::string, base::TimePoint> m_evacuated_since;
   std::map<std::string, std::size_t> m_job_service;
   std::map<std::string, std::size_t> m_task_counts;
   std::map<std::string, int> m_submission_statuses;
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -123,7 +123,9 @@
 }
 
 Scheduler::Scheduler(SchedulerOptions options)
-    : m_options(options), m_config(std::make_shared<FleetConfig>()) {}
+    : m_options(options),
+      m_config(std::make_shared<FleetConfig>()),
+      m_evacuations(options.max_evacuations_age) {}
 
 void Scheduler::ApplyConfig(std::shared_ptr<const FleetConfig> config) {
   m_config = std::move(config);
@@ -584,8 +586,9 @@
   std::set<std::string> dropped_gangs;
   const auto is_usable = [this, now](const Run& run) {
     const WorkerState* worker = FindWorker(run.worker.id);
-    return IsListCurrent(now) && worker != nullptr &&
-           worker->entry.id == run.worker && IsUsable(*worker, now);
+    return IsListCurrent(now) && m_evacuations.IsCurrent(now) &&
+           worker != nullptr && worker->entry.id == run.worker &&
+           IsUsable(*worker, now);
   };
   std::map<std::string, std::uint32_t> members;
   for (const auto& [ref, number] : batch.starts) {
@@ -654,7 +657,7 @@
       continue;
     }
     PoolLoad& load = pools[worker.entry.service];
-    if (worker.cordoned) {
+    if (worker.cordoned || IsEvacuated(worker)) {
       // Its finite tasks end there; those that follow them need as much.
       load.used += worker.used - worker.long_running_used;
       load.evacuating += worker.long_running_used;
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -87,6 +87,11 @@
   ListWorkers();
 }
 
+void SchedulerBench::SetZone(const std::string& id, const std::string& zone) {
+  m_entries.at(id).availability_zone = zone;
+  ListWorkers();
+}
+
 void SchedulerBench::SetCapacity(const std::string& id,
                                  const Resources& capacity) {
   m_entries.at(id).capacity = capacity;
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -28,6 +28,7 @@
   void RemoveWorker(const std::string& id);
   // Changes what a worker says of itself while it runs.
   void SetDraining(const std::string& id);
+  void SetZone(const std::string& id, const std::string& zone);
   void SetCapacity(const std::string& id, const Resources& capacity);
   Submission Submit(const std::string& id, JobSpec spec);
   // Plans, commits all rows and returns the orders.
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -11,6 +11,13 @@
   return std::ranges::find(withdrawn, ref) != withdrawn.end();
 }
 
+bool WorkerState::Binds(const TaskRef& ref) const {
+  return std::ranges::any_of(
+      FindTask(ref)->withdrawn, [this](const WithdrawnStart& start) {
+        return start.worker.id == entry.id.id && !start.has_left;
+      });
+}
+
 void WorkerState::AddWithdrawn(const TaskRef& ref) {
   if (!HasWithdrawn(ref)) {
     withdrawn.push_back(ref);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t kRemoteCost = 100000;  // The data is in another rack.
 // More tasks of a step would be on the worker than may be unavailable at once.
 constexpr std::int64_t kColocationCost = 200000;
+// The worker has started a short while ago and is still slow.
+constexpr std::int64_t kColdCost = 100000;
 // For each long-running task on the worker: long-running tasks are packed
 // together, and finite tasks kept away from them.
 constexpr std::int64_t kLongRunningPackingBonus = 20000;
@@ -92,7 +94,7 @@
 }
 
 bool HasRoomFor(const WorkerState& worker, const TaskRef& ref) {
-  if (worker.HasWithdrawn(ref)) {
+  if (worker.Binds(ref)) {
     // Its capacity is withheld; no reservation goes before that.
     return Fits(worker.used + worker.unaccounted + worker.withheld,
                 worker.entry.capacity);
@@ -179,7 +181,7 @@
 
 bool Scheduler::IsUsable(const WorkerState& worker, base::TimePoint now) const {
   return worker.listed && worker.has_reported && !worker.silent &&
-         !worker.entry.draining && !worker.cordoned &&
+         !worker.entry.draining && !worker.cordoned && !IsEvacuated(worker) &&
          now - worker.last_report < m_options.max_report_age &&
          !worker.health.IsQuarantined(now);
 }
@@ -223,7 +225,7 @@
     SuperviseRuns(now);
   }
   BeginDueOccurrences(wall);
-  if (!IsListCurrent(now)) {
+  if (!IsListCurrent(now) || !m_evacuations.IsCurrent(now)) {
     return;
   }
   std::map<std::string, std::vector<Job*>> waiting;
@@ -358,7 +360,7 @@
   for (const std::uint32_t index : step.waiting) {
     const TaskRef ref{&job, occurrence.number, step_number, index};
     // Its capacity is withheld on the only worker that may run it.
-    const bool bound = IsBound(step.tasks[index]);
+    const bool bound = IsBound(ref);
     const Suspicion suspicion = SuspicionOf(step.tasks[index]);
     if (spec.long_running && IsStartLimitReached(step.tasks[index])) {
       left.push_back(index);
@@ -373,7 +375,7 @@
           return HasTrial(*each) && !HasUnprovenRun(*each, job);
         });
     if (allowed && may_try && (bound || !full)) {
-      worker = ChooseWorker(ref, workers, advice);
+      worker = ChooseWorker(ref, workers, advice, now);
       full = full ||
              (worker == nullptr && !bound && suspicion == Suspicion::kNone);
     }
@@ -428,12 +430,12 @@
   const Resources need = CapacityNeed(spec);
   for (const std::uint32_t index : step.waiting) {
     const TaskRef member{&job, occurrence.number, step_number, index};
-    WorkerState* place = ChooseWorker(member, workers, nullptr);
+    WorkerState* place = ChooseWorker(member, workers, nullptr, now);
     if (place == nullptr) {
       break;
     }
     // Held while the others are placed.
-    held.push_back(place->HasWithdrawn(member) ? Resources{} : need);
+    held.push_back(place->Binds(member) ? Resources{} : need);
     place->used += held.back();
     places.push_back(place);
   }
@@ -461,23 +463,33 @@
 Resources Scheduler::WithheldCapacity(const WorkerState& worker) {
   Resources withheld;
   for (const TaskRef& ref : worker.withdrawn) {
-    if (FindTask(ref)->runs.empty()) {
+    if (FindTask(ref)->runs.empty() && worker.Binds(ref)) {
       withheld += CapacityNeed(SpecOf(ref));
     }
   }
   return withheld;
 }
 
-bool Scheduler::MayLeave(const WithdrawnStart& start) const {
-  const auto worker = m_workers.find(start.worker.id);
-  return worker == m_workers.end() || worker->second.entry.draining ||
-         worker->second.cordoned;
+bool Scheduler::MayLeave(const TaskRef& ref,
+                         const WithdrawnStart& start) const {
+  const auto found = m_workers.find(start.worker.id);
+  if (start.has_left || found == m_workers.end()) {
+    return true;
+  }
+  const WorkerEntry& entry = found->second.entry;
+  const ServiceConfig* service = m_config->FindService(entry.service);
+  const bool guards = service == nullptr || service->workers_guard_capacity;
+  const bool would_refuse =
+      guards && !Fits(CapacityNeed(SpecOf(ref)), entry.capacity);
+  return entry.draining || found->second.cordoned || would_refuse ||
+         IsEvacuated(found->second);
 }
 
-bool Scheduler::IsBound(const Task& task) const {
-  return !std::ranges::all_of(
-      task.withdrawn,
-      [this](const WithdrawnStart& start) { return MayLeave(start); });
+bool Scheduler::IsBound(const TaskRef& ref) const {
+  return !std::ranges::all_of(FindTask(ref)->withdrawn,
+                              [this, &ref](const WithdrawnStart& start) {
+                                return MayLeave(ref, start);
+                              });
 }
 
 bool Scheduler::IsFull(const Resources& need,
@@ -514,10 +526,11 @@
   const bool advised =
       advice == nullptr || advice->ticket_of_worker.contains(entry.id.id);
   const bool healthy = !worker.health.IsOnProbation() || worker.used.cpu == 0 ||
-                       (spec.long_running && worker.HasWithdrawn(ref));
+                       (spec.long_running && worker.Binds(ref));
   const bool expected = std::ranges::all_of(
-      FindTask(ref)->withdrawn, [this, &entry](const WithdrawnStart& start) {
-        return start.worker.id == entry.id.id || MayLeave(start);
+      FindTask(ref)->withdrawn,
+      [this, &ref, &entry](const WithdrawnStart& start) {
+        return start.worker.id == entry.id.id || MayLeave(ref, start);
       });
   const bool lasting = worker.takes_finite || spec.long_running;
   return has_label && advised && healthy && expected && lasting &&
@@ -557,7 +570,8 @@
 
 WorkerState* Scheduler::ChooseWorker(const TaskRef& ref,
                                      const std::vector<WorkerState*>& workers,
-                                     const Advice* advice) const {
+                                     const Advice* advice,
+                                     base::TimePoint now) const {
   const StepSpec& spec = SpecOf(ref);
   const Task& task = *FindTask(ref);
   const bool suspected = SuspicionOf(task) != Suspicion::kNone;
@@ -574,6 +588,7 @@
     if (task.avoided_worker == entry.id.id) {
       cost += kFailedHereCost;
     }
+    cost += now < worker->cold_until ? kColdCost : 0;
     if (!spec.data_rack.empty() && spec.data_rack != entry.rack) {
       cost += kRemoteCost;
     }
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -38,7 +38,7 @@
                          WorkerState& worker,
                          base::TimePoint now) {
   Task& task = *FindTask(ref);
-  if (task.runs.empty() && worker.HasWithdrawn(ref)) {
+  if (task.runs.empty() && worker.Binds(ref)) {
     worker.withheld -= CapacityNeed(SpecOf(ref));
   }
   Run& run = task.runs.emplace_back();
@@ -68,8 +68,9 @@
   }
   m_planned.emplace_back(ref, run.number);
   MarkDirty(*ref.job, true);
-  for (const WithdrawnStart& start : task.withdrawn) {
+  for (WithdrawnStart& start : task.withdrawn) {
     if (start.worker.id != run.worker.id) {
+      start.has_left = true;
       m_orders.left.push_back({IdOf(ref), run.number, run.worker, start.worker,
                                start.run, start.ordered_at});
     }
@@ -195,6 +196,9 @@
     // A heartbeat that is written late may be older than the word that this
     // incarnation drains.
     const bool drains = is_known && worker.entry.draining;
+    if (!is_known || entry.cold_for != worker.entry.cold_for) {
+      worker.cold_until = now + entry.cold_for;
+    }
     worker.SetEntry(entry);
     worker.entry.draining = entry.draining || drains;
   }
--- a/src/cassiastile/jobs/scheduler_stalls.cpp
+++ b/src/cassiastile/jobs/scheduler_stalls.cpp
@@ -70,7 +70,7 @@
   if (!task.runs.empty()) {
     stall.reason = ReasonOf(task.runs.front().phase);
     stall.worker = task.runs.front().worker.id;
-  } else if (IsBound(task)) {
+  } else if (IsBound(ref)) {
     stall.reason = StallReason::kBound;
     stall.worker = task.withdrawn.front().worker.id;
   } else if (!IsWithinLimit(*ref.job, SpecOf(ref).need)) {
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -24,6 +24,9 @@
 // Least time between an order to a filler and speeding it up. Reported loads
 // cover about as long.
 constexpr std::chrono::milliseconds kPaceInterval{500};
+// In this time, each service has one task of an evacuated zone stopped: room
+// elsewhere counts as free until the task is placed there.
+constexpr std::chrono::milliseconds kZoneEvacuationInterval{250};
 
 }  // namespace
 
@@ -35,6 +38,7 @@
 }
 
 void Scheduler::SuperviseRuns(base::TimePoint now) {
+  EvacuateZones(now);
   for (auto& [id, worker] : m_workers) {
     if (!worker.has_reported) {
       continue;
@@ -177,16 +181,22 @@
   });
 }
 
+bool Scheduler::MayInterrupt(const TaskRef& ref,
+                             const Run& run,
+                             std::uint32_t max_unavailable) const {
+  return max_unavailable > 0 && IsServing(run) &&
+         CountOtherUnavailable(ref) < max_unavailable;
+}
+
 void Scheduler::Evacuate(const std::string& id, base::TimePoint now) {
   WorkerState* worker = FindWorker(id);
-  if (worker == nullptr || !worker->has_reported || worker->silent) {
+  if (worker == nullptr || !worker->Answers()) {
     return;
   }
   for (const auto& [ref, number] : worker->runs) {
     Run* run = FindRun(ref, number);
     const StepSpec& spec = SpecOf(ref);
-    if (run == nullptr || spec.max_unavailable == 0 || !IsServing(*run) ||
-        CountOtherUnavailable(ref) >= spec.max_unavailable) {
+    if (run == nullptr || !MayInterrupt(ref, *run, spec.max_unavailable)) {
       continue;
     }
     if (HasRoomElsewhere(ref, *worker, now)) {
@@ -197,6 +207,37 @@
   }
 }
 
+void Scheduler::EvacuateZones(base::TimePoint now) {
+  if (m_evacuations.IsEmpty() ||
+      now - m_zones_evacuated_at < kZoneEvacuationInterval) {
+    return;
+  }
+  m_zones_evacuated_at = now;
+  std::set<std::string> services_done;
+  for (auto& [id, worker] : m_workers) {
+    if (!IsEvacuated(worker) || !worker.Answers()) {
+      continue;
+    }
+    for (const auto& [ref, number] : worker.runs) {
+      const StepSpec& spec = SpecOf(ref);
+      if (!spec.long_running || services_done.contains(worker.entry.service)) {
+        continue;
+      }
+      Run* run = FindRun(ref, number);
+      if (run == nullptr ||
+          !MayInterrupt(ref, *run, std::max(1U, spec.max_unavailable))) {
+        continue;
+      }
+      services_done.insert(worker.entry.service);
+      if (HasRoomElsewhere(ref, worker, now)) {
+        StopRun(ref, *run, StopReason::kEvacuated, now);
+      } else {
+        m_blocked_evacuations[worker.entry.service] += CapacityNeed(spec);
+      }
+    }
+  }
+}
+
 bool Scheduler::CanDrainMachine(const std::string& machine) const {
   return !DrainBlocker(machine).has_value();
 }
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -109,7 +109,7 @@
              std::vector<host::Machine> list;
              for (const auto& machine : m_machines) {
                list.push_back({machine->name, machine->pool, machine->state,
-                               machine->worker_id, kCapacity});
+                               machine->worker_id, kCapacity, {}});
              }
              return list;
            },
