Shorten what callers notice of a lost leader and of a silent store

Change: a connection that never came about means that nothing was sent (503 with Retry-After). Hosts tell each other how long they have not heard the leader; where two thirds of three or more do not, a record that is 0.7 s old suffices for a takeover. A commit is sent again after 0.25 s beside the first attempt. After 1 s without an answer, jobs that no commit has had are withdrawn and refused. Ends are not acknowledged while a parallel call is unanswered. StrongHostBecomesLeaderAfterAnOutage kills the leader in the outage now: a leader that stays gets the store back without the election that the test needs.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -90,6 +90,9 @@
 
   // Whether commits have been failing for more than 400 ms.
   bool IsStoreUnavailable() const;
+  // Whether the commit in flight has had no answer for so long that what is
+  // not in it should not wait for the next one.
+  bool IsCommitOverdue() const;
   // Whether the previous leader's state has been read.
   bool IsServing() const { return m_serving; }
   std::uint64_t FencingToken() const { return m_transactions->FencingToken(); }
@@ -157,6 +160,10 @@
   // dispatcher_jobs.cpp
   void Submit(const JobRequest& request, const Responder& respond);
   void Cancel(const JobRequest& request, const Responder& respond);
+  // Answers the callers of submitted jobs that were in no commit, which are
+  // removed.
+  void RefuseUnstored(const JobAnswer& answer);
+  static JobAnswer RefuseForOutage();
   JobAnswer State(const JobRequest& request) const;
 
   // dispatcher_workers.cpp
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -9,6 +9,7 @@
 #include "cassiastile/host/config_watcher.hpp"
 #include "cassiastile/host/dispatcher.hpp"
 #include "cassiastile/host/job_frontend.hpp"
+#include "cassiastile/host/leader_loss.hpp"
 #include "cassiastile/host/peer_message.hpp"
 #include "cassiastile/host/peer_port.hpp"
 #include "cassiastile/host/worker_relay.hpp"
@@ -70,6 +71,9 @@
     base::TimePoint heard_at{};
     bool store_reachable = false;
     double processor_share = 0;
+    // What it told of which leader; see GossipMessage::leader_silence_ms.
+    std::uint64_t leader_fence = 0;
+    std::chrono::milliseconds leader_silence{0};
   };
 
   void RegisterEndpoint();
@@ -90,6 +94,7 @@
   // allows it.
   void CheckLeader();
   void HandleLeaderRecord(const ObservedLeaderRecord& observed);
+  LeaderSigns CollectLeaderSigns(base::TimePoint now) const;
   std::string AcquisitionReason(const ObservedLeaderRecord& observed) const;
   void AcquireLeadership(const ObservedLeaderRecord& observed);
   // Which live peers HasStrongerPeer counts: those whose last gossip says that
@@ -128,6 +133,10 @@
   // it asked for a takeover.
   std::string m_replaceable_leader;
   base::TimePoint m_leader_heard_at{};
+  // Fencing token of a leader to which no connection came about since it was
+  // last heard; zero for none. While it is silent, requests are refused at
+  // once.
+  std::uint64_t m_unreachable_fence = 0;
   ObservedLeaderRecord m_last_record;
   base::TimePoint m_record_changed_at{};
   bool m_reading_record = false;
--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -56,14 +56,20 @@
   std::uint64_t FencingToken() const { return m_fencing_token; }
 
   // Writes and deletes rows in one transaction. Only one commit may be in
-  // flight. It is retried for as long as the store fails; `done` gets true once
-  // it is applied, or false if leadership is lost.
+  // flight. It is retried for as long as the store fails, and sent again beside
+  // the first attempt when that has no answer after 0.25 s; `done` gets true
+  // once it is applied, or false if leadership is lost.
   void Commit(std::vector<Row> puts,
               std::vector<Row> deletes,
               std::function<void(bool)> done);
   // Stores a record without a host, so that another host can take over at once.
   void Resign(std::function<void(bool)> done);
   bool IsBusy() const { return m_busy; }
+  // Since when the commit in flight has had no answer; nothing if there is
+  // none.
+  std::optional<base::TimePoint> BusySince() const {
+    return m_busy ? std::optional(m_begun_at) : std::nullopt;
+  }
 
   // Send time of the last commit known to be applied; this host was the leader
   // then.
@@ -77,7 +83,13 @@
 
  private:
   void Send();
-  void HandleReply(const TransactionReply& reply, base::TimePoint sent_at);
+  // Sends another attempt of a commit if it is still without an answer.
+  void SendAgain(std::uint64_t commit);
+  // Takes the reply to an attempt of a commit, which another attempt may have
+  // finished.
+  void HandleReply(const TransactionReply& reply,
+                   std::uint64_t commit,
+                   base::TimePoint sent_at);
   void Finish(bool applied);
   void Retry();
 
@@ -91,6 +103,8 @@
   RowTransaction m_transaction;
   std::function<void(bool)> m_done;
   std::uint32_t m_attempts = 0;
+  std::uint32_t m_unanswered = 0;  // Attempts of the commit in flight.
+  base::TimePoint m_begun_at{};
   base::TimePoint m_confirmed_at{};
   std::chrono::milliseconds m_store_clock{0};
   base::TimePoint m_store_clock_at{};
--- a/include/cassiastile/host/peer_message.hpp
+++ b/include/cassiastile/host/peer_message.hpp
@@ -43,11 +43,14 @@
   bool requests_takeover = false;
   bool store_reachable = false;  // Recently reached the store.
   double processor_share = 0;    // Of one core.
+  // How long ago the sender last heard of `leader`, if it is another host.
+  std::int64_t leader_silence_ms = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(host, endpoint, config_version, wants_config, config, leader,
-            is_leader, requests_takeover, store_reachable, processor_share);
+            is_leader, requests_takeover, store_reachable, processor_share,
+            leader_silence_ms);
   }
 };
 
--- a/include/cassiastile/host/peer_port.hpp
+++ b/include/cassiastile/host/peer_port.hpp
@@ -16,6 +16,8 @@
  public:
   struct Failure {
     bool refused = false;  // Connection refused; nothing was done.
+    // No connection came about, so nothing was sent. Set if `refused` is.
+    bool not_sent = false;
   };
   template <typename Value>
   using Done = std::function<void(tl::expected<Value, Failure>)>;
@@ -27,13 +29,13 @@
                       const GossipMessage& gossip,
                       Done<GossipMessage> done) = 0;
   // Sends a job request to the leader at `endpoint`. A failure that is not
-  // `refused` leaves open whether the request was carried out.
+  // `not_sent` leaves open whether the request was carried out.
   virtual void ForwardJob(const std::string& endpoint,
                           const JobRequest& request,
                           std::chrono::milliseconds timeout,
                           Done<JobAnswer> done) = 0;
   // Sends calls to workers to the host that relays them. A failure that is not
-  // `refused` leaves open whether they were or will be carried out.
+  // `not_sent` leaves open whether they were or will be carried out.
   virtual void SendRelayBatch(const std::string& endpoint,
                               const RelayBatch& batch,
                               Done<RelayReply> done) = 0;
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -193,6 +193,8 @@
   JobPhase phase = JobPhase::kQueued;
   JobPhase stored_phase = JobPhase::kQueued;  // The newest committed phase.
   bool accepted = false;                      // Its record is committed.
+  // A batch has had its record, so it may be committed.
+  bool record_taken = false;
   // Number of its oldest change that is not written yet; 0 if there is none.
   std::uint64_t oldest_change = 0;
   bool started = false;  // One of its tasks has run.
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -298,6 +298,9 @@
                     JobSpec spec,
                     base::TimePoint now,
                     base::WallTime wall);
+  // Removes a submitted job whose record no batch has had, so that it surely
+  // does not run. Returns whether it was removed.
+  bool Withdraw(const std::string& id, base::TimePoint now);
   // Cancels a job unless it is finished; acknowledge once its phase is
   // committed. Returns false when there is no such job.
   bool Cancel(const std::string& id, base::TimePoint now);
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t kMaxJobRows = 80;
 // Commits that fail for longer than this count as an outage of the store.
 constexpr std::chrono::milliseconds kOutageAfter{400};
+// A commit that has had no answer for this long, after four attempts.
+constexpr std::chrono::milliseconds kOverdueCommit{1000};
 // A leader that can't confirm its term keeps extending worker leases for this
 // long. A new leader waits this long, and then for one lease, before it gives
 // up silent workers.
@@ -111,6 +113,7 @@
 
 Dispatcher::~Dispatcher() {
   // Answers callers that would otherwise wait for a leader that is gone.
+  RefuseUnstored({.kind = JobAnswerKind::kNotLeader});
   for (auto* waiting : {&m_await_accept, &m_await_cancel}) {
     for (auto& [job, responders] : *waiting) {
       for (const Responder& respond : responders) {
@@ -336,6 +339,11 @@
   return since && m_loop.GetClock().Now() - *since > kOutageAfter;
 }
 
+bool Dispatcher::IsCommitOverdue() const {
+  const auto since = m_transactions->BusySince();
+  return since && m_loop.GetClock().Now() - *since > kOverdueCommit;
+}
+
 bool Dispatcher::MayGiveOrders() const {
   return !m_term_over &&
          m_loop.GetClock().Now() - m_transactions->ConfirmedAt() <
@@ -372,6 +380,9 @@
     return;
   }
   PollWorkers();
+  if (IsStoreUnavailable() || IsCommitOverdue()) {
+    RefuseUnstored(RefuseForOutage());
+  }
   m_machine_controller.Tick(!IsStoreUnavailable() && MayGiveOrders());
   StoreDurations();
   LogStalledTasks();
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -16,6 +16,14 @@
           .retry_after_ms = retry_after.count()};
 }
 
+// The time that the store has been failing or slow for, for logs.
+std::int64_t FailingFor(const LeaderTransactions& transactions,
+                        base::TimePoint now) {
+  const auto since = transactions.FailingSince() ? transactions.FailingSince()
+                                                 : transactions.BusySince();
+  return since ? base::Milliseconds(now - *since) : 0;
+}
+
 bool MayAccess(const jobs::Job& job, const JobRequest& request) {
   return job.customer.empty() || request.customer.empty() ||
          job.customer == request.customer;
@@ -54,15 +62,14 @@
     return;
   }
   const jobs::Job* known = m_scheduler.FindJob(request.job);
-  if (known == nullptr && IsStoreUnavailable()) {
+  if (known == nullptr && (IsStoreUnavailable() || IsCommitOverdue())) {
     m_log.Write("job.refused",
                 {{"job", request.job},
                  {"queue", request.queue},
                  {"reason", "store away"},
                  {"commits_fail_for_ms",
-                  base::Milliseconds(m_loop.GetClock().Now() -
-                                     *m_transactions->FailingSince())}});
-    respond(Refuse(jobs::RefusalReason::kStoreUnavailable, kRetryAfterOutage));
+                  FailingFor(*m_transactions, m_loop.GetClock().Now())}});
+    respond(RefuseForOutage());
     return;
   }
   auto spec = m_dependencies.decode_job(request.spec);
@@ -102,6 +109,29 @@
   }
 }
 
+JobAnswer Dispatcher::RefuseForOutage() {
+  return Refuse(jobs::RefusalReason::kStoreUnavailable, kRetryAfterOutage);
+}
+
+void Dispatcher::RefuseUnstored(const JobAnswer& answer) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  std::vector<Responder> refused;
+  std::erase_if(m_await_accept, [&](const auto& waiting) {
+    const auto& [job, responders] = waiting;
+    if (!m_scheduler.Withdraw(job, now)) {
+      return false;
+    }
+    m_log.Write("job.withdrawn",
+                {{"job", job},
+                 {"commits_fail_for_ms", FailingFor(*m_transactions, now)}});
+    refused.insert(refused.end(), responders.begin(), responders.end());
+    return true;
+  });
+  for (const Responder& respond : refused) {
+    respond(answer);
+  }
+}
+
 void Dispatcher::Cancel(const JobRequest& request, const Responder& respond) {
   const jobs::Job* job = m_scheduler.FindJob(request.job);
   if (job == nullptr) {
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -161,8 +161,9 @@
   extension.fence = FencingToken();
   // Sent until it is answered and not again: carried out late, it would make a
   // later incarnation forget its own ends. A call in parallel with a long poll
-  // may be the first to reach the next incarnation, before the poll fails.
-  if (!probe && link.heard_at > link.failed_at &&
+  // may be the first to reach the next incarnation, before the poll fails; a
+  // parallel call without an answer may be one that has not reached this one.
+  if (!probe && !link.probing && link.heard_at > link.failed_at &&
       found->second.acked_end > link.acknowledged_end) {
     extension.acknowledged_end = found->second.acked_end;
     m_scheduler.AcknowledgementSent(link.address.id.id, now);
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -13,7 +13,7 @@
 // hosts within a few rounds.
 constexpr std::chrono::milliseconds kGossipInterval{500};
 constexpr std::size_t kGossipFanout = 2;
-// While the leader asks for a takeover.
+// While the leader asks for a takeover, or is not heard.
 constexpr std::size_t kTakeoverFanout = 8;
 constexpr std::chrono::milliseconds kFindPeersInterval{3000};
 // How long the table may take to deliver a newer configuration before a peer is
@@ -30,9 +30,11 @@
 // How long a leader knows a stronger peer before it resigns.
 constexpr std::chrono::milliseconds kYieldAfter{1500};
 constexpr std::chrono::milliseconds kWatchInterval{250};
-// The leader rewrites its record twice a second; one whose record has not
-// changed for this long may be replaced.
-constexpr std::chrono::milliseconds kLeaderTimeout{1800};
+// While the leader is not heard.
+constexpr std::chrono::milliseconds kQuietWatchInterval{150};
+// Of peers not heard from for this long, it is not known whether they still
+// don't hear the leader.
+constexpr std::chrono::milliseconds kMaxSignAge{700};
 // The leader's record is read after this long without gossip from the leader.
 constexpr std::chrono::milliseconds kLeaderSilence{600};
 // A read that hangs in an outage must not delay noticing that the store is
@@ -160,8 +162,11 @@
   std::ranges::shuffle(endpoints, m_random);
   const bool requests_takeover =
       IsLeader() && m_dispatcher->IsStoreUnavailable();
+  const bool misses_leader =
+      !IsLeader() &&
+      m_loop.GetClock().Now() - m_leader_heard_at > kLeaderSilence;
   const std::size_t fanout =
-      requests_takeover ? kTakeoverFanout : kGossipFanout;
+      requests_takeover || misses_leader ? kTakeoverFanout : kGossipFanout;
   endpoints.resize(std::min(endpoints.size(), fanout));
   const bool gossip_to_leader = !IsLeader() && !m_leader.host.empty();
   if (gossip_to_leader &&
@@ -221,6 +226,8 @@
   gossip.requests_takeover = IsLeader() && m_dispatcher->IsStoreUnavailable();
   gossip.store_reachable = m_config_watcher.IsStoreReachable();
   gossip.processor_share = m_settings.processor_share;
+  gossip.leader_silence_ms =
+      base::Milliseconds(m_loop.GetClock().Now() - m_leader_heard_at);
   return gossip;
 }
 
@@ -238,6 +245,8 @@
   peer.heard_at = m_loop.GetClock().Now();
   peer.store_reachable = gossip.store_reachable;
   peer.processor_share = gossip.processor_share;
+  peer.leader_fence = gossip.leader.fence;
+  peer.leader_silence = std::chrono::milliseconds(gossip.leader_silence_ms);
   if (gossip.config_version <= m_config_watcher.Version()) {
     m_config_behind_since = {};
   } else if (!gossip.config.empty()) {
@@ -257,6 +266,7 @@
     CheckLeader();
   } else {
     m_leader_heard_at = m_loop.GetClock().Now();
+    m_unreachable_fence = 0;
   }
 }
 
@@ -305,7 +315,8 @@
   }
   YieldToStrongerPeer();
   OfferRelays();
-  m_loop.After(kWatchInterval, m_lifetime.Guard([this] { WatchLeader(); }));
+  m_loop.After(quiet && !IsLeader() ? kQuietWatchInterval : kWatchInterval,
+               m_lifetime.Guard([this] { WatchLeader(); }));
 }
 
 void HostNode::OfferRelays() {
@@ -360,7 +371,7 @@
   }
   const bool vacant = observed.version == 0 || observed.record.host.empty() ||
                       observed.record.host == m_settings.host;
-  if (!vacant && !process_gone && now - m_record_changed_at <= kLeaderTimeout) {
+  if (!vacant && !process_gone && !IsLeaderLost(CollectLeaderSigns(now))) {
     m_replaceable_since = {};
     return;
   }
@@ -378,6 +389,17 @@
   AcquireLeadership(observed);
 }
 
+LeaderSigns HostNode::CollectLeaderSigns(base::TimePoint now) const {
+  LeaderSigns signs{now - m_record_changed_at, now - m_leader_heard_at, {}};
+  for (const auto& [host, peer] : m_known_peers) {
+    if (host != m_leader.host && peer.leader_fence == m_leader.fence &&
+        now - peer.heard_at < kMaxSignAge) {
+      signs.peer_silences.push_back(peer.leader_silence);
+    }
+  }
+  return signs;
+}
+
 bool HostNode::HasStrongerPeer(PeerFilter filter) const {
   const base::TimePoint now = m_loop.GetClock().Now();
   return std::ranges::any_of(m_known_peers, [this, now,
@@ -413,7 +435,7 @@
   if (observed.record.host == m_settings.host) {
     return "former life";
   }
-  return m_loop.GetClock().Now() - m_record_changed_at > kLeaderTimeout
+  return IsLeaderLost(CollectLeaderSigns(m_loop.GetClock().Now()))
              ? "term over"
              : "process gone or without store";
 }
@@ -499,17 +521,28 @@
     respond({.kind = JobAnswerKind::kNotLeader});
     return;
   }
+  const bool is_silent =
+      m_loop.GetClock().Now() - m_leader_heard_at > kLeaderSilence;
+  if (is_silent && m_unreachable_fence == m_leader.fence) {
+    respond({.kind = JobAnswerKind::kNotLeader});
+    return;
+  }
   m_peer_port.ForwardJob(
       m_leader.endpoint, request, timeout,
-      [respond](const tl::expected<JobAnswer, PeerPort::Failure>& answer) {
-        if (answer) {
-          respond(*answer);
-        } else {
-          respond({.kind = answer.error().refused
-                               ? JobAnswerKind::kNotLeader
-                               : JobAnswerKind::kOutcomeUnknown});
-        }
-      });
+      m_lifetime.Guard(
+          [this, respond, fence = m_leader.fence](
+              const tl::expected<JobAnswer, PeerPort::Failure>& answer) {
+            if (answer) {
+              respond(*answer);
+              return;
+            }
+            if (answer.error().not_sent) {
+              m_unreachable_fence = fence;
+            }
+            respond({.kind = answer.error().not_sent
+                                 ? JobAnswerKind::kNotLeader
+                                 : JobAnswerKind::kOutcomeUnknown});
+          }));
 }
 
 void HostNode::ServeCaller(const wire::HttpRequest& request,
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -180,6 +180,8 @@
     // Longer than the 2.5 s for which a store that answered counts as
     // reachable.
     world.RunFor(milliseconds(4200));
+    // A leader that stays gets the store back without an election.
+    world.KillHost(*world.LeaderIndex());
     world.Faults().store_silent = false;
     world.RunFor(milliseconds(3000));
     ASSERT_TRUE(world.LeaderIndex().has_value());
--- a/src/cassiastile/host/leader_transactions.cpp
+++ b/src/cassiastile/host/leader_transactions.cpp
@@ -14,6 +14,10 @@
 // The first retry waits twice this; the wait doubles up to kMaxRetry.
 constexpr std::chrono::milliseconds kRetryBase{30};
 constexpr std::chrono::milliseconds kMaxRetry{400};
+// An answer may be lost or its connection dead. A store that is slower than
+// usual by a factor of 50 answers within this time.
+constexpr std::chrono::milliseconds kSendAgainAfter{250};
+constexpr std::uint32_t kMaxUnanswered = 5;
 
 }  // namespace
 
@@ -56,6 +60,8 @@
       {kLeaderTable, kLeaderPart, kLeaderKey, Encode(m_record), 0, false});
   m_transaction.deletes = std::move(deletes);
   m_attempts = 0;
+  m_unanswered = 0;
+  m_begun_at = m_loop.GetClock().Now();
   Send();
 }
 
@@ -66,12 +72,23 @@
 
 void LeaderTransactions::Send() {
   ++m_attempts;
+  ++m_unanswered;
   const base::TimePoint sent_at = m_loop.GetClock().Now();
+  const std::uint64_t commit = m_record.commit;
   m_store.Commit(
       m_transaction, kCommitTimeout,
-      m_lifetime.Guard([this, sent_at](const TransactionReply& reply) {
-        HandleReply(reply, sent_at);
+      m_lifetime.Guard([this, commit, sent_at](const TransactionReply& reply) {
+        HandleReply(reply, commit, sent_at);
       }));
+  m_loop.After(kSendAgainAfter,
+               m_lifetime.Guard([this, commit] { SendAgain(commit); }));
+}
+
+void LeaderTransactions::SendAgain(std::uint64_t commit) {
+  if (m_busy && commit == m_record.commit && m_unanswered > 0 &&
+      m_unanswered < kMaxUnanswered) {
+    Send();
+  }
 }
 
 std::chrono::milliseconds LeaderTransactions::StoreNow() const {
@@ -80,8 +97,13 @@
 }
 
 void LeaderTransactions::HandleReply(const TransactionReply& reply,
+                                     std::uint64_t commit,
                                      base::TimePoint sent_at) {
   using Outcome = TransactionReply::Outcome;
+  if (!m_busy || commit != m_record.commit) {
+    return;
+  }
+  --m_unanswered;
   if (reply.now.count() > 0) {
     m_store_clock = reply.now;
     m_store_clock_at = m_loop.GetClock().Now();
@@ -116,13 +138,19 @@
                 {{"attempts", m_attempts},
                  {"unknown", reply.outcome == Outcome::kUnknown}});
   }
-  Retry();
+  if (m_unanswered == 0) {
+    Retry();
+  }
 }
 
 void LeaderTransactions::Retry() {
   const auto delay =
       std::min(kRetryBase * (1U << std::min(m_attempts, 5U)), kMaxRetry);
-  m_loop.After(delay, m_lifetime.Guard([this] { Send(); }));
+  m_loop.After(delay, m_lifetime.Guard([this, commit = m_record.commit] {
+    if (m_busy && commit == m_record.commit && m_unanswered == 0) {
+      Send();
+    }
+  }));
 }
 
 void LeaderTransactions::Finish(bool applied) {
--- a/src/cassiastile/host/peer_client.cpp
+++ b/src/cassiastile/host/peer_client.cpp
@@ -37,9 +37,10 @@
 auto Complete(PeerPort::Done<Value> done, Decoder decode) {
   return [done = std::move(done), decode](wire::HttpOutcome outcome) {
     if (!outcome) {
-      const bool refused = outcome.error().state == wire::SendState::kNotSent &&
-                           !outcome.error().timed_out;
-      done(tl::unexpected(PeerPort::Failure{refused}));
+      const bool not_sent = outcome.error().state == wire::SendState::kNotSent;
+      done(tl::unexpected(
+          PeerPort::Failure{.refused = not_sent && !outcome.error().timed_out,
+                            .not_sent = not_sent}));
       return;
     }
     auto value = decode(outcome->body);
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -344,7 +344,7 @@
   Relay& relay = m_relays[host];
   relay.is_asking = false;
   if (!reply) {
-    if (reply.error().refused) {
+    if (reply.error().not_sent) {
       FailUnsent(batch);
     }
     DropRelay(host);
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -767,7 +767,7 @@
         return;
       }
     }
-    done(tl::unexpected(Failure{true}));
+    done(tl::unexpected(Failure{true, true}));
   });
 }
 
@@ -797,7 +797,7 @@
       }
     }
     if (!std::exchange(*answered, true)) {
-      done(tl::unexpected(Failure{true}));
+      done(tl::unexpected(Failure{true, true}));
     }
   });
   m_world.Post(timeout, [done, answered] {
@@ -829,7 +829,9 @@
               node.HandleRelayBatch(*DecodeRelayBatch(bytes));
           m_world.Post(kCallLatency, [once, reply] { once(reply); });
         },
-        [once](bool refused) { once(tl::unexpected(Failure{refused})); });
+        [once](bool refused) {
+          once(tl::unexpected(Failure{refused, refused}));
+        });
   });
   constexpr milliseconds kBatchTimeout{1000};
   m_world.Post(kBatchTimeout, [once] { once(tl::unexpected(Failure{})); });
--- a/src/cassiastile/host/worker_relay_test.cpp
+++ b/src/cassiastile/host/worker_relay_test.cpp
@@ -66,7 +66,7 @@
     batches.push_back(batch);
     loop->After(delay, [this, batch, done] {
       if (refuses) {
-        done(tl::unexpected(Failure{true}));
+        done(tl::unexpected(Failure{true, true}));
         return;
       }
       const RelayReply reply = relay->Handle(batch);
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -376,6 +376,32 @@
   return {.verdict = Submission::Verdict::kNew};
 }
 
+bool Scheduler::Withdraw(const std::string& id, base::TimePoint now) {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end() || found->second->accepted ||
+      found->second->record_taken || IsFinished(found->second->phase)) {
+    return false;
+  }
+  Job& job = *found->second;
+  for (Occurrence& occurrence : job.occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      auto& tasks = occurrence.steps[s].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        const auto runs = tasks[i].runs;
+        for (const Run& run : runs) {
+          DropRun({&job, occurrence.number, s, i}, run.number,
+                  DropReason::kNotOrdered, now);
+        }
+      }
+    }
+  }
+  m_urgent.erase(job.oldest_change);
+  m_deferred.erase(job.oldest_change);
+  m_unfinished.erase(id);
+  m_jobs.erase(found);
+  return true;
+}
+
 bool Scheduler::Cancel(const std::string& id, base::TimePoint now) {
   const auto found = m_jobs.find(id);
   if (found == m_jobs.end()) {
@@ -488,6 +514,7 @@
   RemoveFinished(now);
   Batch batch;
   for (Job* job : TakeJobs(max_rows, choice)) {
+    job->record_taken = true;
     if (IsFinished(job->phase)) {
       batch.rows.push_back({job->id, true, std::nullopt});
       if (!job->accepted) {
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -667,5 +667,24 @@
   EXPECT_THAT(rest.ends, SizeIs(1));
 }
 
+// Guards against a refusal of a job that a commit in flight may store.
+TEST(SchedulerTest, JobIsWithdrawnOnlyIfNoBatchHasHadIt) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  Scheduler& scheduler = bench.GetScheduler();
+  bench.Submit("1111111111111111", SchedulerBench::OneTask());
+  scheduler.Plan(bench.Now(), {});
+  const Batch batch = scheduler.TakeBatch(80, bench.Now());
+  bench.Submit("2222222222222222", SchedulerBench::OneTask());
+  scheduler.Plan(bench.Now(), {});
+  EXPECT_FALSE(scheduler.Withdraw("1111111111111111", bench.Now()));
+  EXPECT_TRUE(scheduler.Withdraw("2222222222222222", bench.Now()));
+  EXPECT_FALSE(scheduler.Withdraw("2222222222222222", bench.Now()));
+  scheduler.Confirm(batch, bench.Now());
+  EXPECT_EQ(scheduler.FindWorker("a")->used.cpu, 1000);
+  EXPECT_EQ(scheduler.TakeOrders().starts.size(), 1U);
+  EXPECT_FALSE(scheduler.HasUrgentRows());
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
