--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -263,6 +263,8 @@
   void Release(const StepSpec& step);
   // Replaces the entry by a newer one of the same incarnation.
   void SetEntry(const WorkerEntry& newer);
+  // The capacity that a task lacks here, in thousandths of a core.
+  std::int64_t MissingFor(const Resources& need) const;
   // Whether its last call was answered by this incarnation.
   bool Answers() const;
   // Whether an earlier incarnation had this start time.
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -580,12 +580,7 @@
         !IsEligible(*worker, ref, advice)) {
       continue;
     }
-    const Resources missing = worker->used + need - worker->entry.capacity;
-    // Missing memory counts as CPU, at the usual memory per core.
-    constexpr std::int64_t kMegabytesPerCore = 4096;
-    const std::int64_t cost =
-        std::max<std::int64_t>(0, missing.cpu) +
-        std::max<std::int64_t>(0, missing.memory) * 1000 / kMegabytesPerCore;
+    const std::int64_t cost = worker->MissingFor(need);
     if (best == nullptr || cost < best_missing) {
       best = worker;
       best_missing = cost;
--- a/src/cassiastile/jobs/scheduler_reserve.cpp
+++ b/src/cassiastile/jobs/scheduler_reserve.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kMaxOvertaken{2000};
 // Workers on which a gang may have starts reserved.
 constexpr std::size_t kMaxReservedMembers = 16;
+// Of so many workers with the least missing capacity, the expected ends are
+// compared: doing so for all took most of a planning round.
+constexpr std::ptrdiff_t kComparedWorkers = 16;
 
 // When the run is expected to end, by its progress or by its usual duration.
 base::TimePoint ExpectEnd(const Run& run,
@@ -45,6 +48,14 @@
 
 }  // namespace
 
+std::int64_t WorkerState::MissingFor(const Resources& need) const {
+  const Resources missing = used + need - entry.capacity;
+  // Missing memory counts as CPU, at the usual memory per core.
+  constexpr std::int64_t kMegabytesPerCore = 4096;
+  return std::max<std::int64_t>(0, missing.cpu) +
+         std::max<std::int64_t>(0, missing.memory) * 1000 / kMegabytesPerCore;
+}
+
 base::TimePoint Scheduler::EndsBy(const Job& job,
                                   const StepSpec& step,
                                   base::TimePoint now) const {
@@ -82,11 +93,21 @@
                                        base::TimePoint now,
                                        ReservedStart& start) const {
   const Resources need = CapacityNeed(SpecOf(ref));
-  WorkerState* best = nullptr;
+  std::vector<std::pair<std::int64_t, WorkerState*>> candidates;
   for (WorkerState* worker : workers) {
-    if (worker->reserved_start || worker->reserved != Resources{} ||
-        !Fits(worker->long_running_used + need, worker->entry.capacity) ||
-        !IsEligible(*worker, ref, advice)) {
+    if (!worker->reserved_start && worker->reserved == Resources{} &&
+        Fits(worker->long_running_used + need, worker->entry.capacity)) {
+      candidates.emplace_back(worker->MissingFor(need), worker);
+    }
+  }
+  const auto compared = std::min<std::ptrdiff_t>(
+      kComparedWorkers, static_cast<std::ptrdiff_t>(candidates.size()));
+  std::ranges::partial_sort(candidates, candidates.begin() + compared, {},
+                            &std::pair<std::int64_t, WorkerState*>::first);
+  WorkerState* best = nullptr;
+  std::ptrdiff_t seen = 0;
+  for (const auto& [missing, worker] : candidates) {
+    if (!IsEligible(*worker, ref, advice)) {
       continue;
     }
     const auto earliest = EarliestStartOn(*worker, need, now);
@@ -94,6 +115,9 @@
       best = worker;
       start = *earliest;
     }
+    if (++seen >= compared) {
+      break;
+    }
   }
   return best;
 }
