Evacuate zones and reserve starts in the soak

Cause: the soak knew neither of the new parts. Change: in every third plan operators evacuate one of two zones for 5.5 to 9.5 s; a start there after 5 s whose order was not held up is a violation. Hosts of the soak reserve up to 4 starts a service (--max-reserved-starts). The rest of a seed's plan is as before.

--- a/include/cassiastile/soak/fault_plan.hpp
+++ b/include/cassiastile/soak/fault_plan.hpp
@@ -29,9 +29,10 @@
   kDelayStarts,     // A worker carries out starts late, without an answer.
   kConfigure,       // The operators change the configuration.
   kWave,            // The operators request maintenance of all machines.
+  kEvacuate,        // The operators evacuate a zone for a time.
 };
 
-inline constexpr std::array<base::EnumName<FaultKind>, 16> kFaultNames{{
+inline constexpr std::array<base::EnumName<FaultKind>, 17> kFaultNames{{
     {FaultKind::kKill, "kill"},
     {FaultKind::kStop, "stop"},
     {FaultKind::kPause, "pause"},
@@ -48,6 +49,7 @@
     {FaultKind::kDelayStarts, "late"},
     {FaultKind::kConfigure, "configure"},
     {FaultKind::kWave, "wave"},
+    {FaultKind::kEvacuate, "evacuate"},
 }};
 
 // What a fault applies to. `Fault::target` is an index among these.
--- a/include/cassiastile/soak/soak.hpp
+++ b/include/cassiastile/soak/soak.hpp
@@ -20,6 +20,8 @@
   std::string folder;  // For settings, logs and the plan; must exist.
   // From how many workers on other hosts relay the leader's calls.
   std::size_t min_relayed_workers = 100;
+  // See the setting of the same name.
+  std::size_t max_reserved_starts = 4;
   // Submissions per second over all services.
   double jobs_per_second = 8;
   // How long accepted jobs may take to be done after all faults have ended.
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -83,6 +83,9 @@
       "min-relayed-workers",
       po::value(&options.min_relayed_workers)->default_value(100),
       "from how many workers on other hosts relay the leader's calls")(
+      "max-reserved-starts",
+      po::value(&options.max_reserved_starts)->default_value(4),
+      "starts reserved at once in each service")(
       "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
       "hand-ins of the callers")(
       "plan", po::value(&plan_file),
--- a/src/cassiastile/soak/fault_plan.cpp
+++ b/src/cassiastile/soak/fault_plan.cpp
@@ -113,6 +113,15 @@
     }
     at += milliseconds(1 + below(2 * options.mean_gap.count()));
   }
+  // Drawn last, so that the rest of a seed's plan is what it was without it.
+  constexpr int kEvacuationOneIn = 3;
+  constexpr std::int64_t kShortestEvacuation = 5500;
+  if (below(kEvacuationOneIn) == 0) {
+    plan.push_back(
+        {milliseconds(below(options.duration.count())), FaultKind::kEvacuate,
+         Place::kOperators, static_cast<std::size_t>(below(2)),
+         milliseconds(kShortestEvacuation + below(kLongestCut.count()))});
+  }
   std::ranges::stable_sort(plan, {}, &Fault::at);
   return plan;
 }
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds kMaintenanceDuration{1000};
 constexpr milliseconds kLinkDelay{80};
 constexpr std::size_t kWaveMaxDown = 2;
+constexpr milliseconds kEvacuationTime{5000};
+// An order to a worker that carries out starts late.
+constexpr milliseconds kMaxOrderDelay{13000};
 // A fault affects connections and leases for about this long.
 constexpr milliseconds kFaultEffectTime{4000};
 
@@ -60,6 +63,10 @@
   return ports;
 }
 
+std::string ZoneName(std::size_t index) {
+  return index % 2 == 0 ? "loopback-a" : "loopback-b";
+}
+
 std::string LoopbackEndpoint(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -109,7 +116,7 @@
              std::vector<host::Machine> list;
              for (const auto& machine : m_machines) {
                list.push_back({machine->name, machine->pool, machine->state,
-                               machine->worker_id, kCapacity, {}});
+                               machine->worker_id, kCapacity, machine->zone});
              }
              return list;
            },
@@ -124,7 +131,8 @@
   for (std::size_t i = 0; i < m_options.plan.workers; ++i) {
     auto worker = adapter::WorkerServer::Start(
         m_context, m_loop, m_checker,
-        [this](const jobs::TaskId& task) -> const jobs::StepSpec* {
+        [this, i](const jobs::TaskId& task) -> const jobs::StepSpec* {
+          CheckEvacuation(*m_machines[i]);
           const jobs::JobSpec* spec = m_checker.SpecOf(task.job);
           return spec != nullptr && task.step < spec->steps.size()
                      ? &spec->steps[task.step]
@@ -140,6 +148,8 @@
     auto machine = std::make_unique<Machine>();
     machine->name = fmt::format("machine-{:02}", i);
     machine->pool = ServiceName(i % kServices);
+    // Each service has workers in both zones.
+    machine->zone = ZoneName(i / kServices);
     machine->worker = std::move(*worker);
     machine->proxy = std::move(*proxy);
     BeginIncarnation(*machine);
@@ -154,6 +164,7 @@
   for (std::size_t i = 0; i < m_options.plan.hosts; ++i) {
     auto host = std::make_unique<Host>();
     host->name = "host-" + std::to_string(i);
+    host->zone = ZoneName(i);
     host->settings_path = m_options.folder + "/" + host->name + ".json";
     host->log_path = m_options.folder + "/" + host->name + ".log";
     host->peer_port = ports[kPortsPerHost * i];
@@ -178,7 +189,7 @@
   constexpr int kFinishedStateSeconds = 120;
   const nlohmann::json settings{
       {"host", host.name},
-      {"availability_zone", "loopback"},
+      {"availability_zone", host.zone},
       {"address", "127.0.0.1"},
       {"peer_port", host.peer_port},
       {"metrics_port", host.metrics_port},
@@ -190,6 +201,8 @@
       {"processor_share", 1.0},
       {"max_worker_lease_ms", 10000},
       {"drain_ms", 2000},
+      {"evacuate_ms", kEvacuationTime.count()},
+      {"max_reserved_starts", m_options.max_reserved_starts},
       {"stop_grace_s", 6},
       {"finished_state_s", kFinishedStateSeconds + host.reloads},
       {"machine_order_lease_ms", 3000},
@@ -269,6 +282,32 @@
                   adapter::EncodeWave(wave), 0, false});
 }
 
+void Fleet::EvacuateZone(const Fault& fault) {
+  const std::string zone = ZoneName(fault.target);
+  m_table->Write({adapter::kOperatorTable, "",
+                  adapter::kEvacuationPrefix + zone, "{}", 0, false});
+  m_evacuated_since.emplace(zone, m_loop.GetClock().Now());
+  After(fault.active_for, [this] { EndEvacuations(); });
+}
+
+void Fleet::EndEvacuations() {
+  for (const auto& [zone, since] : std::exchange(m_evacuated_since, {})) {
+    m_table->Delete({adapter::kOperatorTable, "",
+                     adapter::kEvacuationPrefix + zone, "", 0, false});
+  }
+}
+
+void Fleet::CheckEvacuation(const Machine& machine) {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const auto since = m_evacuated_since.find(machine.zone);
+  if (since != m_evacuated_since.end() && now > machine.late_until &&
+      now - since->second > kEvacuationTime) {
+    m_checker.AddViolation(fmt::format(
+        "{} got a start {} ms after its zone was evacuated", machine.worker_id,
+        base::Milliseconds(now - since->second)));
+  }
+}
+
 void Fleet::BeginIncarnation(Machine& machine) {
   machine.state = host::MachineState::kUp;
   if (machine.pool == kSparePool) {
@@ -287,7 +326,7 @@
   entry.service = machine.pool;
   entry.machine = machine.name;
   entry.endpoint = LoopbackEndpoint(machine.proxy->Port());
-  entry.availability_zone = "loopback";
+  entry.availability_zone = machine.zone;
   entry.kind = "a";
   entry.rack = "r";
   entry.capacity = kCapacity;
@@ -391,6 +430,8 @@
     case Place::kOperators:
       if (fault.kind == FaultKind::kWave) {
         RequestWave();
+      } else if (fault.kind == FaultKind::kEvacuate) {
+        EvacuateZone(fault);
       } else {
         WriteConfig();
       }
@@ -447,6 +488,11 @@
 }
 
 void Fleet::ApplyToWorker(Machine& machine, const Fault& fault) {
+  const bool delays_orders = fault.kind == FaultKind::kDelayStarts;
+  machine.late_until =
+      std::max(machine.late_until,
+               m_loop.GetClock().Now() + fault.active_for +
+                   (delays_orders ? kMaxOrderDelay : kFaultEffectTime));
   if (fault.kind == FaultKind::kCrash) {
     if (machine.state == host::MachineState::kUp &&
         machine.worker->CurrentIncarnation() != nullptr) {
@@ -463,6 +509,7 @@
 }
 
 void Fleet::ClearFaults() {
+  EndEvacuations();
   m_table->Faults() = {};
   for (const auto& host : m_hosts) {
     host->callers->Set({});
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -51,6 +51,7 @@
  private:
   struct Host {
     std::string name;
+    std::string zone;
     std::string settings_path;
     std::string log_path;
     std::uint16_t peer_port = 0;
@@ -77,6 +78,9 @@
     bool reuses_id = false;  // The next incarnation has the same worker id.
     std::string worker_id;
     std::uint64_t last_wave = 0;  // The last wave that maintained it.
+    std::string zone;
+    // Orders to its worker may arrive late until then.
+    base::TimePoint late_until{};
   };
 
   Fleet(asio::io_context& context,
@@ -89,6 +93,11 @@
   void WatchProcesses();
   void WriteConfig();
   void RequestWave();
+  void EvacuateZone(const Fault& fault);
+  void EndEvacuations();
+  // Adds a violation for a start on a machine of an evacuated zone, unless its
+  // order may have been held up on its way.
+  void CheckEvacuation(const Machine& machine);
   void BeginIncarnation(Machine& machine);
   void EndIncarnation(Machine& machine,
                       host::MachineState state,
@@ -113,6 +122,7 @@
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::uint64_t m_config_version = 0;
   std::uint64_t m_wave = 0;
+  std::map<std::string, base::TimePoint> m_evacuated_since;  // By zone.
   std::size_t m_process_starts = 0;
   bool m_shutting_down = false;
   host::Lifetime m_lifetime;
