--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -394,7 +394,7 @@
   for (const auto& [host, peer] : m_known_peers) {
     if (host != m_leader.host && peer.leader_fence == m_leader.fence &&
         now - peer.heard_at < kMaxSignAge) {
-      signs.peer_silences.push_back(peer.leader_silence);
+      signs.peer_silences.emplace_back(peer.leader_silence);
     }
   }
   return signs;
