--- a/src/cassiastile/operator/log_explanation.cpp
+++ b/src/cassiastile/operator/log_explanation.cpp
@@ -126,6 +126,9 @@
       if (IsEvent(**line, "job.refused")) {
         return CauseOfRefusal(**line);
       }
+      if (IsEvent(**line, "job.withdrawn")) {
+        return CauseOfOutage(**line);
+      }
       if (IsEvent(**line, "request.no_office")) {
         return ExplainWithoutLeader(**line, OutcomeCause::kNoLeader);
       }
@@ -148,12 +151,16 @@
     return OutcomeCause::kUnfinished;
   }
 
+  OutcomeCause CauseOfOutage(const Json& line) {
+    AddReason(fmt::format("commits had failed for {:.0f} ms",
+                          Number(line, "commits_fail_for_ms")));
+    return OutcomeCause::kRefusedStore;
+  }
+
   OutcomeCause CauseOfRefusal(const Json& line) {
     const std::string reason = Text(line, "reason");
     if (reason == "store away") {
-      AddReason(fmt::format("commits had failed for {:.0f} ms",
-                            Number(line, "commits_fail_for_ms")));
-      return OutcomeCause::kRefusedStore;
+      return CauseOfOutage(line);
     }
     if (reason == "too large") {
       return OutcomeCause::kRefusedTooLarge;
@@ -366,7 +373,7 @@
       workers.insert(Text(*line, "worker"));
       if (IsEvent(*line, "request.no_office") ||
           IsEvent(*line, "request.undecided") ||
-          IsEvent(*line, "job.refused")) {
+          IsEvent(*line, "job.withdrawn") || IsEvent(*line, "job.refused")) {
         unserved_times.insert(TimeOf(*line));
       }
     }
--- a/src/cassiastile/operator/log_explanation_test.cpp
+++ b/src/cassiastile/operator/log_explanation_test.cpp
@@ -70,6 +70,18 @@
   EXPECT_THAT(explanation.reasons, Contains(HasSubstr("customer c")));
 }
 
+// Guards against "no final answer" for a job that was refused while it waited
+// for the store.
+TEST_F(LogExplanationTest, WithdrawnJobWasRefusedForTheStore) {
+  Add(1000, "h1",
+      {{"event", "job.withdrawn"},
+       {"job", kJob},
+       {"commits_fail_for_ms", 1020}});
+  const Explanation explanation = Explain();
+  EXPECT_EQ(explanation.cause, OutcomeCause::kRefusedStore);
+  EXPECT_THAT(explanation.reasons, Contains(HasSubstr("1020 ms")));
+}
+
 TEST_F(LogExplanationTest, UnansweredDuringALeaderChange) {
   Add(1000, "h2",
       {{"event", "request.undecided"},
