--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -104,6 +104,7 @@
   std::function<void(bool)> m_done;
   std::uint32_t m_attempts = 0;
   std::uint32_t m_unanswered = 0;  // Attempts of the commit in flight.
+  bool m_retry_armed = false;
   base::TimePoint m_begun_at{};
   base::TimePoint m_confirmed_at{};
   std::chrono::milliseconds m_store_clock{0};
--- a/src/cassiastile/host/leader_gap_test.cpp
+++ b/src/cassiastile/host/leader_gap_test.cpp
@@ -102,6 +102,24 @@
   EXPECT_GE(refused, 20 * 26);
 }
 
+// Guards against a leader that sends no attempt while all of its earlier ones
+// hang, so that it learns late that the store is back.
+TEST(LeaderGapTest, LeaderNoticesSoonThatTheStoreAnswersAgain) {
+  for (int outage = 300; outage <= 3900; outage += 150) {
+    VirtualWorld world({.hosts = 1});
+    world.RunFor(kSettled);
+    world.Faults().store_silent = true;
+    const std::string during = world.Submit(0, 1, 1, milliseconds(200));
+    world.RunFor(milliseconds(outage));
+    world.Faults().store_silent = false;
+    // The longest pause between two attempts, and the time of a commit.
+    world.RunFor(milliseconds(500));
+    const std::string after = world.Submit(0, 1, 1, milliseconds(200));
+    world.RunFor(milliseconds(100));
+    EXPECT_EQ(world.SubmissionStatuses().at(after), kOk) << outage << " ms";
+  }
+}
+
 // Guards against commits that wait 1.5 s for an answer that is lost: a caller's
 // job is late by then.
 TEST(LeaderGapTest, LostAnswersOfTheStoreHoldUpNoCaller) {
--- a/src/cassiastile/host/leader_transactions.cpp
+++ b/src/cassiastile/host/leader_transactions.cpp
@@ -17,7 +17,9 @@
 // An answer may be lost or its connection dead. A store that is slower than
 // usual by a factor of 50 answers within this time.
 constexpr std::chrono::milliseconds kSendAgainAfter{250};
-constexpr std::uint32_t kMaxUnanswered = 5;
+// More than kCommitTimeout has of these, so that a store that is back is
+// noticed while older attempts still hang.
+constexpr std::uint32_t kMaxUnanswered = 8;
 
 }  // namespace
 
@@ -138,16 +140,21 @@
                 {{"attempts", m_attempts},
                  {"unknown", reply.outcome == Outcome::kUnknown}});
   }
-  if (m_unanswered == 0) {
-    Retry();
-  }
+  Retry();
 }
 
 void LeaderTransactions::Retry() {
+  if (m_retry_armed) {
+    return;
+  }
+  m_retry_armed = true;
   const auto delay =
       std::min(kRetryBase * (1U << std::min(m_attempts, 5U)), kMaxRetry);
   m_loop.After(delay, m_lifetime.Guard([this, commit = m_record.commit] {
-    if (m_busy && commit == m_record.commit && m_unanswered == 0) {
+    m_retry_armed = false;
+    // A later commit whose attempts have failed meanwhile relies on this retry.
+    const bool is_wanted = commit == m_record.commit || m_unanswered == 0;
+    if (m_busy && is_wanted && m_unanswered < kMaxUnanswered) {
       Send();
     }
   }));
