Divide contended pools by weight, in admission and in placement

Cause: a job's rank was urgency, priority and objective, and a customer was looked at only at admission, by its jobs a second. So a surge of one customer had the jobs of all others refused behind its backlog. Change: with share_by_weight in the settings (off by default), jobs within their customer's share are placed before those beyond it, and are admitted if they are in time behind their own customer's backlog at its part of the pool. The soak sets it.

--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -53,6 +53,8 @@
   std::size_t min_relayed_workers = 100;
   // See jobs::SchedulerOptions. May be missing.
   std::size_t max_reserved_starts = 0;
+  // See SchedulerOptions::share_by_weight.
+  bool share_by_weight = false;
   double processor_share = 1.0;  // Of one core.
 
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "cassiastile/base/enum_names.hpp"
@@ -36,6 +37,12 @@
   Resources added;
 };
 
+// What a customer has in a pool that is divided by weight.
+struct CustomerShare {
+  Work backlog;
+  double part = 1.0;
+};
+
 // A job to be admitted to a pool, and the state of that pool.
 struct AdmissionInput {
   // Remaining work of the pool's jobs whose result still has value.
@@ -47,6 +54,9 @@
   std::vector<CapacityStep> growth;
   // Whether the job's customer submits more jobs per second than its weight.
   bool beyond_share = false;
+  // For a customer within its share of the pool: its part of the backlog and
+  // the part of the pool, above 0 and up to 1, that it can count on.
+  std::optional<CustomerShare> share;
   bool fits_now = false;  // There is free capacity for the job's first step.
   // Expected duration of the job's longest chain of steps.
   std::chrono::milliseconds critical_path{0};
@@ -71,7 +81,9 @@
 // Decides whether a job is admitted. A customer beyond its share gets only free
 // capacity, so that its burst doesn't displace the jobs of others; any other
 // job is refused if it would miss its objective behind the backlog, since it
-// would be late and make the jobs behind it late.
+// would be late and make the jobs behind it late. Jobs of a customer within its
+// share are placed before those of others beyond theirs, so it is admitted as
+// well if it is in time behind its customer's own backlog.
 //
 // A queue whose turn begins finds a small pool, which grows to most of the
 // fleet within seconds. Jobs are admitted that can still be in time by then,
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -18,6 +18,7 @@
 #include "cassiastile/jobs/fleet_config.hpp"
 #include "cassiastile/jobs/job.hpp"
 #include "cassiastile/jobs/orders.hpp"
+#include "cassiastile/jobs/pool_shares.hpp"
 #include "cassiastile/jobs/scheduler_options.hpp"
 #include "cassiastile/jobs/worker_state.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
@@ -93,6 +94,9 @@
   std::chrono::milliseconds slack{0};
   std::chrono::milliseconds age{0};
   bool beyond_share = false;
+  // The part of the pool that its customer can count on; 1 unless the pool is
+  // divided by weight and the customer is within its share.
+  double share = 1.0;
 };
 
 // Decides which tasks run where, on the leader only and without I/O:
@@ -268,9 +272,14 @@
     Resources evacuating;
     // Capacity of the workers that have long-running tasks.
     Resources long_running_capacity;
-    Work backlog;                     // Remaining, of jobs not yet worthless.
-    std::size_t reserved_starts = 0;  // In the last planning round.
-    Work arriving_work;               // Submitted per millisecond.
+    Work backlog;  // Remaining, of jobs not yet worthless.
+    // In the last planning round: starts reserved, customers among which the
+    // pool was divided, and jobs that were placed after those within their
+    // share.
+    std::size_t reserved_starts = 0;
+    std::size_t contending_customers = 0;
+    std::size_t jobs_beyond_share = 0;
+    Work arriving_work;  // Submitted per millisecond.
     std::size_t workers = 0;
     // Distinct workers that long-running steps need, plus one to move a task
     // to.
@@ -313,6 +322,10 @@
     Resources pool;  // Capacity usable by finite tasks now.
     Resources free;  // Free now, minus the need of unplaced tasks.
     std::vector<CapacityStep> growth;
+    // If the pool is divided by weight: the shares, and the part of `backlog`
+    // of each customer.
+    PoolShares shares;
+    std::map<std::string, Work> backlog_of_customer;
   };
 
   // The answer of a placement advisor about one step.
@@ -500,6 +513,20 @@
   void Reserve(const TaskRef& ref,
                const std::vector<WorkerState*>& workers,
                const Advice* advice);
+  // scheduler_shares.cpp
+  // Divides what a pool has for finite tasks among its customers.
+  PoolShares DividePool(const std::string& service,
+                        const Resources& capacity) const;
+  // Which of the jobs, in the order of placement, begin beyond their customer's
+  // share of the pool.
+  std::set<const Job*> FindJobsBeyondShare(const std::string& service,
+                                           const std::vector<Job*>& in_order,
+                                           base::TimePoint now);
+  // The customer's share for admission, or nothing if it is beyond it or the
+  // pool has room for all.
+  static std::optional<CustomerShare> ShareOf(const AdmissionSnapshot& snapshot,
+                                              const std::string& customer,
+                                              double weight);
   // scheduler_reserve.cpp
   // When a task of the step surely ends if it is placed now, or the end of
   // time.
@@ -623,6 +650,12 @@
   std::size_t m_reserved_for_finite = 0;
   // Reserved starts of each service, in its last planning round.
   std::map<std::string, std::size_t> m_reserved_starts;
+  // How the pool was divided in its last planning round, by service.
+  struct DivisionSummary {
+    std::size_t customers = 0;
+    std::size_t jobs_beyond_share = 0;
+  };
+  std::map<std::string, DivisionSummary> m_divisions;
   base::TimePoint m_supervised_at{};
   ZoneEvacuations m_evacuations;
   base::TimePoint m_zones_evacuated_at{};
--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -29,6 +29,9 @@
   // nowhere yet, at the time when enough is expected to end. Zero: one task has
   // capacity kept free for it, without a time.
   std::size_t max_reserved_starts = 0;
+  // Whether customers get parts of a pool by weight while it has too little
+  // room for all; see PoolShares.
+  bool share_by_weight = false;
 };
 
 }  // namespace cassiastile::jobs
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -86,6 +86,9 @@
       "max-reserved-starts",
       po::value(&options.max_reserved_starts)->default_value(4),
       "starts reserved at once in each service")(
+      "share-by-weight",
+      po::value(&options.share_by_weight)->default_value(true),
+      "whether pools are divided by the customers' weights")(
       "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
       "hand-ins of the callers")(
       "plan", po::value(&plan_file),
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -65,6 +65,7 @@
   options.keep_finished = settings.keep_finished;
   options.max_worker_lease = settings.max_worker_lease;
   options.max_reserved_starts = settings.max_reserved_starts;
+  options.share_by_weight = settings.share_by_weight;
   options.max_list_age =
       std::max(options.max_list_age, settings.drain_time - kStartDelivery);
   if (settings.evacuation_time.count() > 0) {
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -97,6 +97,7 @@
            {"wait_ms", submission.wait.count()},
            {"slack_ms", submission.slack.count()},
            {"beyond_share", submission.beyond_share},
+           {"share", submission.share},
            {"age_ms", submission.age.count()},
            {"retry_after_ms", submission.retry_after.count()}});
       respond(Refuse(submission.reason, submission.retry_after));
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -608,6 +608,8 @@
                    {"used", list(load.used)},
                    {"lasting", list(load.long_running_used)},
                    {"reserved_starts", load.reserved_starts},
+                   {"contending", load.contending_customers},
+                   {"beyond_share", load.jobs_beyond_share},
                    {"unplaced", list(load.unplaced)},
                    {"backlog_core_ms", std::llround(load.backlog.cpu)},
                    {"arriving_cores", load.arriving_work.cpu}});
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -134,6 +134,7 @@
   EXPECT_EQ(missing->min_relayed_workers, 100U);
   EXPECT_EQ(missing->evacuation_time.count(), 0);
   EXPECT_EQ(missing->max_reserved_starts, 0U);
+  EXPECT_FALSE(missing->share_by_weight);
   const auto evacuates = ParseHostSettings(R"({"evacuate_ms":5000,)" + rest);
   ASSERT_TRUE(evacuates.has_value());
   EXPECT_EQ(evacuates->evacuation_time.count(), 5000);
@@ -150,6 +151,9 @@
   ASSERT_FALSE(wrong.has_value());
   EXPECT_EQ(wrong.error().message,
             "min_relayed_workers must be a whole number, 0 or more");
+  const auto no_flag = ParseHostSettings(R"({"share_by_weight":1,)" + rest);
+  ASSERT_FALSE(no_flag.has_value());
+  EXPECT_EQ(no_flag.error().message, "share_by_weight must be true or false");
 }
 
 // A submission that is no JSON: the error quotes its bytes, which are not
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -110,6 +110,19 @@
     }
   }
 
+  // Reads true or false that may be missing.
+  void OptionalFlag(const char* name, bool& value) {
+    const auto found = m_json.find(name);
+    if (found == m_json.end()) {
+      return;
+    }
+    if (found->is_boolean()) {
+      value = found->get<bool>();
+    } else {
+      AddError(name, "must be true or false");
+    }
+  }
+
   const std::string& Errors() const { return m_errors; }
 
  private:
@@ -186,6 +199,7 @@
   reader.Number("processor_share", settings.processor_share);
   reader.OptionalCount("min_relayed_workers", settings.min_relayed_workers);
   reader.OptionalCount("max_reserved_starts", settings.max_reserved_starts);
+  reader.OptionalFlag("share_by_weight", settings.share_by_weight);
   if (!reader.Errors().empty()) {
     return base::Fail(base::ErrorCode::kInvalid, reader.Errors());
   }
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -36,6 +36,17 @@
   return rate > 0 ? at_ms + work / rate : 0;
 }
 
+// Milliseconds until the backlog is done by this part of the pool. The scarcer
+// resource decides.
+double WaitBehind(const Work& backlog,
+                  double part,
+                  const AdmissionInput& input) {
+  constexpr double kMillicoresPerCore = 1000.0;
+  return std::max(
+      WaitFor(backlog.cpu * kMillicoresPerCore / part, input, &Resources::cpu),
+      WaitFor(backlog.memory / part, input, &Resources::memory));
+}
+
 bool HasCapacity(const Resources& value) {
   return value.cpu > 0 && value.memory > 0;
 }
@@ -49,11 +60,11 @@
   if (input.fits_now || !will_have_capacity) {
     return {};
   }
-  // The scarcer resource decides.
-  constexpr double kMillicoresPerCore = 1000.0;
-  const double wait_ms = std::max(
-      WaitFor(input.backlog.cpu * kMillicoresPerCore, input, &Resources::cpu),
-      WaitFor(input.backlog.memory, input, &Resources::memory));
+  double wait_ms = WaitBehind(input.backlog, 1.0, input);
+  if (input.share) {
+    wait_ms = std::min(
+        wait_ms, WaitBehind(input.share->backlog, input.share->part, input));
+  }
   AdmissionVerdict verdict;
   verdict.wait = std::chrono::milliseconds(std::llround(wait_ms));
   verdict.slack =
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -267,7 +267,11 @@
   snapshot.taken_at = now;
   for (const auto& [id, job] : m_unfinished) {
     if (job->worthless_after > now && ServiceOf(*job) == service) {
-      snapshot.backlog += RemainingWork(*job, m_durations);
+      const Work work = RemainingWork(*job, m_durations);
+      snapshot.backlog += work;
+      if (m_options.share_by_weight) {
+        snapshot.backlog_of_customer[job->customer] += work;
+      }
     }
   }
   for (const auto& [id, worker] : m_workers) {
@@ -280,6 +284,9 @@
       unplaced != m_unplaced.end()) {
     snapshot.free -= unplaced->second;
   }
+  if (m_options.share_by_weight) {
+    snapshot.shares = DividePool(service, snapshot.pool);
+  }
   Resources coming = snapshot.pool;
   if (const auto arriving = m_arriving_capacity.find(service);
       arriving != m_arriving_capacity.end()) {
@@ -302,6 +309,9 @@
   input.backlog = snapshot.backlog;
   input.pool = snapshot.pool;
   input.growth = snapshot.growth;
+  if (const CustomerConfig* customer = m_config->FindCustomer(job.customer)) {
+    input.share = ShareOf(snapshot, job.customer, customer->weight);
+  }
   const StepSpec& first = job.spec.steps.front();
   input.fits_now = Fits(CapacityNeed(first) * first.count, snapshot.free);
   input.critical_path = std::ranges::max(job.critical_paths);
@@ -358,7 +368,8 @@
               .slack = verdict.slack,
               .age = std::chrono::duration_cast<std::chrono::milliseconds>(
                   now - job.arrived_at),
-              .beyond_share = input.beyond_share};
+              .beyond_share = input.beyond_share,
+              .share = input.share ? input.share->part : 1.0};
     }
   }
   if (!timed) {
@@ -368,6 +379,10 @@
     AdmissionSnapshot& snapshot = AdmissionSnapshotOf(job.service, now);
     const StepSpec& first = job.spec.steps.front();
     snapshot.backlog += work;
+    if (m_options.share_by_weight) {
+      snapshot.backlog_of_customer[customer] += work;
+      snapshot.shares.Take(customer, CapacityNeed(first) * first.count);
+    }
     snapshot.free -= CapacityNeed(first) * first.count;
   }
   m_unfinished.emplace(id, &job);
@@ -704,6 +719,10 @@
   for (const auto& [service, starts] : m_reserved_starts) {
     pools[service].reserved_starts = starts;
   }
+  for (const auto& [service, division] : m_divisions) {
+    pools[service].contending_customers = division.customers;
+    pools[service].jobs_beyond_share = division.jobs_beyond_share;
+  }
   for (const auto& [service, need] : m_unplaced_long_running) {
     pools[service].unplaced_long_running = need;
   }
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -17,6 +17,7 @@
 SchedulerBench::SchedulerBench(std::uint32_t max_attempts,
                                SchedulerOptions options)
     : m_max_attempts(max_attempts),
+      m_options(options),
       m_scheduler(std::make_unique<Scheduler>(options)),
       m_config(std::make_shared<FleetConfig>()) {
   m_config->version = 1;
@@ -109,8 +110,20 @@
   m_scheduler->ListConfirmed(Now());
 }
 
-Submission SchedulerBench::Submit(const std::string& id, JobSpec spec) {
-  return m_scheduler->Submit(id, m_config->queues.front(), "customer",
+void SchedulerBench::SetCustomers(const std::vector<std::string>& names) {
+  m_config->customers.clear();
+  for (const std::string& name : names) {
+    m_config->customers.push_back(
+        {.name = name, .weight = 1000, .limit = {}, .keys = {}});
+  }
+  m_config->BuildIndex();
+  m_scheduler->ApplyConfig(m_config);
+}
+
+Submission SchedulerBench::Submit(const std::string& id,
+                                  JobSpec spec,
+                                  const std::string& customer) {
+  return m_scheduler->Submit(id, m_config->queues.front(), customer,
                              std::move(spec), Now(), m_clock.WallNow());
 }
 
@@ -212,8 +225,10 @@
 
 SchedulerBench SchedulerBench::Successor(
     std::chrono::milliseconds silent_for) const {
-  SchedulerBench bench(m_max_attempts);
+  SchedulerBench bench(m_max_attempts, m_options);
   bench.m_clock = m_clock;
+  bench.m_config = m_config;
+  bench.m_scheduler->ApplyConfig(m_config);
   bench.m_entries = m_entries;
   bench.m_running = m_running;
   bench.m_ended = m_ended;
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -31,7 +31,11 @@
   void SetDraining(const std::string& id);
   void SetZone(const std::string& id, const std::string& zone);
   void SetCapacity(const std::string& id, const Resources& capacity);
-  Submission Submit(const std::string& id, JobSpec spec);
+  // Replaces the customers by some of equal weight.
+  void SetCustomers(const std::vector<std::string>& names);
+  Submission Submit(const std::string& id,
+                    JobSpec spec,
+                    const std::string& customer = "customer");
   // Plans, commits all rows and returns the orders.
   Orders Step();
   // The same; also answers all starts with success and returns them.
@@ -58,6 +62,7 @@
 
   base::ManualClock m_clock;
   std::uint32_t m_max_attempts;
+  SchedulerOptions m_options;
   std::unique_ptr<Scheduler> m_scheduler;
   std::map<std::string, WorkerEntry> m_entries;
   std::map<std::string, std::vector<StartOrder>> m_running;
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -48,10 +48,14 @@
 struct Rank {
   Urgency urgency = Urgency::kOnTime;
   int priority = 0;
+  // Its customer has its share of the pool without it.
+  bool beyond_share = false;
   base::TimePoint objective{};
   std::string_view id;
 
-  auto Key() const { return std::tie(urgency, priority, objective, id); }
+  auto Key() const {
+    return std::tie(urgency, priority, beyond_share, objective, id);
+  }
 };
 
 // Durations are estimates, so a job counts as late only if it would have to be
@@ -253,6 +257,9 @@
   }
   m_unplaced.clear();
   m_unplaced_long_running.clear();
+  std::erase_if(m_divisions, [&waiting](const auto& division) {
+    return !waiting.contains(division.first);
+  });
   for (auto& [service, jobs] : waiting) {
     PlaceService(service, jobs, now);
   }
@@ -272,9 +279,22 @@
   for (Job* job : jobs) {
     ranked.emplace_back(RankOf(*job, QueueOf(*job), now), job);
   }
-  std::ranges::sort(ranked, [](const auto& left, const auto& right) {
-    return left.first.Key() < right.first.Key();
-  });
+  const auto sort = [&ranked] {
+    std::ranges::sort(ranked, [](const auto& left, const auto& right) {
+      return left.first.Key() < right.first.Key();
+    });
+  };
+  sort();
+  m_divisions.erase(service);
+  if (m_options.share_by_weight) {
+    std::ranges::transform(ranked, jobs.begin(),
+                           &std::pair<Rank, Job*>::second);
+    const auto beyond = FindJobsBeyondShare(service, jobs, now);
+    for (auto& [rank, job] : ranked) {
+      rank.beyond_share = beyond.contains(job);
+    }
+    sort();
+  }
   m_unplaceable.clear();
   m_reserved_starts.erase(service);
   m_reserved_for_finite = 0;
