Give finite tasks to slow workers after others (off by default)

Cause: a worker that turns slow makes late every job that has a task there, and a run was moved only after four times its usual time; nothing kept new tasks away. Change: with avoid_slow_workers, WorkerSpeed judges each worker by the median of its tasks, also of those that run; a slow one gets finite tasks after others, none of a job that would be late there, and comes back after 5 s. Runs that a former leader started are no longer learnt from, since their beginning is not known: the new leader took workers for slow by them. The soak sets it. Measured: SlowWorkerTest, one of twelve workers slow by 7: known within 1.5 s and without new tasks from then on, with tasks again after it recovers.

--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -53,8 +53,9 @@
   std::size_t min_relayed_workers = 100;
   // See jobs::SchedulerOptions. May be missing.
   std::size_t max_reserved_starts = 0;
-  // See SchedulerOptions::share_by_weight.
+  // See jobs::SchedulerOptions. May be missing.
   bool share_by_weight = false;
+  bool avoid_slow_workers = false;
   double processor_share = 1.0;  // Of one core.
 
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
--- a/include/cassiastile/jobs/orders.hpp
+++ b/include/cassiastile/jobs/orders.hpp
@@ -89,6 +89,13 @@
   Resources used;
 };
 
+// A worker that has become slow, or has recovered.
+struct SpeedChange {
+  WorkerId worker;
+  bool slow = false;
+  double median = 1.0;  // See WorkerSpeed::Median.
+};
+
 // A task whose job has failed since workers crashed under it.
 struct GivenUpTask {
   TaskId task;
@@ -112,6 +119,7 @@
   std::vector<LeftWorker> left;
   std::vector<ResizedWorker> resized;
   std::vector<GivenUpTask> given_up;
+  std::vector<SpeedChange> speed_changes;
 };
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -279,6 +279,7 @@
     std::size_t reserved_starts = 0;
     std::size_t contending_customers = 0;
     std::size_t jobs_beyond_share = 0;
+    std::size_t slow_workers = 0;
     Work arriving_work;  // Submitted per millisecond.
     std::size_t workers = 0;
     // Distinct workers that long-running steps need, plus one to move a task
@@ -527,6 +528,24 @@
   static std::optional<CustomerShare> ShareOf(const AdmissionSnapshot& snapshot,
                                               const std::string& customer,
                                               double weight);
+  // scheduler_speed.cpp
+  // Judges the speed of all workers, and which pools have slow ones to avoid.
+  void MeasureSpeeds(base::TimePoint now);
+  // What the task takes here as a multiple of the usual time, if it tells of
+  // the worker's speed.
+  std::optional<double> MultipleOf(const TaskRef& ref,
+                                   const Run& run,
+                                   const WorkerState& worker,
+                                   base::TimePoint now) const;
+  bool IsAvoidedAsSlow(const WorkerState& worker) const {
+    return worker.speed.IsSlow() &&
+           m_pools_avoiding_slow.contains(worker.entry.service);
+  }
+  // Whether the task's job would be late if the task ran on this slow worker,
+  // and may yet be in time elsewhere.
+  bool WouldBeLateOn(const WorkerState& worker,
+                     const TaskRef& ref,
+                     base::TimePoint now) const;
   // scheduler_reserve.cpp
   // When a task of the step surely ends if it is placed now, or the end of
   // time.
@@ -657,6 +676,9 @@
   };
   std::map<std::string, DivisionSummary> m_divisions;
   base::TimePoint m_supervised_at{};
+  base::TimePoint m_speeds_measured_at{};
+  // Services in which few enough workers are slow to do without them.
+  std::set<std::string> m_pools_avoiding_slow;
   ZoneEvacuations m_evacuations;
   base::TimePoint m_zones_evacuated_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -30,8 +30,12 @@
   // capacity kept free for it, without a time.
   std::size_t max_reserved_starts = 0;
   // Whether customers get parts of a pool by weight while it has too little
-  // room for all; see PoolShares.
+  // room for all; see PoolShares. Visits all jobs for each service and planning
+  // round, so it is not for fleets of a thousand workers.
   bool share_by_weight = false;
+  // Whether workers that are slower than others get finite tasks after them;
+  // see WorkerSpeed.
+  bool avoid_slow_workers = false;
 };
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -10,6 +10,7 @@
 #include "cassiastile/jobs/job.hpp"
 #include "cassiastile/jobs/start_reservations.hpp"
 #include "cassiastile/jobs/worker_health.hpp"
+#include "cassiastile/jobs/worker_speed.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 
 namespace cassiastile::jobs {
@@ -65,6 +66,7 @@
   bool takes_finite = true;      // In this planning round, by `finite_from`.
   base::TimePoint cold_until{};  // Until then it is slow; see WorkerEntry.
   WorkerHealth health;
+  WorkerSpeed speed;
   bool terminated = false;  // Ended by the leader's own order.
   bool silent = false;      // Did not answer the last call, or was terminated.
   // Gets no new tasks, since it is about to be moved or maintained.
--- a/include/cassiastile/soak/soak.hpp
+++ b/include/cassiastile/soak/soak.hpp
@@ -22,8 +22,10 @@
   std::size_t min_relayed_workers = 100;
   // See the setting of the same name.
   std::size_t max_reserved_starts = 4;
-  // Whether the hosts divide pools by the customers' weights.
+  // Whether the hosts divide pools by the customers' weights, and whether they
+  // avoid slow workers.
   bool share_by_weight = true;
+  bool avoid_slow_workers = true;
   // Submissions per second over all services.
   double jobs_per_second = 8;
   // How long accepted jobs may take to be done after all faults have ended.
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -89,6 +89,9 @@
       "share-by-weight",
       po::value(&options.share_by_weight)->default_value(true),
       "whether pools are divided by the customers' weights")(
+      "avoid-slow-workers",
+      po::value(&options.avoid_slow_workers)->default_value(true),
+      "whether slow workers get tasks after others")(
       "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
       "hand-ins of the callers")(
       "plan", po::value(&plan_file),
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -66,6 +66,7 @@
   options.max_worker_lease = settings.max_worker_lease;
   options.max_reserved_starts = settings.max_reserved_starts;
   options.share_by_weight = settings.share_by_weight;
+  options.avoid_slow_workers = settings.avoid_slow_workers;
   options.max_list_age =
       std::max(options.max_list_age, settings.drain_time - kStartDelivery);
   if (settings.evacuation_time.count() > 0) {
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -317,6 +317,12 @@
     line["ordered_ms"] = base::Milliseconds(now - left.left_ordered_at);
     m_log.Write("task.left_worker", line);
   }
+  for (const jobs::SpeedChange& change : orders.speed_changes) {
+    m_log.Write(change.slow ? "worker.slow" : "worker.speed_recovered",
+                {{"worker", change.worker.id},
+                 {"incarnation_ms", change.worker.incarnation_ms},
+                 {"times_usual", change.median}});
+  }
   for (const jobs::GivenUpTask& given_up : orders.given_up) {
     const jobs::TaskId& task = given_up.task;
     nlohmann::json crashes = nlohmann::json::array();
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -610,6 +610,7 @@
                    {"reserved_starts", load.reserved_starts},
                    {"contending", load.contending_customers},
                    {"beyond_share", load.jobs_beyond_share},
+                   {"slow_workers", load.slow_workers},
                    {"unplaced", list(load.unplaced)},
                    {"backlog_core_ms", std::llround(load.backlog.cpu)},
                    {"arriving_cores", load.arriving_work.cpu}});
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -200,6 +200,7 @@
   reader.OptionalCount("min_relayed_workers", settings.min_relayed_workers);
   reader.OptionalCount("max_reserved_starts", settings.max_reserved_starts);
   reader.OptionalFlag("share_by_weight", settings.share_by_weight);
+  reader.OptionalFlag("avoid_slow_workers", settings.avoid_slow_workers);
   if (!reader.Errors().empty()) {
     return base::Fail(base::ErrorCode::kInvalid, reader.Errors());
   }
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -275,7 +275,8 @@
     }
   }
   for (const auto& [id, worker] : m_workers) {
-    if (worker.entry.service == service && IsUsable(worker, now)) {
+    if (worker.entry.service == service && IsUsable(worker, now) &&
+        !IsAvoidedAsSlow(worker)) {
       snapshot.free += worker.entry.capacity - worker.used;
       snapshot.pool += worker.entry.capacity - worker.long_running_used;
     }
@@ -706,6 +707,7 @@
       continue;
     }
     ++load.workers;
+    load.slow_workers += worker.speed.IsSlow() ? 1 : 0;
     load.capacity += worker.entry.capacity;
     load.used += worker.used;
     load.long_running_used += worker.long_running_used;
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -146,7 +146,7 @@
 }
 
 std::vector<StartOrder> SchedulerBench::StepAndStart() {
-  return AnswerStarts(Step());
+  return Answer(Step());
 }
 
 std::vector<StartOrder> SchedulerBench::StepStartAndStop() {
@@ -157,10 +157,10 @@
     });
     m_scheduler->StopAnswered(order.worker, order.task, order.run, Now());
   }
-  return AnswerStarts(orders);
+  return Answer(orders);
 }
 
-std::vector<StartOrder> SchedulerBench::AnswerStarts(const Orders& orders) {
+std::vector<StartOrder> SchedulerBench::Answer(const Orders& orders) {
   for (const StartOrder& order : orders.starts) {
     m_running[order.worker.id].push_back(order);
     m_scheduler->StartAnswered(order.worker, order.task, order.run,
@@ -234,6 +234,7 @@
   bench.m_ended = m_ended;
   bench.m_records = m_records;
   bench.m_progress = m_progress;
+  bench.m_scheduler->SetDurations(m_scheduler->Durations());
   bench.m_scheduler->Recover(Stored(), Now(), m_clock.WallNow(),
                              Now() + silent_for);
   bench.ListWorkers();
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -38,7 +38,9 @@
                     const std::string& customer = "customer");
   // Plans, commits all rows and returns the orders.
   Orders Step();
-  // The same; also answers all starts with success and returns them.
+  // Answers all starts with success and returns them.
+  std::vector<StartOrder> Answer(const Orders& orders);
+  // Steps and answers all starts.
   std::vector<StartOrder> StepAndStart();
   // The same; also answers all stops, after which no report lists their runs.
   std::vector<StartOrder> StepStartAndStop();
@@ -57,7 +59,6 @@
   Scheduler& GetScheduler() { return *m_scheduler; }
 
  private:
-  std::vector<StartOrder> AnswerStarts(const Orders& orders);
   void ListWorkers();
 
   base::ManualClock m_clock;
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -74,6 +74,7 @@
       worker.entry.id.incarnation_ms != incarnation_ms) {
     worker.is_ending = false;
     worker.terminated = false;
+    worker.speed = {};
     constexpr std::size_t kMaxFormer = 8;
     std::erase(worker.former, incarnation_ms);
     worker.former.push_back(worker.entry.id.incarnation_ms);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t kColocationCost = 200000;
 // The worker has started a short while ago and is still slow.
 constexpr std::int64_t kColdCost = 100000;
+// Its tasks take longer than those of other workers.
+constexpr std::int64_t kSlowCost = 150000;
 // For each long-running task on the worker: long-running tasks are packed
 // together, and finite tasks kept away from them.
 constexpr std::int64_t kLongRunningPackingBonus = 20000;
@@ -627,6 +629,10 @@
         !IsEligible(*worker, ref, advice)) {
       continue;
     }
+    const bool slow = IsAvoidedAsSlow(*worker) && !spec.long_running;
+    if (slow && !worker->Binds(ref) && WouldBeLateOn(*worker, ref, now)) {
+      continue;
+    }
     // Best fit, so that unneeded machines become idle and large tasks find
     // room.
     std::int64_t cost = entry.capacity.cpu - worker->used.cpu;
@@ -634,6 +640,7 @@
       cost += kFailedHereCost;
     }
     cost += now < worker->cold_until ? kColdCost : 0;
+    cost += slow ? kSlowCost : 0;
     if (!spec.data_rack.empty() && spec.data_rack != entry.rack) {
       cost += kRemoteCost;
     }
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -356,11 +356,15 @@
                          const ListedEnd& end,
                          base::TimePoint now) {
   Task& task = *FindTask(ref);
-  // When the run began. Known only of confirmed runs without a checkpoint; only
-  // their durations are learnt.
+  // When the run began. Known only of confirmed runs without a checkpoint that
+  // this leader has placed; only their durations are learnt.
   base::TimePoint began{};
+  std::optional<double> speed;
   if (const Run* run = FindRun(ref, end.run)) {
-    began = run->checkpoint.empty() ? run->confirmed_at : base::TimePoint{};
+    speed = MultipleOf(ref, *run, worker, now);
+    const bool seen_to_begin =
+        run->checkpoint.empty() && run->placed_at != base::TimePoint{};
+    began = seen_to_begin ? run->confirmed_at : base::TimePoint{};
   }
   if (!end.checkpoint.empty() && !task.done) {
     task.checkpoint = end.checkpoint;
@@ -372,6 +376,9 @@
   MarkDirty(*ref.job, false);
   if (end.how == RunEnd::kDone) {
     worker.health.RunSucceeded();
+    if (speed) {
+      worker.speed.TaskEnded(*speed, now);
+    }
     if (began != base::TimePoint{}) {
       m_durations.Observe(
           ref.job->queue, SpecOf(ref).estimate,
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -39,6 +39,7 @@
 
 void Scheduler::SuperviseRuns(base::TimePoint now) {
   EvacuateZones(now);
+  MeasureSpeeds(now);
   for (auto& [id, worker] : m_workers) {
     if (!worker.has_reported) {
       continue;
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -204,6 +204,7 @@
       {"evacuate_ms", kEvacuationTime.count()},
       {"max_reserved_starts", m_options.max_reserved_starts},
       {"share_by_weight", m_options.share_by_weight},
+      {"avoid_slow_workers", m_options.avoid_slow_workers},
       {"stop_grace_s", 6},
       {"finished_state_s", kFinishedStateSeconds + host.reloads},
       {"machine_order_lease_ms", 3000},
