Reserve the list of customers in a test

Cause: clang-tidy refuses a vector that grows in a loop. Change: reserve it. Measured: the shares' tests pass; lint of the sources changed since found nothing else.

--- a/src/cassiastile/jobs/pool_shares_test.cpp
+++ b/src/cassiastile/jobs/pool_shares_test.cpp
@@ -83,6 +83,7 @@
   static Served Play(int surge, bool share_by_weight, bool replace_leader) {
     SchedulerBench bench(2, {.share_by_weight = share_by_weight});
     std::vector<std::string> names;
+    names.reserve(kCustomers);
     for (int i = 0; i < kCustomers; ++i) {
       names.push_back(NameOf(i));
     }
