Log once a second what the leader did and how late its loop was

Cause: the logs could not tell a leader whose processor time runs short from a store or workers that are slow, nor whether it repeats commits and calls workers itself. Change: office.load, with processor time, the longest delay of a tick, planning rounds, commits and repeated attempts, rows, starts, reports and direct calls. No decision reads it.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cassiastile/host/event_log.hpp"
+#include "cassiastile/host/leader_load.hpp"
 #include "cassiastile/host/leader_transactions.hpp"
 #include "cassiastile/host/loop.hpp"
 #include "cassiastile/host/machine_controller.hpp"
@@ -150,6 +151,8 @@
   // Logs a commit of rows taken at `taken_at` if it was slow or others wait.
   void LogSlowCommit(std::size_t rows, base::TimePoint taken_at);
   void LogStalledTasks();
+  // Logs once a second what the leader has done since the last line.
+  void LogLoad();
   void LogAccepted(const std::string& id);
   void LogFinished(const std::string& id, jobs::JobPhase phase);
   void LoseLeadership();
@@ -223,6 +226,11 @@
   base::TimePoint m_last_full_commit_at{};
   base::TimePoint m_slow_commit_logged_at{};
   base::TimePoint m_stalls_logged_at{};
+  LeaderLoad m_load;  // Since m_load_logged_at.
+  base::TimePoint m_load_logged_at{};
+  base::Duration m_logged_processor_time{};
+  std::uint64_t m_logged_resends = 0;
+  base::TimePoint m_tick_due_at{};
   // Rows of the machine controller and of learnt durations for the next commit,
   // with callbacks that run once they are stored.
   std::vector<std::pair<Row, std::function<void()>>> m_pending_rows;
--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -71,6 +71,9 @@
     return m_busy ? std::optional(m_begun_at) : std::nullopt;
   }
 
+  // Attempts that were sent while an earlier one of the same commit had no
+  // answer.
+  std::uint64_t Resends() const { return m_resends; }
   // Send time of the last commit known to be applied; this host was the leader
   // then.
   base::TimePoint ConfirmedAt() const { return m_confirmed_at; }
@@ -103,6 +106,7 @@
   RowTransaction m_transaction;
   std::function<void(bool)> m_done;
   std::uint32_t m_attempts = 0;
+  std::uint64_t m_resends = 0;
   std::uint32_t m_unanswered = 0;  // Attempts of the commit in flight.
   bool m_retry_armed = false;
   base::TimePoint m_begun_at{};
--- a/include/cassiastile/host/relayed_workers.hpp
+++ b/include/cassiastile/host/relayed_workers.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -54,6 +55,8 @@
   // Completes the calls whose outcomes a relay sent.
   void HandleResults(const RelayResults& results);
   std::size_t RelayCount() const;
+  // Number of calls that this host has made itself since it was last asked.
+  std::size_t TakeDirectCalls() { return std::exchange(m_direct_calls, 0); }
 
   void Extend(
       const WorkerAddress& worker,
@@ -151,6 +154,7 @@
   // Workers that are called directly until a time, after a relayed call failed.
   std::unordered_map<std::string, base::TimePoint> m_direct_until;
   base::TimePoint m_checked_at{};
+  std::size_t m_direct_calls = 0;
   Lifetime m_lifetime;
 };
 
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -51,6 +51,7 @@
 // logged, at most once in kSlowLogInterval.
 constexpr std::chrono::milliseconds kSlowCommit{300};
 constexpr std::chrono::milliseconds kSlowLogInterval{1000};
+constexpr std::chrono::milliseconds kLoadLogInterval{1000};
 constexpr std::chrono::milliseconds kStalledAfter{2000};
 constexpr std::size_t kMaxLoggedStalls = 5;
 // Learnt durations change slowly, so they are stored rarely.
@@ -373,7 +374,10 @@
     return;
   }
   const base::Clock& clock = m_loop.GetClock();
-  m_scheduler.Plan(clock.Now(), clock.WallNow());
+  const base::TimePoint began = clock.Now();
+  m_scheduler.Plan(began, clock.WallNow());
+  ++m_load.plans;
+  m_load.planning += clock.Now() - began;
   SendOrders(m_scheduler.TakeOrders());
   CommitPending();
 }
@@ -382,6 +386,10 @@
   if (m_term_over) {
     return;
   }
+  const base::TimePoint now = m_loop.GetClock().Now();
+  if (m_tick_due_at != base::TimePoint{}) {
+    m_load.longest_delay = std::max(m_load.longest_delay, now - m_tick_due_at);
+  }
   PollWorkers();
   if (IsStoreUnavailable() || IsCommitOverdue()) {
     RefuseUnstored(RefuseForOutage());
@@ -389,7 +397,9 @@
   m_machine_controller.Tick(!IsStoreUnavailable() && MayGiveOrders());
   StoreDurations();
   LogStalledTasks();
+  LogLoad();
   CommitPending();
+  m_tick_due_at = m_loop.GetClock().Now() + kTickInterval;
   m_loop.After(kTickInterval, m_lifetime.Guard([this] { Tick(); }));
 }
 
@@ -411,6 +421,7 @@
     return;
   }
   m_last_commit_at = now;
+  ++m_load.commits;
   const jobs::Batch batch =
       m_scheduler.TakeBatch(kMaxJobRows, now,
                             writes_all ? jobs::Scheduler::RowChoice::kAll
@@ -418,6 +429,7 @@
   if (writes_all && !m_scheduler.HasRows()) {
     m_last_full_commit_at = now;
   }
+  m_load.rows += batch.rows.size();
   std::vector<Row> puts;
   std::vector<Row> deletes;
   for (const jobs::JobRow& row : batch.rows) {
@@ -492,6 +504,37 @@
   }
 }
 
+void Dispatcher::LogLoad() {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  if (now - m_load_logged_at < kLoadLogInterval) {
+    return;
+  }
+  const base::Duration processor_time = ProcessorTime();
+  const std::uint64_t resends = m_transactions->Resends();
+  const std::size_t direct_calls = m_workers.TakeDirectCalls();
+  if (m_load_logged_at != base::TimePoint{}) {
+    m_log.Write("office.load",
+                {{"over_ms", base::Milliseconds(now - m_load_logged_at)},
+                 {"processor_ms",
+                  base::Milliseconds(processor_time - m_logged_processor_time)},
+                 {"late_ms", base::Milliseconds(m_load.longest_delay)},
+                 {"plans", m_load.plans},
+                 {"plan_ms", base::Milliseconds(m_load.planning)},
+                 {"commits", m_load.commits},
+                 {"resent", resends - m_logged_resends},
+                 {"rows", m_load.rows},
+                 {"submissions", m_load.submissions},
+                 {"starts", m_load.starts},
+                 {"reports", m_load.reports},
+                 {"direct_calls", direct_calls},
+                 {"jobs", m_scheduler.JobCount()}});
+  }
+  m_load = {};
+  m_load_logged_at = now;
+  m_logged_processor_time = processor_time;
+  m_logged_resends = resends;
+}
+
 void Dispatcher::HandleCommitted(const jobs::Batch& batch) {
   m_scheduler.Confirm(batch, m_loop.GetClock().Now());
   for (const std::string& job : batch.accepted) {
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -79,6 +79,7 @@
     respond({.kind = JobAnswerKind::kInvalid, .detail = spec.error().message});
     return;
   }
+  ++m_load.submissions;
   const jobs::Submission submission = m_scheduler.Submit(
       request.job, *queue, request.customer, std::move(*spec),
       m_loop.GetClock().Now(), m_loop.GetClock().WallNow());
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -258,6 +258,7 @@
   const bool is_current = known != nullptr && known->entry.id.incarnation_ms ==
                                                   result->incarnation_ms;
   const std::uint64_t known_end = is_current ? known->last_end : 0;
+  ++m_load.reports;
   if (!m_scheduler.WorkerReported(id, *result, asked_at, now)) {
     return;
   }
@@ -402,6 +403,7 @@
   const bool draining =
       state != nullptr && (state->entry.draining || !state->listed);
   m_scheduler.LeaseSent(order.worker.id, LeaseEnd(now));
+  ++m_load.starts;
   m_workers.Start(
       link.address, order, FencingToken(), until,
       m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
--- a/src/cassiastile/host/host_metrics.cpp
+++ b/src/cassiastile/host/host_metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/resource.h>
 
+#include "cassiastile/host/leader_load.hpp"
+
 namespace cassiastile::host {
 
 namespace {
@@ -69,12 +71,8 @@
 std::string HostMetrics::Expose() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
-  constexpr double kMicro = 1e-6;
   constexpr double kKilobyte = 1024;
-  m_processor->Set(
-      static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-      kMicro *
-          static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec));
+  m_processor->Set(std::chrono::duration<double>(ProcessorTime()).count());
   m_memory->Set(kKilobyte * static_cast<double>(usage.ru_maxrss));
   return m_metrics.Expose();
 }
--- a/src/cassiastile/host/leader_transactions.cpp
+++ b/src/cassiastile/host/leader_transactions.cpp
@@ -89,6 +89,7 @@
 void LeaderTransactions::SendAgain(std::uint64_t commit) {
   if (m_busy && commit == m_record.commit && m_unanswered > 0 &&
       m_unanswered < kMaxUnanswered) {
+    ++m_resends;
     Send();
   }
 }
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -226,6 +226,7 @@
                             ExtendDone done) {
   Relay* relay = extension.fresh_connection ? nullptr : RelayFor(worker);
   if (relay == nullptr) {
+    ++m_direct_calls;
     m_direct.Extend(worker, extension, std::move(done));
     return;
   }
@@ -246,6 +247,7 @@
                            StartDone done) {
   Relay* relay = RelayFor(worker);
   if (relay == nullptr || fence != m_fence) {
+    ++m_direct_calls;
     m_direct.Start(worker, order, fence, until, std::move(done));
     return;
   }
@@ -271,6 +273,7 @@
                           ChangeDone done) {
   Relay* relay = RelayFor(worker);
   if (relay == nullptr || fence != m_fence) {
+    ++m_direct_calls;
     m_direct.Stop(worker, order, fence, std::move(done));
     return;
   }
@@ -286,6 +289,7 @@
                           ChangeDone done) {
   Relay* relay = RelayFor(worker);
   if (relay == nullptr || fence != m_fence) {
+    ++m_direct_calls;
     m_direct.Pace(worker, order, fence, std::move(done));
     return;
   }
