--- /dev/null
+++ b/include/cassiastile/jobs/planning_work.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cassiastile::jobs {
+
+// What planning has cost since the start, as counts that are the same on every
+// machine. Processor time follows them.
+struct PlanningWork {
+  std::uint64_t rounds = 0;
+  std::uint64_t placed = 0;  // Runs.
+  // How often the whole state of a worker was looked at for a task.
+  std::uint64_t workers_examined = 0;
+  // How often the duration of a task was predicted for a placement.
+  std::uint64_t predictions = 0;
+  // How often a worker was visited to find the ends that a batch covers.
+  std::uint64_t end_visits = 0;
+  // How often a job was visited to sum up the work that is left.
+  std::uint64_t backlog_visits = 0;
+};
+
+}  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -18,6 +18,7 @@
 #include "cassiastile/jobs/fleet_config.hpp"
 #include "cassiastile/jobs/job.hpp"
 #include "cassiastile/jobs/orders.hpp"
+#include "cassiastile/jobs/planning_work.hpp"
 #include "cassiastile/jobs/pool_shares.hpp"
 #include "cassiastile/jobs/scheduler_options.hpp"
 #include "cassiastile/jobs/worker_state.hpp"
@@ -305,6 +306,7 @@
   // The newest listed incarnation of a worker on a machine, or null.
   const WorkerState* FindWorkerOnMachine(const std::string& machine) const;
   std::size_t JobCount() const { return m_jobs.size(); }
+  const PlanningWork& GetPlanningWork() const { return m_work; }
 
   // Sets the durations that the previous leader has learnt. Must be called
   // before Recover.
@@ -691,6 +693,7 @@
   // Finished jobs that are still kept.
   std::vector<Job*> m_finished;
   DurationModel m_durations;
+  mutable PlanningWork m_work;
   Orders m_orders;
   // Number of runs that were placed under suspicion.
   std::size_t m_suspected_runs = 0;
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -232,7 +232,7 @@
         late || m_world.Chance(m_world.m_faults.lost_answer_chance);
     const auto delay =
         late ? std::chrono::microseconds(m_world.RandomLateDelay())
-             : kStoreLatency / 2;
+             : kStoreLatency / 2 + m_world.m_faults.commit_delay;
     m_world.Post(
         delay, [this, transaction = std::move(transaction), lost, done] {
           TransactionReply reply = m_world.Apply(transaction);
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -56,6 +56,8 @@
   std::chrono::milliseconds feed_delay{0};
   // Commits applied without an answer.
   double lost_answer_chance = 0;
+  // Time that each commit takes longer than usual.
+  std::chrono::milliseconds commit_delay{0};
   // Commits applied 2 to 12 s later, without an answer.
   double late_commit_chance = 0;
   // Calls to workers that are carried out 2 to 12 s later, without an answer,
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -266,6 +266,7 @@
   snapshot = {};
   snapshot.taken_at = now;
   for (const auto& [id, job] : m_unfinished) {
+    ++m_work.backlog_visits;
     if (job->worthless_after > now && ServiceOf(*job) == service) {
       const Work work = RemainingWork(*job, m_durations);
       snapshot.backlog += work;
@@ -596,6 +597,7 @@
   }
   for (auto& [id, worker] : m_workers) {
     std::uint64_t covered = 0;
+    ++m_work.end_visits;
     while (!worker.unwritten_ends.empty() &&
            worker.unwritten_ends.front().second < oldest_left) {
       covered = worker.unwritten_ends.front().first;
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -251,6 +251,7 @@
   if (!IsListCurrent(now) || !m_evacuations.IsCurrent(now)) {
     return;
   }
+  ++m_work.rounds;
   std::map<std::string, std::vector<Job*>> waiting;
   for (const auto& [id, job] : m_unfinished) {
     if (HasWaiting(*job)) {
@@ -625,6 +626,7 @@
   std::int64_t best_cost = 0;
   for (WorkerState* worker : workers) {
     const WorkerEntry& entry = worker->entry;
+    ++m_work.workers_examined;
     if (!HasRoomUntil(*worker, ref, ends_by) ||
         !IsEligible(*worker, ref, advice)) {
       continue;
--- a/src/cassiastile/jobs/scheduler_reserve.cpp
+++ b/src/cassiastile/jobs/scheduler_reserve.cpp
@@ -62,6 +62,7 @@
   if (step.long_running || step.is_filler) {
     return base::TimePoint::max();
   }
+  ++m_work.predictions;
   return now + m_durations.ExpectAtMost(job.queue, step.estimate);
 }
 
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -67,6 +67,7 @@
     ref.job->phase = JobPhase::kRunning;
   }
   m_planned.emplace_back(ref, run.number);
+  ++m_work.placed;
   MarkDirty(*ref.job, true);
   for (WithdrawnStart& start : task.withdrawn) {
     if (start.worker.id != run.worker.id) {
