Look for room in packed capacities, and examine only cheaper workers

What callers saw: at a turn's peak acceptance took up to 0.87 s, callers got no decision and came back, and fee-check and entry-check were served too little. Cause: placing a task examined the whole state of every worker of its pool, and since zones can be evacuated each of these examinations looked up the task for its withdrawn starts; since starts can be reserved each placement predicted a duration twice, although the setting is off. Change: a round keeps the free capacity of its pool's workers in a packed list; a worker is examined only if it has room and can cost less than the best one so far. Tasks with withdrawn starts take the way as before. Nothing is predicted unless starts are reserved. Placement decides as before: the order of workers and the costs are the same.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -16,6 +16,7 @@
 #include "cassiastile/jobs/arrival_meter.hpp"
 #include "cassiastile/jobs/duration_model.hpp"
 #include "cassiastile/jobs/fleet_config.hpp"
+#include "cassiastile/jobs/free_capacity.hpp"
 #include "cassiastile/jobs/job.hpp"
 #include "cassiastile/jobs/orders.hpp"
 #include "cassiastile/jobs/planning_work.hpp"
@@ -484,7 +485,7 @@
   // Reserves a whole worker for a task that must be isolated.
   void ReserveWorker(const TaskRef& ref,
                      const std::vector<WorkerState*>& workers,
-                     const Advice* advice) const;
+                     const Advice* advice);
 
   // scheduler_place.cpp
   void BeginDueOccurrences(base::WallTime wall);
@@ -510,12 +511,14 @@
   // What tasks need that wait and that withdrawn starts bind to the worker.
   static Resources WithheldCapacity(const WorkerState& worker);
   // Whether no worker has room for `need`, regardless of other constraints.
-  bool IsFull(const Resources& need, const std::vector<WorkerState*>& workers);
+  bool IsFull(const Resources& need);
   // Reserves capacity that becomes free on one worker for a task that could not
   // be placed.
   void Reserve(const TaskRef& ref,
                const std::vector<WorkerState*>& workers,
                const Advice* advice);
+  // Reserves capacity on a worker for the rest of the planning round.
+  void ReserveOn(WorkerState& worker, const Resources& need);
   // scheduler_shares.cpp
   // Divides what a pool has for finite tasks among its customers.
   PoolShares DividePool(const std::string& service,
@@ -550,7 +553,7 @@
                      base::TimePoint now) const;
   // scheduler_reserve.cpp
   // When a task of the step surely ends if it is placed now, or the end of
-  // time.
+  // time. Always that unless starts are reserved.
   base::TimePoint EndsBy(const Job& job,
                          const StepSpec& step,
                          base::TimePoint now) const;
@@ -586,6 +589,13 @@
   bool IsEligible(const WorkerState& worker,
                   const TaskRef& ref,
                   const Advice* advice) const;
+  // How dear it is to place the task on a worker that has so much CPU unused;
+  // nothing if it may not run there.
+  std::optional<std::int64_t> CostOn(const WorkerState& worker,
+                                     const TaskRef& ref,
+                                     const Advice* advice,
+                                     std::int64_t unused_cpu,
+                                     base::TimePoint now) const;
   // The best eligible worker with room, or null.
   WorkerState* ChooseWorker(const TaskRef& ref,
                             const std::vector<WorkerState*>& workers,
@@ -665,6 +675,7 @@
       m_admission_snapshots;  // By service.
   // Needs found to fit nowhere in the current planning round of a service.
   std::vector<Resources> m_unplaceable;
+  FreeCapacity m_free;  // Of the workers of that service.
   // Workers that suspected runs keep other jobs off, in the same round.
   std::size_t m_trials = 0;
   // Workers reserved for finite tasks in the same round.
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -63,8 +64,9 @@
   // Gets no finite tasks before this time: an acknowledgement for a former
   // incarnation may come until then and make this one forget an end.
   base::TimePoint finite_from{};
-  bool takes_finite = true;      // In this planning round, by `finite_from`.
-  base::TimePoint cold_until{};  // Until then it is slow; see WorkerEntry.
+  bool takes_finite = true;  // In this planning round, by `finite_from`.
+  std::size_t position_in_pool = 0;  // In this planning round's FreeCapacity.
+  base::TimePoint cold_until{};      // Until then it is slow; see WorkerEntry.
   WorkerHealth health;
   WorkerSpeed speed;
   bool terminated = false;  // Ended by the leader's own order.
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -203,7 +203,7 @@
 
 void Scheduler::ReserveWorker(const TaskRef& ref,
                               const std::vector<WorkerState*>& workers,
-                              const Advice* advice) const {
+                              const Advice* advice) {
   WorkerState* best = nullptr;
   for (WorkerState* worker : workers) {
     if (worker->reserved != Resources{} || !IsSuitable(*worker, ref, advice) ||
@@ -216,7 +216,7 @@
     }
   }
   if (best != nullptr) {
-    best->reserved = best->entry.capacity;
+    ReserveOn(*best, best->entry.capacity);
   }
 }
 
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -312,6 +312,7 @@
     worker->takes_finite = now >= worker->finite_from;
     worker->withheld = WithheldCapacity(*worker);
   }
+  m_free.Reset(workers);
   for (const auto& [rank, job] : ranked) {
     for (Occurrence& occurrence : job->occurrences) {
       for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -398,7 +399,7 @@
   if (!spec.long_running && m_reserved_for_finite < most) {
     may_reserve = most - m_reserved_for_finite;
   }
-  bool full = IsFull(CapacityNeed(spec), workers);
+  bool full = IsFull(CapacityNeed(spec));
   bool allowed = IsWithinLimit(job, spec.need);
   std::int64_t unplaced = 0;
   for (const std::uint32_t index : step.waiting) {
@@ -486,10 +487,12 @@
     // Held while the others are placed.
     held.push_back(place->Binds(member) ? Resources{} : need);
     place->used += held.back();
+    m_free.Update(*place);
     places.push_back(place);
   }
   for (std::size_t i = 0; i < places.size(); ++i) {
     places[i]->used -= held[i];
+    m_free.Update(*places[i]);
   }
   if (places.size() < step.waiting.size()) {
     ReserveGang(job, occurrence, step_number, workers, now);
@@ -543,8 +546,7 @@
                               });
 }
 
-bool Scheduler::IsFull(const Resources& need,
-                       const std::vector<WorkerState*>& workers) {
+bool Scheduler::IsFull(const Resources& need) {
   // Placing only reduces free capacity, so what did not fit before does not fit
   // now.
   const bool known = std::ranges::any_of(
@@ -553,9 +555,7 @@
   if (known) {
     return true;
   }
-  const bool full = std::ranges::none_of(
-      workers,
-      [&need](const WorkerState* worker) { return HasRoom(*worker, need); });
+  const bool full = !m_free.HasRoom(need);
   if (full) {
     m_unplaceable.push_back(need);
   }
@@ -610,58 +610,89 @@
     }
   }
   if (best != nullptr) {
-    best->reserved = need;
+    ReserveOn(*best, need);
   }
 }
 
+void Scheduler::ReserveOn(WorkerState& worker, const Resources& need) {
+  worker.reserved = need;
+  m_free.Update(worker);
+}
+
+std::optional<std::int64_t> Scheduler::CostOn(const WorkerState& worker,
+                                              const TaskRef& ref,
+                                              const Advice* advice,
+                                              std::int64_t unused_cpu,
+                                              base::TimePoint now) const {
+  const StepSpec& spec = SpecOf(ref);
+  const Task& task = *FindTask(ref);
+  ++m_work.workers_examined;
+  if (!IsEligible(worker, ref, advice)) {
+    return std::nullopt;
+  }
+  const bool slow = IsAvoidedAsSlow(worker) && !spec.long_running;
+  if (slow && !worker.Binds(ref) && WouldBeLateOn(worker, ref, now)) {
+    return std::nullopt;
+  }
+  // Best fit, so that unneeded machines become idle and large tasks find room.
+  std::int64_t cost = unused_cpu;
+  if (task.avoided_worker == worker.entry.id.id) {
+    cost += kFailedHereCost;
+  }
+  cost += now < worker.cold_until ? kColdCost : 0;
+  cost += slow ? kSlowCost : 0;
+  if (!spec.data_rack.empty() && spec.data_rack != worker.entry.rack) {
+    cost += kRemoteCost;
+  }
+  if (spec.max_unavailable > 0 &&
+      RunsOfStep(worker, ref) >= spec.max_unavailable) {
+    cost += kColocationCost;
+  }
+  const std::int64_t neighbours = worker.long_running_runs;
+  const bool suspected = SuspicionOf(task) != Suspicion::kNone;
+  cost += spec.long_running && !suspected
+              ? -kLongRunningPackingBonus * neighbours
+              : kInterferenceCost * neighbours;
+  return suspected ? CrashCost(worker, *ref.job) + cost / kWholeCore : cost;
+}
+
 WorkerState* Scheduler::ChooseWorker(const TaskRef& ref,
                                      const std::vector<WorkerState*>& workers,
                                      const Advice* advice,
                                      base::TimePoint now) const {
   const StepSpec& spec = SpecOf(ref);
   const Task& task = *FindTask(ref);
-  const bool suspected = SuspicionOf(task) != Suspicion::kNone;
   const base::TimePoint ends_by = EndsBy(*ref.job, spec, now);
   WorkerState* best = nullptr;
   std::int64_t best_cost = 0;
-  for (WorkerState* worker : workers) {
-    const WorkerEntry& entry = worker->entry;
-    ++m_work.workers_examined;
-    if (!HasRoomUntil(*worker, ref, ends_by) ||
-        !IsEligible(*worker, ref, advice)) {
-      continue;
-    }
-    const bool slow = IsAvoidedAsSlow(*worker) && !spec.long_running;
-    if (slow && !worker->Binds(ref) && WouldBeLateOn(*worker, ref, now)) {
-      continue;
-    }
-    // Best fit, so that unneeded machines become idle and large tasks find
-    // room.
-    std::int64_t cost = entry.capacity.cpu - worker->used.cpu;
-    if (task.avoided_worker == entry.id.id) {
-      cost += kFailedHereCost;
-    }
-    cost += now < worker->cold_until ? kColdCost : 0;
-    cost += slow ? kSlowCost : 0;
-    if (!spec.data_rack.empty() && spec.data_rack != entry.rack) {
-      cost += kRemoteCost;
-    }
-    if (spec.max_unavailable > 0 &&
-        RunsOfStep(*worker, ref) >= spec.max_unavailable) {
-      cost += kColocationCost;
+  const auto consider = [&](WorkerState& worker, std::int64_t unused_cpu) {
+    const auto cost = CostOn(worker, ref, advice, unused_cpu, now);
+    if (cost && (best == nullptr || *cost < best_cost)) {
+      best = &worker;
+      best_cost = *cost;
     }
-    const std::int64_t neighbours = worker->long_running_runs;
-    cost += spec.long_running && !suspected
-                ? -kLongRunningPackingBonus * neighbours
-                : kInterferenceCost * neighbours;
-    if (suspected) {
-      cost = CrashCost(*worker, *ref.job) + cost / kWholeCore;
-    }
-    if (best == nullptr || cost < best_cost) {
-      best = worker;
-      best_cost = cost;
+  };
+  if (!task.withdrawn.empty()) {
+    for (WorkerState* worker : workers) {
+      if (HasRoomUntil(*worker, ref, ends_by)) {
+        consider(*worker, worker->entry.capacity.cpu - worker->used.cpu);
+      }
     }
+    return best;
   }
+  // A worker costs at least its unused CPU, unless something is subtracted.
+  const bool is_least_cost =
+      !spec.long_running && SuspicionOf(task) == Suspicion::kNone;
+  const Resources need = CapacityNeed(spec);
+  m_free.ForEachWithRoom(
+      need, [&](WorkerState& worker, std::int64_t unused_cpu) {
+        if (!worker.reserved_start ||
+            LeavesStart(*worker.reserved_start, need, ends_by)) {
+          consider(worker, unused_cpu);
+        }
+        return is_least_cost && best != nullptr ? best_cost
+                                                : FreeCapacity::kNoLimit;
+      });
   return best;
 }
 
--- a/src/cassiastile/jobs/scheduler_reserve.cpp
+++ b/src/cassiastile/jobs/scheduler_reserve.cpp
@@ -59,7 +59,8 @@
 base::TimePoint Scheduler::EndsBy(const Job& job,
                                   const StepSpec& step,
                                   base::TimePoint now) const {
-  if (step.long_running || step.is_filler) {
+  if (m_options.max_reserved_starts == 0 || step.long_running ||
+      step.is_filler) {
     return base::TimePoint::max();
   }
   ++m_work.predictions;
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -60,6 +60,7 @@
   m_suspected_runs += run.suspicion != Suspicion::kNone ? 1 : 0;
   const StepSpec& spec = SpecOf(ref);
   worker.Use(spec);
+  m_free.Update(worker);
   worker.runs.emplace_back(ref, run.number);
   m_used_by_customer[ref.job->customer] += spec.need;
   ++ref.job->live_runs;
