Visit only the workers and runs that a round or a batch concerns

Change: workers are indexed by service; ends that no batch covers stand in one list in the order of changes; only runs that may wait for a commit are searched for. Indices are made anew only when workers come, go or change their place.

--- a/include/cassiastile/jobs/planning_work.hpp
+++ b/include/cassiastile/jobs/planning_work.hpp
@@ -13,7 +13,7 @@
   std::uint64_t workers_examined = 0;
   // How often the duration of a task was predicted for a placement.
   std::uint64_t predictions = 0;
-  // How often a worker was visited to find the ends that a batch covers.
+  // How often a worker or an end was visited to find what a batch covers.
   std::uint64_t end_visits = 0;
   // How often a job was visited to sum up the work that is left.
   std::uint64_t backlog_visits = 0;
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -358,7 +359,10 @@
   std::vector<Job*> TakeJobs(std::size_t max_rows, RowChoice choice);
   // Adds the ends whose changes are all in this batch or earlier ones.
   void CoverEnds(Batch& batch);
-  void IndexMachines();
+  // Updates the indices of workers by machine and by service.
+  void IndexWorkers();
+  // The known workers of a service, in the order of their ids.
+  const std::vector<WorkerState*>& WorkersOf(const std::string& service) const;
   const std::string& ServiceOf(const Job& job) const;
   const QueueConfig* QueueOf(const Job& job) const;
   bool IsBeyondShare(const std::string& customer, base::TimePoint now);
@@ -659,6 +663,9 @@
   // Ids of the workers known on each machine, listed or not.
   std::unordered_map<std::string, std::vector<std::string>>
       m_workers_on_machine;
+  // Workers of each service, in the order of their ids.
+  std::unordered_map<std::string, std::vector<WorkerState*>>
+      m_workers_of_service;
   std::unordered_map<std::string, Resources> m_used_by_customer;
   FirstArrivals m_first_arrivals;
   std::map<std::string, ArrivalMeter> m_customer_arrivals;
@@ -700,6 +707,15 @@
   // others.
   std::map<std::uint64_t, Job*> m_urgent;
   std::map<std::uint64_t, Job*> m_deferred;
+  // Ends that no batch covers yet, the oldest first: the worker, the sequence
+  // number of the last one in a report, and the number of the newest change
+  // when it had been applied.
+  struct UnwrittenEnd {
+    WorkerId worker;
+    std::uint64_t sequence = 0;
+    std::uint64_t change = 0;
+  };
+  std::deque<UnwrittenEnd> m_unwritten_ends;
   std::vector<std::string> m_removed_jobs;  // Their rows are to be removed.
   // Finished jobs that are still kept.
   std::vector<Job*> m_finished;
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -53,10 +52,6 @@
   // Kept free in this planning round for those of them that wait.
   Resources withheld;
   std::uint64_t last_end = 0;  // Sequence number of the newest end seen.
-  // Ends that no batch covers yet, the oldest first: the sequence number of the
-  // last one in a report, and the number of the newest change when it had been
-  // applied.
-  std::deque<std::pair<std::uint64_t, std::uint64_t>> unwritten_ends;
   // Sequence number of the newest end that the store covers.
   std::uint64_t acked_end = 0;
   // When calls that acknowledge ends were sent that have no answer yet.
--- a/src/cassiastile/jobs/planning_work_test.cpp
+++ b/src/cassiastile/jobs/planning_work_test.cpp
@@ -56,10 +56,22 @@
   EXPECT_GT(WorkOfFleet(50, {.max_reserved_starts = 4}).predictions, 0U);
 }
 
-// Each end is covered once; workers without ends are not visited.
+// Each report with ends is covered once; a batch does not visit the workers
+// that have none.
 TEST(PlanningWorkTest, BatchesVisitOnlyWorkersWithEnds) {
-  const PlanningWork work = WorkOfFleet(400);
-  EXPECT_LE(work.end_visits, 2 * work.placed);
+  constexpr std::size_t kJobs = 50;
+  SchedulerBench bench;
+  for (std::size_t i = 0; i < 200; ++i) {
+    bench.AddWorker("worker-" + std::to_string(i));
+  }
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    bench.Submit("job-" + std::to_string(i), SchedulerBench::OneTask());
+    for (const StartOrder& order : bench.StepAndStart()) {
+      bench.End(order, RunEnd::kDone, i + 1);
+    }
+  }
+  bench.Step();
+  EXPECT_LE(bench.GetScheduler().GetPlanningWork().end_visits, kJobs);
 }
 
 }  // namespace
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -86,22 +86,14 @@
   return (step.count + together - 1) / together + 1;
 }
 
-// Whether a worker of the service is large enough; true if it has none.
+// Whether one of these workers is large enough; true if there are none.
 bool FitsSomeWorker(const StepSpec& step,
-                    const std::string& service,
-                    const std::map<std::string, WorkerState>& workers) {
-  bool any = false;
-  for (const auto& [id, worker] : workers) {
-    if (worker.entry.service != service) {
-      continue;
-    }
-    any = true;
-    // One that has shrunk grows again.
-    if (Fits(CapacityNeed(step), worker.largest_capacity)) {
-      return true;
-    }
-  }
-  return !any;
+                    const std::vector<WorkerState*>& workers) {
+  // One that has shrunk grows again.
+  return workers.empty() ||
+         std::ranges::any_of(workers, [&step](const WorkerState* worker) {
+           return Fits(CapacityNeed(step), worker->largest_capacity);
+         });
 }
 
 }  // namespace
@@ -242,7 +234,7 @@
       BeginIncarnation(worker, worker.entry.id.incarnation_ms, now);
     }
   }
-  IndexMachines();
+  IndexWorkers();
 }
 
 bool Scheduler::IsBeyondShare(const std::string& customer,
@@ -275,11 +267,10 @@
       }
     }
   }
-  for (const auto& [id, worker] : m_workers) {
-    if (worker.entry.service == service && IsUsable(worker, now) &&
-        !IsAvoidedAsSlow(worker)) {
-      snapshot.free += worker.entry.capacity - worker.used;
-      snapshot.pool += worker.entry.capacity - worker.long_running_used;
+  for (const WorkerState* worker : WorkersOf(service)) {
+    if (IsUsable(*worker, now) && !IsAvoidedAsSlow(*worker)) {
+      snapshot.free += worker->entry.capacity - worker->used;
+      snapshot.pool += worker->entry.capacity - worker->long_running_used;
     }
   }
   if (const auto unplaced = m_unplaced.find(service);
@@ -347,7 +338,7 @@
                          now - job.arrived_at);
   SetObjective(job, queue);
   for (const StepSpec& step : job.spec.steps) {
-    if (!FitsSomeWorker(step, queue.service, m_workers)) {
+    if (!FitsSomeWorker(step, WorkersOf(queue.service))) {
       return {.verdict = Submission::Verdict::kRefused,
               .reason = RefusalReason::kTooLarge,
               .retry_after = std::chrono::seconds(10)};
@@ -470,13 +461,22 @@
   return newest;
 }
 
-void Scheduler::IndexMachines() {
+void Scheduler::IndexWorkers() {
   m_workers_on_machine.clear();
-  for (const auto& [id, worker] : m_workers) {
+  m_workers_of_service.clear();
+  for (auto& [id, worker] : m_workers) {
     m_workers_on_machine[worker.entry.machine].push_back(id);
+    m_workers_of_service[worker.entry.service].push_back(&worker);
   }
 }
 
+const std::vector<WorkerState*>& Scheduler::WorkersOf(
+    const std::string& service) const {
+  static const std::vector<WorkerState*> none;
+  const auto found = m_workers_of_service.find(service);
+  return found == m_workers_of_service.end() ? none : found->second;
+}
+
 void Scheduler::MarkDirty(Job& job, bool urgent) {
   ++m_last_change;
   if (job.oldest_change == 0) {
@@ -595,17 +595,12 @@
       oldest_left = std::min(oldest_left, jobs->begin()->first);
     }
   }
-  for (auto& [id, worker] : m_workers) {
-    std::uint64_t covered = 0;
+  while (!m_unwritten_ends.empty() &&
+         m_unwritten_ends.front().change < oldest_left) {
     ++m_work.end_visits;
-    while (!worker.unwritten_ends.empty() &&
-           worker.unwritten_ends.front().second < oldest_left) {
-      covered = worker.unwritten_ends.front().first;
-      worker.unwritten_ends.pop_front();
-    }
-    if (covered > 0) {
-      batch.ends.emplace_back(worker.entry.id, covered);
-    }
+    UnwrittenEnd& end = m_unwritten_ends.front();
+    batch.ends.emplace_back(std::move(end.worker), end.sequence);
+    m_unwritten_ends.pop_front();
   }
 }
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -98,7 +98,9 @@
   }
   worker.last_end = 0;
   worker.acked_end = 0;
-  worker.unwritten_ends.clear();
+  std::erase_if(m_unwritten_ends, [&worker](const UnwrittenEnd& end) {
+    return end.worker.id == worker.entry.id.id;
+  });
   worker.health = {};
   const auto runs = worker.runs;
   for (const auto& [ref, number] : runs) {
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -272,11 +272,10 @@
                              std::vector<Job*>& jobs,
                              base::TimePoint now) {
   std::vector<WorkerState*> workers;
-  for (auto& [id, worker] : m_workers) {
-    if (worker.entry.service == service && IsUsable(worker, now)) {
-      workers.push_back(&worker);
-    }
-  }
+  std::ranges::copy_if(WorkersOf(service), std::back_inserter(workers),
+                       [this, now](const WorkerState* worker) {
+                         return IsUsable(*worker, now);
+                       });
   std::vector<std::pair<Rank, Job*>> ranked;
   ranked.reserve(jobs.size());
   for (Job* job : jobs) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -109,9 +109,11 @@
   if (!run->checkpoint.empty()) {
     task->checkpoint = run->checkpoint;
   }
-  std::erase_if(m_planned, [&](const auto& planned) {
-    return planned.first == ref && planned.second == number;
-  });
+  if (run->phase == RunPhase::kPlanned || run->phase == RunPhase::kStopping) {
+    std::erase_if(m_planned, [&](const auto& planned) {
+      return planned.first == ref && planned.second == number;
+    });
+  }
   if (reason == DropReason::kMissing && MayStartLater(ref, *run, now)) {
     Withdraw(ref, *run);
   }
@@ -175,9 +177,13 @@
   for (auto& [id, worker] : m_workers) {
     worker.listed = false;
   }
+  bool is_index_old = false;
   for (const WorkerEntry& entry : entries) {
     WorkerState& worker = m_workers[entry.id.id];
     worker.listed = true;
+    is_index_old = is_index_old || worker.entry.machine != entry.machine ||
+                   worker.entry.service != entry.service ||
+                   worker.entry.id.id.empty();
     if (worker.entry.id.id.empty()) {
       BeginIncarnation(worker, entry.id.incarnation_ms, now);
     } else if (entry.id != worker.entry.id) {
@@ -204,12 +210,14 @@
     worker.SetEntry(entry);
     worker.entry.draining = entry.draining || drains;
   }
-  std::erase_if(m_workers, [now](const auto& row) {
+  const auto erased = std::erase_if(m_workers, [now](const auto& row) {
     const WorkerState& worker = row.second;
     return !worker.listed && worker.runs.empty() && worker.withdrawn.empty() &&
            now > worker.lease_bound;
   });
-  IndexMachines();
+  if (is_index_old || erased > 0) {
+    IndexWorkers();
+  }
 }
 
 void Scheduler::ListConfirmed(base::TimePoint as_of) {
@@ -254,7 +262,8 @@
     }
   }
   if (worker->last_end > known_end) {
-    worker->unwritten_ends.emplace_back(worker->last_end, m_last_change);
+    m_unwritten_ends.push_back(
+        {worker->entry.id, worker->last_end, m_last_change});
   }
   std::vector<std::pair<TaskRef, std::uint32_t>> listed;
   listed.reserve(report.running.size());
--- a/src/cassiastile/jobs/scheduler_shares.cpp
+++ b/src/cassiastile/jobs/scheduler_shares.cpp
@@ -74,9 +74,9 @@
     const std::vector<Job*>& in_order,
     base::TimePoint now) {
   Resources capacity;
-  for (const auto& [id, worker] : m_workers) {
-    if (worker.entry.service == service && IsUsable(worker, now)) {
-      capacity += worker.entry.capacity - worker.long_running_used;
+  for (const WorkerState* worker : WorkersOf(service)) {
+    if (IsUsable(*worker, now)) {
+      capacity += worker->entry.capacity - worker->long_running_used;
     }
   }
   PoolShares shares = DividePool(service, capacity);
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -172,14 +172,14 @@
                                  const WorkerState& worker,
                                  base::TimePoint now) const {
   const Resources need = CapacityNeed(SpecOf(ref));
-  return std::ranges::any_of(m_workers, [&](const auto& entry) {
-    const WorkerState& other = entry.second;
-    return &other != &worker && other.entry.service == worker.entry.service &&
-           IsUsable(other, now) &&
-           Fits(other.used + other.unaccounted + WithheldCapacity(other) + need,
-                other.entry.capacity) &&
-           IsEligible(other, ref, nullptr);
-  });
+  return std::ranges::any_of(
+      WorkersOf(worker.entry.service), [&](const WorkerState* other) {
+        return other != &worker && IsUsable(*other, now) &&
+               Fits(other->used + other->unaccounted +
+                        WithheldCapacity(*other) + need,
+                    other->entry.capacity) &&
+               IsEligible(*other, ref, nullptr);
+      });
 }
 
 bool Scheduler::MayInterrupt(const TaskRef& ref,
