--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -7,6 +7,7 @@
 
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/base/enum_names.hpp"
+#include "cassiastile/jobs/arrival_meter.hpp"
 #include "cassiastile/jobs/job_spec.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 
@@ -202,6 +203,10 @@
   std::vector<Occurrence> occurrences;  // Those that have begun.
   std::uint32_t occurrences_done = 0;
   std::uint32_t live_runs = 0;  // Runs of its tasks that may be alive.
+  // The work that was left when it was last summed up; zero time: not known
+  // since the job has changed.
+  Work remaining;
+  base::TimePoint remaining_at{};
 };
 
 Suspicion SuspicionOf(const Task& task);
--- a/include/cassiastile/jobs/planning_work.hpp
+++ b/include/cassiastile/jobs/planning_work.hpp
@@ -15,8 +15,8 @@
   std::uint64_t predictions = 0;
   // How often a worker or an end was visited to find what a batch covers.
   std::uint64_t end_visits = 0;
-  // How often a job was visited to sum up the work that is left.
-  std::uint64_t backlog_visits = 0;
+  // How often the work that is left of a job was summed up.
+  std::uint64_t backlog_sums = 0;
 };
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -352,6 +352,10 @@
   // reports.
   bool HasLaterRuns(const WorkerState& worker);
   void MarkDirty(Job& job, bool urgent);
+  // The work that is left of a job, up to kMaxRemainingAge old.
+  const Work& RemainingWorkOf(Job& job, base::TimePoint now);
+  void AddUnfinished(Job& job);
+  void RemoveUnfinished(const std::string& id);
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
@@ -658,6 +662,7 @@
   std::shared_ptr<const FleetConfig> m_config;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, Job*> m_unfinished;
+  std::map<std::string, Job*> m_repeating;  // Those of them that repeat.
   std::map<std::string, WorkerState> m_workers;
   base::TimePoint m_list_as_of{};  // See ListConfirmed.
   // Ids of the workers known on each machine, listed or not.
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -37,6 +37,8 @@
   bool draining = false;
   // How much longer the worker is slow after its start, when this was written.
   std::chrono::milliseconds cold_for{0};
+
+  friend bool operator==(const WorkerEntry&, const WorkerEntry&) = default;
 };
 
 // How a run ended.
--- a/src/cassiastile/jobs/planning_work_test.cpp
+++ b/src/cassiastile/jobs/planning_work_test.cpp
@@ -74,5 +74,24 @@
   EXPECT_LE(bench.GetScheduler().GetPlanningWork().end_visits, kJobs);
 }
 
+// A new admission snapshot does not sum up the work of jobs that only wait.
+TEST(PlanningWorkTest, WaitingJobsAreNotSummedUpForEachSnapshot) {
+  constexpr std::size_t kJobs = 100;
+  SchedulerBench bench;
+  bench.AddWorker("worker");
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    bench.Submit("job-" + std::to_string(i), SchedulerBench::OneTask(16000));
+  }
+  bench.Step();
+  // Ten snapshots in less time than a sum may be old.
+  const auto before = bench.GetScheduler().GetPlanningWork().backlog_sums;
+  for (int i = 0; i < 10; ++i) {
+    bench.Advance(std::chrono::milliseconds(25));
+    bench.Submit("late-" + std::to_string(i), SchedulerBench::OneTask(16000));
+  }
+  const auto after = bench.GetScheduler().GetPlanningWork().backlog_sums;
+  EXPECT_LE(after - before, 2 * kJobs);
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -70,6 +70,10 @@
   return work;
 }
 
+// A sum of the work that is left is used for this long unless the job changes:
+// until then only the progress of its runs makes a difference.
+constexpr std::chrono::milliseconds kMaxRemainingAge{300};
+
 // Number of distinct workers over which a long-running step must be spread,
 // plus one to move a task to; 0 for other steps.
 std::size_t DistinctWorkers(const StepSpec& step) {
@@ -225,7 +229,7 @@
       }
     }
     if (!IsFinished(job.phase)) {
-      m_unfinished.emplace(job.id, &job);
+      AddUnfinished(job);
     }
     m_jobs.emplace(job.id, std::move(owned));
   }
@@ -258,9 +262,8 @@
   snapshot = {};
   snapshot.taken_at = now;
   for (const auto& [id, job] : m_unfinished) {
-    ++m_work.backlog_visits;
     if (job->worthless_after > now && ServiceOf(*job) == service) {
-      const Work work = RemainingWork(*job, m_durations);
+      const Work& work = RemainingWorkOf(*job, now);
       snapshot.backlog += work;
       if (m_options.share_by_weight) {
         snapshot.backlog_of_customer[job->customer] += work;
@@ -378,7 +381,7 @@
     }
     snapshot.free -= CapacityNeed(first) * first.count;
   }
-  m_unfinished.emplace(id, &job);
+  AddUnfinished(job);
   m_jobs.emplace(id, std::move(owned));
   MarkDirty(job, true);
   return {.verdict = Submission::Verdict::kNew};
@@ -405,7 +408,7 @@
   }
   m_urgent.erase(job.oldest_change);
   m_deferred.erase(job.oldest_change);
-  m_unfinished.erase(id);
+  RemoveUnfinished(id);
   m_jobs.erase(found);
   return true;
 }
@@ -477,8 +480,19 @@
   return found == m_workers_of_service.end() ? none : found->second;
 }
 
+const Work& Scheduler::RemainingWorkOf(Job& job, base::TimePoint now) {
+  if (job.remaining_at == base::TimePoint{} ||
+      now - job.remaining_at > kMaxRemainingAge) {
+    ++m_work.backlog_sums;
+    job.remaining = RemainingWork(job, m_durations);
+    job.remaining_at = now;
+  }
+  return job.remaining;
+}
+
 void Scheduler::MarkDirty(Job& job, bool urgent) {
   ++m_last_change;
+  job.remaining_at = {};
   if (job.oldest_change == 0) {
     job.oldest_change = m_last_change;
     m_deferred.emplace(job.oldest_change, &job);
@@ -488,10 +502,22 @@
   }
 }
 
+void Scheduler::AddUnfinished(Job& job) {
+  m_unfinished.emplace(job.id, &job);
+  if (job.spec.repeats > 0) {
+    m_repeating.emplace(job.id, &job);
+  }
+}
+
+void Scheduler::RemoveUnfinished(const std::string& id) {
+  m_unfinished.erase(id);
+  m_repeating.erase(id);
+}
+
 void Scheduler::Finish(Job& job, JobPhase phase, base::TimePoint now) {
   job.phase = phase;
   job.finished_at = now;
-  m_unfinished.erase(job.id);
+  RemoveUnfinished(job.id);
   StopAllRuns(job, now);
   m_finished.push_back(&job);
   MarkDirty(job, true);
@@ -737,7 +763,7 @@
       load.min_workers = std::max(load.min_workers, DistinctWorkers(step));
     }
     if (job->worthless_after > now) {
-      load.backlog += RemainingWork(*job, m_durations);
+      load.backlog += RemainingWorkOf(*job, now);
     }
   }
   return pools;
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -24,10 +24,12 @@
 constexpr std::int64_t kInterferenceCost = 1000;
 constexpr std::int64_t kWholeCore = 1000;
 
-// Runs are supervised at this interval, since supervising them in every
-// planning round took most of a loaded scheduler's time. Leases and timeouts
-// are in the order of seconds.
-constexpr std::chrono::milliseconds kSupervisionInterval{50};
+// Runs are supervised at an interval that grows with the fleet, since
+// supervising them in every planning round took most of a loaded scheduler's
+// time. Leases and timeouts are in the order of seconds.
+constexpr std::chrono::milliseconds kMinSupervisionInterval{50};
+constexpr std::chrono::microseconds kSupervisionIntervalPerWorker{120};
+constexpr std::chrono::milliseconds kMaxSupervisionInterval{150};
 
 // Number of workers of a service that are reserved for finite tasks that could
 // not be placed, without a time. More of them would be left half empty at peak
@@ -228,8 +230,8 @@
 void Scheduler::BeginDueOccurrences(base::WallTime wall) {
   const auto wall_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       wall.time_since_epoch());
-  for (const auto& [id, job] : m_unfinished) {
-    if (job->spec.repeats == 0 || !job->accepted) {
+  for (const auto& [id, job] : m_repeating) {
+    if (!job->accepted) {
       continue;
     }
     while (job->next_occurrence < job->spec.repeats &&
@@ -242,7 +244,11 @@
 }
 
 void Scheduler::Plan(base::TimePoint now, base::WallTime wall) {
-  if (now - m_supervised_at >= kSupervisionInterval) {
+  const auto interval = std::clamp<std::chrono::microseconds>(
+      kSupervisionIntervalPerWorker *
+          static_cast<std::int64_t>(m_workers.size()),
+      kMinSupervisionInterval, kMaxSupervisionInterval);
+  if (now - m_supervised_at >= interval) {
     m_supervised_at = now;
     ExpireRuns(now);
     SuperviseRuns(now);
