Don't copy batches, reports and unchanged lists of workers

Cause: each batch for a relay was copied for its reply, each relayed run and end had its names copied once more, each committed row once, and every answer of the workers' feed copied the whole list of 1,100 entries although heartbeats tell nothing new. Change: replies keep the numbers of calls; names and rows are moved; the scheduler gets the list when an entry has changed, and every 0.5 s for what depends on time.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -87,7 +87,7 @@
   // Tells which live hosts may relay calls to workers, and the outcomes of
   // calls that they carried out.
   void OfferRelays(const std::vector<RelayCandidate>& candidates);
-  void HandleRelayResults(const RelayResults& results);
+  void HandleRelayResults(RelayResults results);
 
   // Whether commits have been failing for more than 400 ms.
   bool IsStoreUnavailable() const;
@@ -214,6 +214,7 @@
   std::uint64_t m_stored_durations_revision = 0;
   base::TimePoint m_durations_stored_at{};
   std::map<std::string, jobs::WorkerEntry> m_worker_entries;
+  base::TimePoint m_workers_listed_at{};
   std::uint64_t m_worker_feed_version = 0;
   std::map<std::string, Link> m_links;
   base::TimePoint m_links_pruned_at{};
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -45,7 +45,7 @@
   // Carries out calls to workers for the leader.
   RelayReply HandleRelayBatch(const RelayBatch& batch);
   // Takes outcomes of calls that another host carried out for this one.
-  void HandleRelayResults(const RelayResults& results);
+  void HandleRelayResults(RelayResults results);
   // Whether callers may be sent here: a configuration is in force and the host
   // is not stopping.
   bool IsReady() const;
--- a/include/cassiastile/host/relayed_workers.hpp
+++ b/include/cassiastile/host/relayed_workers.hpp
@@ -53,7 +53,7 @@
                     const std::vector<RelayCandidate>& candidates,
                     const std::map<std::string, std::size_t>& workers_of_zone);
   // Completes the calls whose outcomes a relay sent.
-  void HandleResults(const RelayResults& results);
+  void HandleResults(RelayResults results);
   std::size_t RelayCount() const;
   // Number of calls that this host has made itself since it was last asked.
   std::size_t TakeDirectCalls() { return std::exchange(m_direct_calls, 0); }
@@ -125,11 +125,11 @@
   std::uint32_t IndexOf(Relay& relay, const WorkerAddress& worker);
   void Send(const std::string& host);
   void HandleReply(const std::string& host,
-                   const RelayBatch& batch,
+                   const std::vector<std::uint64_t>& calls,
                    base::TimePoint sent_at,
                    const tl::expected<RelayReply, PeerPort::Failure>& reply);
-  // Completes the calls of a batch that was certainly not carried out.
-  void FailUnsent(const RelayBatch& batch);
+  // Completes calls that were certainly not carried out.
+  void FailUnsent(const std::vector<std::uint64_t>& calls);
   // Ends starts that were not sent and come too late.
   void GiveUpStarts(const std::vector<RelayedStart>& starts);
   void FailLate();
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -42,6 +42,9 @@
 // the pause stay below SchedulerOptions::max_list_age.
 constexpr std::chrono::milliseconds kWorkerFeedWait{200};
 constexpr std::chrono::milliseconds kWorkerFeedPause{200};
+// Heartbeats that tell nothing new make the list of workers known to the
+// scheduler anew this often at most, for what depends on time.
+constexpr std::chrono::milliseconds kListInterval{500};
 // A page of the feed with this many rows or more may be cut: the store holds
 // back what does not fit. Each heartbeat of a worker is a row.
 constexpr std::size_t kMaybeCutPage = 100;
@@ -242,16 +245,20 @@
 }
 
 void Dispatcher::ApplyWorkerRows(const std::vector<Row>& rows) {
+  bool is_changed = false;
   for (const Row& row : rows) {
     if (row.deleted) {
       m_worker_entries.erase(row.key);
+      is_changed = true;
       m_log.Write("worker.left_list", {{"worker", row.key}});
       continue;
     }
     auto entry = m_dependencies.decode_worker(row.key, row.value);
     if (!entry) {
       m_log.Write("worker.bad_entry", {{"error", entry.error().message}});
-      m_worker_entries.erase(row.key);
+      if (m_worker_entries.erase(row.key) > 0) {
+        is_changed = true;
+      }
       continue;
     }
     const auto known = m_worker_entries.find(row.key);
@@ -264,13 +271,22 @@
                                     {"draining", entry->draining},
                                     {"row_version", row.version}});
     }
-    m_worker_entries[row.key] = std::move(*entry);
+    if (known == m_worker_entries.end() || known->second != *entry) {
+      is_changed = true;
+      m_worker_entries[row.key] = std::move(*entry);
+    }
+  }
+  const base::TimePoint now = m_loop.GetClock().Now();
+  if (!is_changed && m_serving && now - m_workers_listed_at < kListInterval) {
+    return;
   }
+  m_workers_listed_at = now;
   std::vector<jobs::WorkerEntry> entries;
+  entries.reserve(m_worker_entries.size());
   for (const auto& [id, entry] : m_worker_entries) {
     entries.push_back(entry);
   }
-  m_scheduler.WorkersListed(entries, m_loop.GetClock().Now());
+  m_scheduler.WorkersListed(entries, now);
   RequestPlan();
 }
 
@@ -422,7 +438,7 @@
   }
   m_last_commit_at = now;
   ++m_load.commits;
-  const jobs::Batch batch =
+  jobs::Batch batch =
       m_scheduler.TakeBatch(kMaxJobRows, now,
                             writes_all ? jobs::Scheduler::RowChoice::kAll
                                        : jobs::Scheduler::RowChoice::kUrgent);
@@ -432,29 +448,32 @@
   m_load.rows += batch.rows.size();
   std::vector<Row> puts;
   std::vector<Row> deletes;
-  for (const jobs::JobRow& row : batch.rows) {
+  const std::size_t rows = batch.rows.size();
+  for (jobs::JobRow& row : std::exchange(batch.rows, {})) {
+    const bool is_put = row.bytes.has_value();
     Row put{kJobTable,
             kLeaderPart,
             row.job + (row.is_record ? kRecordSuffix : kProgressSuffix),
-            row.bytes.value_or(""),
+            is_put ? std::move(*row.bytes) : "",
             0,
             false};
-    (row.bytes ? puts : deletes).push_back(std::move(put));
+    (is_put ? puts : deletes).push_back(std::move(put));
   }
   std::vector<std::function<void()>> stored;
-  std::map<std::string, Row> rows;  // Only the newest row of each key.
+  std::map<std::string, Row> newest;  // The last row of each key.
   for (auto& [row, done] : std::exchange(m_pending_rows, {})) {
-    rows[row.key] = std::move(row);
+    newest[row.key] = std::move(row);
     stored.push_back(std::move(done));
   }
-  for (auto& [key, row] : rows) {
+  for (auto& [key, row] : newest) {
     puts.push_back(std::move(row));
   }
   m_transactions->Commit(
       std::move(puts), std::move(deletes),
-      m_lifetime.Guard([this, batch, stored, now](bool applied) {
+      m_lifetime.Guard([this, batch = std::move(batch),
+                        stored = std::move(stored), rows, now](bool applied) {
         if (applied) {
-          LogSlowCommit(batch.rows.size(), now);
+          LogSlowCommit(rows, now);
           for (const auto& done : stored) {
             done();
           }
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -150,8 +150,8 @@
   }
 }
 
-void Dispatcher::HandleRelayResults(const RelayResults& results) {
-  m_workers.HandleResults(results);
+void Dispatcher::HandleRelayResults(RelayResults results) {
+  m_workers.HandleResults(std::move(results));
 }
 
 void Dispatcher::Extend(Link& link, bool probe) {
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -563,9 +563,9 @@
   return m_worker_relay.Handle(batch);
 }
 
-void HostNode::HandleRelayResults(const RelayResults& results) {
+void HostNode::HandleRelayResults(RelayResults results) {
   if (IsLeader()) {
-    m_dispatcher->HandleRelayResults(results);
+    m_dispatcher->HandleRelayResults(std::move(results));
   }
 }
 
--- a/src/cassiastile/host/peer_client.cpp
+++ b/src/cassiastile/host/peer_client.cpp
@@ -116,11 +116,11 @@
     respond(batch ? Answer(kOk, Encode(node.HandleRelayBatch(*batch)))
                   : Answer(kBadRequest, batch.error().message));
   } else if (request.path == kRelayResultsPath) {
-    const auto results = DecodeRelayResults(request.body);
+    auto results = DecodeRelayResults(request.body);
     respond(results ? Answer(kOk, "")
                     : Answer(kBadRequest, results.error().message));
     if (results) {
-      node.HandleRelayResults(*results);
+      node.HandleRelayResults(std::move(*results));
     }
   } else {
     respond(Answer(kNotFound, "unknown path"));
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -38,23 +38,28 @@
   return {task.job, task.occurrence, task.step, task.index, run};
 }
 
-jobs::TaskId TaskOf(const RelayedRun& run) {
-  return {run.job, run.occurrence, run.step, run.index};
+jobs::TaskId TakeTask(RelayedRun& run) {
+  return {std::move(run.job), run.occurrence, run.step, run.index};
 }
 
-jobs::WorkerReport ReportOf(const RelayedReport& relayed) {
+// Leaves the names in `relayed` empty: a busy fleet reports thousands of runs a
+// second.
+jobs::WorkerReport TakeReport(RelayedReport& relayed) {
   jobs::WorkerReport report;
   report.incarnation_ms = relayed.incarnation_ms;
   report.clock = std::chrono::milliseconds(relayed.steady_ms);
   report.ends_cut = relayed.ends_cut;
-  for (const RelayedListedRun& run : relayed.running) {
-    report.running.push_back(
-        {TaskOf(run.run), run.run.run, run.checkpoint, run.percent, run.load});
-  }
-  for (const RelayedEnd& end : relayed.ended) {
-    report.ended.push_back({end.sequence, TaskOf(end.run), end.run.run,
+  report.running.reserve(relayed.running.size());
+  for (RelayedListedRun& run : relayed.running) {
+    report.running.push_back({TakeTask(run.run), run.run.run,
+                              std::move(run.checkpoint), run.percent,
+                              run.load});
+  }
+  report.ended.reserve(relayed.ended.size());
+  for (RelayedEnd& end : relayed.ended) {
+    report.ended.push_back({end.sequence, TakeTask(end.run), end.run.run,
                             static_cast<jobs::RunEnd>(end.how),
-                            end.checkpoint});
+                            std::move(end.checkpoint)});
   }
   return report;
 }
@@ -64,6 +69,22 @@
          batch.paces.size();
 }
 
+// The numbers of the calls in a batch.
+std::vector<std::uint64_t> ListCalls(const RelayBatch& batch) {
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(CountCalls(batch));
+  const auto append = [&numbers](const auto& calls) {
+    for (const auto& call : calls) {
+      numbers.push_back(call.call);
+    }
+  };
+  append(batch.extensions);
+  append(batch.starts);
+  append(batch.stops);
+  append(batch.paces);
+  return numbers;
+}
+
 // Rendezvous hashing moves few workers when a relay comes or goes.
 std::size_t Affinity(const std::string& worker, const std::string& relay) {
   return std::hash<std::string>{}(worker + "@" + relay);
@@ -324,9 +345,9 @@
   m_peers.SendRelayBatch(
       relay.endpoint, batch,
       m_lifetime.Guard(
-          [this, host, batch,
+          [this, host, calls = ListCalls(batch),
            now](const tl::expected<RelayReply, PeerPort::Failure>& reply) {
-            HandleReply(host, batch, now, reply);
+            HandleReply(host, calls, now, reply);
           }));
 }
 
@@ -342,14 +363,14 @@
 
 void RelayedWorkers::HandleReply(
     const std::string& host,
-    const RelayBatch& batch,
+    const std::vector<std::uint64_t>& calls,
     base::TimePoint sent_at,
     const tl::expected<RelayReply, PeerPort::Failure>& reply) {
   Relay& relay = m_relays[host];
   relay.is_asking = false;
   if (!reply) {
     if (reply.error().not_sent) {
-      FailUnsent(batch);
+      FailUnsent(calls);
     }
     DropRelay(host);
     return;
@@ -364,21 +385,14 @@
     relay.clock_at = m_loop.GetClock().Now();
   }
   if (reply->verdict != RelayVerdict::kTaken) {
-    FailUnsent(batch);
+    FailUnsent(calls);
   }
 }
 
-void RelayedWorkers::FailUnsent(const RelayBatch& batch) {
-  const auto fail = [this](const auto& calls) {
-    for (const auto& call : calls) {
-      CompleteCall(call.call,
-                   [](const Done& done) { FailUnanswered(done, true); });
-    }
-  };
-  fail(batch.extensions);
-  fail(batch.starts);
-  fail(batch.stops);
-  fail(batch.paces);
+void RelayedWorkers::FailUnsent(const std::vector<std::uint64_t>& calls) {
+  for (const std::uint64_t call : calls) {
+    CompleteCall(call, [](const Done& done) { FailUnanswered(done, true); });
+  }
 }
 
 void RelayedWorkers::DropRelay(const std::string& host) {
@@ -441,14 +455,14 @@
   }
 }
 
-void RelayedWorkers::HandleResults(const RelayResults& results) {
+void RelayedWorkers::HandleResults(RelayResults results) {
   if (results.fence != m_fence) {
     return;
   }
-  for (const RelayedReport& report : results.reports) {
+  for (RelayedReport& report : results.reports) {
     CompleteCall(report.call, [&report](const Done& done) {
       if (const auto* extended = std::get_if<ExtendDone>(&done)) {
-        (*extended)(ReportOf(report));
+        (*extended)(TakeReport(report));
       }
     });
   }
