Refuse at once what commits can't take in time, and plan no further than they go

What callers saw: at the peak jobs waited for up to 0.87 s behind eight full commits, 385 requests a second ended undecided after their time was over, and the jobs were run all the same for callers that were gone and came back. Cause: nothing looked at the queue before the commits: a job was let in by the room of its pool alone, and runs were placed for commits that were far off, which held their workers meanwhile. Change: a job is refused with Retry-After, before its specification is decoded, if the next commit is full and jobs wait for more than 250 ms, or for longer than its caller does; hosts tell the leader how long that is. A planning round waits while the next two commits are full, 100 ms at most.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cassiastile/host/commit_queue.hpp"
 #include "cassiastile/host/event_log.hpp"
 #include "cassiastile/host/leader_load.hpp"
 #include "cassiastile/host/leader_transactions.hpp"
@@ -129,6 +130,10 @@
   };
   using Responder = std::function<void(JobAnswer)>;
 
+  // The store accepts 100 entries per transaction; the leader's record and the
+  // rows of waves come on top of these.
+  static constexpr std::size_t kMaxJobRows = 80;
+
   // dispatcher.cpp
   // Reads all rows of a part, retrying until the store answers.
   void ReadUntilAnswered(const std::string& table,
@@ -167,6 +172,9 @@
   // removed.
   void RefuseUnstored(const JobAnswer& answer);
   static JobAnswer RefuseForOutage();
+  // Whether a job that is submitted now would wait for its commit for so long
+  // that it is better refused.
+  bool IsTooBusyFor(const JobRequest& request) const;
   JobAnswer State(const JobRequest& request) const;
 
   // dispatcher_workers.cpp
@@ -222,6 +230,8 @@
   // job.
   std::map<std::string, std::vector<Responder>> m_await_accept;
   std::map<std::string, std::vector<Responder>> m_await_cancel;
+  CommitQueue m_commit_queue;  // Submitted jobs.
+  base::TimePoint m_planned_at{};
   base::TimePoint m_last_commit_at{};
   // When a commit last left no row to write.
   base::TimePoint m_last_full_commit_at{};
--- a/include/cassiastile/host/peer_message.hpp
+++ b/include/cassiastile/host/peer_message.hpp
@@ -72,10 +72,12 @@
   std::string job;
   // The text that the caller sent; the leader decodes it.
   std::string spec;
+  // How long the caller still waits for an answer; 0 if that is not known.
+  std::int64_t timeout_ms = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verb, queue, customer, job, spec);
+    archive(verb, queue, customer, job, spec, timeout_ms);
   }
 };
 
--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -21,14 +21,16 @@
   kStoreUnavailable,  // The store can't record jobs now.
   kNoScheduler,       // No host is the leader.
   kTooLarge,          // A task exceeds every worker of the pool.
+  kLeaderBusy,  // The leader can't store jobs as fast as they are submitted.
 };
 
-inline constexpr std::array<base::EnumName<RefusalReason>, 5> kRefusalNames{{
+inline constexpr std::array<base::EnumName<RefusalReason>, 6> kRefusalNames{{
     {RefusalReason::kNone, "none"},
     {RefusalReason::kOverload, "overload"},
     {RefusalReason::kStoreUnavailable, "store away"},
     {RefusalReason::kNoScheduler, "no scheduler"},
     {RefusalReason::kTooLarge, "too large"},
+    {RefusalReason::kLeaderBusy, "leader busy"},
 }};
 
 // Capacity that a pool gets after a time.
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -219,6 +219,8 @@
                   RowChoice choice = RowChoice::kAll);
   // Whether there are rows that should be written without delay.
   bool HasUrgentRows() const { return !m_urgent.empty(); }
+  // Number of jobs that have such rows.
+  std::size_t UrgentJobs() const { return m_urgent.size(); }
   bool HasRows() const { return !m_urgent.empty() || !m_deferred.empty(); }
   // The batch is committed: updates the jobs and orders the starts in it. A
   // start whose worker takes no tasks any more, as far as an up-to-date list of
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -16,6 +16,10 @@
 constexpr std::chrono::microseconds kPlanDelayPerWorker{20};
 constexpr std::chrono::microseconds kMinPlanDelay{5000};
 constexpr std::chrono::microseconds kMaxPlanDelay{25000};
+// While the next two commits are full, what is placed now waits for a later one
+// and holds its worker; a round then waits for commits, up to this long.
+constexpr std::chrono::milliseconds kMaxPlanPause{100};
+constexpr std::size_t kFullCommits = 2;
 constexpr std::chrono::milliseconds kTickInterval{20};
 // Rows that no caller waits for are written together after this time for each
 // worker: at peak load every running job changes several times in it, and its
@@ -26,9 +30,6 @@
 // An idle leader still rewrites its record, so that other hosts see that it is
 // alive.
 constexpr std::chrono::milliseconds kRenewalInterval{500};
-// The store accepts 100 entries per transaction; the leader's record and the
-// rows of waves come on top of these.
-constexpr std::size_t kMaxJobRows = 80;
 // Commits that fail for longer than this count as an outage of the store.
 constexpr std::chrono::milliseconds kOutageAfter{400};
 // A commit that has had no answer for this long, after four attempts.
@@ -391,6 +392,13 @@
   }
   const base::Clock& clock = m_loop.GetClock();
   const base::TimePoint began = clock.Now();
+  if (m_scheduler.UrgentJobs() >= kFullCommits * kMaxJobRows &&
+      began - m_planned_at < kMaxPlanPause) {
+    CommitPending();
+    RequestPlan();
+    return;
+  }
+  m_planned_at = began;
   m_scheduler.Plan(began, clock.WallNow());
   ++m_load.plans;
   m_load.planning += clock.Now() - began;
@@ -558,6 +566,7 @@
   m_scheduler.Confirm(batch, m_loop.GetClock().Now());
   for (const std::string& job : batch.accepted) {
     LogAccepted(job);
+    m_commit_queue.Stored(job, m_loop.GetClock().Now());
     const auto waiting = m_await_accept.extract(job);
     if (!waiting.empty()) {
       for (const Responder& respond : waiting.mapped()) {
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -1,4 +1,5 @@
 // Dispatcher: requests about jobs.
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "cassiastile/host/dispatcher.hpp"
@@ -8,6 +9,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryAfterOutage{1000};
+// A placed run holds its worker until a commit has it, so a longer wait for
+// commits leaves a third of the fleet unused by tasks that take half a second.
+constexpr std::chrono::milliseconds kMaxCommitWait{250};
+constexpr std::chrono::milliseconds kRetryAfterBusy{1000};
+constexpr std::size_t kRowsOfNewJob = 2;
 
 JobAnswer Refuse(jobs::RefusalReason reason,
                  std::chrono::milliseconds retry_after) {
@@ -72,6 +78,19 @@
     respond(RefuseForOutage());
     return;
   }
+  if (known == nullptr && IsTooBusyFor(request)) {
+    // Before the specification is decoded, so that refusals cost little.
+    m_log.WriteMembers(
+        "job.refused", "leader busy",
+        fmt::format(
+            R"("job":{},"queue":{},"reason":"leader busy","commit_wait_ms":{},"retry_after_ms":{})",
+            QuoteJson(request.job), QuoteJson(request.queue),
+            base::Milliseconds(
+                m_commit_queue.ExpectWait(m_loop.GetClock().Now())),
+            kRetryAfterBusy.count()));
+    respond(Refuse(jobs::RefusalReason::kLeaderBusy, kRetryAfterBusy));
+    return;
+  }
   auto spec = m_dependencies.decode_job(request.spec);
   if (!spec) {
     m_log.Write("job.invalid",
@@ -105,12 +124,27 @@
       return;
     case jobs::Submission::Verdict::kNew:
     case jobs::Submission::Verdict::kPending:
+      m_commit_queue.Add(request.job, m_loop.GetClock().Now());
       m_await_accept[request.job].push_back(respond);
       RequestPlan();
       return;
   }
 }
 
+bool Dispatcher::IsTooBusyFor(const JobRequest& request) const {
+  // If the next commit has room for the job, a slow answer of the store is no
+  // reason to refuse it.
+  if (m_scheduler.UrgentJobs() * kRowsOfNewJob < kMaxJobRows) {
+    return false;
+  }
+  const base::Duration wait =
+      m_commit_queue.ExpectWait(m_loop.GetClock().Now());
+  const bool caller_leaves_before =
+      request.timeout_ms > 0 &&
+      wait > std::chrono::milliseconds(request.timeout_ms);
+  return wait > kMaxCommitWait || caller_leaves_before;
+}
+
 JobAnswer Dispatcher::RefuseForOutage() {
   return Refuse(jobs::RefusalReason::kStoreUnavailable, kRetryAfterOutage);
 }
@@ -123,6 +157,7 @@
     if (!m_scheduler.Withdraw(job, now)) {
       return false;
     }
+    m_commit_queue.Remove(job);
     m_log.Write("job.withdrawn",
                 {{"job", job},
                  {"commits_fail_for_ms", FailingFor(*m_transactions, now)}});
--- a/src/cassiastile/host/job_frontend.cpp
+++ b/src/cassiastile/host/job_frontend.cpp
@@ -88,8 +88,9 @@
 
 HttpResponse Refusal(const JobAnswer& answer) {
   const auto reason = static_cast<jobs::RefusalReason>(answer.reason);
-  const int status =
-      reason == jobs::RefusalReason::kOverload ? kTooMany : kUnavailable;
+  const bool is_overload = reason == jobs::RefusalReason::kOverload ||
+                           reason == jobs::RefusalReason::kLeaderBusy;
+  const int status = is_overload ? kTooMany : kUnavailable;
   return AnswerWithRetryAfter(status,
                               base::FindName(jobs::kRefusalNames, reason),
                               std::chrono::milliseconds(answer.retry_after_ms));
@@ -170,6 +171,7 @@
                           std::chrono::milliseconds timeout,
                           const wire::HttpResponder& respond) {
   ++m_in_flight;
+  request.timeout_ms = timeout.count();
   const JobVerb verb = request.verb;
   const std::string job = request.job;
   m_forward_job(
