Leave out odd entries of other writers, and follow the rest

What operators of similar systems saw: processes that end again and again, or stop following a list. Class: values of another process were converted without a range.

--- a/include/cassiastile/host/config_watcher.hpp
+++ b/include/cassiastile/host/config_watcher.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "cassiastile/host/dispatcher.hpp"
+#include "cassiastile/host/odd_entries.hpp"
 
 namespace cassiastile::host {
 
@@ -69,6 +70,7 @@
   HostDependencies& m_dependencies;
   Loop& m_loop;
   EventLog& m_log;
+  OddEntries m_odd_waves;
   Listener m_listener;
   std::shared_ptr<const jobs::FleetConfig> m_config;
   std::string m_text;
--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "cassiastile/host/leader_transactions.hpp"
 #include "cassiastile/host/loop.hpp"
 #include "cassiastile/host/machine_controller.hpp"
+#include "cassiastile/host/odd_entries.hpp"
 #include "cassiastile/host/peer_message.hpp"
 #include "cassiastile/host/ports.hpp"
 #include "cassiastile/host/relayed_workers.hpp"
@@ -211,6 +212,7 @@
   std::unique_ptr<LeaderTransactions> m_transactions;
   std::function<void()> m_on_leadership_lost;
   std::shared_ptr<const jobs::FleetConfig> m_config;
+  OddEntries m_odd_workers;
   jobs::Scheduler m_scheduler;
   RelayedWorkers m_workers;
   MachineController m_machine_controller;
--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -10,6 +10,7 @@
 #include "cassiastile/host/dispatcher.hpp"
 #include "cassiastile/host/job_frontend.hpp"
 #include "cassiastile/host/leader_loss.hpp"
+#include "cassiastile/host/odd_entries.hpp"
 #include "cassiastile/host/peer_message.hpp"
 #include "cassiastile/host/peer_port.hpp"
 #include "cassiastile/host/worker_relay.hpp"
@@ -119,6 +120,7 @@
   PeerPort& m_peer_port;
   Loop& m_loop;
   EventLog& m_log;
+  OddEntries m_odd_peers;
   HostSettings m_settings;
   base::Random m_random;
   std::string m_incarnation;
--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -14,6 +14,7 @@
 #include "cassiastile/config/text_file.hpp"
 #include "cassiastile/host/asio_loop.hpp"
 #include "cassiastile/host/host_node.hpp"
+#include "cassiastile/host/odd_entries.hpp"
 #include "cassiastile/host/peer_client.hpp"
 #include "cassiastile/wire/http_server.hpp"
 #include "clients.hpp"
@@ -85,9 +86,14 @@
         m_loop(m_context, m_clock),
         m_log(m_clock, m_settings.host, m_metrics, host::StandardOutputSink()),
         m_client(wire::LoopClient::Create(m_context)),
-        m_table(*m_client, m_settings.table_endpoint.Text()),
-        m_workers(*m_client),
-        m_machines(*m_client, m_settings.machines_endpoint.Text()),
+        m_odd_entries(m_log, "list.bad_entry"),
+        m_table(*m_client,
+                m_settings.table_endpoint.Text(),
+                ReportOddEntries()),
+        m_workers(*m_client, ReportOddEntries()),
+        m_machines(*m_client,
+                   m_settings.machines_endpoint.Text(),
+                   ReportOddEntries()),
         m_advice(*m_client, m_settings.advice_endpoint),
         m_peers(*m_client),
         m_node(MakeDependencies(m_table, m_workers, m_machines, m_advice),
@@ -119,6 +125,13 @@
   }
 
  private:
+  adapter::OddEntryListener ReportOddEntries() {
+    return [this](const std::string& list, const std::string& entry,
+                  const std::string& reason) {
+      m_odd_entries.LeftOut(list, entry, reason);
+    };
+  }
+
   base::Result<void> Listen(const std::string& address,
                             std::uint16_t port,
                             wire::HttpHandler handler) {
@@ -242,6 +255,7 @@
   host::HostMetrics m_metrics;
   host::EventLog m_log;
   std::unique_ptr<wire::LoopClient> m_client;
+  host::OddEntries m_odd_entries;
   adapter::TableClient m_table;
   adapter::WorkerClient m_workers;
   adapter::MachineClient m_machines;
--- a/src/cassiastile/host/config_watcher.cpp
+++ b/src/cassiastile/host/config_watcher.cpp
@@ -36,6 +36,7 @@
     : m_dependencies(dependencies),
       m_loop(loop),
       m_log(log),
+      m_odd_waves(log, "wave.bad"),
       m_listener(std::move(listener)) {}
 
 void ConfigWatcher::Begin() {
@@ -102,7 +103,8 @@
 void ConfigWatcher::ApplyRows(const std::vector<Row>& rows) {
   bool waves_changed = false;
   for (const Row& row : rows) {
-    if (ApplyEvacuation(row) || row.deleted) {
+    // Operators write to the table's unnamed part.
+    if (!row.part.empty() || ApplyEvacuation(row) || row.deleted) {
       continue;
     }
     if (row.key == m_dependencies.config_key) {
@@ -110,7 +112,7 @@
     } else if (row.key.starts_with(m_dependencies.wave_prefix)) {
       auto wave = m_dependencies.decode_wave(row.value);
       if (!wave) {
-        m_log.Write("wave.bad", {{"error", wave.error().message}});
+        m_odd_waves.LeftOut(row.table, row.key, wave.error().message);
         continue;
       }
       m_waves[wave->wave] = std::move(*wave);
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -96,6 +96,7 @@
       m_transactions(std::move(transactions)),
       m_on_leadership_lost(std::move(on_leadership_lost)),
       m_config(std::make_shared<jobs::FleetConfig>()),
+      m_odd_workers(log, "worker.bad_entry"),
       m_scheduler(MakeSchedulerOptions(settings)),
       m_workers(dependencies.workers,
                 peers,
@@ -248,6 +249,13 @@
 void Dispatcher::ApplyWorkerRows(const std::vector<Row>& rows) {
   bool is_changed = false;
   for (const Row& row : rows) {
+    if (!row.part.empty()) {
+      // The workers write to the table's unnamed part; another writer may use
+      // one of their ids.
+      m_odd_workers.LeftOut(row.table, row.part + "/" + row.key,
+                            "not in the part of the workers");
+      continue;
+    }
     if (row.deleted) {
       m_worker_entries.erase(row.key);
       is_changed = true;
@@ -256,7 +264,7 @@
     }
     auto entry = m_dependencies.decode_worker(row.key, row.value);
     if (!entry) {
-      m_log.Write("worker.bad_entry", {{"error", entry.error().message}});
+      m_odd_workers.LeftOut(row.table, row.key, entry.error().message);
       if (m_worker_entries.erase(row.key) > 0) {
         is_changed = true;
       }
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -60,6 +60,7 @@
       m_peer_port(peers),
       m_loop(loop),
       m_log(log),
+      m_odd_peers(log, "peer.bad_entry"),
       m_settings(std::move(settings)),
       m_random(random),
       m_incarnation(base::MakeId(m_random)),
@@ -144,7 +145,11 @@
               m_lifetime.Guard([this](const base::Result<RowPage>& page) {
                 if (page) {
                   for (const Row& row : page->rows) {
-                    if (row.key != m_settings.host) {
+                    const auto endpoint = ParseEndpoint(row.value);
+                    if (!endpoint) {
+                      m_odd_peers.LeftOut(row.table, row.key,
+                                          endpoint.error().message);
+                    } else if (row.key != m_settings.host) {
                       m_known_peers[row.key].endpoint = row.value;
                     }
                   }
--- a/src/cassiastile/host/relay_message.cpp
+++ b/src/cassiastile/host/relay_message.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "cassiastile/base/bounded_unpack.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 
 namespace cassiastile::host {
@@ -20,7 +21,7 @@
 template <typename Message>
 base::Result<Message> Unpack(const std::string& bytes) {
   try {
-    return msgpack::unpack(bytes.data(), bytes.size()).get().as<Message>();
+    return base::UnpackBounded(bytes).get().as<Message>();
   } catch (const std::exception& error) {
     return base::Fail(
         base::ErrorCode::kInvalid,
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -12,6 +12,7 @@
 #include <msgpack.hpp>
 
 #include "cassiastile/base/bounded_reader.hpp"
+#include "cassiastile/base/bounded_unpack.hpp"
 #include "cassiastile/jobs/job.hpp"
 
 namespace cassiastile::jobs {
@@ -244,7 +245,18 @@
   return occurrence.steps[step].tasks[index];
 }
 
+JobPhase PhaseOf(std::uint8_t phase) {
+  if (phase >= kJobPhaseNames.size()) {
+    throw std::out_of_range("unknown phase");
+  }
+  return static_cast<JobPhase>(phase);
+}
+
 Occurrence& AddOccurrence(Job& job, std::uint32_t number) {
+  if (number >= std::max(1U, job.spec.repeats) ||
+      FindOccurrence(job, number) != nullptr) {
+    throw std::out_of_range("occurrence that the job doesn't have, or twice");
+  }
   Occurrence& occurrence = job.occurrences.emplace_back();
   occurrence.number = number;
   occurrence.steps.resize(job.spec.steps.size());
@@ -294,12 +306,11 @@
 }
 
 void UnpackProgress(Job& job, const std::string& bytes) {
-  const auto progress =
-      msgpack::unpack(bytes.data(), bytes.size()).get().as<PackedProgress>();
+  const auto progress = base::UnpackBounded(bytes).get().as<PackedProgress>();
   if (progress.layout != kProgressLayout) {
     throw std::invalid_argument("unknown layout");
   }
-  job.phase = static_cast<JobPhase>(progress.phase);
+  job.phase = PhaseOf(progress.phase);
   job.stored_phase = job.phase;
   job.started = progress.started;
   job.next_occurrence = progress.next_occurrence;
@@ -372,6 +383,9 @@
     Job job;
     job.id = id;
     VisitRecord(archive, job);
+    if (const auto checked = CheckSpec(job.spec); !checked) {
+      throw std::invalid_argument(checked.error().message);
+    }
     return job;
   } catch (const std::exception& error) {
     return base::Fail(base::ErrorCode::kInvalid,
@@ -401,7 +415,7 @@
     if (layout != kCerealProgressLayout && layout != kOldestProgressLayout) {
       throw std::invalid_argument("unknown layout");
     }
-    job.phase = static_cast<JobPhase>(phase);
+    job.phase = PhaseOf(phase);
     job.stored_phase = job.phase;
     for (std::uint32_t i = 0; i < occurrences; ++i) {
       DecodeOccurrence(archive, layout, job);
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -155,9 +155,34 @@
     BeginIncarnation(*machine);
     m_machines.push_back(std::move(machine));
   }
+  WriteOddEntries();
   return {};
 }
 
+void Fleet::WriteOddEntries() {
+  constexpr std::size_t kVeryDeep = 100000;
+  jobs::WorkerEntry entry;
+  entry.id = {"odd", 1};
+  entry.service = m_machines.front()->pool;
+  entry.capacity = kCapacity;
+  const auto write = [this](const std::string& key, const std::string& value) {
+    m_table->Write({adapter::kWorkerTable, "", key, value, 0, false});
+  };
+  write("odd-nesting",
+        std::string(kVeryDeep, '[') + std::string(kVeryDeep, ']'));
+  entry.endpoint = LoopbackEndpoint(m_machines.front()->proxy->Port()) + "0000";
+  write("odd-port", adapter::EncodeWorker(entry));
+  entry.endpoint = LoopbackEndpoint(m_machines.front()->proxy->Port());
+  entry.capacity.cpu = INT64_MAX;
+  write("odd-number", adapter::EncodeWorker(entry));
+  entry.capacity.cpu = -1;
+  write("odd-sign", adapter::EncodeWorker(entry));
+  // An id of the fleet once more, in another part of the table.
+  entry.capacity = kCapacity;
+  m_table->Write({adapter::kWorkerTable, "other", m_machines.front()->worker_id,
+                  adapter::EncodeWorker(entry), 0, false});
+}
+
 base::Result<void> Fleet::StartHosts() {
   constexpr std::size_t kPortsPerHost = 4;
   const auto ports = FreePorts(m_context, kPortsPerHost * m_options.plan.hosts);
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -92,6 +92,9 @@
   void StartProcess(Host& host);
   void WatchProcesses();
   void WriteConfig();
+  // Writes entries into the list of workers that name no worker to use, as
+  // another writer might.
+  void WriteOddEntries();
   void RequestWave();
   void EvacuateZone(const Fault& fault);
   void EndEvacuations();
