--- a/src/bin/measure_jobs.cpp
+++ b/src/bin/measure_jobs.cpp
@@ -1,6 +1,7 @@
 // measure-jobs: measures the real time of the scheduler's decisions under
 // overload, when a queue's demand exceeds its pool's capacity. Real times are
-// not deterministic, so tools/measure leaves them out unless asked for.
+// not deterministic, so tools/measure leaves them out unless asked for. The
+// counts of work beside them are: compare those between versions and machines.
 #include <chrono>
 #include <cstdint>
 #include <iostream>
@@ -72,6 +73,19 @@
   int m_calls = 0;
 };
 
+void PrintCount(const std::string& name,
+                double value,
+                const std::string& unit,
+                const std::string& better) {
+  std::cout << nlohmann::json{{"name", "jobs." + name},
+                              {"value", value},
+                              {"unit", unit},
+                              {"better", better},
+                              {"seed", kSeed}}
+                   .dump()
+            << "\n";
+}
+
 // A run on a simulated worker, and when it ends.
 struct SimulatedRun {
   StartOrder order;
@@ -155,6 +169,9 @@
     m_plan.Measure([&] { m_scheduler.Plan(m_clock.Now(), m_clock.WallNow()); });
     m_commit.Measure([&] {
       const Batch batch = m_scheduler.TakeBatch(kMaxRows, m_clock.Now());
+      for (const auto& row : batch.rows) {
+        m_row_bytes += row.bytes ? row.bytes->size() : 0;
+      }
       m_scheduler.Confirm(batch, m_clock.Now());
     });
     for (const StartOrder& order : m_scheduler.TakeOrders().starts) {
@@ -176,6 +193,25 @@
          {&m_submit, &m_plan, &m_commit, &m_report, &m_pool_loads}) {
       timer->Print();
     }
+    const cassiastile::jobs::PlanningWork& work = m_scheduler.GetPlanningWork();
+    const auto placed =
+        static_cast<double>(std::max<std::uint64_t>(1, work.placed));
+    PrintCount(
+        "placed_per_round",
+        placed / static_cast<double>(std::max<std::uint64_t>(1, work.rounds)),
+        "runs", "more");
+    PrintCount("workers_examined_per_run",
+               static_cast<double>(work.workers_examined) / placed, "workers",
+               "less");
+    PrintCount("predictions_per_run",
+               static_cast<double>(work.predictions) / placed, "predictions",
+               "less");
+    PrintCount("backlog_sums_per_run",
+               static_cast<double>(work.backlog_sums) / placed, "jobs", "less");
+    PrintCount("end_visits_per_run",
+               static_cast<double>(work.end_visits) / placed, "visits", "less");
+    PrintCount("row_bytes_per_run", static_cast<double>(m_row_bytes) / placed,
+               "bytes", "less");
   }
 
  private:
@@ -220,6 +256,7 @@
   std::shared_ptr<FleetConfig> m_config;
   std::vector<SimulatedWorker> m_workers;
   std::uint64_t m_job = 0;
+  std::uint64_t m_row_bytes = 0;  // Of the rows in all batches.
   Timer m_submit{"submit"};
   Timer m_plan{"plan"};
   Timer m_commit{"commit"};
