Explain refusals of a busy leader, and give a list read anew to the scheduler at once

Cause: cassiactl explain took a refusal for full commits as one for a full pool; a list of workers that was read anew could wait 0.5 s for the scheduler although it was confirmed at once. Change: the explanation has a case of its own; a new list is always given.

--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -212,6 +212,7 @@
       m_dependencies.worker_table, "",
       [this, asked_at = m_loop.GetClock().Now()](const RowPage& page) {
         m_worker_entries.clear();
+        m_workers_listed_at = {};
         m_worker_feed_version = page.version;
         ApplyWorkerRows(page.rows);
         m_scheduler.ListConfirmed(asked_at);
--- a/src/cassiastile/operator/log_explanation.cpp
+++ b/src/cassiastile/operator/log_explanation.cpp
@@ -165,6 +165,12 @@
     if (reason == "too large") {
       return OutcomeCause::kRefusedTooLarge;
     }
+    if (reason == "leader busy") {
+      AddReason(fmt::format(
+          "the leader's commits were full, and jobs waited {:.0f} ms for one",
+          Number(line, "commit_wait_ms")));
+      return OutcomeCause::kRefusedOverload;
+    }
     AddReason(
         fmt::format("the work ahead would have taken {:.0f} ms, and it "
                     "could bear {:.0f} ms, {:.0f} ms after it was first "
--- a/src/cassiastile/operator/log_explanation_test.cpp
+++ b/src/cassiastile/operator/log_explanation_test.cpp
@@ -70,6 +70,17 @@
   EXPECT_THAT(explanation.reasons, Contains(HasSubstr("customer c")));
 }
 
+TEST_F(LogExplanationTest, BusyLeaderIsNotTakenForAFullPool) {
+  Add(1000, "h1",
+      {{"event", "job.refused"},
+       {"job", kJob},
+       {"reason", "leader busy"},
+       {"commit_wait_ms", 410}});
+  const Explanation explanation = Explain();
+  EXPECT_EQ(explanation.cause, OutcomeCause::kRefusedOverload);
+  EXPECT_THAT(explanation.reasons, Contains(HasSubstr("waited 410 ms")));
+}
+
 // Guards against "no final answer" for a job that was refused while it waited
 // for the store.
 TEST_F(LogExplanationTest, WithdrawnJobWasRefusedForTheStore) {
