--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -7,6 +7,7 @@
 
 #include "cassiastile/host/job_frontend.hpp"
 #include "cassiastile/host/peer_message.hpp"
+#include "cassiastile/host/relay_message.hpp"
 #include "cassiastile/host/settings.hpp"
 #include "cassiastile/jobs/duration_model.hpp"
 #include "cassiastile/jobs/job.hpp"
@@ -111,6 +112,44 @@
   }
 }
 
+// MessagePack that is nested very deeply, and a list of 4 billion elements in a
+// few bytes.
+TEST(MalformedInputTest, DeepOrOversizedListsOfPeersAndRowsAreRefused) {
+  constexpr std::size_t kVeryDeep = 300000;
+  const std::string deep = std::string(kVeryDeep, '\x91') + '\xc0';
+  const std::string oversized = "\xdd\xff\xff\xff\xff";
+  for (const std::string& bytes : {deep, oversized}) {
+    EXPECT_FALSE(DecodeRelayBatch(bytes));
+    EXPECT_FALSE(DecodeRelayReply(bytes));
+    EXPECT_FALSE(DecodeRelayResults(bytes));
+    EXPECT_FALSE(DecodeGossipMessage(bytes));
+    EXPECT_FALSE(DecodeJobRequest(bytes));
+    EXPECT_FALSE(DecodeLeaderRecord(bytes));
+    EXPECT_FALSE(jobs::DurationModel::Decode(bytes));
+    jobs::Job job;
+    job.spec.steps.emplace_back();
+    EXPECT_FALSE(jobs::DecodeProgress(job, bytes));
+    EXPECT_FALSE(jobs::DecodeRecord("5c0e7a21d94b36f8", bytes));
+  }
+}
+
+TEST(MalformedInputTest, RowsWithNumbersThatNoJobHasAreRefused) {
+  jobs::Job job;
+  job.id = "5c0e7a21d94b36f8";
+  job.spec.steps.emplace_back().count = UINT32_MAX;
+  EXPECT_FALSE(jobs::DecodeRecord(job.id, jobs::EncodeRecord(job)));
+  // An occurrence twice, and one that the job does not repeat for.
+  for (const std::uint32_t number : {0U, 7U}) {
+    job.spec.steps.front().count = 1;
+    job.occurrences.clear();
+    jobs::BeginOccurrence(job, 0);
+    jobs::BeginOccurrence(job, number);
+    jobs::Job read;
+    read.spec = job.spec;
+    EXPECT_FALSE(jobs::DecodeProgress(read, jobs::EncodeProgress(job)));
+  }
+}
+
 TEST(MalformedInputTest, SettingsAreReadOrRefused) {
   base::Random random(13);
   constexpr int kTexts = 2000;
