--- /dev/null
+++ b/review/standin/cases.cpp
@@ -0,0 +1,344 @@
+// The cases of the review that are scripts. Exits with 1 if the rule was
+// broken, 0 if it held, and 2 if the case couldn't run. usage: review-case NAME
+// RECORD, with TROUBLE=0 without the disruption
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <set>
+#include <string>
+
+#include "world.hpp"
+
+namespace review {
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+
+// Bounds of the pages.
+constexpr std::int64_t kFinish = 14000;      // finish_s
+constexpr std::int64_t kNothingRuns = 3000;  // LOST: "for 3 s"
+
+bool HasTrouble() {
+  const char* value = std::getenv("TROUBLE");
+  return value == nullptr || std::string(value) != "0";
+}
+
+Json Step(int count, int cpu, int mem_mb, int estimate_ms) {
+  return {{"count", count},
+          {"cpu", cpu},
+          {"mem_mb", mem_mb},
+          {"estimate_ms", estimate_ms}};
+}
+
+// The tasks of a job that are done, and those that run.
+struct Progress {
+  std::set<std::string> done;
+  std::set<std::string> running;
+};
+
+Progress ProgressOf(World& world, const std::string& job) {
+  Progress progress;
+  std::set<std::pair<std::string, std::int64_t>> over;
+  for (const FinishedRun& end : world.Ends()) {
+    over.emplace(end.task, end.run);
+    if (end.task.starts_with(job) && end.how == "done") {
+      progress.done.insert(end.task);
+    }
+  }
+  for (const Start& start : world.Starts()) {
+    if (start.task.starts_with(job) &&
+        !over.contains({start.task, start.run})) {
+      progress.running.insert(start.task);
+    }
+  }
+  return progress;
+}
+
+// LOST, "finish_s after the end of the traffic": whether a job isn't known, or
+// has nothing running for 3 s while one of its `tasks` tasks, all of which are
+// due, isn't done, and under half of the capacity is in use.
+bool IsLost(World& world, const std::string& job, std::size_t tasks) {
+  std::string state = world.State(job);
+  if (state == "410" || state.empty()) {
+    world.Log().Write("check " + job + ": not known or no answer");
+    return true;
+  }
+  std::int64_t idle_since = -1;
+  const std::int64_t until = Now() + 2 * kNothingRuns;
+  while (Now() < until) {
+    const Progress progress = ProgressOf(world, job);
+    const bool idle = progress.done.size() < tasks &&
+                      progress.running.empty() && world.Used() < 0.5;
+    if (!idle) {
+      idle_since = -1;
+    } else if (idle_since < 0) {
+      idle_since = Now();
+    } else if (Now() - idle_since > kNothingRuns) {
+      state = world.State(job);
+      const bool over = state == "done" || state == "cancelled";
+      world.Log().Write("check " + job + ": state " + state + ", " +
+                        std::to_string(progress.done.size()) + " of " +
+                        std::to_string(tasks) +
+                        " tasks done, nothing runs for 3 s");
+      return !over;
+    }
+    if (progress.done.size() >= tasks) {
+      break;
+    }
+    Sleep(50);
+  }
+  world.Log().Write("check " + job + ": state " + world.State(job) + ", held");
+  return false;
+}
+
+int Verdict(World& world, bool broken, const std::string& why) {
+  world.Log().Write((broken ? "BROKEN " : "HELD ") + why);
+  std::cout << (broken ? "broken: " : "held: ") << why << "\n";
+  return broken ? kBroken : kHeld;
+}
+
+// A scheduled job with many times, beside plain jobs.
+int ScheduledJob(const std::string& record) {
+  World world({}, record);
+  world.behave = [](const TaskName&, std::int64_t) {
+    return Behaviour{.work_ms = 100};
+  };
+  world.WriteConfig(true);
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  constexpr std::size_t kTasks = 40;
+  constexpr std::int64_t kInterval = 250;
+  const std::size_t times = HasTrouble() ? 200 : 60;
+  const std::string scheduled = world.NewId();
+  const std::int64_t start = WallNow() + 1000;
+  const auto first = world.Submit(
+      scheduled,
+      {{"spec", "every 250 ms"},
+       {"steps", Json::array({Step(static_cast<int>(kTasks), 100, 64, 100)})},
+       {"repeat_count", times},
+       {"start_at_ms", start},
+       {"interval_ms", kInterval}});
+  if (!first.accepted) {
+    return kCouldNotRun;
+  }
+  std::vector<std::string> plain;
+  std::size_t turned_away = 0;
+  const std::int64_t end = Now() + 1000 + 200 * kInterval + 2000;
+  while (Now() < end) {
+    const std::string id = world.NewId();
+    const auto job = world.Submit(
+        id,
+        {{"spec", "plain"}, {"steps", Json::array({Step(2, 500, 256, 100)})}},
+        1);
+    if (job.accepted) {
+      plain.push_back(id);
+    } else {
+      ++turned_away;
+    }
+    Sleep(500);
+  }
+  world.Log().Write("end of the traffic: " + std::to_string(plain.size()) +
+                    " plain jobs accepted, " + std::to_string(turned_away) +
+                    " not");
+  Sleep(kFinish);
+  const bool lost_scheduled = IsLost(world, scheduled, kTasks * times);
+  std::size_t lost_plain = 0;
+  for (const std::string& id : plain) {
+    if (ProgressOf(world, id).done.size() < 2 && IsLost(world, id, 2)) {
+      ++lost_plain;
+      if (lost_plain >= 3) {
+        break;
+      }
+    }
+  }
+  return Verdict(
+      world, lost_scheduled || lost_plain > 0,
+      "scheduled job lost: " + std::to_string(lost_scheduled) +
+          ", plain jobs lost: " + std::to_string(lost_plain) +
+          ", plain jobs not accepted: " + std::to_string(turned_away) +
+          ", calls that the store " +
+          "refused: " + std::to_string(world.GetStore().RefusedCalls()));
+}
+
+// A task that crashes each runner that starts it, before the start is answered.
+int CrashingTask(const std::string& record) {
+  World world({}, record);
+  const bool trouble = HasTrouble();
+  const std::string deadly = world.NewId();
+  world.behave = [&](const TaskName& task, std::int64_t) {
+    return Behaviour{.work_ms = 800,
+                     .crashes_runner = trouble && task.job == deadly};
+  };
+  world.WriteConfig(true);
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  const auto job = world.Submit(
+      deadly,
+      {{"spec", "deadly"}, {"steps", Json::array({Step(1, 500, 256, 800)})}});
+  if (!job.accepted) {
+    return kCouldNotRun;
+  }
+  const std::int64_t end = Now() + 90000;
+  std::size_t starts = 0;
+  std::set<std::string> runners;
+  while (Now() < end) {
+    starts = 0;
+    for (const Start& start : world.Starts()) {
+      if (start.task.starts_with(deadly)) {
+        ++starts;
+        runners.insert(start.runner);
+      }
+    }
+    const std::string state = world.State(deadly);
+    if (state == "failed" || state == "done") {
+      break;
+    }
+    Sleep(1000);
+  }
+  const std::string state = world.State(deadly);
+  constexpr std::size_t kCrashes = 3;
+  constexpr std::size_t kMore = 3;
+  return Verdict(world, trouble && starts >= kCrashes + kMore,
+                 std::to_string(starts) + " starts on " +
+                     std::to_string(runners.size()) + " runners, state " +
+                     state);
+}
+
+// A route is taken out of the configuration and put back while a job of it
+// runs.
+int RemovedRoute(const std::string& record) {
+  World world({}, record);
+  const std::string id = world.NewId();
+  world.behave = [&](const TaskName&, std::int64_t run) {
+    return run == 1 ? Behaviour{.work_ms = 6000, .how = "failed"}
+                    : Behaviour{.work_ms = 500};
+  };
+  world.WriteConfig(true);
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  const auto job = world.Submit(
+      id,
+      {{"spec", "a job"}, {"steps", Json::array({Step(1, 500, 256, 6000)})}});
+  if (!job.accepted) {
+    return kCouldNotRun;
+  }
+  Sleep(2000);
+  if (HasTrouble()) {
+    world.WriteConfig(false);
+  }
+  Sleep(6000);
+  if (HasTrouble()) {
+    world.WriteConfig(true);
+  }
+  Sleep(4000);
+  const std::string state = world.State(id);
+  std::size_t failures = 0;
+  for (const FinishedRun& end : world.Ends()) {
+    failures += end.task.starts_with(id) && end.how == "failed" ? 1 : 0;
+  }
+  const bool broken =
+      state == "failed" && failures < world.Options().max_attempts;
+  return Verdict(world, broken,
+                 "state " + state + " after " + std::to_string(failures) +
+                     " failed runs, max_attempts " +
+                     std::to_string(world.Options().max_attempts));
+}
+
+// A queue whose policy allows some of more than 30 runners.
+int FewAllowed(const std::string& record) {
+  World world({.runners = 40, .gives_advice = true}, record);
+  world.behave = [](const TaskName&, std::int64_t) {
+    return Behaviour{.work_ms = 800};
+  };
+  const bool trouble = HasTrouble();
+  // The last six of forty; without the trouble, all of them.
+  world.allows = [trouble](const std::string&, const std::string& runner) {
+    return !trouble || runner >= "i-7f3a9134";
+  };
+  world.WriteConfig(true);
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  const std::string id = world.NewId();
+  const auto job = world.Submit(
+      id,
+      {{"spec", "a job"}, {"steps", Json::array({Step(4, 500, 256, 800)})}});
+  if (!job.accepted) {
+    return kCouldNotRun;
+  }
+  Sleep(kFinish);
+  const bool lost = IsLost(world, id, 4);
+  return Verdict(
+      world, lost,
+      std::to_string(ProgressOf(world, id).done.size()) + " of 4 tasks done");
+}
+
+// A gang on a queue whose policy allows some of nine runners.
+int GangWithAdvice(const std::string& record) {
+  World world({.gives_advice = true}, record);
+  world.behave = [](const TaskName&, std::int64_t) {
+    return Behaviour{.work_ms = 800};
+  };
+  const bool trouble = HasTrouble();
+  world.allows = [trouble](const std::string&, const std::string& runner) {
+    return !trouble || runner >= "i-7f3a9104";
+  };
+  world.WriteConfig(true);
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  const std::string id = world.NewId();
+  Json step = Step(3, 2000, 1024, 800);
+  step["gang"] = true;
+  const auto job =
+      world.Submit(id, {{"spec", "a gang"}, {"steps", Json::array({step})}});
+  if (!job.accepted) {
+    return kCouldNotRun;
+  }
+  Sleep(kFinish);
+  const bool lost = IsLost(world, id, 3);
+  return Verdict(
+      world, lost,
+      std::to_string(ProgressOf(world, id).done.size()) + " of 3 tasks done");
+}
+
+int Run(const std::string& name, const std::string& record) {
+  if (name == "scheduled-job") {
+    return ScheduledJob(record);
+  }
+  if (name == "crashing-task") {
+    return CrashingTask(record);
+  }
+  if (name == "removed-route") {
+    return RemovedRoute(record);
+  }
+  if (name == "few-allowed") {
+    return FewAllowed(record);
+  }
+  if (name == "gang-advice") {
+    return GangWithAdvice(record);
+  }
+  std::cerr << "no case " << name << "\n";
+  return kCouldNotRun;
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: review-case NAME RECORD\n";
+    return review::kCouldNotRun;
+  }
+  try {
+    return review::Run(argv[1], argv[2]);
+  } catch (const std::exception& error) {
+    std::cerr << "review-case: " << error.what() << "\n";
+    return review::kCouldNotRun;
+  }
+}
