--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -20,6 +20,9 @@
 constexpr std::int64_t kFinish = 14000;      // finish_s
 constexpr std::int64_t kNothingRuns = 3000;  // LOST: "for 3 s"
 
+// An order is carried out 2 to 12 s late (`applied_late`).
+constexpr std::int64_t kLate = 9000;
+
 bool HasTrouble() {
   const char* value = std::getenv("TROUBLE");
   return value == nullptr || std::string(value) != "0";
@@ -105,7 +108,7 @@
   world.behave = [](const TaskName&, std::int64_t) {
     return Behaviour{.work_ms = 100};
   };
-  world.WriteConfig(true);
+  world.WriteConfig({});
   if (!world.StartHosts()) {
     return kCouldNotRun;
   }
@@ -172,7 +175,7 @@
     return Behaviour{.work_ms = 800,
                      .crashes_runner = trouble && task.job == deadly};
   };
-  world.WriteConfig(true);
+  world.WriteConfig({});
   if (!world.StartHosts()) {
     return kCouldNotRun;
   }
@@ -217,7 +220,7 @@
     return run == 1 ? Behaviour{.work_ms = 6000, .how = "failed"}
                     : Behaviour{.work_ms = 500};
   };
-  world.WriteConfig(true);
+  world.WriteConfig({});
   if (!world.StartHosts()) {
     return kCouldNotRun;
   }
@@ -229,11 +232,11 @@
   }
   Sleep(2000);
   if (HasTrouble()) {
-    world.WriteConfig(false);
+    world.WriteConfig({.has_route = false});
   }
   Sleep(6000);
   if (HasTrouble()) {
-    world.WriteConfig(true);
+    world.WriteConfig({});
   }
   Sleep(4000);
   const std::string state = world.State(id);
@@ -260,7 +263,7 @@
   world.allows = [trouble](const std::string&, const std::string& runner) {
     return !trouble || runner >= "i-7f3a9134";
   };
-  world.WriteConfig(true);
+  world.WriteConfig({});
   if (!world.StartHosts()) {
     return kCouldNotRun;
   }
@@ -288,7 +291,7 @@
   world.allows = [trouble](const std::string&, const std::string& runner) {
     return !trouble || runner >= "i-7f3a9104";
   };
-  world.WriteConfig(true);
+  world.WriteConfig({});
   if (!world.StartHosts()) {
     return kCouldNotRun;
   }
@@ -307,7 +310,103 @@
       std::to_string(ProgressOf(world, id).done.size()) + " of 3 tasks done");
 }
 
+// A version of the configuration adds a route with an objective of more than a
+// day, and takes a key away.
+int SlowRoute(const std::string& record) {
+  World world({}, record);
+  world.behave = [](const TaskName&, std::int64_t) {
+    return Behaviour{.work_ms = 500};
+  };
+  world.WriteConfig({});
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  constexpr std::int64_t kHour = 3'600'000;
+  world.WriteConfig({.has_second_key = false,
+                     .added_slo_ms = HasTrouble() ? 48 * kHour : 12 * kHour});
+  // Longer than config_apply_ms and revoke_ms.
+  Sleep(10000);
+  const Json job{{"spec", "a job"},
+                 {"steps", Json::array({Step(1, 500, 256, 500)})}};
+  int without_route = 0;
+  int with_removed_key = 0;
+  for (std::size_t i = 0; i < world.Options().hosts; ++i) {
+    const std::string added = world.NewId();
+    world.Expect(added, job);
+    const auto first = world.Call("POST", World::kAddedPrefix + added,
+                                  World::kKey, job.dump());
+    without_route += first && first->status == 404 ? 1 : 0;
+    const std::string plain = world.NewId();
+    world.Expect(plain, job);
+    const auto second = world.Call("POST", World::kPrefix + plain,
+                                   World::kSecondKey, job.dump());
+    with_removed_key += second && second->status == 200 ? 1 : 0;
+  }
+  Sleep(3000);
+  return Verdict(world, without_route > 0 || with_removed_key > 0,
+                 std::to_string(without_route) +
+                     " requests of 6 refused with 404 though the route is "
+                     "there, " +
+                     std::to_string(with_removed_key) +
+                     " of 6 accepted with a key that was taken away, " +
+                     std::to_string(world.Starts().size()) + " starts");
+}
+
+// A start that gets no answer is carried out late, by the next life of its
+// runner, after the task has been done there.
+int LateStart(const std::string& record) {
+  World world({.keeps_ids = true}, record);
+  const bool trouble = HasTrouble();
+  world.behave = [trouble](const TaskName& task, std::int64_t run) {
+    return Behaviour{
+        .work_ms = 500,
+        .late_ms = trouble && task.index == 0 && run == 1 ? kLate : 0};
+  };
+  world.WriteConfig({});
+  if (!world.StartHosts()) {
+    return kCouldNotRun;
+  }
+  const std::string id = world.NewId();
+  const auto job = world.Submit(
+      id,
+      {{"spec", "a job"}, {"steps", Json::array({Step(1, 500, 256, 500)})}});
+  if (!job.accepted) {
+    return kCouldNotRun;
+  }
+  const std::int64_t begun = Now();
+  Sleep(4000);
+  const std::string state = world.State(id);
+  const auto starts = world.Starts();
+  if (trouble && !starts.empty()) {
+    for (const auto& runner : world.Runners()) {
+      if (runner->Id() == starts.back().runner) {
+        runner->Restart();
+      }
+    }
+  }
+  Sleep(begun + kLate + 3000 - Now());
+  std::int64_t done_at = -1;
+  for (const FinishedRun& end : world.Ends()) {
+    if (end.task.starts_with(id) && end.how == "done" && done_at < 0) {
+      done_at = end.at;
+    }
+  }
+  std::size_t after = 0;
+  for (const Start& start : world.Starts()) {
+    after += start.task.starts_with(id) && done_at >= 0 && start.at > done_at;
+  }
+  return Verdict(world, state == "done" && after > 0,
+                 "state " + state + " after 4 s, starts after the end: " +
+                     std::to_string(after));
+}
+
 int Run(const std::string& name, const std::string& record) {
+  if (name == "slow-route") {
+    return SlowRoute(record);
+  }
+  if (name == "late-start") {
+    return LateStart(record);
+  }
   if (name == "scheduled-job") {
     return ScheduledJob(record);
   }
