--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,6 +3,6 @@
 # With TROUBLE=0, without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/cassia-host ] && [ -x target/review/review-case ] || exit 2
-timeout --kill-after=2 118 target/review/review-case crashing-task review/5/record.txt
+timeout --kill-after=2 118 target/review/review-case removed-route review/5/record.txt
 status=$?
 case "$status" in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
