--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -480,18 +480,19 @@
     }
   }
   Sleep(begun + kLate + 3000 - Now());
-  std::int64_t done_at = -1;
+  std::optional<std::int64_t> noted_at;
   for (const FinishedRun& end : world.Ends()) {
-    if (end.task.starts_with(id) && end.how == "done" && done_at < 0) {
-      done_at = end.at;
+    if (end.task.starts_with(id) && end.how == "done" && !noted_at) {
+      noted_at = world.NotedAt(end.task, end.run);
     }
   }
   std::size_t after = 0;
   for (const Start& start : world.Starts()) {
-    after += start.task.starts_with(id) && done_at >= 0 && start.at > done_at;
+    after += start.task.starts_with(id) && noted_at && start.at > *noted_at;
   }
   return Verdict(world, state == "done" && after > 0,
-                 "state " + state + " after 4 s, starts after the end: " +
+                 "state " + state +
+                     " after 4 s, starts after the end was taken note of: " +
                      std::to_string(after));
 }
 
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -500,7 +500,14 @@
     return Hold(body, lock);
   }
   if (request.path == "/api/run-start") {
-    return Start(body, false);
+    Response response = Start(body, false);
+    // An order that is left unanswered keeps its connection open.
+    const std::int64_t life = m_life;
+    const std::int64_t until = Now() + kMaxHold;
+    while (response.breaks_off && m_up && life == m_life && Now() < until) {
+      m_changed.wait_for(lock, milliseconds(kTick));
+    }
+    return response;
   }
   if (request.path == "/api/run-stop") {
     return Stop(body);
@@ -595,6 +602,11 @@
   }
   TakeLease(body);
   const std::uint64_t noted = body.value("ack_seq", std::uint64_t{0});
+  for (const End& end : m_ends) {
+    if (end.sequence <= noted) {
+      m_world.Noted(end.task, end.run);
+    }
+  }
   std::erase_if(m_ends,
                 [noted](const End& end) { return end.sequence <= noted; });
   const std::int64_t until =
@@ -964,6 +976,20 @@
   m_ends.push_back({Now(), task, run, how});
 }
 
+void World::Noted(const std::string& task, std::int64_t run) {
+  m_record.Write("end of " + task + " run " + std::to_string(run) +
+                 " is taken note of");
+  const std::scoped_lock lock(m_mutex);
+  m_noted.emplace(std::pair(task, run), Now());
+}
+
+std::optional<std::int64_t> World::NotedAt(const std::string& task,
+                                           std::int64_t run) {
+  const std::scoped_lock lock(m_mutex);
+  const auto found = m_noted.find({task, run});
+  return found == m_noted.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::vector<Start> World::Starts() {
   const std::scoped_lock lock(m_mutex);
   return m_starts;
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -285,10 +285,15 @@
                std::int64_t run,
                const std::string& runner);
   void Ended(const std::string& task, std::int64_t run, const std::string& how);
+  // An `ack_seq` has reached the end of the run.
+  void Noted(const std::string& task, std::int64_t run);
   bool TakesTicket(const std::string& task,
                    const std::string& runner,
                    const std::string& ticket);
 
+  // When the end of the run was taken note of, if it was.
+  std::optional<std::int64_t> NotedAt(const std::string& task,
+                                      std::int64_t run);
   std::vector<Start> Starts();
   std::vector<FinishedRun> Ends();
   // Share of the runners' processor capacity in use, 0 to 1.
@@ -323,6 +328,7 @@
   std::map<std::string, Json> m_jobs;
   std::vector<Start> m_starts;
   std::vector<FinishedRun> m_ends;
+  std::map<std::pair<std::string, std::int64_t>, std::int64_t> m_noted;
   // By ticket: step, runner and the time until which it is valid.
   std::map<std::string, std::tuple<std::string, std::string, std::int64_t>>
       m_tickets;
