Fail a call that can't be sent instead of ending the process

Cause: LoopClient failed a URL that it can't parse before the call was in its list of calls, and then erased an iterator that was never set. ParseEndpoint took any text before the last colon, so such a URL came from the workers' table, from the hosts' table and from gossip.

Change: each call is in the list until it ends. One parser says what a call can go to, for entries, peers, gossip and the client itself.

The virtual world's hosts have IPv4 addresses now, as on the platform.

--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -86,6 +86,8 @@
   void SendGossip(const std::string& endpoint, const GossipMessage& gossip);
   void FetchConfig(const std::string& endpoint);
   GossipMessage MakeGossip(std::uint64_t known_version, bool with_config) const;
+  // Whether calls can go to the addresses that the message names.
+  bool HasAddresses(const GossipMessage& gossip);
   void MergeGossip(const GossipMessage& gossip);
   void HandleAnnouncement(const LeaderAnnouncement& announcement);
   void WatchLeader();
--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -20,8 +20,10 @@
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
-// Fails with kInvalid for text that is not "ADDRESS:PORT".
+// Fails with kInvalid for text that is not "ADDRESS:PORT" with an IPv4 address.
 base::Result<Endpoint> ParseEndpoint(std::string_view text);
+// Fails also for an address that no call can go to, see wire::Ipv4Endpoint.
+base::Result<Endpoint> ParseDestination(std::string_view text);
 
 // Settings of one host, read from a JSON file that may have comments. Unknown
 // members are ignored.
--- a/include/cassiastile/wire/loop_client.hpp
+++ b/include/cassiastile/wire/loop_client.hpp
@@ -23,7 +23,8 @@
   LoopClient& operator=(const LoopClient&) = delete;
 
   // Starts a call. The completion runs exactly once, later, on the loop; with
-  // kNotSent if the URL doesn't have the form http://ADDRESS:PORT/PATH.
+  // kNotSent if the URL doesn't have the form http://ADDRESS:PORT/PATH with an
+  // IPv4 address that a call can go to, or a header holds a control character.
   //
   // A pooled connection that the server has closed is not used. If one breaks
   // during a call, a repeatable call is sent once more on a new connection; any
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -145,7 +145,7 @@
               m_lifetime.Guard([this](const base::Result<RowPage>& page) {
                 if (page) {
                   for (const Row& row : page->rows) {
-                    const auto endpoint = ParseEndpoint(row.value);
+                    const auto endpoint = ParseDestination(row.value);
                     if (!endpoint) {
                       m_odd_peers.LeftOut(row.table, row.key,
                                           endpoint.error().message);
@@ -241,10 +241,24 @@
   return MakeGossip(gossip.config_version, gossip.wants_config);
 }
 
+bool HostNode::HasAddresses(const GossipMessage& gossip) {
+  auto parsed = ParseDestination(gossip.endpoint);
+  if (parsed && !gossip.leader.host.empty()) {
+    parsed = ParseDestination(gossip.leader.endpoint);
+  }
+  if (!parsed) {
+    m_odd_peers.LeftOut("gossip", gossip.host, parsed.error().message);
+  }
+  return parsed.has_value();
+}
+
 void HostNode::MergeGossip(const GossipMessage& gossip) {
   if (gossip.host == m_settings.host) {
     return;
   }
+  if (!HasAddresses(gossip)) {
+    return;
+  }
   Peer& peer = m_known_peers[gossip.host];
   peer.endpoint = gossip.endpoint;
   peer.heard_at = m_loop.GetClock().Now();
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -11,6 +11,7 @@
 #include "cassiastile/host/settings.hpp"
 #include "cassiastile/jobs/duration_model.hpp"
 #include "cassiastile/jobs/job.hpp"
+#include "cassiastile/sim/odd_values.hpp"
 #include "virtual_world_bench.hpp"
 
 namespace cassiastile::host {
@@ -150,6 +151,64 @@
   }
 }
 
+// Rows of another writer in the tables of the hosts themselves: the next leader
+// leaves them out and goes on with all jobs, and no host calls what is no
+// address.
+TEST(MalformedInputTest, OddRowsInTheHostsTablesStopNoLeader) {
+  VirtualWorld world({.seed = 47, .keep_log = true});
+  base::Random random(47);
+  world.RunFor(std::chrono::milliseconds(2000));
+  const std::string job =
+      world.Submit(0, 2, 4, std::chrono::milliseconds(3000));
+  world.RunFor(std::chrono::milliseconds(1000));
+  constexpr int kRows = 60;
+  for (int i = 0; i < kRows; ++i) {
+    world.WriteRow({kHostTable, "", "odd-" + std::to_string(i),
+                    sim::DrawNoDestination(random)});
+    for (const char* suffix : {"", "r", ".r", ".p", ".q"}) {
+      world.WriteRow({kJobTable, kLeaderPart, sim::DrawText(random) + suffix,
+                      sim::DrawText(random)});
+    }
+    for (const char* table : {kMachineTable, kLearntTable}) {
+      world.WriteRow(
+          {table, kLeaderPart, sim::DrawText(random), sim::DrawText(random)});
+    }
+  }
+  world.RunFor(std::chrono::milliseconds(4000));
+  const auto leader = world.LeaderIndex();
+  ASSERT_TRUE(leader.has_value());
+  world.KillHost(*leader);
+  world.RunFor(std::chrono::milliseconds(15000));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_EQ(world.Violations(), std::vector<std::string>{});
+  EXPECT_NE(world.Log().find("peer.bad_entry"), std::string::npos);
+  EXPECT_NE(world.Log().find("office.bad_row"), std::string::npos);
+}
+
+// A peer that names an address that is none, for itself or for the leader: its
+// message counts for nothing, and no host calls it.
+TEST(MalformedInputTest, GossipWithAnOddAddressIsLeftOut) {
+  VirtualWorld world({.seed = 47, .keep_log = true});
+  base::Random random(47);
+  world.RunFor(std::chrono::milliseconds(2000));
+  constexpr int kMessages = 200;
+  for (int i = 0; i < kMessages; ++i) {
+    const std::string endpoint = sim::DrawNoDestination(random);
+    GossipMessage gossip;
+    gossip.host = "odd-" + std::to_string(i);
+    gossip.endpoint = i % 2 == 0 ? endpoint : "10.0.0.1:1";
+    gossip.leader = {UINT64_MAX, gossip.host, endpoint};
+    gossip.is_leader = true;
+    world.Gossip(1, gossip);
+  }
+  world.RunFor(std::chrono::milliseconds(3000));
+  const std::string job = world.Submit(0, 1, 4, std::chrono::milliseconds(300));
+  world.RunFor(std::chrono::milliseconds(5000));
+  EXPECT_EQ(world.StateOf(job), "done");
+  EXPECT_EQ(world.Violations(), std::vector<std::string>{});
+  EXPECT_NE(world.Log().find("peer.bad_entry"), std::string::npos);
+}
+
 TEST(MalformedInputTest, SettingsAreReadOrRefused) {
   base::Random random(13);
   constexpr int kTexts = 2000;
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -1,11 +1,13 @@
 #include "cassiastile/host/settings.hpp"
 
-#include <charconv>
 #include <cmath>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "cassiastile/wire/ipv4_endpoint.hpp"
+
 namespace cassiastile::host {
 
 namespace {
@@ -154,22 +156,22 @@
 }  // namespace
 
 base::Result<Endpoint> ParseEndpoint(std::string_view text) {
-  const std::size_t colon = text.rfind(':');
-  Endpoint endpoint;
-  if (colon != std::string_view::npos) {
-    endpoint.address = std::string(text.substr(0, colon));
-    const std::string_view port = text.substr(colon + 1);
-    const auto [end, error] =
-        std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (error == std::errc() && end == port.data() + port.size() &&
-        endpoint.port > 0 && !endpoint.address.empty()) {
-      return endpoint;
-    }
+  if (auto endpoint = wire::ParseIpv4Endpoint(text)) {
+    return Endpoint{std::move(endpoint->address), endpoint->port};
   }
   return base::Fail(base::ErrorCode::kInvalid,
                     fmt::format("'{}' is not ADDRESS:PORT", text));
 }
 
+base::Result<Endpoint> ParseDestination(std::string_view text) {
+  auto endpoint = ParseEndpoint(text);
+  if (endpoint && !wire::ParseDestination(text)) {
+    return base::Fail(base::ErrorCode::kInvalid,
+                      fmt::format("no call can go to '{}'", text));
+  }
+  return endpoint;
+}
+
 base::Result<HostSettings> ParseHostSettings(const std::string& text) {
   const Json json = Json::parse(text, nullptr, false, true);
   if (!json.is_object()) {
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "cassiastile/wire/ipv4_endpoint.hpp"
+
 namespace cassiastile::host {
 
 namespace {
@@ -27,6 +29,7 @@
 constexpr char kWorkerTable[] = "workers";
 constexpr char kStatusTable[] = "status";
 constexpr char kSparePool[] = "spare";
+constexpr std::uint16_t kPeerPort = 1;
 
 std::string ZoneName(std::size_t index) {
   return "zone-" + std::to_string(index);
@@ -36,6 +39,10 @@
   return "service-" + std::to_string(index);
 }
 
+std::string HostAddress(std::size_t index) {
+  return "10.0.0." + std::to_string(index + 1);
+}
+
 // The texts that this world stores instead of the platform's JSON are fields
 // separated by spaces. A job: the numbers of steps and of tasks per step, the
 // milliseconds per task, whether the tasks are long-running, and a number that
@@ -674,6 +681,7 @@
 struct VirtualWorld::Host {
   Host(VirtualWorld& world, std::size_t index)
       : name("host-" + std::to_string(index)),
+        endpoint(HostAddress(index) + ":" + std::to_string(kPeerPort)),
         loop(world.m_loop),
         log(loop.GetClock(),
             name,
@@ -729,8 +737,8 @@
     settings.host = "host-" + std::to_string(index);
     settings.processor_share =
         index < options.strong_hosts ? kStrongShare : kWeakShare;
-    settings.address = "host-" + std::to_string(index);
-    settings.peer_port = 1;
+    settings.address = HostAddress(index);
+    settings.peer_port = kPeerPort;
     settings.min_relayed_workers = options.min_relayed_workers;
     settings.availability_zone = ZoneName(index % options.zones);
     settings.evacuation_time = options.evacuation_time;
@@ -738,6 +746,7 @@
   }
 
   std::string name;
+  std::string endpoint;
   HostLoop loop;
   HostMetrics metrics;
   EventLog log;
@@ -753,9 +762,12 @@
                         const GossipMessage& gossip,
                         Done<GossipMessage> done) {
   done = m_loop.Guard(std::move(done));
+  if (!wire::ParseDestination(endpoint)) {
+    m_world.AddViolation("a host calls '" + endpoint + "'");
+  }
   m_world.Post(kCallLatency, [this, endpoint, gossip, done] {
     for (const auto& host : m_world.m_hosts) {
-      if (host && host->name + ":1" == endpoint) {
+      if (host && host->endpoint == endpoint) {
         if (host->loop.IsPaused()) {
           m_world.Post(kCallTimeout,
                        [done] { done(tl::unexpected(Failure{})); });
@@ -779,7 +791,7 @@
   auto answered = std::make_shared<bool>(false);
   m_world.Post(kCallLatency, [this, endpoint, request, done, answered] {
     for (const auto& host : m_world.m_hosts) {
-      if (host && host->name + ":1" == endpoint) {
+      if (host && host->endpoint == endpoint) {
         if (host->loop.IsPaused()) {
           return;
         }
@@ -854,7 +866,7 @@
                             const std::function<void(HostNode&)>& call,
                             const std::function<void(bool)>& fail) {
   for (const auto& host : m_hosts) {
-    if (host == nullptr || host->name + ":1" != endpoint) {
+    if (host == nullptr || host->endpoint != endpoint) {
       continue;
     }
     if (host->loop.IsPaused()) {
@@ -1361,6 +1373,16 @@
   Apply(transaction);
 }
 
+void VirtualWorld::WriteRow(Row row) {
+  RowTransaction transaction;
+  transaction.puts.push_back(std::move(row));
+  Apply(transaction);
+}
+
+void VirtualWorld::Gossip(std::size_t host, const GossipMessage& gossip) {
+  static_cast<void>(m_hosts[host]->node.HandleGossip(gossip));
+}
+
 void VirtualWorld::RequestWave(const std::vector<std::string>& machines,
                                std::uint32_t max_down) {
   std::string text = fmt::format("1 {}", max_down);
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -166,6 +166,10 @@
   // Writes a configuration whose version is 2 higher than the last one's; the
   // first has version 2.
   void PublishNextConfig();
+  // Writes a row as another program might.
+  void WriteRow(Row row);
+  // Hands a host a message as a peer might; the host must be running.
+  void Gossip(std::size_t host, const GossipMessage& gossip);
   // Requests wave 1, with a time limit of 25 s.
   void RequestWave(const std::vector<std::string>& machines,
                    std::uint32_t max_down);
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -10,6 +10,8 @@
 #include <asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
+#include "cassiastile/host/leader_transactions.hpp"
+#include "cassiastile/sim/odd_values.hpp"
 #include "names.hpp"
 #include "standin/encode.hpp"
 
@@ -177,8 +179,18 @@
   write("odd-number", adapter::EncodeWorker(entry));
   entry.capacity.cpu = -1;
   write("odd-sign", adapter::EncodeWorker(entry));
-  // An id of the fleet once more, in another part of the table.
+  // Addresses that none are, drawn for each seed.
+  constexpr int kDrawnEntries = 40;
+  base::Random random(m_options.seed);
   entry.capacity = kCapacity;
+  for (int i = 0; i < kDrawnEntries; ++i) {
+    entry.endpoint = sim::DrawNoDestination(random);
+    const std::string key = "odd-address-" + std::to_string(i);
+    write(key, adapter::EncodeWorker(entry));
+    m_table->Write({host::kHostTable, "", key, entry.endpoint, 0, false});
+  }
+  entry.endpoint = LoopbackEndpoint(m_machines.front()->proxy->Port());
+  // An id of the fleet once more, in another part of the table.
   m_table->Write({adapter::kWorkerTable, "other", m_machines.front()->worker_id,
                   adapter::EncodeWorker(entry), 0, false});
 }
--- a/src/cassiastile/wire/loop_client.cpp
+++ b/src/cassiastile/wire/loop_client.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <deque>
 #include <list>
 #include <map>
@@ -18,6 +17,8 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
+#include "cassiastile/wire/ipv4_endpoint.hpp"
+
 namespace cassiastile::wire {
 
 namespace {
@@ -37,9 +38,18 @@
   std::string path;
 };
 
+bool HasControlCharacter(std::string_view text) {
+  return std::ranges::any_of(text, [](char each) {
+    const auto byte = static_cast<unsigned char>(each);
+    constexpr unsigned char kDelete = 0x7f;
+    return byte < ' ' || byte == kDelete;
+  });
+}
+
 std::optional<Target> ParseUrl(std::string_view url) {
   constexpr std::string_view kScheme = "http://";
-  if (!url.starts_with(kScheme)) {
+  if (!url.starts_with(kScheme) || HasControlCharacter(url) ||
+      url.find(' ') != std::string_view::npos) {
     return std::nullopt;
   }
   url.remove_prefix(kScheme.size());
@@ -48,24 +58,23 @@
   target.authority = std::string(url.substr(0, slash));
   target.path =
       slash == std::string_view::npos ? "/" : std::string(url.substr(slash));
-  const std::size_t colon = target.authority.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  asio::error_code error;
-  const auto address =
-      asio::ip::make_address(target.authority.substr(0, colon), error);
-  std::uint16_t port = 0;
-  const char* end = target.authority.data() + target.authority.size();
-  const auto parsed =
-      std::from_chars(target.authority.data() + colon + 1, end, port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+  const auto endpoint = ParseDestination(target.authority);
+  if (!endpoint) {
     return std::nullopt;
   }
-  target.endpoint = tcp::endpoint(address, port);
+  target.endpoint = tcp::endpoint(asio::ip::make_address_v4(endpoint->address),
+                                  endpoint->port);
   return target;
 }
 
+// A line break in a header would end it and begin another one.
+bool HasOddHeader(const HttpCall& call) {
+  return std::ranges::any_of(call.headers, [](const auto& header) {
+    return HasControlCharacter(header.first) ||
+           HasControlCharacter(header.second);
+  });
+}
+
 std::string WriteRequest(const HttpCall& call, const Target& target) {
   std::string text = call.method + " " + target.path +
                      " HTTP/1.1\r\nHost: " + target.authority + "\r\n";
@@ -188,19 +197,21 @@
     exchange->call = std::move(call);
     exchange->completion = std::move(completion);
     exchange->deadline = steady_clock::now() + exchange->call.timeout;
+    // Each call is in the list until it ends, also one that is never sent.
+    m_active.push_back(exchange);
+    exchange->position = std::prev(m_active.end());
     const auto target = ParseUrl(exchange->call.url);
     if (!target) {
-      asio::post(m_context, [self = shared_from_this(), exchange] {
-        self->Fail(exchange,
-                   "the URL is not of the form http://ADDRESS:PORT/PATH",
-                   false);
-      });
+      FailUnsent(exchange,
+                 "the URL is not of the form http://ADDRESS:PORT/PATH");
+      return;
+    }
+    if (HasOddHeader(exchange->call)) {
+      FailUnsent(exchange, "a header holds a control character");
       return;
     }
     exchange->target = *target;
     exchange->request = WriteRequest(exchange->call, exchange->target);
-    m_active.push_back(exchange);
-    exchange->position = std::prev(m_active.end());
     ArmTimer();
     Send(exchange, exchange->call.fresh_connection);
   }
@@ -243,6 +254,14 @@
   };
   using ExchangePointer = std::shared_ptr<Exchange>;
 
+  // Ends a call that can't be sent; later, as its caller expects.
+  void FailUnsent(const ExchangePointer& exchange, std::string message) {
+    asio::post(m_context, [self = shared_from_this(), exchange,
+                           message = std::move(message)] {
+      self->Fail(exchange, message, false);
+    });
+  }
+
   // Sends a call on an idle connection, or on a new one if there is none or
   // `fresh` is set.
   void Send(const ExchangePointer& exchange, bool fresh) {
--- a/src/cassiastile/wire/loop_client_test.cpp
+++ b/src/cassiastile/wire/loop_client_test.cpp
@@ -11,6 +11,8 @@
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 
+#include "cassiastile/base/random.hpp"
+#include "cassiastile/sim/odd_values.hpp"
 #include "cassiastile/wire/http_server.hpp"
 
 namespace cassiastile::wire {
@@ -208,5 +210,68 @@
   EXPECT_TRUE(result->error().timed_out);
 }
 
+// A call to what is no address ended the process: it was taken out of the list
+// of calls, where it had never been put.
+TEST_F(LoopClientTest, CallThatCannotBeSentFailsOnceBesideOthers) {
+  base::Random random(47);
+  constexpr int kCalls = 400;
+  int failed = 0;
+  int answered = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string endpoint = sim::DrawNoDestination(random);
+    HttpCall odd;
+    odd.url = "http://" + endpoint + "/hello";
+    m_client->Start(std::move(odd),
+                    [&failed, endpoint](const HttpOutcome& outcome) {
+                      ++failed;
+                      ASSERT_FALSE(outcome.has_value()) << endpoint;
+                      EXPECT_EQ(outcome.error().state, SendState::kNotSent);
+                      EXPECT_FALSE(outcome.error().timed_out);
+                    });
+    HttpCall good;
+    good.url =
+        "http://127.0.0.1:" + std::to_string(m_server->Port()) + "/hello";
+    m_client->Start(std::move(good), [&answered](const HttpOutcome& outcome) {
+      answered += outcome.has_value() ? 1 : 0;
+    });
+    m_context.restart();
+    m_context.poll();
+  }
+  while (failed + answered < 2 * kCalls && m_context.run_one() > 0) {
+    m_context.restart();
+  }
+  EXPECT_EQ(failed, kCalls);
+  EXPECT_EQ(answered, kCalls);
+}
+
+TEST_F(LoopClientTest, HeaderWithAControlCharacterIsNotSent) {
+  for (const std::string odd : {"a\r\nX-Odd: 1", "\n", "\x7f"}) {
+    HttpCall call;
+    call.url =
+        "http://127.0.0.1:" + std::to_string(m_server->Port()) + "/hello";
+    call.headers.emplace_back("X-Name", odd);
+    std::optional<HttpOutcome> result;
+    m_client->Start(std::move(call), [&result](HttpOutcome outcome) {
+      result = std::move(outcome);
+    });
+    m_context.restart();
+    m_context.poll();
+    ASSERT_TRUE(result.has_value());
+    ASSERT_FALSE(result->has_value());
+    EXPECT_EQ(result->error().state, SendState::kNotSent);
+  }
+}
+
+TEST_F(LoopClientTest, CallThatCannotBeSentIsDroppedWithItsClient) {
+  HttpCall call;
+  call.url = "http://worker.example:80/hello";
+  bool completed = false;
+  m_client->Start(std::move(call),
+                  [&completed](const HttpOutcome&) { completed = true; });
+  m_client.reset();
+  m_context.poll();
+  EXPECT_FALSE(completed);
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
