Let no value of a configuration keep the rest of it out

Nobody gets that error; the hosts went on with the older version.

Each is logged once and counted (config.bad_entry). Waves are read the same way. Objectives end at ten years, before times overflow.

--- a/include/cassiastile/host/config_watcher.hpp
+++ b/include/cassiastile/host/config_watcher.hpp
@@ -35,7 +35,8 @@
   // until the store answers.
   void Begin();
   // Decodes a configuration and puts it in force if its version is newer than
-  // the current one. Logs `config.bad` if it can't be decoded. `source` is
+  // the current one. Logs `config.bad` if it can't be decoded, and
+  // `config.bad_entry` for what of it is not taken as it stands. `source` is
   // logged: "table" or the name of the sending host.
   void ApplyConfigText(const std::string& text, std::string_view source);
 
@@ -70,6 +71,7 @@
   HostDependencies& m_dependencies;
   Loop& m_loop;
   EventLog& m_log;
+  OddEntries m_odd_members;
   OddEntries m_odd_waves;
   Listener m_listener;
   std::shared_ptr<const jobs::FleetConfig> m_config;
--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -22,6 +22,11 @@
 
 namespace cassiastile::host {
 
+// Called for a member of an operator's text that was not taken as it stands:
+// its place and what was done with it.
+using OnOddMember =
+    std::function<void(const std::string& member, const std::string& reason)>;
+
 // Interfaces, decoders and table names that the program supplies to a host.
 struct HostDependencies {
   RowStore& store;
@@ -29,13 +34,16 @@
   MachinePort& machines;
   AdvicePort& advice;
   // Decoders of row values and job specifications in the platform's format.
-  std::function<base::Result<jobs::FleetConfig>(const std::string&)>
+  std::function<base::Result<jobs::FleetConfig>(const std::string& text,
+                                                const OnOddMember& on_odd)>
       decode_config;
   std::function<base::Result<jobs::WorkerEntry>(const std::string& id,
                                                 const std::string& text)>
       decode_worker;
   std::function<base::Result<jobs::JobSpec>(const std::string&)> decode_job;
-  std::function<base::Result<WaveRequest>(const std::string&)> decode_wave;
+  std::function<base::Result<WaveRequest>(const std::string& text,
+                                          const OnOddMember& on_odd)>
+      decode_wave;
   std::function<std::string(std::uint64_t wave, bool done)> encode_wave_state;
   std::string worker_table;
   std::string operator_table;
--- a/include/cassiastile/jobs/fleet_config.hpp
+++ b/include/cassiastile/jobs/fleet_config.hpp
@@ -13,6 +13,11 @@
 
 namespace cassiastile::jobs {
 
+// Times of a configuration are at most this long: sums of a few can still be
+// added to a time. What is configured to be longer counts as this.
+inline constexpr std::chrono::milliseconds kMaxConfiguredTime =
+    std::chrono::hours(24 * 365 * 10);
+
 // The timing of a queue's placement advisor, as configured. The scheduler uses
 // only `validity`.
 struct AdviceConfig {
--- a/src/cassiastile/host/config_watcher.cpp
+++ b/src/cassiastile/host/config_watcher.cpp
@@ -36,6 +36,7 @@
     : m_dependencies(dependencies),
       m_loop(loop),
       m_log(log),
+      m_odd_members(log, "config.bad_entry"),
       m_odd_waves(log, "wave.bad"),
       m_listener(std::move(listener)) {}
 
@@ -110,7 +111,11 @@
     if (row.key == m_dependencies.config_key) {
       ApplyConfigText(row.value, "table");
     } else if (row.key.starts_with(m_dependencies.wave_prefix)) {
-      auto wave = m_dependencies.decode_wave(row.value);
+      auto wave = m_dependencies.decode_wave(
+          row.value,
+          [this, &row](const std::string& member, const std::string& reason) {
+            m_odd_waves.LeftOut(row.table, row.key + " " + member, reason);
+          });
       if (!wave) {
         m_odd_waves.LeftOut(row.table, row.key, wave.error().message);
         continue;
@@ -150,7 +155,10 @@
 
 void ConfigWatcher::ApplyConfigText(const std::string& text,
                                     std::string_view source) {
-  auto config = m_dependencies.decode_config(text);
+  auto config = m_dependencies.decode_config(
+      text, [this](const std::string& member, const std::string& reason) {
+        m_odd_members.LeftOut(m_dependencies.config_key, member, reason);
+      });
   if (!config) {
     m_log.Write("config.bad",
                 {{"source", source}, {"error", config.error().message}});
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -91,7 +91,8 @@
 }
 
 // A wave: number, most machines down at once, and the machines.
-base::Result<WaveRequest> DecodeWaveText(const std::string& text) {
+base::Result<WaveRequest> DecodeWaveText(const std::string& text,
+                                         const OnOddMember& /*on_odd*/) {
   std::istringstream in(text);
   WaveRequest wave;
   in >> wave.wave >> wave.max_down;
@@ -103,7 +104,9 @@
 }
 
 // A configuration: version and number of services, each with one queue.
-base::Result<jobs::FleetConfig> DecodeConfigText(const std::string& text) {
+base::Result<jobs::FleetConfig> DecodeConfigText(
+    const std::string& text,
+    const OnOddMember& /*on_odd*/) {
   std::istringstream in(text);
   jobs::FleetConfig config;
   std::size_t services = 0;
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -27,6 +27,19 @@
 // tasks end, they are moved, and they report.
 constexpr std::chrono::milliseconds kReachDelay{2200};
 
+// The time that a job may take, by its queue's stretch and slack.
+std::chrono::milliseconds AllowedTime(const QueueConfig& queue,
+                                      std::chrono::milliseconds critical_path) {
+  const double stretched =
+      queue.stretch * static_cast<double>(critical_path.count());
+  const double allowed = stretched + static_cast<double>(queue.slack.count());
+  if (!(allowed < static_cast<double>(kMaxConfiguredTime.count()))) {
+    return kMaxConfiguredTime;
+  }
+  return std::chrono::milliseconds(static_cast<std::int64_t>(stretched)) +
+         queue.slack;
+}
+
 // The result of a job has no value after this many times the time from its
 // first submission to its objective.
 constexpr int kWorthlessFactor = 3;
@@ -139,10 +152,7 @@
 void Scheduler::SetObjective(Job& job, const QueueConfig& queue) {
   job.critical_paths = m_durations.ExpectCriticalPaths(job.queue, job.spec);
   const auto chain = std::ranges::max(job.critical_paths);
-  const auto allowed =
-      std::chrono::milliseconds(static_cast<std::int64_t>(
-          queue.stretch * static_cast<double>(chain.count()))) +
-      queue.slack;
+  const auto allowed = AllowedTime(queue, chain);
   job.objective = job.arrived_at + allowed;
   job.worthless_after = job.arrived_at + kWorthlessFactor * allowed;
 }
