Decide about accepted jobs by the newest version that has their queue

Cause: the scheduler asked the version in force, and a default answered where it had no entry: one attempt. The same lookups gave a customer no limit, workers a guard of their capacity, a spare pool the meaning of a working one, starts no ticket, and, after a change of leader, jobs no objective.

Change: FleetConfig keeps the newest former entry of each queue, customer and service (InheritFrom, 2,000 of each at most, without keys), and all that concerns accepted jobs goes by LastQueue, LastCustomer and LastService. A job's record holds what was in force at its acceptance, for a host that has only seen the gap; older programs ignore it. A record without it decides nothing until the queue is back. A version that lowers max_attempts to what a task has failed already fails its job instead of starting it once more.

--- a/include/cassiastile/base/bounded_reader.hpp
+++ b/include/cassiastile/base/bounded_reader.hpp
@@ -31,6 +31,9 @@
     (Load(values), ...);
   }
 
+  // Whether bytes are left.
+  bool HasMore() const { return !m_bytes.empty(); }
+
  private:
   std::string_view Take(std::size_t size) {
     if (size > m_bytes.size()) {
--- a/include/cassiastile/jobs/fleet_config.hpp
+++ b/include/cassiastile/jobs/fleet_config.hpp
@@ -24,6 +24,8 @@
   std::chrono::milliseconds decision{0};  // Time that an answer takes.
   std::chrono::milliseconds period{0};
   std::chrono::milliseconds validity{0};  // How long an answer is valid.
+
+  friend bool operator==(const AdviceConfig&, const AdviceConfig&) = default;
 };
 
 // A queue of jobs; requests are routed to it by host and path prefix.
@@ -75,10 +77,42 @@
   // The customer with this API key, or null.
   const CustomerConfig* CustomerOfKey(const std::string& key) const;
 
+  // The entry of this version or, if it has none, the newest of the versions
+  // before it; null if none of them had one. What was accepted under a queue or
+  // for a customer goes on by these: an operator may take an entry out for a
+  // moment. Former customers have no keys.
+  const QueueConfig* LastQueue(std::string_view name) const;
+  const ServiceConfig* LastService(std::string_view name) const;
+  const CustomerConfig* LastCustomer(std::string_view name) const;
+  // Services that only former versions had.
+  std::vector<ServiceConfig> FormerServices() const;
+
   // Builds the lookup tables. Must be called after the lists were filled.
   void BuildIndex();
+  // Takes over what the version before this one had and this one lacks. Must be
+  // called after BuildIndex. Of very many, the ones that were taken out first
+  // are forgotten.
+  void InheritFrom(const FleetConfig& before);
 
  private:
+  // An entry that this version lacks.
+  template <typename Config>
+  struct Former {
+    Config config;
+    std::uint64_t version = 0;  // The last one that had it.
+  };
+  template <typename Config>
+  using FormerEntries = std::map<std::string, Former<Config>, std::less<>>;
+
+  template <typename Config>
+  static void Inherit(const std::vector<Config>& current,
+                      const std::vector<Config>& before,
+                      std::uint64_t version_before,
+                      FormerEntries<Config>& former);
+
+  FormerEntries<QueueConfig> m_former_queues;
+  FormerEntries<ServiceConfig> m_former_services;
+  FormerEntries<CustomerConfig> m_former_customers;
   std::unordered_map<std::string, std::size_t> m_customer_of_key;
   std::map<std::string, std::size_t, std::less<>> m_queue_of_name;
   std::map<std::string, std::size_t, std::less<>> m_customer_of_name;
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -2,12 +2,14 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/base/enum_names.hpp"
 #include "cassiastile/jobs/arrival_meter.hpp"
+#include "cassiastile/jobs/fleet_config.hpp"
 #include "cassiastile/jobs/job_spec.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 
@@ -173,6 +175,21 @@
   std::uint32_t steps_done = 0;
 };
 
+// What the configuration said of a job's queue and customer when the job was
+// accepted. A leader goes by it if it has never seen a configuration with them.
+struct AcceptedTerms {
+  int priority = 0;
+  std::uint32_t max_attempts = 1;
+  double stretch = 1.0;
+  std::chrono::milliseconds slack{0};
+  std::optional<AdviceConfig> advice;
+  bool has_customer = false;
+  double weight = 1.0;
+  Resources limit;
+
+  friend bool operator==(const AcceptedTerms&, const AcceptedTerms&) = default;
+};
+
 // A job and its progress, as the scheduler keeps it.
 struct Job {
   std::string id;
@@ -180,6 +197,8 @@
   std::string service;
   std::string customer;  // Empty for jobs submitted without a key.
   JobSpec spec;
+  // Missing in records of older programs.
+  std::optional<AcceptedTerms> terms;
   base::TimePoint arrived_at{};  // When it was first submitted.
   // The same by the accepting leader's wall clock, since 1970; the next leader
   // derives the job's age from it. Wall clocks may jump: a wrong age affects
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -370,7 +370,13 @@
   // The known workers of a service, in the order of their ids.
   const std::vector<WorkerState*>& WorkersOf(const std::string& service) const;
   const std::string& ServiceOf(const Job& job) const;
+  // By the newest configuration that has the queue or the customer, or as they
+  // were when a job was accepted; null only if neither is known.
   const QueueConfig* QueueOf(const Job& job) const;
+  const CustomerConfig* CustomerOf(const std::string& name) const;
+  void RememberTerms(const Job& job);
+  // Fails jobs with a task that has failed as often as their queue allows now.
+  void FailExhaustedJobs(base::TimePoint now);
   bool IsBeyondShare(const std::string& customer, base::TimePoint now);
   AdmissionSnapshot& AdmissionSnapshotOf(const std::string& service,
                                          base::TimePoint now);
@@ -662,6 +668,12 @@
 
   SchedulerOptions m_options;
   std::shared_ptr<const FleetConfig> m_config;
+  // The terms of recovered jobs, by name of the queue and of the customer.
+  std::map<std::string, QueueConfig> m_accepted_queues;
+  std::map<std::string, CustomerConfig> m_accepted_customers;
+  // Unfinished jobs with failed runs that a new configuration may make fail.
+  std::set<std::string> m_jobs_with_failures;
+  bool m_config_is_new = false;
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   std::map<std::string, Job*> m_unfinished;
   std::map<std::string, Job*> m_repeating;  // Those of them that repeat.
--- a/src/cassiastile/host/config_watcher.cpp
+++ b/src/cassiastile/host/config_watcher.cpp
@@ -171,6 +171,9 @@
                                   {"source", source},
                                   {"queues", config->queues.size()},
                                   {"before", Version()}});
+  if (m_config != nullptr) {
+    config->InheritFrom(*m_config);
+  }
   m_config = std::make_shared<const jobs::FleetConfig>(std::move(*config));
   m_text = text;
   m_listener.on_config(m_config);
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -238,6 +238,30 @@
   EXPECT_EQ(world.ConfigsFromPeers(), 0U);
 }
 
+// Any host may become the leader of jobs whose queue the version in force
+// lacks.
+TEST(HostNodeTest, HostsKnowWhatFormerVersionsHad) {
+  VirtualWorld world;
+  world.RunFor(milliseconds(2000));
+  for (const std::size_t services : {std::size_t{1}, std::size_t{0}}) {
+    world.PublishNextConfig(services);
+    world.RunFor(milliseconds(2000));
+    for (std::size_t host = 0; host < 6; ++host) {
+      const auto config = world.ConfigOf(host);
+      ASSERT_NE(config, nullptr);
+      EXPECT_EQ(config->FindQueue("queue-1"), nullptr);
+      const jobs::QueueConfig* last = config->LastQueue("queue-1");
+      ASSERT_NE(last, nullptr);
+      EXPECT_EQ(last->max_attempts, 3U);
+      EXPECT_NE(config->LastService("service-1"), nullptr);
+    }
+  }
+  world.PublishNextConfig();
+  world.RunFor(milliseconds(2000));
+  EXPECT_NE(world.ConfigOf(0)->FindQueue("queue-1"), nullptr);
+  EXPECT_TRUE(world.ConfigOf(0)->FormerServices().empty());
+}
+
 // A key may have been withdrawn while the host was down. It takes no request
 // before it has a configuration, and the first one that it gets is the newest.
 TEST(HostNodeTest, RestartedHostStartsWithTheNewestConfiguration) {
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -521,6 +521,11 @@
     demand.arriving_work = load.arriving_work;
     demand.min_machines = load.min_workers;
   }
+  // A pool that a version lacks keeps its meaning: the machines of a spare pool
+  // are off.
+  for (const jobs::ServiceConfig& service : m_config->FormerServices()) {
+    pools[service.name].is_spare = service.is_spare;
+  }
   for (const jobs::ServiceConfig& service : m_config->services) {
     pools[service.name].is_spare = service.is_spare;
   }
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1368,14 +1368,23 @@
 }
 
 void VirtualWorld::PublishNextConfig() {
+  PublishNextConfig(m_options.services);
+}
+
+void VirtualWorld::PublishNextConfig(std::size_t services) {
   m_config_version += 2;
   RowTransaction transaction;
-  transaction.puts.push_back(
-      {kOperatorTable, "", "config",
-       fmt::format("{} {}", m_config_version, m_options.services), 0, false});
+  transaction.puts.push_back({kOperatorTable, "", "config",
+                              fmt::format("{} {}", m_config_version, services),
+                              0, false});
   Apply(transaction);
 }
 
+std::shared_ptr<const jobs::FleetConfig> VirtualWorld::ConfigOf(
+    std::size_t host) const {
+  return m_hosts[host]->node.GetConfigWatcher().Config();
+}
+
 void VirtualWorld::WriteRow(Row row) {
   RowTransaction transaction;
   transaction.puts.push_back(std::move(row));
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -166,6 +166,8 @@
   // Writes a configuration whose version is 2 higher than the last one's; the
   // first has version 2.
   void PublishNextConfig();
+  // The same with the first `services` only, and their queues.
+  void PublishNextConfig(std::size_t services);
   // Writes a row as another program might.
   void WriteRow(Row row);
   // Hands a host a message as a peer might; the host must be running.
@@ -202,6 +204,8 @@
   bool WaveIsDone(std::uint64_t wave) const;
   // Version that a host has in force; 0 if it is not running or has none.
   std::uint64_t ConfigVersionOf(std::size_t host) const;
+  // The configuration that a running host has in force; null if it has none.
+  std::shared_ptr<const jobs::FleetConfig> ConfigOf(std::size_t host) const;
   // Number of starts that workers refused for their fencing token.
   std::uint64_t FencedStarts() const { return m_fenced_starts; }
   std::uint64_t StoreCalls() const { return m_store_calls; }
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -78,6 +78,35 @@
   Visit(archive, job.spec);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, AcceptedTerms& terms) {
+  bool has_advice = terms.advice.has_value();
+  AdviceConfig advice = terms.advice.value_or(AdviceConfig{});
+  archive(terms.priority, terms.max_attempts, terms.stretch, has_advice);
+  Visit(archive, terms.slack);
+  Visit(archive, advice.decision);
+  Visit(archive, advice.period);
+  Visit(archive, advice.validity);
+  archive(terms.has_customer, terms.weight);
+  Visit(archive, terms.limit);
+  if (has_advice) {
+    terms.advice = advice;
+  }
+}
+
+bool IsPlausible(const AcceptedTerms& terms) {
+  const AdviceConfig advice = terms.advice.value_or(AdviceConfig{});
+  const auto is_time = [](std::chrono::milliseconds time) {
+    return time.count() >= 0 && time <= kMaxConfiguredTime;
+  };
+  const Resources& limit = terms.limit;
+  // Comparisons with a number that is none are false.
+  return terms.stretch >= 0 && terms.weight >= 0 && is_time(terms.slack) &&
+         is_time(advice.decision) && is_time(advice.period) &&
+         is_time(advice.validity) && limit.cpu >= 0 && limit.memory >= 0 &&
+         limit.gpus >= 0;
+}
+
 // A task in the stored progress of a job.
 struct TaskRow {
   std::uint32_t step = 0;
@@ -373,6 +402,11 @@
   cereal::PortableBinaryOutputArchive archive(out);
   // An output archive takes mutable references but does not change them.
   VisitRecord(archive, const_cast<Job&>(job));
+  // After what older programs read; they ignore it.
+  if (job.terms) {
+    AcceptedTerms terms = *job.terms;
+    Visit(archive, terms);
+  }
   return std::move(out).str();
 }
 
@@ -383,6 +417,13 @@
     Job job;
     job.id = id;
     VisitRecord(archive, job);
+    if (archive.HasMore()) {
+      AcceptedTerms terms;
+      Visit(archive, terms);
+      if (IsPlausible(terms)) {
+        job.terms = terms;
+      }
+    }
     if (const auto checked = CheckSpec(job.spec); !checked) {
       throw std::invalid_argument(checked.error().message);
     }
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -103,6 +103,32 @@
   return (step.count + together - 1) / together + 1;
 }
 
+AcceptedTerms TermsOf(const QueueConfig& queue,
+                      const CustomerConfig* customer) {
+  AcceptedTerms terms;
+  terms.priority = queue.priority;
+  terms.max_attempts = queue.max_attempts;
+  terms.stretch = queue.stretch;
+  terms.slack = queue.slack;
+  terms.advice = queue.advice;
+  terms.has_customer = customer != nullptr;
+  if (customer != nullptr) {
+    terms.weight = customer->weight;
+    terms.limit = customer->limit;
+  }
+  return terms;
+}
+
+bool HasFailures(const Job& job) {
+  return std::ranges::any_of(job.occurrences, [](const Occurrence& each) {
+    return std::ranges::any_of(each.steps, [](const StepState& step) {
+      return std::ranges::any_of(step.tasks, [](const Task& task) {
+        return !task.failed_runs.empty();
+      });
+    });
+  });
+}
+
 // Whether one of these workers is large enough; true if there are none.
 bool FitsSomeWorker(const StepSpec& step,
                     const std::vector<WorkerState*>& workers) {
@@ -138,10 +164,47 @@
 
 void Scheduler::ApplyConfig(std::shared_ptr<const FleetConfig> config) {
   m_config = std::move(config);
+  m_config_is_new = true;
 }
 
 const QueueConfig* Scheduler::QueueOf(const Job& job) const {
-  return m_config->FindQueue(job.queue);
+  if (const QueueConfig* queue = m_config->LastQueue(job.queue)) {
+    return queue;
+  }
+  const auto found = m_accepted_queues.find(job.queue);
+  return found == m_accepted_queues.end() ? nullptr : &found->second;
+}
+
+const CustomerConfig* Scheduler::CustomerOf(const std::string& name) const {
+  if (const CustomerConfig* customer = m_config->LastCustomer(name)) {
+    return customer;
+  }
+  const auto found = m_accepted_customers.find(name);
+  return found == m_accepted_customers.end() ? nullptr : &found->second;
+}
+
+void Scheduler::RememberTerms(const Job& job) {
+  if (!job.terms) {
+    return;
+  }
+  const AcceptedTerms& terms = *job.terms;
+  m_accepted_queues.try_emplace(job.queue,
+                                QueueConfig{.name = job.queue,
+                                            .host = "",
+                                            .path_prefix = "",
+                                            .service = job.service,
+                                            .priority = terms.priority,
+                                            .max_attempts = terms.max_attempts,
+                                            .stretch = terms.stretch,
+                                            .slack = terms.slack,
+                                            .advice = terms.advice});
+  if (terms.has_customer) {
+    m_accepted_customers.try_emplace(job.customer,
+                                     CustomerConfig{.name = job.customer,
+                                                    .weight = terms.weight,
+                                                    .limit = terms.limit,
+                                                    .keys = {}});
+  }
 }
 
 const std::string& Scheduler::ServiceOf(const Job& job) const {
@@ -202,8 +265,11 @@
     const auto age = std::clamp(Millis(wall) - job.arrived_wall,
                                 std::chrono::milliseconds(0), kMaxRecoveredAge);
     job.arrived_at = now - age;
-    if (const QueueConfig* queue = QueueOf(job)) {
-      SetObjective(job, *queue);
+    RememberTerms(job);
+    // Of a finished job only the phase is stored.
+    if (!job.spec.steps.empty()) {
+      const QueueConfig* queue = QueueOf(job);
+      SetObjective(job, queue == nullptr ? QueueConfig{} : *queue);
     }
     if (IsFinished(job.phase)) {
       job.finished_at = now;
@@ -240,6 +306,9 @@
     }
     if (!IsFinished(job.phase)) {
       AddUnfinished(job);
+      if (HasFailures(job)) {
+        m_jobs_with_failures.insert(job.id);
+      }
     }
     m_jobs.emplace(job.id, std::move(owned));
   }
@@ -253,7 +322,7 @@
 
 bool Scheduler::IsBeyondShare(const std::string& customer,
                               base::TimePoint now) {
-  const CustomerConfig* config = m_config->FindCustomer(customer);
+  const CustomerConfig* config = CustomerOf(customer);
   return config != nullptr &&
          m_customer_arrivals[customer].JobsPerSecond(now) > config->weight;
 }
@@ -315,7 +384,7 @@
   input.backlog = snapshot.backlog;
   input.pool = snapshot.pool;
   input.growth = snapshot.growth;
-  if (const CustomerConfig* customer = m_config->FindCustomer(job.customer)) {
+  if (const CustomerConfig* customer = CustomerOf(job.customer)) {
     input.share = ShareOf(snapshot, job.customer, customer->weight);
   }
   const StepSpec& first = job.spec.steps.front();
@@ -345,6 +414,7 @@
   job.service = queue.service;
   job.customer = customer;
   job.spec = std::move(spec);
+  job.terms = TermsOf(queue, CustomerOf(customer));
   job.arrived_at = m_first_arrivals.RecordArrival(id, now);
   job.arrived_wall =
       Millis(wall) - std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -522,6 +592,7 @@
 void Scheduler::RemoveUnfinished(const std::string& id) {
   m_unfinished.erase(id);
   m_repeating.erase(id);
+  m_jobs_with_failures.erase(id);
 }
 
 void Scheduler::Finish(Job& job, JobPhase phase, base::TimePoint now) {
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -110,6 +110,20 @@
   m_scheduler->ListConfirmed(Now());
 }
 
+void SchedulerBench::Configure(
+    const std::function<void(FleetConfig&)>& change) {
+  FleetConfig next;
+  next.version = m_config->version + 1;
+  next.queues = m_config->queues;
+  next.services = m_config->services;
+  next.customers = m_config->customers;
+  change(next);
+  next.BuildIndex();
+  next.InheritFrom(*m_config);
+  m_config = std::make_shared<FleetConfig>(std::move(next));
+  m_scheduler->ApplyConfig(m_config);
+}
+
 void SchedulerBench::SetCustomers(const std::vector<std::string>& names) {
   m_config->customers.clear();
   for (const std::string& name : names) {
@@ -225,10 +239,16 @@
 
 SchedulerBench SchedulerBench::Successor(
     std::chrono::milliseconds silent_for) const {
+  return Successor(silent_for, m_config);
+}
+
+SchedulerBench SchedulerBench::Successor(
+    std::chrono::milliseconds silent_for,
+    std::shared_ptr<FleetConfig> config) const {
   SchedulerBench bench(m_max_attempts, m_options);
   bench.m_clock = m_clock;
-  bench.m_config = m_config;
-  bench.m_scheduler->ApplyConfig(m_config);
+  bench.m_config = std::move(config);
+  bench.m_scheduler->ApplyConfig(bench.m_config);
   bench.m_entries = m_entries;
   bench.m_running = m_running;
   bench.m_ended = m_ended;
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +32,8 @@
   void SetDraining(const std::string& id);
   void SetZone(const std::string& id, const std::string& zone);
   void SetCapacity(const std::string& id, const Resources& capacity);
+  // Puts a new version in force: the one before it with a change.
+  void Configure(const std::function<void(FleetConfig&)>& change);
   // Replaces the customers by some of equal weight.
   void SetCustomers(const std::vector<std::string>& names);
   Submission Submit(const std::string& id,
@@ -54,6 +57,9 @@
   // A bench whose scheduler has taken over from this one. Runs on workers that
   // do not report count as alive for `silent_for`.
   SchedulerBench Successor(std::chrono::milliseconds silent_for) const;
+  // The same with a host that has never seen a configuration before this one.
+  SchedulerBench Successor(std::chrono::milliseconds silent_for,
+                           std::shared_ptr<FleetConfig> config) const;
   void Advance(std::chrono::milliseconds by) { m_clock.Advance(by); }
   base::TimePoint Now() const { return m_clock.Now(); }
   Scheduler& GetScheduler() { return *m_scheduler; }
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -212,7 +212,7 @@
 }
 
 bool Scheduler::IsWithinLimit(const Job& job, const Resources& need) const {
-  const CustomerConfig* customer = m_config->FindCustomer(job.customer);
+  const CustomerConfig* customer = CustomerOf(job.customer);
   if (customer == nullptr) {
     return true;
   }
@@ -254,6 +254,7 @@
     SuperviseRuns(now);
   }
   BeginDueOccurrences(wall);
+  FailExhaustedJobs(now);
   if (!IsListCurrent(now) || !m_evacuations.IsCurrent(now)) {
     return;
   }
@@ -381,6 +382,10 @@
                           std::vector<WorkerState*>& workers,
                           base::TimePoint now) {
   const QueueConfig* queue = QueueOf(job);
+  if (queue == nullptr && m_jobs_with_failures.contains(job.id)) {
+    // How often its tasks may fail is known when the queue is back.
+    return;
+  }
   const Advice* advice = nullptr;
   if (queue != nullptr && queue->advice) {
     advice = AdviceFor(job, occurrence, step_number, workers, now);
@@ -536,8 +541,8 @@
     return true;
   }
   const WorkerEntry& entry = found->second.entry;
-  const ServiceConfig* service = m_config->FindService(entry.service);
-  const bool guards = service == nullptr || service->workers_guard_capacity;
+  const ServiceConfig* service = m_config->LastService(entry.service);
+  const bool guards = service != nullptr && service->workers_guard_capacity;
   const bool would_refuse =
       guards && !Fits(CapacityNeed(SpecOf(ref)), entry.capacity);
   return entry.draining || found->second.cordoned || would_refuse ||
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -1,5 +1,6 @@
 // State changes of runs: reports of workers, answers to orders, expiry.
 #include <algorithm>
+#include <utility>
 
 #include "cassiastile/jobs/scheduler.hpp"
 
@@ -466,13 +467,40 @@
     return;
   }
   task.failed_runs.push_back(run);
+  m_jobs_with_failures.insert(job.id);
   const QueueConfig* queue = QueueOf(job);
-  const std::uint32_t attempts = queue == nullptr ? 1 : queue->max_attempts;
-  if (task.failed_runs.size() >= attempts) {
+  if (queue != nullptr && task.failed_runs.size() >= queue->max_attempts) {
     Finish(job, JobPhase::kFailed, now);
   }
 }
 
+void Scheduler::FailExhaustedJobs(base::TimePoint now) {
+  if (!std::exchange(m_config_is_new, false)) {
+    return;
+  }
+  const auto ids = m_jobs_with_failures;
+  for (const std::string& id : ids) {
+    Job& job = *m_jobs.at(id);
+    const QueueConfig* queue = QueueOf(job);
+    if (queue == nullptr) {
+      continue;
+    }
+    bool exhausted = false;
+    for (const Occurrence& occurrence : job.occurrences) {
+      for (const StepState& step : occurrence.steps) {
+        exhausted = exhausted ||
+                    std::ranges::any_of(step.tasks, [queue](const Task& t) {
+                      return !t.done && !t.failed_runs.empty() &&
+                             t.failed_runs.size() >= queue->max_attempts;
+                    });
+      }
+    }
+    if (exhausted) {
+      Finish(job, JobPhase::kFailed, now);
+    }
+  }
+}
+
 void Scheduler::StartAnswered(const WorkerId& id,
                               const TaskId& task,
                               std::uint32_t number,
--- a/src/cassiastile/jobs/scheduler_shares.cpp
+++ b/src/cassiastile/jobs/scheduler_shares.cpp
@@ -59,8 +59,7 @@
       continue;
     }
     CustomerDemand& demand = demands[job->customer];
-    if (const CustomerConfig* customer =
-            m_config->FindCustomer(job->customer)) {
+    if (const CustomerConfig* customer = CustomerOf(job->customer)) {
       demand.weight = customer->weight;
     }
     demand.running += running;
