Follow no worker of a service that no configuration has

Cause: nothing asked whether a service is named; only placement, by its name, left such workers out.

Change: the scheduler gets the entries of services that this or a former version names, also as that of a queue, and of workers that hold runs. A new version lists all workers anew.

MalformedInputTest.WorkerOfAnUnknownServiceIsNotCalled fails without the condition; WorkersOfAServiceThatIsTakenOutAreKept guards the other side.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -152,6 +152,10 @@
   void ReadWorkers();
   void FeedWorkers();
   void ApplyWorkerRows(const std::vector<Row>& rows);
+  // Hands the scheduler the entries of all workers whose service a
+  // configuration has named, or that hold runs. Others name no worker to use.
+  void ListWorkers();
+  bool HoldsRuns(const std::string& worker) const;
   std::vector<jobs::Job> DecodeRecovered();
   void StartServing();
   void RequestPlan();
--- a/include/cassiastile/jobs/fleet_config.hpp
+++ b/include/cassiastile/jobs/fleet_config.hpp
@@ -84,6 +84,9 @@
   const QueueConfig* LastQueue(std::string_view name) const;
   const ServiceConfig* LastService(std::string_view name) const;
   const CustomerConfig* LastCustomer(std::string_view name) const;
+  // Whether this or a former version names the service, by itself or as the one
+  // of a queue.
+  bool IsServiceKnown(std::string_view name) const;
   // Services that only former versions had.
   std::vector<ServiceConfig> FormerServices() const;
 
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -271,6 +271,10 @@
       }
       continue;
     }
+    if (!m_config->IsServiceKnown(entry->service)) {
+      m_odd_workers.LeftOut(row.table, row.key,
+                            "no configuration has its service");
+    }
     const auto known = m_worker_entries.find(row.key);
     if (known == m_worker_entries.end() || known->second.id != entry->id ||
         known->second.draining != entry->draining) {
@@ -287,19 +291,31 @@
     }
   }
   const base::TimePoint now = m_loop.GetClock().Now();
-  if (!is_changed && m_serving && now - m_workers_listed_at < kListInterval) {
-    return;
+  if (is_changed || !m_serving || now - m_workers_listed_at >= kListInterval) {
+    ListWorkers();
   }
+}
+
+void Dispatcher::ListWorkers() {
+  const base::TimePoint now = m_loop.GetClock().Now();
   m_workers_listed_at = now;
   std::vector<jobs::WorkerEntry> entries;
   entries.reserve(m_worker_entries.size());
   for (const auto& [id, entry] : m_worker_entries) {
-    entries.push_back(entry);
+    if (m_config->IsServiceKnown(entry.service) || HoldsRuns(id)) {
+      entries.push_back(entry);
+    }
   }
   m_scheduler.WorkersListed(entries, now);
   RequestPlan();
 }
 
+bool Dispatcher::HoldsRuns(const std::string& worker) const {
+  const auto found = m_scheduler.Workers().find(worker);
+  return found != m_scheduler.Workers().end() &&
+         !(found->second.runs.empty() && found->second.withdrawn.empty());
+}
+
 std::vector<jobs::Job> Dispatcher::DecodeRecovered() {
   std::vector<jobs::Job> recovered;
   for (const auto& [id, rows] : m_recovered) {
@@ -350,7 +366,10 @@
   m_config = std::move(config);
   m_scheduler.ApplyConfig(m_config);
   m_machine_controller.ApplyConfig(m_config);
-  RequestPlan();
+  if (m_serving) {
+    // The version may be the first to name the service of a worker.
+    ListWorkers();
+  }
 }
 
 void Dispatcher::ApplyWaves(const std::map<std::uint64_t, WaveRequest>& waves) {
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -185,6 +185,40 @@
   EXPECT_NE(world.Log().find("office.bad_row"), std::string::npos);
 }
 
+// An entry of another writer whose service no configuration has: it names no
+// worker to use, and was called all the same. It is followed once a version has
+// the service.
+TEST(MalformedInputTest, WorkerOfAnUnknownServiceIsNotCalled) {
+  VirtualWorld world({.seed = 47, .keep_log = true});
+  world.RunFor(std::chrono::milliseconds(2000));
+  world.WriteRow(
+      {"workers", "", "odd", "1 service-2 machine-x 16 0 zone-0", 0, false});
+  world.RunFor(std::chrono::milliseconds(2000));
+  EXPECT_EQ(world.LeaderScheduler().Workers().count("odd"), 0U);
+  EXPECT_NE(world.Log().find("no configuration has its service"),
+            std::string::npos);
+  world.PublishNextConfig(3);
+  world.RunFor(std::chrono::milliseconds(2000));
+  EXPECT_EQ(world.LeaderScheduler().Workers().count("odd"), 1U);
+}
+
+// Workers of a service that a version lacks for a moment stay known, with what
+// runs there.
+TEST(MalformedInputTest, WorkersOfAServiceThatIsTakenOutAreKept) {
+  VirtualWorld world({.seed = 47});
+  world.RunFor(std::chrono::milliseconds(2000));
+  const std::string job =
+      world.Submit(1, 2, 4, std::chrono::milliseconds(3000));
+  world.RunFor(std::chrono::milliseconds(1000));
+  const std::size_t workers = world.LeaderScheduler().Workers().size();
+  world.PublishNextConfig(1);
+  world.RunFor(std::chrono::milliseconds(2000));
+  EXPECT_EQ(world.LeaderScheduler().Workers().size(), workers);
+  world.RunFor(std::chrono::milliseconds(8000));
+  EXPECT_EQ(world.CountDoneTasks(job), 8U);
+  EXPECT_EQ(world.Violations(), std::vector<std::string>{});
+}
+
 // A peer that names an address that is none, for itself or for the leader: its
 // message counts for nothing, and no host calls it.
 TEST(MalformedInputTest, GossipWithAnOddAddressIsLeftOut) {
--- a/src/cassiastile/jobs/fleet_config.cpp
+++ b/src/cassiastile/jobs/fleet_config.cpp
@@ -69,6 +69,15 @@
   return FindLast(FindCustomer(name), m_former_customers, name);
 }
 
+bool FleetConfig::IsServiceKnown(std::string_view name) const {
+  return LastService(name) != nullptr ||
+         std::ranges::find(queues, name, &QueueConfig::service) !=
+             queues.end() ||
+         std::ranges::any_of(m_former_queues, [name](const auto& entry) {
+           return entry.second.config.service == name;
+         });
+}
+
 std::vector<ServiceConfig> FleetConfig::FormerServices() const {
   std::vector<ServiceConfig> services;
   services.reserve(m_former_services.size());
