--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -94,7 +94,7 @@
         m_machines(*m_client,
                    m_settings.machines_endpoint.Text(),
                    ReportOddEntries()),
-        m_advice(*m_client, m_settings.advice_endpoint),
+        m_advice(*m_client, m_settings.advice_endpoint, ReportOddEntries()),
         m_peers(*m_client),
         m_node(MakeDependencies(m_table, m_workers, m_machines, m_advice),
                m_peers,
