Tell unasked starts and unasked ends apart in the soak

The users saw UNASKED and FAULT on real processes, without logs. The soak could not have said which: its checker looked at no checkpoint, no task number and no time after a cancel, its processes' standard error was in their logs, and an end by a signal after SIGTERM counted as a planned stop.

Change: each kind of unasked start has its own violation, with worker, run and the last events of the job; a start or run more than 3 s (0.2 s more) after an acknowledged cancel, with hosts in touch, is one; any end of a process that the soak didn't cause is one, with status or signal, standard error and last log lines. Configurations lack a service and its queue for 0.7 s now and then.

UNASKED is not reproduced and stays open.

--- a/include/cassiastile/soak/host_process.hpp
+++ b/include/cassiastile/soak/host_process.hpp
@@ -19,10 +19,12 @@
   HostProcess& operator=(const HostProcess&) = delete;
 
   // Starts `program` with the settings file `settings`, and appends its output
-  // to the file `output`. Fails with kUnavailable if it can't be started.
+  // to the file `output` and its standard error to `errors`. Fails with
+  // kUnavailable if it can't be started.
   base::Result<void> Start(const std::string& program,
                            const std::string& settings,
-                           const std::string& output);
+                           const std::string& output,
+                           const std::string& errors);
   // Does nothing if the process is not running.
   void Signal(int signal) const;
   bool IsRunning() const { return m_pid > 0; }
--- a/src/cassiastile/sim/invariant_checker.cpp
+++ b/src/cassiastile/sim/invariant_checker.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace cassiastile::sim {
 
@@ -14,8 +15,82 @@
                      task.index);
 }
 
+// Enough to see what led to a start: a task is tried a few times at most.
+constexpr std::size_t kMaxHistory = 12;
+
 }  // namespace
 
+InvariantChecker::InvariantChecker(const base::Clock* clock) : m_clock(clock) {
+  if (m_clock != nullptr) {
+    m_begin = m_clock->Now();
+  }
+}
+
+void InvariantChecker::Record(const std::string& job, std::string event) {
+  const auto found = m_job_states.find(job);
+  if (m_clock == nullptr || found == m_job_states.end()) {
+    return;
+  }
+  std::deque<std::string>& history = found->second.history;
+  history.push_back(fmt::format("{} ms {}",
+                                base::Milliseconds(m_clock->Now() - m_begin),
+                                std::move(event)));
+  if (history.size() > kMaxHistory) {
+    history.pop_front();
+  }
+}
+
+std::string InvariantChecker::HistoryOf(const std::string& job) const {
+  const auto found = m_job_states.find(job);
+  return found == m_job_states.end()
+             ? ""
+             : fmt::format("{}", fmt::join(found->second.history, "; "));
+}
+
+base::TimePoint InvariantChecker::LastStartOf(const std::string& job) const {
+  const auto found = m_job_states.find(job);
+  return found == m_job_states.end() ? base::TimePoint{}
+                                     : found->second.last_start;
+}
+
+void InvariantChecker::AddViolationOf(const std::string& job,
+                                      std::string what) {
+  const std::string history = HistoryOf(job);
+  AddViolation(history.empty() ? std::move(what)
+                               : fmt::format("{} [{}]", what, history));
+}
+
+bool InvariantChecker::IsAskedFor(const jobs::WorkerId& worker,
+                                  const jobs::StartOrder& order) {
+  const jobs::TaskId& task = order.task;
+  const auto found = m_job_states.find(task.job);
+  const std::string what = fmt::format("run {} of task {} on {}", order.run,
+                                       FormatTask(task), worker.id);
+  if (found == m_job_states.end()) {
+    AddViolation(fmt::format("unasked: {}, which nobody submitted", what));
+    return false;
+  }
+  const jobs::JobSpec& spec = found->second.spec;
+  if (task.occurrence >= spec.Occurrences() || task.step >= spec.steps.size() ||
+      task.index >= spec.steps[task.step].count) {
+    AddViolationOf(task.job,
+                   fmt::format("unasked: {}, which its job hasn't", what));
+    return false;
+  }
+  if (spec.payload != order.payload) {
+    AddViolationOf(task.job,
+                   fmt::format("unasked: {} with another payload", what));
+    return false;
+  }
+  // The workers of this simulation make no checkpoints.
+  if (!order.checkpoint.empty()) {
+    AddViolationOf(
+        task.job,
+        fmt::format("unasked: {} with a checkpoint that isn't its own", what));
+  }
+  return true;
+}
+
 void InvariantChecker::JobSubmitted(const std::string& job,
                                     jobs::JobSpec spec) {
   m_job_states[job].spec = std::move(spec);
@@ -32,6 +107,7 @@
 
 void InvariantChecker::CancelAcknowledged(const std::string& job) {
   m_job_states[job].accepted = false;
+  Record(job, "cancel acknowledged");
 }
 
 void InvariantChecker::PhaseReported(const std::string& job,
@@ -70,35 +146,42 @@
 void InvariantChecker::RunStarted(const jobs::WorkerId& worker,
                                   const jobs::StartOrder& order) {
   const jobs::TaskId& task = order.task;
-  const auto found = m_job_states.find(task.job);
-  if (found == m_job_states.end() ||
-      found->second.spec.payload != order.payload) {
-    AddViolation(fmt::format("task {} was never submitted", FormatTask(task)));
+  Record(task.job,
+         fmt::format("start of {} run {} on {} born {}", FormatTask(task),
+                     order.run, worker.id, worker.incarnation_ms));
+  if (!IsAskedFor(worker, order)) {
     return;
   }
-  JobState& state = found->second;
+  JobState& state = m_job_states.at(task.job);
+  if (m_clock != nullptr) {
+    state.last_start = m_clock->Now();
+  }
   if (state.refused) {
-    AddViolation(fmt::format("task {} runs though its job was refused",
-                             FormatTask(task)));
+    AddViolationOf(task.job,
+                   fmt::format("task {} runs though its job was refused",
+                               FormatTask(task)));
   }
   for (const std::uint32_t before : state.spec.steps[task.step].after) {
     if (!IsStepDone(state, task, before)) {
-      AddViolation(fmt::format("task {} runs before step {} is done",
-                               FormatTask(task), before));
+      AddViolationOf(task.job,
+                     fmt::format("task {} runs before step {} is done",
+                                 FormatTask(task), before));
     }
   }
   std::vector<std::string>& running = state.running[task];
   if (!running.empty()) {
-    AddViolation(fmt::format("task {} runs twice: on {} and {}",
-                             FormatTask(task), running.front(), worker.id));
+    AddViolationOf(task.job,
+                   fmt::format("task {} runs twice: on {} and {}",
+                               FormatTask(task), running.front(), worker.id));
   }
   running.push_back(worker.id);
   for (auto& [done, followed] : state.done_runs) {
     followed = followed || done.first == task;
   }
   if (m_acknowledged.contains(task)) {
-    AddViolation(fmt::format("task {} started after its end was acknowledged",
-                             FormatTask(task)));
+    AddViolationOf(task.job,
+                   fmt::format("task {} started after its end was acknowledged",
+                               FormatTask(task)));
   }
 }
 
@@ -110,6 +193,9 @@
   if (found == m_job_states.end()) {
     return;
   }
+  Record(task.job,
+         fmt::format("end of {} run {} on {}: {}", FormatTask(task), run,
+                     worker.id, base::FindName(jobs::kRunEndNames, how)));
   std::erase(found->second.running[task], worker.id);
   if (how == jobs::RunEnd::kDone) {
     found->second.done.insert(task);
@@ -124,7 +210,8 @@
   const auto& done = m_job_states[task.job].done_runs;
   const auto found = done.find(std::pair(task, run));
   if (lease_held && found != done.end() && found->second) {
-    AddViolation(
+    AddViolationOf(
+        task.job,
         fmt::format("task {} started after an end that was acknowledged later",
                     FormatTask(task)));
   }
--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -27,6 +27,12 @@
 // A host that has just stopped being the leader may still answer for a moment
 // that it doesn't know a job.
 constexpr int kMaxNoSuchJobAnswers = 3;
+// After a disruption this long, hosts are in touch again; nothing of a
+// cancelled job starts this long after the acknowledgement, and its tasks stop
+// in kStopTime more.
+constexpr milliseconds kContact{3000};
+constexpr milliseconds kCancelTime{3000};
+constexpr milliseconds kStopTime{200};
 // Every host knows an accepted job after this time.
 constexpr milliseconds kVisibilityDelay{3000};
 
@@ -141,9 +147,12 @@
   const bool cut = !outcome && !outcome.error().timed_out &&
                    outcome.error().state == wire::SendState::kMaybeSent;
   if (cut && m_fleet.HasOnlyPlannedStops(host)) {
-    m_fleet.Checker().AddViolation(
-        fmt::format("host-{} cut off a request during a planned stop: {}", host,
-                    outcome.error().message));
+    m_fleet.Checker().AddViolation(fmt::format(
+        "host-{} cut off a request during a planned stop: {}; "
+        "sent {} ms ago, the process last ended {} ms ago",
+        host, outcome.error().message,
+        base::Milliseconds(m_loop.GetClock().Now() - sent_at),
+        base::Milliseconds(m_loop.GetClock().Now() - m_fleet.EndedAt(host))));
   }
 }
 
@@ -210,7 +219,9 @@
                            const wire::HttpOutcome& outcome) {
         CheckCutRequest(host, sent_at, outcome);
         if (outcome && outcome->status == kOk) {
-          m_jobs.at(id).known_state = KnownState::kCancelled;
+          Job& job = m_jobs.at(id);
+          job.known_state = KnownState::kCancelled;
+          job.cancelled_at = m_loop.GetClock().Now();
           m_fleet.Checker().CancelAcknowledged(id);
           return;
         }
@@ -271,6 +282,31 @@
   });
 }
 
+void Callers::CheckCancelled() {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  const base::TimePoint calm_from = m_fleet.CalmSince() + kContact;
+  for (auto& [id, job] : m_jobs) {
+    if (job.known_state != KnownState::kCancelled || job.is_reported) {
+      continue;
+    }
+    sim::InvariantChecker& checker = m_fleet.Checker();
+    const base::TimePoint settled =
+        std::max(job.cancelled_at, calm_from) + kCancelTime;
+    const base::TimePoint started = checker.LastStartOf(id);
+    const bool runs_on = now > settled + kStopTime && checker.CountRuns(id) > 0;
+    if (started > settled || runs_on) {
+      job.is_reported = true;
+      checker.AddViolation(fmt::format(
+          "unasked: {} {} ms after the cancel of job {} was acknowledged and "
+          "{} ms after the last disruption [{}]",
+          runs_on ? "a task runs" : "a task started",
+          base::Milliseconds((runs_on ? now : started) - job.cancelled_at), id,
+          base::Milliseconds((runs_on ? now : started) - m_fleet.CalmSince()),
+          checker.HistoryOf(id)));
+    }
+  }
+}
+
 void Callers::CheckOutcomes() {
   for (const auto& [id, job] : m_jobs) {
     sim::InvariantChecker& checker = m_fleet.Checker();
--- a/src/cassiastile/soak/callers.hpp
+++ b/src/cassiastile/soak/callers.hpp
@@ -29,6 +29,10 @@
   bool IsSettled() const;
   // Reports a violation for each job that is not settled.
   void CheckOutcomes();
+  // Reports a violation, once, for each cancelled job of which a task starts or
+  // runs on too long after the cancel was acknowledged, with no disruption
+  // since. To be called every 100 ms or so.
+  void CheckCancelled();
   // Adds the numbers of jobs to the result.
   void AddCounts(SoakResult& result) const;
 
@@ -53,6 +57,8 @@
     int attempts = 0;
     int no_such_job_answers = 0;  // Consecutive.
     base::TimePoint accepted_at{};
+    base::TimePoint cancelled_at{};
+    bool is_reported = false;  // By CheckCancelled.
   };
 
   void SubmitJob();
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -1,7 +1,9 @@
 #include "fleet.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 
 #include <sys/wait.h>
 #include <unistd.h>
@@ -73,6 +75,20 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
+// The end of a file, on one line.
+std::string LastBytes(const std::string& path) {
+  constexpr std::streamoff kBytes = 600;
+  std::ifstream file(path, std::ios::binary | std::ios::ate);
+  const std::streamoff size = file.tellg();
+  if (size <= 0) {
+    return "none";
+  }
+  file.seekg(std::max<std::streamoff>(0, size - kBytes));
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  std::ranges::replace(text, '\n', ' ');
+  return text;
+}
+
 }  // namespace
 
 std::string ServiceName(std::size_t index) {
@@ -82,7 +98,10 @@
 Fleet::Fleet(asio::io_context& context,
              host::Loop& loop,
              const SoakOptions& options)
-    : m_context(context), m_loop(loop), m_options(options) {}
+    : m_context(context),
+      m_loop(loop),
+      m_options(options),
+      m_checker(&loop.GetClock()) {}
 
 Fleet::~Fleet() = default;
 
@@ -204,6 +223,7 @@
     host->zone = ZoneName(i);
     host->settings_path = m_options.folder + "/" + host->name + ".json";
     host->log_path = m_options.folder + "/" + host->name + ".log";
+    host->error_path = m_options.folder + "/" + host->name + ".err";
     host->peer_port = ports[kPortsPerHost * i];
     host->metrics_port = ports[kPortsPerHost * i + 1];
     host->client_port = ports[kPortsPerHost * i + 2];
@@ -250,11 +270,13 @@
 }
 
 void Fleet::StartProcess(Host& host) {
-  host.exit_expected = false;
+  host.was_killed = false;
+  host.was_stopped = false;
   host.paused = false;
   ++m_process_starts;
-  const auto started = host.process.Start(m_options.host_program,
-                                          host.settings_path, host.log_path);
+  const auto started =
+      host.process.Start(m_options.host_program, host.settings_path,
+                         host.log_path, host.error_path);
   if (!started) {
     m_checker.AddViolation(started.error().message);
   }
@@ -266,14 +288,8 @@
     if (!end) {
       continue;
     }
-    if (!host->exit_expected) {
-      m_checker.AddViolation(fmt::format(
-          "{} ended unexpectedly, wait status {}", host->name, *end));
-    }
-    if (WIFEXITED(*end) && WEXITSTATUS(*end) != 0) {
-      m_checker.AddViolation(fmt::format("{} ended with exit code {}",
-                                         host->name, WEXITSTATUS(*end)));
-    }
+    host->ended_at = m_loop.GetClock().Now();
+    CheckEnd(*host, *end);
     if (!m_shutting_down) {
       After(kRestartDelay, [this, host = host.get()] {
         if (!m_shutting_down && !host->process.IsRunning()) {
@@ -285,11 +301,34 @@
   After(kProcessCheckInterval, [this] { WatchProcesses(); });
 }
 
-void Fleet::WriteConfig() {
+void Fleet::CheckEnd(const Host& host, int status) {
+  const bool killed =
+      host.was_killed && WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+  // A process that has just started ends by the signal itself.
+  const bool stopped =
+      host.was_stopped && (WIFEXITED(status) ? WEXITSTATUS(status) == 0
+                                             : WTERMSIG(status) == SIGTERM);
+  if (killed || stopped) {
+    return;
+  }
+  m_checker.AddViolation(fmt::format(
+      "{} ended by itself, {}; standard error: {}; log: {}", host.name,
+      WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
+                          : fmt::format("exit status {}", WEXITSTATUS(status)),
+      LastBytes(host.error_path), LastBytes(host.log_path)));
+}
+
+void Fleet::WriteConfigWithGap() {
+  constexpr milliseconds kGap{700};
+  WriteConfig(kServices - 1);
+  After(kGap, [this] { WriteConfig(); });
+}
+
+void Fleet::WriteConfig(std::size_t services) {
   m_config_version += 3;
   jobs::FleetConfig config;
   config.version = m_config_version;
-  for (std::size_t i = 0; i < kServices; ++i) {
+  for (std::size_t i = 0; i < services; ++i) {
     config.queues.push_back({.name = "queue-" + std::to_string(i),
                              .host = "127.0.0.1",
                              .path_prefix = fmt::format("/q{}/", i),
@@ -440,6 +479,10 @@
 }
 
 void Fleet::Apply(const Fault& fault) {
+  const bool delays_orders = fault.kind == FaultKind::kDelayStarts;
+  m_calm_since = std::max(m_calm_since,
+                          m_loop.GetClock().Now() + fault.active_for +
+                              (delays_orders ? kMaxOrderDelay : kRestartDelay));
   Host& host = *m_hosts[fault.target % m_hosts.size()];
   switch (fault.place) {
     case Place::kHost:
@@ -471,6 +514,8 @@
         RequestWave();
       } else if (fault.kind == FaultKind::kEvacuate) {
         EvacuateZone(fault);
+      } else if (m_config_version % 2 == 0) {
+        WriteConfigWithGap();
       } else {
         WriteConfig();
       }
@@ -483,12 +528,12 @@
   switch (fault.kind) {
     case FaultKind::kKill:
       host.last_fault_at = now;
-      host.exit_expected = true;
+      host.was_killed = true;
       host.process.Signal(SIGKILL);
       return;
     case FaultKind::kStop:
       host.stopped_at = now;
-      host.exit_expected = true;
+      host.was_stopped = true;
       host.process.Signal(SIGTERM);
       return;
     case FaultKind::kPause:
@@ -567,7 +612,7 @@
 void Fleet::Stop() {
   m_shutting_down = true;
   for (const auto& host : m_hosts) {
-    host->exit_expected = true;
+    host->was_stopped = true;
     host->process.Signal(SIGCONT);
     host->process.Signal(SIGTERM);
   }
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -42,9 +42,16 @@
 
   std::size_t HostCount() const { return m_hosts.size(); }
   std::string CallersEndpoint(std::size_t host) const;
+  // When the host's process last ended; zero if it never has.
+  base::TimePoint EndedAt(std::size_t host) const {
+    return m_hosts[host]->ended_at;
+  }
   // Whether the host had a planned stop (SIGTERM) and no other fault within the
   // last 4 s, for which a fault has effects.
   bool HasOnlyPlannedStops(std::size_t host) const;
+  // Since when nothing has been disrupted; lies in the future while something
+  // is.
+  base::TimePoint CalmSince() const { return m_calm_since; }
   sim::InvariantChecker& Checker() { return m_checker; }
   std::size_t ProcessStarts() const { return m_process_starts; }
 
@@ -54,6 +61,7 @@
     std::string zone;
     std::string settings_path;
     std::string log_path;
+    std::string error_path;
     std::uint16_t peer_port = 0;
     std::uint16_t metrics_port = 0;
     std::uint16_t client_port = 0;
@@ -61,10 +69,13 @@
     std::unique_ptr<LoopbackProxy> callers;
     std::unique_ptr<LoopbackProxy> table;
     HostProcess process;
-    bool exit_expected = false;
+    // What this program has done that may end the process.
+    bool was_killed = false;
+    bool was_stopped = false;
     bool paused = false;
     int reloads = 0;
     base::TimePoint stopped_at{};
+    base::TimePoint ended_at{};
     // End of the last fault other than a planned stop; may lie in the future.
     base::TimePoint last_fault_at{};
   };
@@ -91,7 +102,14 @@
   void WriteSettings(const Host& host) const;
   void StartProcess(Host& host);
   void WatchProcesses();
-  void WriteConfig();
+  // Adds a violation for an end of a process that this program didn't cause, or
+  // that isn't what a planned stop looks like.
+  void CheckEnd(const Host& host, int status);
+  // A planned change of the configuration, which lacks a service and its queue
+  // for a moment.
+  void WriteConfigWithGap();
+  // The version has the first `services` only, and their queues.
+  void WriteConfig(std::size_t services = kServices);
   // Writes entries into the list of workers that name no worker to use, as
   // another writer might.
   void WriteOddEntries();
@@ -123,6 +141,7 @@
   std::unique_ptr<adapter::MachineServer> m_machine_server;
   std::vector<std::unique_ptr<Machine>> m_machines;
   std::vector<std::unique_ptr<Host>> m_hosts;
+  base::TimePoint m_calm_since{};
   std::uint64_t m_config_version = 0;
   std::uint64_t m_wave = 0;
   std::map<std::string, base::TimePoint> m_evacuated_since;  // By zone.
--- a/src/cassiastile/soak/host_process.cpp
+++ b/src/cassiastile/soak/host_process.cpp
@@ -20,13 +20,15 @@
 
 base::Result<void> HostProcess::Start(const std::string& program,
                                       const std::string& settings,
-                                      const std::string& output) {
+                                      const std::string& output,
+                                      const std::string& errors) {
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   constexpr mode_t kLogFileMode = 0644;
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
   std::string name = program;
   std::string option = "--settings";
   std::string path = settings;
--- a/src/cassiastile/soak/soak.cpp
+++ b/src/cassiastile/soak/soak.cpp
@@ -54,6 +54,7 @@
  private:
   void Begin() {
     m_callers->Begin();
+    CheckCancelled();
     for (const Fault& fault : m_plan) {
       m_loop.After(fault.at, [this, fault] { m_fleet->Apply(fault); });
     }
@@ -65,6 +66,11 @@
     });
   }
 
+  void CheckCancelled() {
+    m_callers->CheckCancelled();
+    m_loop.After(kCheckInterval, [this] { CheckCancelled(); });
+  }
+
   void AwaitSettled() {
     if (!m_callers->IsSettled() && m_clock.Now() < m_settle_deadline) {
       m_loop.After(kCheckInterval, [this] { AwaitSettled(); });
--- a/src/cassiastile/soak/soak_test.cpp
+++ b/src/cassiastile/soak/soak_test.cpp
@@ -33,6 +33,29 @@
   EXPECT_THAT(read.error().message, testing::HasSubstr("line 2"));
 }
 
+// A process that ends by itself is a finding, with how it ended and what it
+// said last.
+TEST(HostProcessTest, EndThatNobodyCausedIsReported) {
+  SoakOptions options;
+  options.plan.hosts = 1;
+  options.plan.workers = 2;
+  options.plan.duration = milliseconds(300);
+  options.settle_timeout = milliseconds(100);
+  options.folder =
+      testing::TempDir() + "cassia-soak-end-" +
+      std::to_string(testing::UnitTest::GetInstance()->random_seed());
+  std::filesystem::create_directories(options.folder);
+  // Refuses its arguments.
+  options.host_program = "/bin/ls";
+  const auto result = RunSoak(options);
+  ASSERT_TRUE(result.has_value()) << result.error().message;
+  EXPECT_THAT(result->violations,
+              testing::Contains(testing::AllOf(
+                  testing::HasSubstr("host-0 ended by itself, exit status 2"),
+                  testing::HasSubstr("--settings"))));
+  std::filesystem::remove_all(options.folder);
+}
+
 class SoakTest : public testing::TestWithParam<std::uint64_t> {};
 
 // A short run of real processes; cassia-soak makes longer ones.
