--- a/src/cassiastile/jobs/duration_model_test.cpp
+++ b/src/cassiastile/jobs/duration_model_test.cpp
@@ -5,6 +5,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "cassiastile/jobs/fleet_config.hpp"
+
 namespace cassiastile::jobs {
 namespace {
 
@@ -51,5 +53,34 @@
   EXPECT_FALSE(DurationModel::Decode("nonsense").has_value());
 }
 
+// Times of jobs are not limited by callers' pages. Their sums can be added to a
+// time.
+TEST(DurationModelTest, LongestTimesDoNotOverflow) {
+  DurationModel model;
+  JobSpec spec;
+  for (std::uint32_t i = 0; i < kMaxSteps; ++i) {
+    StepSpec& step = spec.steps.emplace_back();
+    step.estimate = kMaxConfiguredTime;
+    if (i > 0) {
+      step.after = {i - 1};
+    }
+  }
+  for (const bool has_learnt : {false, true}) {
+    if (has_learnt) {
+      // Tasks that take far longer than estimated.
+      model.Observe("queue", std::chrono::milliseconds(1), kMaxConfiguredTime);
+      model.Observe("queue", std::chrono::milliseconds(1), kMaxConfiguredTime);
+    }
+    EXPECT_LE(model.Expect("queue", kMaxConfiguredTime), kMaxConfiguredTime);
+    EXPECT_GT(model.Expect("queue", kMaxConfiguredTime).count(), 0);
+    EXPECT_LE(model.ExpectAtMost("queue", kMaxConfiguredTime),
+              kMaxConfiguredTime);
+    for (const auto path : model.ExpectCriticalPaths("queue", spec)) {
+      EXPECT_GT(path.count(), 0);
+      EXPECT_LE(path, kMaxConfiguredTime);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
