--- a/src/cassiastile/jobs/missing_config_test.cpp
+++ b/src/cassiastile/jobs/missing_config_test.cpp
@@ -143,7 +143,7 @@
 INSTANTIATE_TEST_SUITE_P(Gaps,
                          MissingConfigTest,
                          testing::ValuesIn(Gaps()),
-                         [](const auto& info) { return info.param.name; });
+                         [](const auto& each) { return each.param.name; });
 
 // A task whose worker has shrunk was taken for one that the worker would
 // refuse, as workers of a service that is lacking counted as ones that guard
@@ -196,7 +196,8 @@
   job.service = "service";
   job.spec = SchedulerBench::OneTask();
   const std::string older = EncodeRecord(job);
-  job.terms = AcceptedTerms{.max_attempts = 7, .advice = AdviceConfig{}};
+  job.terms =
+      AcceptedTerms{.max_attempts = 7, .advice = AdviceConfig{}, .limit = {}};
   const std::string newer = EncodeRecord(job);
   EXPECT_EQ(newer.substr(0, older.size()), older);
   EXPECT_EQ(DecodeRecord("job", older)->terms, std::nullopt);
