Follow the workers of a service that an unfinished job names

Where all hosts had started while the configuration lacked a service, none had ever seen it, and workers that held no runs were left out: accepted jobs of that service waited for as long as the gap lasted.

Change: the service of an unfinished job counts as known, and the workers are listed once more after a new leader has read the jobs.

MalformedInputTest.WorkersOfAnAcceptedJobsServiceAreFollowed fails before: 4 of 12 tasks done in 25 s.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -152,8 +152,9 @@
   void ReadWorkers();
   void FeedWorkers();
   void ApplyWorkerRows(const std::vector<Row>& rows);
-  // Hands the scheduler the entries of all workers whose service a
-  // configuration has named, or that hold runs. Others name no worker to use.
+  // Hands the scheduler the entries of the workers that are followed: those
+  // whose service a configuration or an unfinished job names, and those that
+  // hold runs.
   void ListWorkers();
   bool HoldsRuns(const std::string& worker) const;
   std::vector<jobs::Job> DecodeRecovered();
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -137,6 +137,8 @@
   bool Cancel(const std::string& id, base::TimePoint now);
   // The job, or null.
   const Job* FindJob(const std::string& id) const;
+  // Whether an unfinished job is to run on workers of this service.
+  bool IsServiceInUse(const std::string& service) const;
   // Number of accepted jobs of a queue that have not started.
   std::size_t CountQueuedJobs(const std::string& queue) const;
 
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -302,7 +302,8 @@
   std::vector<jobs::WorkerEntry> entries;
   entries.reserve(m_worker_entries.size());
   for (const auto& [id, entry] : m_worker_entries) {
-    if (m_config->IsServiceKnown(entry.service) || HoldsRuns(id)) {
+    if (m_config->IsServiceKnown(entry.service) ||
+        m_scheduler.IsServiceInUse(entry.service) || HoldsRuns(id)) {
       entries.push_back(entry);
     }
   }
@@ -353,6 +354,8 @@
   m_scheduler.Recover(std::move(recovered), now, m_loop.GetClock().WallNow(),
                       latest_lease_end);
   m_serving = true;
+  // The jobs may name services that no configuration has.
+  ListWorkers();
   m_machine_controller.Begin(FencingToken(),
                              [this] { return m_transactions->StoreNow(); });
   m_log.Write("office.serving", {{"fence", FencingToken()},
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -219,6 +219,33 @@
   EXPECT_EQ(world.Violations(), std::vector<std::string>{});
 }
 
+// The same where all hosts start anew in the gap: none has ever seen the
+// service, but an accepted job has.
+TEST(MalformedInputTest, WorkersOfAnAcceptedJobsServiceAreFollowed) {
+  VirtualWorld world({.seed = 47});
+  world.RunFor(std::chrono::milliseconds(2000));
+  const std::string job =
+      world.Submit(1, 3, 4, std::chrono::milliseconds(2500));
+  world.RunFor(std::chrono::milliseconds(1000));
+  world.PublishNextConfig(1);
+  world.RunFor(std::chrono::milliseconds(100));
+  for (std::size_t i = 0; i < 6; ++i) {
+    world.KillHost(i);
+  }
+  world.RunFor(std::chrono::milliseconds(500));
+  for (std::size_t i = 0; i < 6; ++i) {
+    world.StartHost(i);
+  }
+  world.RunFor(std::chrono::milliseconds(2500));
+  // The workers that come next hold no runs that would tell of them.
+  for (const std::string& worker : world.WorkerIds()) {
+    world.CrashWorker(worker, std::chrono::milliseconds(1000));
+  }
+  world.RunFor(std::chrono::milliseconds(25000));
+  EXPECT_EQ(world.CountDoneTasks(job), 12U);
+  EXPECT_EQ(world.Violations(), std::vector<std::string>{});
+}
+
 // A peer that names an address that is none, for itself or for the leader: its
 // message counts for nothing, and no host calls it.
 TEST(MalformedInputTest, GossipWithAnOddAddressIsLeftOut) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -509,6 +509,12 @@
   return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+bool Scheduler::IsServiceInUse(const std::string& service) const {
+  return std::ranges::any_of(m_unfinished, [&](const auto& entry) {
+    return ServiceOf(*entry.second) == service;
+  });
+}
+
 std::size_t Scheduler::CountQueuedJobs(const std::string& queue) const {
   std::size_t count = 0;
   for (const auto& [id, job] : m_unfinished) {
