--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -238,6 +238,22 @@
   EXPECT_EQ(world.ConfigsFromPeers(), 0U);
 }
 
+// The machines of the spare pool are off. While a version lacks that pool, they
+// counted as ones that work, and were given to no pool in need.
+TEST(HostNodeTest, SpareMachinesAreUsedWhileAVersionLacksTheirPool) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 2});
+  world.RunFor(kSettled);
+  world.PublishNextConfig(1, false);
+  world.RunFor(milliseconds(2000));
+  const std::size_t before = world.LeaderScheduler().Workers().size();
+  for (int i = 0; i < 12; ++i) {
+    world.Submit(0, 1, 32, milliseconds(2000));
+    world.RunFor(milliseconds(500));
+  }
+  EXPECT_GT(world.LeaderScheduler().Workers().size(), before);
+}
+
 // Any host may become the leader of jobs whose queue the version in force
 // lacks.
 TEST(HostNodeTest, HostsKnowWhatFormerVersionsHad) {
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -185,9 +185,8 @@
   EXPECT_NE(world.Log().find("office.bad_row"), std::string::npos);
 }
 
-// An entry of another writer whose service no configuration has: it names no
-// worker to use, and was called all the same. It is followed once a version has
-// the service.
+// An entry of another writer whose service no configuration has was called like
+// a worker. It is followed once a version has the service.
 TEST(MalformedInputTest, WorkerOfAnUnknownServiceIsNotCalled) {
   VirtualWorld world({.seed = 47, .keep_log = true});
   world.RunFor(std::chrono::milliseconds(2000));
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -103,7 +103,8 @@
   return wave;
 }
 
-// A configuration: version and number of services, each with one queue.
+// A configuration: version, number of services, each with one queue, and
+// whether it lacks the spare pool (0 if it ends there).
 base::Result<jobs::FleetConfig> DecodeConfigText(
     const std::string& text,
     const OnOddMember& /*on_odd*/) {
@@ -123,7 +124,10 @@
                              .advice = {}});
     config.services.push_back({.name = ServiceName(i)});
   }
-  config.services.push_back({.name = kSparePool, .is_spare = true});
+  bool lacks_spare_pool = false;
+  if (!(in >> lacks_spare_pool) || !lacks_spare_pool) {
+    config.services.push_back({.name = kSparePool, .is_spare = true});
+  }
   config.BuildIndex();
   return config;
 }
@@ -1371,11 +1375,13 @@
   PublishNextConfig(m_options.services);
 }
 
-void VirtualWorld::PublishNextConfig(std::size_t services) {
+void VirtualWorld::PublishNextConfig(std::size_t services,
+                                     bool has_spare_pool) {
   m_config_version += 2;
   RowTransaction transaction;
   transaction.puts.push_back({kOperatorTable, "", "config",
-                              fmt::format("{} {}", m_config_version, services),
+                              fmt::format("{} {} {}", m_config_version,
+                                          services, has_spare_pool ? 0 : 1),
                               0, false});
   Apply(transaction);
 }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -167,7 +167,7 @@
   // first has version 2.
   void PublishNextConfig();
   // The same with the first `services` only, and their queues.
-  void PublishNextConfig(std::size_t services);
+  void PublishNextConfig(std::size_t services, bool has_spare_pool = true);
   // Writes a row as another program might.
   void WriteRow(Row row);
   // Hands a host a message as a peer might; the host must be running.
--- a/src/cassiastile/jobs/bound_task_test.cpp
+++ b/src/cassiastile/jobs/bound_task_test.cpp
@@ -30,19 +30,6 @@
     return spec;
   }
 
-  // Leaves a start without an answer until its stop is confirmed.
-  void Withdraw(const StartOrder& start) {
-    Scheduler& scheduler = m_bench.GetScheduler();
-    scheduler.StartAnswered(start.worker, start.task, start.run,
-                            StartResult::kUnknown, m_bench.Now());
-    m_bench.Advance(milliseconds(10));
-    m_bench.Report(start.worker.id, m_bench.Listing(start.worker.id));
-    scheduler.TakeOrders();
-    scheduler.StopAnswered(start.worker, start.task, start.run, m_bench.Now());
-    m_bench.Advance(milliseconds(10));
-    m_bench.Report(start.worker.id, m_bench.Listing(start.worker.id));
-  }
-
   // How long the task waits for a start while all these workers report, or
   // nothing if it is longer than users allow.
   std::optional<milliseconds> WaitForStart(
@@ -71,13 +58,13 @@
   m_bench.Submit(kJob, SchedulerBench::LongRunning(1, 1));
   const auto first = m_bench.Step().starts;
   ASSERT_THAT(first, SizeIs(1));
-  Withdraw(first.front());
+  m_bench.Withdraw(first.front());
   m_bench.GetScheduler().SetCordoned("a", true);
   m_bench.AddWorker("b");
   const auto second = m_bench.Step().starts;
   ASSERT_THAT(second, SizeIs(1));
   ASSERT_EQ(second.front().worker.id, "b");
-  Withdraw(second.front());
+  m_bench.Withdraw(second.front());
   m_bench.GetScheduler().SetCordoned("a", false);
   m_bench.AddWorker("c");
   EXPECT_TRUE(WaitForStart({"a", "b", "c"}).has_value());
@@ -88,7 +75,7 @@
   m_bench.Submit(kJob, LargeTask());
   const auto first = m_bench.Step().starts;
   ASSERT_THAT(first, SizeIs(1));
-  Withdraw(first.front());
+  m_bench.Withdraw(first.front());
   m_bench.GetScheduler().SetCordoned("a", true);
   m_bench.AddWorker("b");
   const auto second = m_bench.StepAndStart();
@@ -110,7 +97,7 @@
   m_bench.Submit(kJob, LargeTask());
   const auto first = m_bench.Step().starts;
   ASSERT_THAT(first, SizeIs(1));
-  Withdraw(first.front());
+  m_bench.Withdraw(first.front());
   m_bench.AddWorker("a", 2);
   m_bench.SetCapacity("a", {500, 65536, 0});
   for (const StopOrder& stop : m_bench.Step().stops) {
--- a/src/cassiastile/jobs/missing_config_test.cpp
+++ b/src/cassiastile/jobs/missing_config_test.cpp
@@ -127,7 +127,77 @@
   EXPECT_EQ(m_bench.StepAndStart().size(), 0U);
 }
 
-// A queue that was lacking had the highest priority, and its jobs no objective.
+// A queue that was lacking had the highest priority.
+TEST_P(MissingConfigTest, JobsKeepTheirPriority) {
+  m_bench.Configure([this](FleetConfig& config) {
+    config.queues.front().priority = 5;
+    config.queues.push_back(config.queues.front());
+    config.queues.back().name = "urgent";
+    config.queues.back().priority = 1;
+    m_whole = config;
+  });
+  // These use up the limit of the customer.
+  JobSpec two = SchedulerBench::OneTask();
+  two.steps.front().count = 2;
+  m_bench.Submit("first", two);
+  const auto first = m_bench.StepAndStart();
+  ASSERT_EQ(first.size(), 2U);
+  m_bench.Submit("job", SchedulerBench::OneTask());
+  m_bench.Submit("urgent job", SchedulerBench::OneTask(), "customer", 1);
+  m_bench.Step();
+  Open();
+  m_bench.End(first.front(), RunEnd::kDone, 1);
+  const auto starts = m_bench.StepAndStart();
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts.front().task.job, "urgent job");
+}
+
+// Without its queue, a task was started without the ticket that its worker asks
+// for, and refused again and again.
+TEST_P(MissingConfigTest, PlacementStillWaitsForAdvice) {
+  m_bench.Configure([this](FleetConfig& config) {
+    config.queues.front().advice = AdviceConfig{.validity = milliseconds(1000)};
+    m_whole = config;
+  });
+  m_bench.Submit("job", SchedulerBench::OneTask());
+  ASSERT_EQ(m_bench.Step().advice.size(), 1U);
+  Open();
+  // The advisor has not answered for so long that it is asked again.
+  m_bench.Advance(milliseconds(2500));
+  for (const char* id : {"w1", "w2", "w3"}) {
+    m_bench.Report(id, m_bench.Listing(id));
+  }
+  const Orders orders = m_bench.Step();
+  EXPECT_TRUE(orders.starts.empty());
+  ASSERT_EQ(orders.advice.size(), 1U);
+  EXPECT_EQ(orders.advice.front().validity, milliseconds(1000));
+}
+
+// Workers of a service that was lacking counted as ones that refuse what they
+// have no room for, so that a start of theirs that may still arrive was not
+// waited for.
+TEST_P(MissingConfigTest, StartThatMayStillArriveIsWaitedFor) {
+  m_bench.Configure([this](FleetConfig& config) {
+    config.services.front().workers_guard_capacity = false;
+    m_whole = config;
+  });
+  m_bench.Submit("job", SchedulerBench::OneTask());
+  const auto starts = m_bench.Step().starts;
+  ASSERT_EQ(starts.size(), 1U);
+  m_bench.Withdraw(starts.front());
+  m_bench.SetCapacity(starts.front().worker.id, {500, 65536, 0});
+  m_bench.Step();
+  Open();
+  for (int i = 0; i < 10; ++i) {
+    m_bench.Advance(milliseconds(200));
+    for (const char* id : {"w1", "w2", "w3"}) {
+      m_bench.Report(id, m_bench.Listing(id));
+    }
+    EXPECT_TRUE(m_bench.Step().starts.empty()) << i;
+  }
+}
+
+// After a change of leader, a job of a queue that was lacking had no objective.
 TEST_P(MissingConfigTest, JobsKeepTheirObjective) {
   m_bench.Submit("job", SchedulerBench::OneTask());
   m_bench.StepAndStart();
@@ -145,11 +215,7 @@
                          testing::ValuesIn(Gaps()),
                          [](const auto& each) { return each.param.name; });
 
-// A task whose worker has shrunk was taken for one that the worker would
-// refuse, as workers of a service that is lacking counted as ones that guard
-// their capacity.
-TEST(MissingServiceTest,
-     WorkersOfAnUnknownServiceAreNotTakenToGuardThemselves) {
+TEST(FormerEntriesTest, ServiceIsKnownFromTheVersionsThatHadIt) {
   for (const bool is_known_before : {true, false}) {
     FleetConfig before;
     before.version = 1;
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -136,11 +136,23 @@
 
 Submission SchedulerBench::Submit(const std::string& id,
                                   JobSpec spec,
-                                  const std::string& customer) {
-  return m_scheduler->Submit(id, m_config->queues.front(), customer,
+                                  const std::string& customer,
+                                  std::size_t queue) {
+  return m_scheduler->Submit(id, m_config->queues.at(queue), customer,
                              std::move(spec), Now(), m_clock.WallNow());
 }
 
+void SchedulerBench::Withdraw(const StartOrder& start) {
+  m_scheduler->StartAnswered(start.worker, start.task, start.run,
+                             StartResult::kUnknown, Now());
+  Advance(std::chrono::milliseconds(10));
+  Report(start.worker.id, Listing(start.worker.id));
+  m_scheduler->TakeOrders();
+  m_scheduler->StopAnswered(start.worker, start.task, start.run, Now());
+  Advance(std::chrono::milliseconds(10));
+  Report(start.worker.id, Listing(start.worker.id));
+}
+
 Orders SchedulerBench::Step() {
   m_scheduler->ListConfirmed(Now());
   m_scheduler->Plan(Now(), m_clock.WallNow());
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -38,9 +38,12 @@
   void SetCustomers(const std::vector<std::string>& names);
   Submission Submit(const std::string& id,
                     JobSpec spec,
-                    const std::string& customer = "customer");
+                    const std::string& customer = "customer",
+                    std::size_t queue = 0);
   // Plans, commits all rows and returns the orders.
   Orders Step();
+  // Leaves a start without an answer until its stop is confirmed.
+  void Withdraw(const StartOrder& start);
   // Answers all starts with success and returns them.
   std::vector<StartOrder> Answer(const Orders& orders);
   // Steps and answers all starts.
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -198,7 +198,7 @@
   write("odd-number", adapter::EncodeWorker(entry));
   entry.capacity.cpu = -1;
   write("odd-sign", adapter::EncodeWorker(entry));
-  // Addresses that none are, drawn for each seed.
+  // Endpoints that no call can go to, drawn for each seed.
   constexpr int kDrawnEntries = 40;
   base::Random random(m_options.seed);
   entry.capacity = kCapacity;
