--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -112,8 +112,13 @@
   job.queue = m_random() % kServices;
   constexpr std::uint64_t kLongRunningOneIn = 25;
   constexpr std::uint64_t kCancelledOneIn = 8;
+  // Only these go on if a cancel stops nothing.
+  constexpr std::uint64_t kLongRunningCancelledOneIn = 2;
   job.is_long_running = m_random() % kLongRunningOneIn == 0;
-  job.will_cancel = m_random() % kCancelledOneIn == 0;
+  job.will_cancel =
+      m_random() % (job.is_long_running ? kLongRunningCancelledOneIn
+                                        : kCancelledOneIn) ==
+      0;
   jobs::JobSpec spec = MakeSpec(job.is_long_running);
   job.encoded_spec = adapter::EncodeJob(spec);
   m_fleet.Checker().JobSubmitted(job.id, std::move(spec));
