Let the soak's cancels be many at once, wide, and unacknowledged

Cause: the soak saw little of what a cancel may do wrong. A cancel without an acknowledgement counted for nothing, a late start only where nothing at all had been disrupted for 6 s, and no run had many cancels at once or a long-running step of more than four tasks.

Change: a cancel that has waited 4 s undisturbed counts like an acknowledged one; a start is late 3 s after the cancel if nothing has held up orders for 3 s; half-way, a quarter of the accepted jobs is cancelled; a long-running step has up to a task for every fourth worker.

--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -33,6 +33,10 @@
 constexpr milliseconds kContact{3000};
 constexpr milliseconds kCancelTime{3000};
 constexpr milliseconds kStopTime{200};
+// A cancel that has waited this long undisturbed for its acknowledgement counts
+// like one that has it.
+constexpr milliseconds kAckTime{4000};
+constexpr std::int64_t kWidestStep = 4;
 // Every host knows an accepted job after this time.
 constexpr milliseconds kVisibilityDelay{3000};
 
@@ -56,6 +60,12 @@
   return m_random() % m_fleet.HostCount();
 }
 
+std::int64_t Callers::WidestLongRunningStep() const {
+  constexpr std::size_t kWorkersPerTask = 4;
+  return std::max(kWidestStep, static_cast<std::int64_t>(
+                                   m_options.plan.workers / kWorkersPerTask));
+}
+
 jobs::JobSpec Callers::MakeSpec(bool is_long_running) {
   const auto between = [this](std::int64_t low, std::int64_t high) {
     return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
@@ -65,7 +75,8 @@
   const auto steps = is_long_running ? 1 : between(1, 2);
   for (std::int64_t i = 0; i < steps; ++i) {
     jobs::StepSpec& step = spec.steps.emplace_back();
-    step.count = static_cast<std::uint32_t>(between(1, 4));
+    step.count = static_cast<std::uint32_t>(
+        between(1, is_long_running ? WidestLongRunningStep() : kWidestStep));
     step.need = {between(1, 6) * 250, between(1, 8) * 64, 0};
     step.estimate = milliseconds(between(100, 900));
     step.long_running = is_long_running;
@@ -205,17 +216,30 @@
           [this, id] { Send(id); });
   }
   if (m_jobs.at(id).will_cancel) {
-    After(milliseconds(m_random() % kMaxFollowUpDelay), [this, id] {
-      Job& job = m_jobs.at(id);
-      if (job.known_state == KnownState::kAccepted) {
-        job.known_state = KnownState::kCancelling;
-        Cancel(id);
-      }
-    });
+    After(milliseconds(m_random() % kMaxFollowUpDelay),
+          [this, id] { BeginCancel(m_jobs.at(id)); });
   }
   After(kStatePollInterval, [this, id] { PollState(id); });
 }
 
+void Callers::BeginCancel(Job& job) {
+  if (job.known_state == KnownState::kAccepted) {
+    job.known_state = KnownState::kCancelling;
+    job.cancel_sent_at = m_loop.GetClock().Now();
+    Cancel(job.id);
+  }
+}
+
+void Callers::CancelSome() {
+  constexpr std::size_t kOneIn = 4;
+  std::size_t number = 0;
+  for (auto& [id, job] : m_jobs) {
+    if (job.known_state == KnownState::kAccepted && ++number % kOneIn == 0) {
+      BeginCancel(job);
+    }
+  }
+}
+
 void Callers::Cancel(const std::string& id) {
   const std::size_t host = PickHost();
   m_client->Start(
@@ -291,22 +315,34 @@
   const base::TimePoint now = m_loop.GetClock().Now();
   const base::TimePoint calm_from = m_fleet.CalmSince() + kContact;
   for (auto& [id, job] : m_jobs) {
-    if (job.known_state != KnownState::kCancelled || job.is_reported) {
+    const bool acknowledged = job.known_state == KnownState::kCancelled;
+    if ((!acknowledged && job.known_state != KnownState::kCancelling) ||
+        job.is_reported) {
       continue;
     }
     sim::InvariantChecker& checker = m_fleet.Checker();
-    const base::TimePoint settled =
-        std::max(job.cancelled_at, calm_from) + kCancelTime;
+    const base::TimePoint cancelled =
+        acknowledged ? job.cancelled_at
+                     : std::max(job.cancel_sent_at, calm_from) + kAckTime;
+    const base::TimePoint last_start = std::max(
+        cancelled + kCancelTime, m_fleet.OrdersUndisturbedSince() + kContact);
+    const base::TimePoint last_run =
+        std::max(cancelled, calm_from) + kCancelTime + kStopTime;
     const base::TimePoint started = checker.LastStartOf(id);
-    const bool runs_on = now > settled + kStopTime && checker.CountRuns(id) > 0;
-    if (started > settled || runs_on) {
+    const bool runs_on = now > last_run && checker.CountRuns(id) > 0;
+    if (started > last_start || runs_on) {
       job.is_reported = true;
+      const base::TimePoint seen = runs_on ? now : started;
       checker.AddViolation(fmt::format(
-          "unasked: {} {} ms after the cancel of job {} was acknowledged and "
-          "{} ms after the last disruption [{}]",
-          runs_on ? "a task runs" : "a task started",
-          base::Milliseconds((runs_on ? now : started) - job.cancelled_at), id,
-          base::Milliseconds((runs_on ? now : started) - m_fleet.CalmSince()),
+          "unasked: {} of job {}, {} ms after its cancel was sent{} and {} ms "
+          "after the last disruption [{}]",
+          runs_on ? "a task runs" : "a task started", id,
+          base::Milliseconds(seen - job.cancel_sent_at),
+          acknowledged
+              ? fmt::format(", {} ms after it was acknowledged",
+                            base::Milliseconds(seen - job.cancelled_at))
+              : ", without an acknowledgement",
+          base::Milliseconds(seen - m_fleet.CalmSince()),
           checker.HistoryOf(id)));
     }
   }
--- a/src/cassiastile/soak/callers.hpp
+++ b/src/cassiastile/soak/callers.hpp
@@ -29,9 +29,11 @@
   bool IsSettled() const;
   // Reports a violation for each job that is not settled.
   void CheckOutcomes();
+  // Cancels a quarter of the accepted jobs that aren't known to be done.
+  void CancelSome();
   // Reports a violation, once, for each cancelled job of which a task starts or
-  // runs on too long after the cancel was acknowledged, with no disruption
-  // since. To be called every 100 ms or so.
+  // runs on too long after the cancel was acknowledged, or had waited long
+  // enough for that, with no disruption since. To be called every 100 ms or so.
   void CheckCancelled();
   // Adds the numbers of jobs to the result.
   void AddCounts(SoakResult& result) const;
@@ -57,8 +59,9 @@
     int attempts = 0;
     int no_such_job_answers = 0;  // Consecutive.
     base::TimePoint accepted_at{};
-    base::TimePoint cancelled_at{};
-    bool is_reported = false;  // By CheckCancelled.
+    base::TimePoint cancel_sent_at{};
+    base::TimePoint cancelled_at{};  // When that was acknowledged.
+    bool is_reported = false;        // By CheckCancelled.
   };
 
   void SubmitJob();
@@ -68,10 +71,13 @@
                           const wire::HttpOutcome& outcome);
   void ScheduleFollowUps(const std::string& id);
   void PollState(const std::string& id);
+  void BeginCancel(Job& job);
   void Cancel(const std::string& id);
   void CheckCutRequest(std::size_t host,
                        base::TimePoint sent_at,
                        const wire::HttpOutcome& outcome);
+  // So many tasks that the fleet holds the long-running jobs of a run.
+  std::int64_t WidestLongRunningStep() const;
   jobs::JobSpec MakeSpec(bool is_long_running);
   wire::HttpCall MakeCall(const std::string& method,
                           const Job& job,
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -480,9 +480,12 @@
 
 void Fleet::Apply(const Fault& fault) {
   const bool delays_orders = fault.kind == FaultKind::kDelayStarts;
-  m_calm_since = std::max(m_calm_since,
-                          m_loop.GetClock().Now() + fault.active_for +
-                              (delays_orders ? kMaxOrderDelay : kRestartDelay));
+  const base::TimePoint over = m_loop.GetClock().Now() + fault.active_for +
+                               (delays_orders ? kMaxOrderDelay : kRestartDelay);
+  m_calm_since = std::max(m_calm_since, over);
+  if (fault.kind != FaultKind::kCrash && fault.place != Place::kOperators) {
+    m_orders_undisturbed_since = std::max(m_orders_undisturbed_since, over);
+  }
   Host& host = *m_hosts[fault.target % m_hosts.size()];
   switch (fault.place) {
     case Place::kHost:
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -52,6 +52,11 @@
   // Since when nothing has been disrupted; lies in the future while something
   // is.
   base::TimePoint CalmSince() const { return m_calm_since; }
+  // The same for what may hold up a host's orders: a worker that ends and what
+  // the operators ask for don't.
+  base::TimePoint OrdersUndisturbedSince() const {
+    return m_orders_undisturbed_since;
+  }
   sim::InvariantChecker& Checker() { return m_checker; }
   std::size_t ProcessStarts() const { return m_process_starts; }
 
@@ -142,6 +147,7 @@
   std::vector<std::unique_ptr<Machine>> m_machines;
   std::vector<std::unique_ptr<Host>> m_hosts;
   base::TimePoint m_calm_since{};
+  base::TimePoint m_orders_undisturbed_since{};
   std::uint64_t m_config_version = 0;
   std::uint64_t m_wave = 0;
   std::map<std::string, base::TimePoint> m_evacuated_since;  // By zone.
--- a/src/cassiastile/soak/soak.cpp
+++ b/src/cassiastile/soak/soak.cpp
@@ -58,6 +58,8 @@
     for (const Fault& fault : m_plan) {
       m_loop.After(fault.at, [this, fault] { m_fleet->Apply(fault); });
     }
+    m_loop.After(m_options.plan.duration / 2,
+                 [this] { m_callers->CancelSome(); });
     m_loop.After(m_options.plan.duration, [this] {
       m_callers->StopSubmitting();
       m_fleet->ClearFaults();
