Let no host inherit the soak's sockets

Cause: a host that the soak started inherited all its sockets. Connections that a proxy closed later stayed open in that host; callers sent requests on them, and they were reset as that host ended.

Change: a host inherits standard input, output and error only.

HostProcessTest.InheritsNoDescriptors failed before: the other end of a closed pipe was still open after 5 s.

--- a/include/cassiastile/soak/host_process.hpp
+++ b/include/cassiastile/soak/host_process.hpp
@@ -19,8 +19,9 @@
   HostProcess& operator=(const HostProcess&) = delete;
 
   // Starts `program` with the settings file `settings`, and appends its output
-  // to the file `output` and its standard error to `errors`. Fails with
-  // kUnavailable if it can't be started.
+  // to the file `output` and its standard error to `errors`. It inherits no
+  // other descriptors than standard input. Fails with kUnavailable if it can't
+  // be started.
   base::Result<void> Start(const std::string& program,
                            const std::string& settings,
                            const std::string& output,
--- a/src/cassiastile/soak/host_process.cpp
+++ b/src/cassiastile/soak/host_process.cpp
@@ -29,6 +29,8 @@
                                    O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
+  // A connection that this program closes must not stay open in the host.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::string name = program;
   std::string option = "--settings";
   std::string path = settings;
--- a/src/cassiastile/soak/soak_test.cpp
+++ b/src/cassiastile/soak/soak_test.cpp
@@ -1,9 +1,15 @@
 #include "cassiastile/soak/soak.hpp"
 
+#include <array>
 #include <filesystem>
+#include <fstream>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include "cassiastile/soak/host_process.hpp"
 
 namespace cassiastile::soak {
 namespace {
@@ -56,6 +62,31 @@
   std::filesystem::remove_all(options.folder);
 }
 
+// A host that inherited this program's sockets kept them open after they had
+// been closed here: requests on them got no answer until that host ended.
+TEST(HostProcessTest, InheritsNoDescriptors) {
+  const std::string folder =
+      testing::TempDir() + "cassia-soak-descriptors-" +
+      std::to_string(testing::UnitTest::GetInstance()->random_seed());
+  std::filesystem::create_directories(folder);
+  const std::string program = folder + "/program";
+  std::ofstream(program) << "#!/bin/sh\nexec sleep 60\n";
+  std::filesystem::permissions(program, std::filesystem::perms::owner_all);
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  HostProcess process;
+  const auto started = process.Start(program, "settings", folder + "/output",
+                                     folder + "/errors");
+  ASSERT_TRUE(started.has_value()) << started.error().message;
+  close(ends[1]);
+  pollfd closed{.fd = ends[0], .events = POLLIN, .revents = 0};
+  constexpr int kTimeoutMs = 5000;
+  EXPECT_EQ(poll(&closed, 1, kTimeoutMs), 1);
+  EXPECT_FALSE(process.TakeExitStatus().has_value());
+  close(ends[0]);
+  std::filesystem::remove_all(folder);
+}
+
 class SoakTest : public testing::TestWithParam<std::uint64_t> {};
 
 // A short run of real processes; cassia-soak makes longer ones.
