Log how many answers wait for the term's confirmation

On the large deployment the cost of these waits was suspected and could not be told from the log. office.load gets the number of answers that waited in each second (confirmation_waits) and of the reads that they caused (confirmation_reads).

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -294,6 +294,8 @@
   base::TimePoint m_load_logged_at{};
   base::Duration m_logged_processor_time{};
   std::uint64_t m_logged_resends = 0;
+  std::uint64_t m_logged_confirmation_waits = 0;
+  std::uint64_t m_logged_confirmation_reads = 0;
   base::TimePoint m_tick_due_at{};
   // Rows of the machine controller and of learnt durations for the next commit,
   // with callbacks that run once they are stored.
--- a/include/cassiastile/host/term_confirmation.hpp
+++ b/include/cassiastile/host/term_confirmation.hpp
@@ -42,6 +42,8 @@
   void EndTerm();
   // Number of reads of the leader's record so far.
   std::uint64_t Reads() const { return m_reads; }
+  // Number of requests that have waited so far.
+  std::uint64_t Waits() const { return m_wait_count; }
 
  private:
   struct Wait {
@@ -66,6 +68,7 @@
   std::uint64_t m_unanswered_read = 0;
   base::TimePoint m_read_at{};  // When the last read was sent.
   std::uint64_t m_reads = 0;
+  std::uint64_t m_wait_count = 0;
   Lifetime m_lifetime;
 };
 
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -647,12 +647,18 @@
                  {"starts", m_load.starts},
                  {"reports", m_load.reports},
                  {"direct_calls", direct_calls},
+                 {"confirmation_waits",
+                  m_term_confirmation.Waits() - m_logged_confirmation_waits},
+                 {"confirmation_reads",
+                  m_term_confirmation.Reads() - m_logged_confirmation_reads},
                  {"jobs", m_scheduler.JobCount()}});
   }
   m_load = {};
   m_load_logged_at = now;
   m_logged_processor_time = processor_time;
   m_logged_resends = resends;
+  m_logged_confirmation_waits = m_term_confirmation.Waits();
+  m_logged_confirmation_reads = m_term_confirmation.Reads();
 }
 
 void Dispatcher::HandleCommitted(const jobs::Batch& batch) {
--- a/src/cassiastile/host/term_confirmation.cpp
+++ b/src/cassiastile/host/term_confirmation.cpp
@@ -34,6 +34,7 @@
 void TermConfirmation::Await(Done done) {
   const base::TimePoint now = m_loop.GetClock().Now();
   m_waits.push_back({now, std::move(done)});
+  ++m_wait_count;
   if (m_unanswered_read == 0) {
     ScheduleRead(
         std::max<base::Duration>(kGather, m_read_at + kMinReadInterval - now));
