Refuse submissions and tell queue lengths only on a confirmed term

What callers saw: nothing yet. A leader that works on and is taken for gone, as by an old message that a host reads late, refused a copy of a job that its successor had accepted with 429 "overload", for as long as it had nothing to store.

Cause: since refusals and queue lengths were given at once while a commit had confirmed the term within 0.6 s by this host's clocks. Another host may take over sooner, and a process may stand still between its look at the clock and its answer: no clock shows that the term still holds.

Change: they wait for the confirmation like all that rests on the leader's memory. A submission whose term turns out to be over is answered 504, as the next leader may have accepted the job and the caller finds that leader at once.

Evidence: ReplacedLeaderTest.DoesNotRefuseAnAcceptedJob fails before (429 for two of five times of the renewal, with "accepted job was refused afterwards") and passes now.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -211,13 +211,9 @@
   void AnswerWhenConfirmed(std::function<JobAnswer()> answer,
                            const Responder& respond);
   void AnswerWhenConfirmed(const JobAnswer& answer, const Responder& respond);
-  // Whether the term was confirmed so recently that no other host has taken
-  // over since, unless it took this process for gone. Enough for queue lengths
-  // and for refusals: at high load these should not wait for the store.
-  bool IsTermFresh() const;
   void QueueLength(const std::string& queue, const Responder& respond);
-  // Refuses a submission: at once if the term is fresh, otherwise when it is
-  // confirmed, and not if another attempt was taken before that.
+  // Refuses a submission once the term is confirmed, and not if another attempt
+  // was taken before that.
   void RefuseSubmission(const std::string& job,
                         const JobAnswer& refusal,
                         const Responder& respond);
@@ -263,7 +259,6 @@
   RelayedWorkers m_workers;
   MachineController m_machine_controller;
   TermConfirmation m_term_confirmation;
-  base::WallTime m_confirmed_wall{};  // When a commit was last confirmed.
   bool m_serving = false;
   bool m_term_over = false;
   bool m_plan_requested = false;
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -557,8 +557,6 @@
                         stored = std::move(stored), rows, now](bool applied) {
         if (applied) {
           const base::TimePoint confirmed_at = m_transactions->ConfirmedAt();
-          const base::Clock& clock = m_loop.GetClock();
-          m_confirmed_wall = clock.WallNow() - (clock.Now() - confirmed_at);
           LogSlowCommit(rows, now);
           for (const auto& done : stored) {
             done();
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds kMaxCommitWait{250};
 constexpr std::chrono::milliseconds kRetryAfterBusy{1000};
 constexpr std::size_t kRowsOfNewJob = 2;
-// Another host takes over after 0.7 s without a change of the leader's record.
-constexpr std::chrono::milliseconds kFreshTerm{600};
 // A cancel of a job that ended longer ago than this part of the time for which
 // it is kept is remembered for itself.
 constexpr int kMarkAfterPart = 8;
@@ -66,24 +64,14 @@
   }
 }
 
-bool Dispatcher::IsTermFresh() const {
-  const base::Clock& clock = m_loop.GetClock();
-  // The steady clock stands still while a machine is suspended.
-  return clock.Now() - m_transactions->ConfirmedAt() < kFreshTerm &&
-         clock.WallNow() - m_confirmed_wall < kFreshTerm;
-}
-
 void Dispatcher::QueueLength(const std::string& queue,
                              const Responder& respond) {
-  const auto answer = [this, queue]() -> JobAnswer {
-    return {.kind = JobAnswerKind::kOk,
-            .count = m_scheduler.CountQueuedJobs(queue)};
-  };
-  if (IsTermFresh()) {
-    respond(answer());
-  } else {
-    AnswerWhenConfirmed(answer, respond);
-  }
+  AnswerWhenConfirmed(
+      [this, queue]() -> JobAnswer {
+        return {.kind = JobAnswerKind::kOk,
+                .count = m_scheduler.CountQueuedJobs(queue)};
+      },
+      respond);
 }
 
 void Dispatcher::AnswerWhenConfirmed(std::function<JobAnswer()> answer,
@@ -95,7 +83,8 @@
             respond(answer());
             return;
           case TermConfirmation::Outcome::kTermOver:
-            respond({.kind = JobAnswerKind::kNotLeader});
+            // The next leader may have accepted the job.
+            respond({.kind = JobAnswerKind::kOutcomeUnknown});
             return;
           case TermConfirmation::Outcome::kUnknown:
             respond(RefuseForOutage());
@@ -112,22 +101,11 @@
 void Dispatcher::RefuseSubmission(const std::string& job,
                                   const JobAnswer& refusal,
                                   const Responder& respond) {
-  if (IsTermFresh() && m_scheduler.FindJob(job) == nullptr) {
-    respond(refusal);
-    return;
-  }
   m_term_confirmation.Await([this, job, refusal,
                              respond](TermConfirmation::Outcome outcome) {
-    switch (outcome) {
-      case TermConfirmation::Outcome::kTermOver:
-        respond({.kind = JobAnswerKind::kNotLeader});
-        return;
-      case TermConfirmation::Outcome::kConfirmed:
-      case TermConfirmation::Outcome::kUnknown:
-        break;
-    }
-    if (m_scheduler.FindJob(job) != nullptr) {
-      // Another attempt was taken meanwhile.
+    // Another attempt may have been taken meanwhile, here or by a new leader.
+    if (outcome == TermConfirmation::Outcome::kTermOver ||
+        m_scheduler.FindJob(job) != nullptr) {
       respond({.kind = JobAnswerKind::kOutcomeUnknown});
       return;
     }
--- a/src/cassiastile/host/paused_host_bench.cpp
+++ b/src/cassiastile/host/paused_host_bench.cpp
@@ -8,6 +8,7 @@
 
 constexpr milliseconds kSettled{3000};
 constexpr milliseconds kStep{10};
+constexpr milliseconds kTakeover{60};
 // The times of the rule on cancelled jobs, after a disruption.
 constexpr milliseconds kUntilCancelled{8000};
 constexpr int kOk = 200;
@@ -44,6 +45,16 @@
   return former;
 }
 
+void PausedHostBench::TakeOver(std::size_t leader, std::size_t successor) {
+  GossipMessage old;
+  old.host = "host-" + std::to_string(leader);
+  old.endpoint = "10.0.0.1:1";
+  old.is_leader = true;
+  old.requests_takeover = true;
+  m_world.Gossip(successor, old);
+  m_world.RunFor(kTakeover);
+}
+
 void PausedHostBench::RunUntilPauseEnds() {
   m_world.RunFor(std::chrono::duration_cast<milliseconds>(
       m_paused_until - m_world.Now() - kBeforeEnd));
--- a/src/cassiastile/host/paused_host_bench.hpp
+++ b/src/cassiastile/host/paused_host_bench.hpp
@@ -29,6 +29,9 @@
   static std::size_t HostBeside(std::size_t first, std::size_t second);
   // Pauses the leader, ends all faults, and returns it once another host leads.
   std::size_t ReplacePausedLeader();
+  // Hands `successor` an old message of the leader, which asks for a takeover:
+  // it takes over from one that works on.
+  void TakeOver(std::size_t leader, std::size_t successor);
   // Runs until shortly before the paused host goes on.
   void RunUntilPauseEnds();
   // Hands in a job at this host, and expects that it is accepted.
--- a/src/cassiastile/host/unconfirmed_answer_test.cpp
+++ b/src/cassiastile/host/unconfirmed_answer_test.cpp
@@ -48,6 +48,54 @@
   EXPECT_THAT(again->status, AnyOf(200, 504, 0)) << again->body;
 }
 
+// A leader that works on and is taken for gone: an old message of it, which
+// asked for a takeover, is read late. Its pool is full. The parameter is the
+// time between its renewal and that message.
+class ReplacedLeaderTest : public PausedHostBench,
+                           public testing::WithParamInterface<int> {
+ protected:
+  ReplacedLeaderTest()
+      : PausedHostBench({.services = 1,
+                         .workers_per_service = 1,
+                         .tasks_per_worker = 2,
+                         .spare_machines = 1}) {}
+
+  // Lets `successor` take over from a leader that doesn't hear of it.
+  void Replace(std::size_t leader, std::size_t successor) {
+    const std::string name = "host-" + std::to_string(leader);
+    m_world.Faults().hosts_without_peers = {name};
+    m_world.RunFor(milliseconds(GetParam()));
+    TakeOver(leader, successor);
+  }
+};
+
+TEST_P(ReplacedLeaderTest, DoesNotRefuseAnAcceptedJob) {
+  const std::size_t leader = WaitForLeader();
+  const std::size_t successor = HostBeside(leader, leader);
+  const std::string busy = Accept(successor, 80, milliseconds(6000));
+  Replace(leader, successor);
+  // The leader has nothing to store.
+  for (const std::string& worker : m_world.WorkerIds()) {
+    m_world.Faults().silent_workers.insert(worker);
+  }
+  const Request cancel = m_world.Send(successor, "DELETE", busy);
+  m_world.RunFor(milliseconds(60));
+  const std::string job = m_world.MakeJob(0, 1, 1, milliseconds(250));
+  const Request first = m_world.Send(successor, "POST", job);
+  m_world.RunFor(milliseconds(60));
+  const Request again = m_world.Send(leader, "POST", job);
+  m_world.RunFor(milliseconds(1600));
+  EXPECT_TRUE(IsCancelAcknowledged(*cancel)) << cancel->status;
+  EXPECT_EQ(first->status, 200);
+  // A host without a leader may say 503, which is about this attempt alone.
+  EXPECT_NE(again->status, 429) << again->body;
+  EXPECT_THAT(m_world.Violations(), IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Times,
+                         ReplacedLeaderTest,
+                         testing::Range(0, 500, 100));
+
 // A cancel that is acknowledged shortly before the job is forgotten holds for
 // a copy of the submission that is only seconds late.
 TEST_F(UnconfirmedAnswerTest, CancelShortlyBeforeAJobIsForgottenHolds) {
