Keep a wave that is done from going back to running

What operators saw: nothing yet; found by reading what is written outside the leader's chain of commits. Each new leader wrote "running" over the state of a wave that was done, until it had found its end again. A write of "running" that had no answer could be applied seconds after "done", and nobody corrected it.

Cause: status/wave/N was put without an expectation, and "done" before the last machine's begin was stored, so that the next leader did not know of it.

Change: each write expects the row as this leader has seen it last, and the first one of a term changes the row, so that writes of former leaders and late ones fail. "done" is written once the wave's row, with all machines begun, is committed. A leader that finds "done" writes "running" only if the wave isn't done after two lists of the machines.

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -82,6 +83,17 @@
     base::TimePoint retry_at{};
     base::TimePoint blocked_logged_at{};
   };
+  // A wave's row in the status table, which is in no commit of the leader. Each
+  // write expects the row as this leader has seen it last, and its first one
+  // changes the row: so a write of a former leader, or one that is applied
+  // late, can't follow.
+  struct WaveStatus {
+    // Of the row as last seen; 0 if there was none.
+    std::uint64_t version = 0;
+    std::optional<bool> seen_done;  // Nothing: no row, or an odd one.
+    bool is_own = false;            // This leader has written the row.
+    bool is_writing = false;
+  };
   struct Wave {
     WaveRequest request;
     std::map<std::string, bool> begun;  // Order accepted, by machine.
@@ -92,10 +104,9 @@
     // counted.
     base::TimePoint seen_at{};
     bool done = false;  // The orders for all listed machines were accepted.
-    // Whether the status table has the state, and whether a write is in flight.
-    bool running_stored = false;
-    bool done_stored = false;
-    bool storing = false;
+    // This is stored, so that each later leader finds the wave done as well.
+    bool done_recorded = false;
+    WaveStatus status;
   };
 
   void ListMachines();
@@ -139,7 +150,13 @@
   // Ends an order that was not carried out; the machine is planned again.
   void CancelOrder(TrackedMachine& tracked, base::TimePoint now);
   void SendMove(const jobs::MachineMove& move);
-  void StoreWaveState(Wave& wave, bool done);
+  // Stores that all machines have begun, unless that is stored.
+  void RecordWaveDone(Wave& wave);
+  // Writes the wave's state to the status table unless it is there.
+  void PublishWaveState(Wave& wave);
+  void HandleWaveStateReply(std::uint64_t number,
+                            bool done,
+                            const TransactionReply& reply);
   const jobs::WorkerState* WorkerOf(const TrackedMachine& tracked) const;
 
   MachinePort& m_machine_port;
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -449,6 +449,38 @@
   EXPECT_EQ(world.CountRuns(long_running_job), 2U);
 }
 
+// Operators read the state of a wave in the table.
+TEST(HostNodeTest, WaveThatIsDoneStaysDoneAfterATakeover) {
+  VirtualWorld world;
+  world.RunFor(kSettled);
+  world.RequestWave({world.MachineNames().front()}, 1);
+  for (int i = 0; i < 2000 && !world.WaveIsDone(1); ++i) {
+    world.RunFor(milliseconds(5));
+  }
+  ASSERT_TRUE(world.WaveIsDone(1));
+  ASSERT_TRUE(world.LeaderIndex().has_value());
+  world.KillHost(world.LeaderIndex().value_or(0));
+  for (int i = 0; i < 2000; ++i) {
+    world.RunFor(milliseconds(5));
+    ASSERT_TRUE(world.WaveIsDone(1)) << 5 * i << " ms after the takeover";
+  }
+  EXPECT_TRUE(world.LeaderIndex().has_value());
+}
+
+TEST(HostNodeTest, LateWriteOfARunningWaveDoesNotHideItsEnd) {
+  constexpr std::uint64_t kSeeds = 12;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    VirtualWorld world({.seed = seed});
+    world.RunFor(kSettled);
+    world.Faults().late_commit_chance = 1;
+    world.RequestWave({world.MachineNames().front()}, 1);
+    world.RunFor(milliseconds(400));
+    world.Faults().late_commit_chance = 0;
+    world.RunFor(milliseconds(30000));
+    EXPECT_TRUE(world.WaveIsDone(1)) << "seed " << seed;
+  }
+}
+
 // Two workers of one pool; a task that no longer runs on one can start on the
 // other.
 class WorkerRestartTest : public testing::Test {
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -34,6 +34,8 @@
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
 // Allows for inexact clocks and for call latency.
 constexpr std::chrono::milliseconds kOrderLeaseMargin{300};
+// A machine that so many lists in a row lack is removed.
+constexpr std::uint32_t kListsUntilRemoved = 2;
 constexpr char kOrdersKey[] = "orders";
 // States of a machine in a wave's stored row.
 constexpr char kBegun[] = "begun";
@@ -276,11 +278,10 @@
 }
 
 bool MachineController::IsRemoved(const std::string& machine) const {
-  constexpr std::uint32_t kListsWithout = 2;
   const auto found = m_machines.find(machine);
   const std::uint32_t missed =
       found == m_machines.end() ? m_lists : found->second.missed_lists;
-  return missed >= kListsWithout;
+  return missed >= kListsUntilRemoved;
 }
 
 void MachineController::ReportLostWorkers(base::TimePoint asked_at) {
@@ -350,14 +351,9 @@
                                 const PoolLoads& pools,
                                 base::TimePoint now) {
   if (wave.done) {
-    if (!wave.done_stored && !wave.storing) {
-      StoreWaveState(wave, true);
-    }
+    PublishWaveState(wave);
     return;
   }
-  if (!wave.running_stored && !wave.storing) {
-    StoreWaveState(wave, false);
-  }
   std::vector<jobs::WaveMachine> machines;
   bool all_begun = true;
   for (const std::string& name : wave.request.machines) {
@@ -403,8 +399,11 @@
   if (all_begun) {
     wave.done = true;
     m_log.Write("wave.done", {{"wave", wave.request.wave}});
+    RecordWaveDone(wave);
     return;
   }
+  wave.done_recorded = false;
+  PublishWaveState(wave);
   const jobs::WavePlan plan = jobs::PlanWave(
       machines,
       {.max_down = std::max(1U, wave.request.max_down),
@@ -424,6 +423,17 @@
   }
 }
 
+void MachineController::RecordWaveDone(Wave& wave) {
+  if (wave.done_recorded) {
+    return;
+  }
+  m_store_row(MakeWaveRow(wave),
+              m_lifetime.Guard([this, number = wave.request.wave] {
+                Wave& stored = m_waves[number];
+                stored.done_recorded = stored.done;
+              }));
+}
+
 Row MachineController::MakeWaveRow(const Wave& wave) {
   std::string lines;
   for (const std::string& machine : wave.ordered) {
@@ -485,24 +495,63 @@
       }));
 }
 
-void MachineController::StoreWaveState(Wave& wave, bool done) {
-  wave.storing = true;
+void MachineController::PublishWaveState(Wave& wave) {
+  WaveStatus& status = wave.status;
+  const bool is_done = wave.done && wave.done_recorded;
+  if (status.is_writing || (wave.done && !is_done) ||
+      (status.is_own && status.seen_done == is_done)) {
+    return;
+  }
+  // A former leader has seen the end of the wave. This one finds the same,
+  // unless the request has grown; without two lists it can't tell which
+  // machines are removed.
+  if (status.seen_done == true && !is_done && m_lists < kListsUntilRemoved) {
+    return;
+  }
+  status.is_writing = true;
   const std::uint64_t number = wave.request.wave;
+  const std::string key = m_wave_prefix + std::to_string(number);
   RowTransaction transaction;
-  transaction.puts.push_back({m_status_table, "",
-                              m_wave_prefix + std::to_string(number),
-                              m_encode_wave_state(number, done), 0, false});
+  transaction.expect.push_back({m_status_table, "", key, status.version});
+  transaction.puts.push_back({m_status_table, "", key,
+                              m_encode_wave_state(number, is_done), 0, false});
   m_store.Commit(
       std::move(transaction), kStoreTimeout,
-      m_lifetime.Guard([this, number, done](const TransactionReply& reply) {
-        Wave& stored = m_waves[number];
-        stored.storing = false;
-        const bool applied =
-            reply.outcome == TransactionReply::Outcome::kApplied;
-        (done ? stored.done_stored : stored.running_stored) = applied;
+      m_lifetime.Guard([this, number, is_done](const TransactionReply& reply) {
+        HandleWaveStateReply(number, is_done, reply);
       }));
 }
 
+void MachineController::HandleWaveStateReply(std::uint64_t number,
+                                             bool done,
+                                             const TransactionReply& reply) {
+  WaveStatus& status = m_waves[number].status;
+  status.is_writing = false;
+  switch (reply.outcome) {
+    case TransactionReply::Outcome::kApplied:
+      status.version = reply.version;
+      status.seen_done = done;
+      status.is_own = true;
+      return;
+    case TransactionReply::Outcome::kConflict: {
+      const std::string key = m_wave_prefix + std::to_string(number);
+      const auto row = std::ranges::find(reply.current, key, &Row::key);
+      status.version = row == reply.current.end() ? 0 : row->version;
+      status.seen_done.reset();
+      for (const bool state : {false, true}) {
+        if (row != reply.current.end() &&
+            row->value == m_encode_wave_state(number, state)) {
+          status.seen_done = state;
+        }
+      }
+      return;
+    }
+    case TransactionReply::Outcome::kNotApplied:
+    case TransactionReply::Outcome::kUnknown:
+      return;
+  }
+}
+
 bool MachineController::IsEvacuated(const TrackedMachine& tracked) const {
   return m_scheduler.Evacuations().Contains(tracked.machine.availability_zone);
 }
