Deny a finished job only once its rows are removed

A finished job was forgotten before the commit that removes its rows: a GET in between was answered 410, and the leader that took over before the commit read the rows and showed the job as done again. A former job's rows also stayed if its id was submitted again and that submission was withdrawn.

Change: the phase and customer of a forgotten job are kept until the removal is committed, and GET and DELETE go by them. The rows are queued for removal again if what was to overwrite them is withdrawn.

Evidence: PausedHostTest.FinishedJobIsNotShownAgainOnceItWasDenied fails before (200 "done" after 410) and passes now.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -75,10 +75,17 @@
   std::vector<std::pair<TaskRef, std::uint32_t>> starts;
   std::vector<std::string> accepted;  // Jobs whose acceptance it commits.
   std::vector<std::pair<std::string, JobPhase>> phases;  // By job.
+  std::vector<std::string> removed;  // Forgotten jobs whose rows it deletes.
   // Sequence number of the last end that the rows cover, by worker.
   std::vector<std::pair<WorkerId, std::uint64_t>> ends;
 };
 
+// What is left of a finished job until its rows are removed.
+struct ForgottenJob {
+  JobPhase phase = JobPhase::kDone;
+  std::string customer;
+};
+
 // The outcome of a job submission.
 struct Submission {
   enum class Verdict : std::uint8_t {
@@ -137,6 +144,9 @@
   bool Cancel(const std::string& id, base::TimePoint now);
   // The job, or null.
   const Job* FindJob(const std::string& id) const;
+  // A finished job that is forgotten, but whose rows the next leader may still
+  // read; or null.
+  const ForgottenJob* FindForgotten(const std::string& id) const;
   // Whether an unfinished job is to run on workers of this service.
   bool IsServiceInUse(const std::string& service) const;
   // Number of accepted jobs of a queue that have not started.
@@ -738,6 +748,7 @@
   };
   std::deque<UnwrittenEnd> m_unwritten_ends;
   std::vector<std::string> m_removed_jobs;  // Their rows are to be removed.
+  std::map<std::string, ForgottenJob> m_forgotten;
   // Finished jobs that are still kept.
   std::vector<Job*> m_finished;
   DurationModel m_durations;
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -35,9 +35,9 @@
   return since ? base::Milliseconds(now - *since) : 0;
 }
 
-bool MayAccess(const jobs::Job& job, const JobRequest& request) {
-  return job.customer.empty() || request.customer.empty() ||
-         job.customer == request.customer;
+bool MayAccess(const std::string& customer, const JobRequest& request) {
+  return customer.empty() || request.customer.empty() ||
+         customer == request.customer;
 }
 
 }  // namespace
@@ -255,11 +255,21 @@
 void Dispatcher::Cancel(const JobRequest& request, const Responder& respond) {
   const jobs::Job* job = m_scheduler.FindJob(request.job);
   if (job == nullptr) {
+    // The next leader may still read the rows of a job that was forgotten.
+    const auto* forgotten = m_scheduler.FindForgotten(request.job);
+    if (forgotten != nullptr && !MayAccess(forgotten->customer, request)) {
+      AnswerWhenConfirmed(JobAnswer{.kind = JobAnswerKind::kForbidden},
+                          respond);
+      return;
+    }
     LogUnknownJob(request);
-    MarkCancelled(request, {.kind = JobAnswerKind::kNoSuchJob}, respond);
+    MarkCancelled(request,
+                  {.kind = forgotten == nullptr ? JobAnswerKind::kNoSuchJob
+                                                : JobAnswerKind::kOk},
+                  respond);
     return;
   }
-  if (!MayAccess(*job, request)) {
+  if (!MayAccess(job->customer, request)) {
     AnswerWhenConfirmed(JobAnswer{.kind = JobAnswerKind::kForbidden}, respond);
     return;
   }
@@ -330,13 +340,20 @@
 JobAnswer Dispatcher::StateNow(const JobRequest& request) {
   const jobs::Job* job = m_scheduler.FindJob(request.job);
   if (job == nullptr) {
+    if (const auto* forgotten = m_scheduler.FindForgotten(request.job)) {
+      return MayAccess(forgotten->customer, request)
+                 ? JobAnswer{.kind = JobAnswerKind::kOk,
+                             .phase =
+                                 static_cast<std::uint8_t>(forgotten->phase)}
+                 : JobAnswer{.kind = JobAnswerKind::kForbidden};
+    }
     LogUnknownJob(request);
     return {.kind = JobAnswerKind::kNoSuchJob};
   }
   if (!job->accepted) {
     return {.kind = JobAnswerKind::kOutcomeUnknown};
   }
-  if (!MayAccess(*job, request)) {
+  if (!MayAccess(job->customer, request)) {
     return {.kind = JobAnswerKind::kForbidden};
   }
   return {.kind = JobAnswerKind::kOk,
--- a/src/cassiastile/host/paused_host_test.cpp
+++ b/src/cassiastile/host/paused_host_test.cpp
@@ -251,6 +251,30 @@
   EXPECT_THAT(m_world.Violations(), IsEmpty());
 }
 
+// A finished job is forgotten before its rows are removed, and a new leader
+// reads those that are left.
+TEST_F(PausedHostTest, FinishedJobIsNotShownAgainOnceItWasDenied) {
+  const std::size_t leader = WaitForLeader();
+  const std::size_t front = HostBeside(leader, leader);
+  const std::string job = Accept(front, 1, milliseconds(300));
+  m_world.RunFor(milliseconds(119500));
+  m_world.Faults().commit_delay = milliseconds(800);
+  bool is_denied = false;
+  for (int i = 0; i < 60 && !is_denied; ++i) {
+    const Request state = m_world.Send(front, "GET", job);
+    m_world.RunFor(milliseconds(50));
+    is_denied = state->status == kGone;
+  }
+  m_world.Faults().commit_delay = {};
+  // Before the commit that removes the rows is applied.
+  TakeOver(leader, front);
+  m_world.KillHost(leader);
+  EXPECT_EQ(WaitForLeader(), front);
+  const Request state = m_world.Send(front, "GET", job);
+  m_world.RunFor(milliseconds(1600));
+  EXPECT_EQ(state->status, is_denied ? kGone : kOk) << state->body;
+}
+
 // A cancel leaves nothing that callers are told of as a job.
 TEST_F(PausedHostTest, CancelOfAnIdThatNobodySubmittedShowsNoJob) {
   const std::string job = m_world.MakeJob(0, 1, 1, milliseconds(300), "key-0");
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -492,6 +492,10 @@
   m_deferred.erase(job.oldest_change);
   RemoveUnfinished(id);
   m_jobs.erase(found);
+  if (m_forgotten.contains(id)) {
+    // The rows of the former job of this id were to be overwritten.
+    m_removed_jobs.push_back(id);
+  }
   return true;
 }
 
@@ -511,6 +515,11 @@
   return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+const ForgottenJob* Scheduler::FindForgotten(const std::string& id) const {
+  const auto found = m_forgotten.find(id);
+  return found == m_forgotten.end() ? nullptr : &found->second;
+}
+
 bool Scheduler::IsServiceInUse(const std::string& service) const {
   return std::ranges::any_of(m_unfinished, [&](const auto& entry) {
     return ServiceOf(*entry.second) == service;
@@ -635,6 +644,7 @@
       return false;
     }
     m_removed_jobs.push_back(job->id);
+    m_forgotten[job->id] = {job->stored_phase, job->customer};
     m_jobs.erase(job->id);
     return true;
   });
@@ -669,6 +679,7 @@
   while (!m_removed_jobs.empty() && batch.rows.size() + 2 <= max_rows) {
     batch.rows.push_back({m_removed_jobs.back(), true, std::nullopt});
     batch.rows.push_back({m_removed_jobs.back(), false, std::nullopt});
+    batch.removed.push_back(m_removed_jobs.back());
     m_removed_jobs.pop_back();
   }
   CoverEnds(batch);
@@ -720,7 +731,11 @@
 }
 
 void Scheduler::Confirm(const Batch& batch, base::TimePoint now) {
+  for (const std::string& id : batch.removed) {
+    m_forgotten.erase(id);
+  }
   for (const std::string& id : batch.accepted) {
+    m_forgotten.erase(id);
     if (const auto found = m_jobs.find(id); found != m_jobs.end()) {
       found->second->accepted = true;
     }
