Answer 403 to submissions with the id of another customer's job

What callers saw: nothing yet. A submission under an id that another customer's job has got 200, although nothing of it was stored. The rows of a finished job did not hold its customer, so that after a takeover other customers could read its state, where they had got 403 before.

Change: such a submission gets 403, as GET and DELETE do, on a confirmed term. The progress of a finished job holds its customer, as a last field that older programs ignore.

Evidence: PausedHostTest.IdOfAnotherCustomersJobIsNotAccepted and FinishedJobStaysItsCustomersAfterATakeover fail before (200 in place of 403) and pass now.

--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -122,6 +122,10 @@
     return;
   }
   const jobs::Job* known = m_scheduler.FindJob(request.job);
+  if (known != nullptr && !MayAccess(known->customer, request)) {
+    AnswerWhenConfirmed(JobAnswer{.kind = JobAnswerKind::kForbidden}, respond);
+    return;
+  }
   if (known == nullptr &&
       m_cancel_markers.Covers(request.job, request.customer)) {
     m_log.Write("job.refused", {{"job", request.job},
--- a/src/cassiastile/host/paused_host_test.cpp
+++ b/src/cassiastile/host/paused_host_test.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds kUntilCancelled{8000};
 constexpr std::size_t kHosts = 6;
 constexpr int kOk = 200;
+constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kTooMany = 429;
@@ -251,6 +252,40 @@
   EXPECT_THAT(m_world.Violations(), IsEmpty());
 }
 
+// An id names one job: what another customer hands in under it is not stored.
+TEST_F(PausedHostTest, IdOfAnotherCustomersJobIsNotAccepted) {
+  const std::string job = m_world.MakeJob(0, 1, 1, milliseconds(300), "key-0");
+  const Request own = m_world.Send(2, "POST", job);
+  m_world.RunFor(milliseconds(300));
+  const Request other = m_world.SendAs("key-1", 2, "POST", job);
+  m_world.RunFor(milliseconds(2000));
+  const Request later = m_world.SendAs("key-1", 2, "POST", job);
+  m_world.RunFor(milliseconds(1600));
+  EXPECT_EQ(own->status, kOk);
+  EXPECT_EQ(other->status, kForbidden);
+  EXPECT_EQ(later->status, kForbidden);
+  EXPECT_THAT(m_world.Violations(), IsEmpty());
+}
+
+TEST_F(PausedHostTest, FinishedJobStaysItsCustomersAfterATakeover) {
+  const std::string job = m_world.MakeJob(0, 1, 1, milliseconds(300), "key-0");
+  m_world.Send(2, "POST", job);
+  m_world.RunFor(milliseconds(3000));
+  ASSERT_EQ(m_world.CountDoneTasks(job), 1U);
+  const std::size_t leader = WaitForLeader();
+  m_world.KillHost(leader);
+  const std::size_t front = HostBeside(leader, WaitForLeader());
+  for (const std::string method : {"GET", "DELETE", "POST"}) {
+    const Request other = m_world.SendAs("key-1", front, method, job);
+    m_world.RunFor(milliseconds(1600));
+    EXPECT_EQ(other->status, kForbidden) << method;
+  }
+  const Request own = m_world.Send(front, "GET", job);
+  m_world.RunFor(milliseconds(1600));
+  EXPECT_EQ(own->body, "done");
+  EXPECT_THAT(m_world.Violations(), IsEmpty());
+}
+
 // A finished job is forgotten before its rows are removed, and a new leader
 // reads those that are left.
 TEST_F(PausedHostTest, FinishedJobIsNotShownAgainOnceItWasDenied) {
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -199,6 +199,9 @@
   std::uint32_t occurrences_done = 0;
   std::vector<PackedWorker> workers;
   std::vector<PackedOccurrence> occurrences;
+  // Of a finished job, whose record is removed. Missing in rows of older
+  // programs.
+  std::string customer;
 
   MSGPACK_DEFINE(layout,
                  phase,
@@ -206,7 +209,8 @@
                  next_occurrence,
                  occurrences_done,
                  workers,
-                 occurrences);
+                 occurrences,
+                 customer);
 };
 
 class ProgressPacker {
@@ -216,7 +220,9 @@
     m_progress.started = job.started;
     m_progress.next_occurrence = job.next_occurrence;
     m_progress.occurrences_done = job.occurrences_done;
-    if (!IsFinished(job.phase)) {
+    if (IsFinished(job.phase)) {
+      m_progress.customer = job.customer;
+    } else {
       for (const Occurrence& occurrence : job.occurrences) {
         PackedOccurrence& packed = m_progress.occurrences.emplace_back();
         packed.number = occurrence.number;
@@ -344,6 +350,9 @@
   job.started = progress.started;
   job.next_occurrence = progress.next_occurrence;
   job.occurrences_done = progress.occurrences_done;
+  if (IsFinished(job.phase) && job.customer.empty()) {
+    job.customer = progress.customer;
+  }
   for (const PackedOccurrence& packed : progress.occurrences) {
     Occurrence& occurrence = AddOccurrence(job, packed.number);
     for (const PackedTask& task : packed.tasks) {
