Leave stronger peers their head start in each term

A weak leader resigned for a stronger peer and took over again 4 ms later, before that peer's commit, every 1.75 s: four changes of leader in the test's 10 s in place of one, with about half a second without starts each.

Cause: the time since when the leader may be replaced, from which stronger peers have a head start, was left from before the term, so that the head start was over at once.

Change: it is cleared when a term begins.

Evidence: HostNodeTest.WeakLeaderThatResignsDoesNotTakeOverAgainAtOnce fails before (four elections, the weak host leads) and passes now.

--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -531,6 +531,7 @@
 void HostNode::BecomeLeader() {
   m_leader = {m_acquiring_transactions->FencingToken(), m_settings.host,
               OwnEndpoint()};
+  m_replaceable_since = {};
   m_log.Write("office.elected", {{"fence", m_leader.fence}});
   m_dispatcher = std::make_unique<Dispatcher>(
       m_dependencies, m_peer_port, m_loop, m_log, m_settings,
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -481,6 +481,20 @@
   }
 }
 
+// The leader that resigned must leave its stronger peers time, in each term.
+TEST(HostNodeTest, WeakLeaderThatResignsDoesNotTakeOverAgainAtOnce) {
+  VirtualWorld world({.hosts = 2, .strong_hosts = 1, .keep_log = true});
+  world.RunFor(kSettled);
+  world.KillHost(0);
+  world.RunFor(milliseconds(8000));
+  ASSERT_EQ(world.LeaderIndex(), 1U);
+  const auto before = ElectedHosts(world.Log()).size();
+  world.StartHost(0);
+  world.RunFor(milliseconds(10000));
+  EXPECT_EQ(world.LeaderIndex(), 0U);
+  EXPECT_EQ(ElectedHosts(world.Log()).size(), before + 1);
+}
+
 // Two workers of one pool; a task that no longer runs on one can start on the
 // other.
 class WorkerRestartTest : public testing::Test {
