Yield again after a resignation that failed

A resignation waits for the commit in flight. If that one fails, since another host has taken over, the resignation is never carried out and its mark stayed: in later terms this host did not announce itself as the leader and never yielded to a stronger peer. The mark is now cleared with the end of the term.

--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -565,6 +565,8 @@
     m_leader.host.clear();
   }
   m_record_changed_at = {};
+  // The commit that a resignation waits for may have failed.
+  m_resigning = false;
   CheckLeader();
 }
 
--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -495,6 +495,36 @@
   EXPECT_EQ(ElectedHosts(world.Log()).size(), before + 1);
 }
 
+// A resignation waits for a commit, which fails if another host takes over
+// meanwhile.
+TEST(HostNodeTest, LeaderWhoseResignationFailedYieldsInALaterTerm) {
+  constexpr std::size_t kHosts = 6;
+  for (const int before : {1200, 1400, 1600, 1800, 2000}) {
+    VirtualWorld world({.strong_hosts = 1});
+    world.RunFor(kSettled);
+    world.KillHost(0);
+    world.RunFor(milliseconds(5000));
+    ASSERT_TRUE(world.LeaderIndex().has_value());
+    const std::size_t weak = world.LeaderIndex().value_or(0);
+    world.StartHost(0);
+    world.RunFor(milliseconds(before));
+    world.Faults().lost_answer_chance = 1;
+    world.RunFor(milliseconds(900));
+    world.Faults().lost_answer_chance = 0;
+    world.RunFor(milliseconds(5000));
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      if (host != weak) {
+        world.KillHost(host);
+      }
+    }
+    world.RunFor(milliseconds(8000));
+    ASSERT_EQ(world.LeaderIndex(), weak);
+    world.StartHost(0);
+    world.RunFor(milliseconds(8000));
+    EXPECT_EQ(world.LeaderIndex(), 0U) << before << " ms";
+  }
+}
+
 // Two workers of one pool; a task that no longer runs on one can start on the
 // other.
 class WorkerRestartTest : public testing::Test {
