Let no isolated leader refuse a submission for the store

What callers saw: a former leader that reaches neither the store nor its peers answered 503 "store away" to a copy of a submission that its successor had accepted.

Cause: without the store the term can't be confirmed, and in an outage of the whole store callers are promised a refusal at once.

Change: a leader that hears none of its peers answers 504 instead. One that hears them is not alone with its outage, and refuses as before.

--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -121,6 +121,12 @@
   void ApplyEvacuations();
   // Ends the term of this host after it resigned or lost the leadership.
   void HandleTermEnded();
+  // Whether none of the known peers was heard lately: another one may lead.
+  bool IsIsolated() const;
+  // An isolated leader without the store can't tell whether its successor has
+  // accepted the job, so it does not refuse one for the store.
+  void AnswerAsLeader(const JobRequest& request,
+                      const std::function<void(JobAnswer)>& respond);
   void SendToLeader(const JobRequest& request,
                     std::chrono::milliseconds timeout,
                     const std::function<void(JobAnswer)>& respond);
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -570,6 +570,28 @@
   CheckLeader();
 }
 
+bool HostNode::IsIsolated() const {
+  const base::TimePoint now = m_loop.GetClock().Now();
+  return !m_known_peers.empty() &&
+         std::ranges::none_of(m_known_peers, [now](const auto& entry) {
+           return now - entry.second.heard_at < kPeerTimeout;
+         });
+}
+
+void HostNode::AnswerAsLeader(const JobRequest& request,
+                              const std::function<void(JobAnswer)>& respond) {
+  m_dispatcher->Answer(
+      request, [respond, is_isolated = IsIsolated()](const JobAnswer& answer) {
+        const bool rests_on_the_store =
+            answer.kind == JobAnswerKind::kRefused &&
+            answer.reason == static_cast<std::uint8_t>(
+                                 jobs::RefusalReason::kStoreUnavailable);
+        respond(is_isolated && rests_on_the_store
+                    ? JobAnswer{.kind = JobAnswerKind::kOutcomeUnknown}
+                    : answer);
+      });
+}
+
 void HostNode::SendToLeader(const JobRequest& request,
                             std::chrono::milliseconds timeout,
                             const std::function<void(JobAnswer)>& respond) {
@@ -585,7 +607,7 @@
     };
     m_loop.After(timeout,
                  [once] { once({.kind = JobAnswerKind::kOutcomeUnknown}); });
-    m_dispatcher->Answer(request, once);
+    AnswerAsLeader(request, once);
     return;
   }
   if (m_leader.host.empty() || m_leader.host == m_settings.host) {
@@ -630,7 +652,7 @@
     respond({.kind = JobAnswerKind::kNotLeader});
     return;
   }
-  m_dispatcher->Answer(request, respond);
+  AnswerAsLeader(request, respond);
 }
 
 RelayReply HostNode::HandleRelayBatch(const RelayBatch& batch) {
