Answer what waits for the leader before a stopping host exits

Change: at the end of its grace a host answers all that waits, and what it reads within the next 150 ms, with 504, and then exits.

--- a/include/cassiastile/host/host_node.hpp
+++ b/include/cassiastile/host/host_node.hpp
@@ -56,6 +56,8 @@
   void BeginStop();
   // Whether every caller's request is answered and this host is not the leader.
   bool IsReadyToExit() const;
+  // Answers all callers that still wait. The process exits soon.
+  void CloseFrontend() { m_frontend.Close(); }
 
   // Null unless this host is the leader. Valid until the current callback of
   // the loop returns.
--- a/include/cassiastile/host/job_frontend.hpp
+++ b/include/cassiastile/host/job_frontend.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -56,7 +58,10 @@
   void Serve(const wire::HttpRequest& request,
              const wire::HttpResponder& respond);
   // Number of forwarded requests that are not answered yet.
-  std::size_t InFlight() const { return m_in_flight; }
+  std::size_t InFlight() const { return m_waiting.size(); }
+  // Answers with 504 what waits for the leader, and from now on each request
+  // that would: the process is about to exit.
+  void Close();
 
  private:
   // Answers a request that the configuration in force doesn't allow, unless a
@@ -67,6 +72,12 @@
   void Forward(JobRequest request,
                std::chrono::milliseconds timeout,
                const wire::HttpResponder& respond);
+  // Sends the caller what the leader has answered.
+  void Respond(JobVerb verb,
+               const std::string& job,
+               base::TimePoint arrived,
+               const JobAnswer& answer,
+               const wire::HttpResponder& respond);
   // Logs how a request ended, with the leader as this host knows it.
   void LogRequest(std::string_view event,
                   JobVerb verb,
@@ -80,7 +91,10 @@
   std::function<LeaderView()> m_leader_view;
   std::function<base::Duration()> m_config_age;
   std::shared_ptr<const jobs::FleetConfig> m_config;
-  std::size_t m_in_flight = 0;
+  bool m_is_closed = false;
+  std::uint64_t m_last_request = 0;
+  // Forwarded requests, by number.
+  std::map<std::uint64_t, std::function<void(JobAnswer)>> m_waiting;
 };
 
 }  // namespace cassiastile::host
--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -36,6 +36,9 @@
 constexpr std::chrono::milliseconds kBalancerDetectionTime{2500};
 // The end of the stop grace period that is reserved for the exit itself.
 constexpr std::chrono::milliseconds kExitReserve{600};
+// How long the last answers, also to what was not read yet, may be on their
+// way.
+constexpr std::chrono::milliseconds kLastAnswers{150};
 
 host::HostDependencies MakeDependencies(adapter::TableClient& table,
                                         adapter::WorkerClient& workers,
@@ -240,10 +243,15 @@
     const auto waited = m_clock.Now() - m_stop_at;
     const bool can_exit =
         waited > kBalancerDetectionTime && m_node.IsReadyToExit();
-    if (can_exit || waited > m_settings.stop_grace - kExitReserve) {
+    if (can_exit) {
       m_context.stop();
       return;
     }
+    if (waited > m_settings.stop_grace - kExitReserve) {
+      m_node.CloseFrontend();
+      m_loop.After(kLastAnswers, [this] { m_context.stop(); });
+      return;
+    }
     m_loop.After(kStopPoll, [this] { AwaitExit(); });
   }
 
--- a/src/cassiastile/host/job_frontend.cpp
+++ b/src/cassiastile/host/job_frontend.cpp
@@ -181,6 +181,10 @@
     return;
   }
   job.job = rest;
+  if (m_is_closed) {
+    respond(AnswerError(kGatewayTimeout, "the host is about to exit"));
+    return;
+  }
   const auto timeout = TimeoutOf(request, m_format.timeout_header);
   Forward(std::move(job), std::min(kMaxWait, timeout), respond);
 }
@@ -188,55 +192,71 @@
 void JobFrontend::Forward(JobRequest request,
                           std::chrono::milliseconds timeout,
                           const wire::HttpResponder& respond) {
-  ++m_in_flight;
   request.timeout_ms = timeout.count();
-  const JobVerb verb = request.verb;
-  const std::string job = request.job;
-  m_forward_job(
-      std::move(request), timeout,
-      [this, verb, job, respond,
-       arrived = m_loop.GetClock().Now()](const JobAnswer& answer) {
-        --m_in_flight;
-        const auto waited =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                m_loop.GetClock().Now() - arrived);
-        m_log.Metrics().Observe(Latency::kRequest, waited);
-        switch (answer.kind) {
-          case JobAnswerKind::kOk:
-            if (verb == JobVerb::kState) {
-              respond(
-                  Answer(kOk, m_format.encode_state(
-                                  static_cast<jobs::JobPhase>(answer.phase))));
-            } else if (verb == JobVerb::kQueueLength) {
-              respond(Answer(kOk, m_format.encode_queue_length(answer.count)));
-            } else {
-              respond(Answer(kOk));
-            }
-            return;
-          case JobAnswerKind::kInvalid:
-            respond(AnswerError(kBadRequest, answer.detail));
-            return;
-          case JobAnswerKind::kNoSuchJob:
-            LogRequest("request.gone", verb, job, waited);
-            respond(AnswerError(kGone, "no such job"));
-            return;
-          case JobAnswerKind::kForbidden:
-            respond(AnswerError(kForbidden, "another customer's job"));
-            return;
-          case JobAnswerKind::kRefused:
-            respond(Refusal(answer));
-            return;
-          case JobAnswerKind::kNotLeader:
-            LogRequest("request.no_office", verb, job, waited);
-            respond(AnswerWithRetryAfter(kUnavailable, "no host is in office",
-                                         kRetryWithoutLeader));
-            return;
-          case JobAnswerKind::kOutcomeUnknown:
-            LogRequest("request.undecided", verb, job, waited);
-            respond(AnswerError(kGatewayTimeout, "not known yet"));
-            return;
-        }
-      });
+  const std::uint64_t number = ++m_last_request;
+  m_waiting[number] = [this, verb = request.verb, job = request.job, respond,
+                       arrived =
+                           m_loop.GetClock().Now()](const JobAnswer& answer) {
+    Respond(verb, job, arrived, answer, respond);
+  };
+  m_forward_job(std::move(request), timeout,
+                [this, number](const JobAnswer& answer) {
+                  const auto waiting = m_waiting.extract(number);
+                  if (!waiting.empty()) {
+                    waiting.mapped()(answer);
+                  }
+                });
+}
+
+void JobFrontend::Close() {
+  m_is_closed = true;
+  for (const auto& [number, answer] : std::exchange(m_waiting, {})) {
+    answer({.kind = JobAnswerKind::kOutcomeUnknown});
+  }
+}
+
+void JobFrontend::Respond(JobVerb verb,
+                          const std::string& job,
+                          base::TimePoint arrived,
+                          const JobAnswer& answer,
+                          const wire::HttpResponder& respond) {
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_loop.GetClock().Now() - arrived);
+  m_log.Metrics().Observe(Latency::kRequest, waited);
+  switch (answer.kind) {
+    case JobAnswerKind::kOk:
+      if (verb == JobVerb::kState) {
+        respond(Answer(kOk, m_format.encode_state(
+                                static_cast<jobs::JobPhase>(answer.phase))));
+      } else if (verb == JobVerb::kQueueLength) {
+        respond(Answer(kOk, m_format.encode_queue_length(answer.count)));
+      } else {
+        respond(Answer(kOk));
+      }
+      return;
+    case JobAnswerKind::kInvalid:
+      respond(AnswerError(kBadRequest, answer.detail));
+      return;
+    case JobAnswerKind::kNoSuchJob:
+      LogRequest("request.gone", verb, job, waited);
+      respond(AnswerError(kGone, "no such job"));
+      return;
+    case JobAnswerKind::kForbidden:
+      respond(AnswerError(kForbidden, "another customer's job"));
+      return;
+    case JobAnswerKind::kRefused:
+      respond(Refusal(answer));
+      return;
+    case JobAnswerKind::kNotLeader:
+      LogRequest("request.no_office", verb, job, waited);
+      respond(AnswerWithRetryAfter(kUnavailable, "no host is in office",
+                                   kRetryWithoutLeader));
+      return;
+    case JobAnswerKind::kOutcomeUnknown:
+      LogRequest("request.undecided", verb, job, waited);
+      respond(AnswerError(kGatewayTimeout, "not known yet"));
+      return;
+  }
 }
 
 void JobFrontend::LogRequest(std::string_view event,
