--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1376,6 +1376,18 @@
   return request;
 }
 
+std::shared_ptr<const CallerRequest> VirtualWorld::SendPath(
+    std::size_t host,
+    const std::string& method,
+    const std::string& path) {
+  auto request = std::make_shared<CallerRequest>();
+  request->method = method;
+  request->is_owner = false;
+  request->sent_at = m_loop.Now();
+  SendRequest(host, MakeRequest(method, path, ""), request, {});
+  return request;
+}
+
 std::shared_ptr<const CallerRequest> VirtualWorld::AskQueueLength(
     std::size_t host,
     std::size_t service,
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -171,6 +171,10 @@
       const std::string& method,
       const std::string& job,
       std::chrono::milliseconds delay = {});
+  // Sends a request that is about no job.
+  std::shared_ptr<const CallerRequest> SendPath(std::size_t host,
+                                                const std::string& method,
+                                                const std::string& path);
   // Asks a host for the length of a service's queue.
   std::shared_ptr<const CallerRequest> AskQueueLength(
       std::size_t host,
