--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -20,7 +20,9 @@
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kTooMany = 429;
+constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 constexpr milliseconds kTimeout{2000};
 constexpr milliseconds kRetryDelay{250};
@@ -65,6 +67,7 @@
     PressPausedHost(host, time);
   }));
   KeepConnections();
+  AskQueueLengths();
 }
 
 void Callers::After(milliseconds delay, std::function<void()> run) {
@@ -206,6 +209,7 @@
   Job& job = m_jobs.at(id);
   ++job.attempts;
   ++job.open_attempts;
+  m_fleet.Checker().SubmissionSent(id);
   const std::size_t host = to.value_or(PickHost());
   m_client->Start(
       MakeCall("POST", job, host),
@@ -257,7 +261,9 @@
                                    outcome->status == kNotFound);
   const bool never_sent =
       !outcome && outcome.error().state == wire::SendState::kNotSent;
-  if (outcome && !refused && outcome->status < 500) {
+  const bool is_unknown = outcome && (outcome->status == kBadGateway ||
+                                      outcome->status == kGatewayTimeout);
+  if (outcome && !refused && !is_unknown) {
     m_fleet.Checker().AddViolation(fmt::format(
         "host-{} answered {} to a valid job", host, outcome->status));
   }
@@ -311,6 +317,7 @@
       job.known_state == KnownState::kUnknown) {
     job.known_state = KnownState::kCancelling;
     job.cancel_sent_at = m_loop.GetClock().Now();
+    m_fleet.Checker().CancelSent(job.id);
     Cancel(job.id, at);
   }
 }
@@ -435,6 +442,51 @@
   After(kInterval, [this] { KeepConnections(); });
 }
 
+void Callers::AskQueueLengths() {
+  constexpr milliseconds kInterval{300};
+  const std::size_t host = m_queue_lengths % m_fleet.HostCount();
+  const std::size_t queue = m_queue_lengths / m_fleet.HostCount() % kServices;
+  ++m_queue_lengths;
+  wire::HttpCall call;
+  call.method = "GET";
+  call.url = fmt::format("{}/q{}/", m_fleet.CallersEndpoint(host), queue);
+  call.headers.emplace_back(adapter::kKeyHeader, "key");
+  call.headers.emplace_back(adapter::kTimeoutHeader,
+                            std::to_string(kTimeout.count()));
+  call.timeout = kTimeout;
+  m_client->Start(
+      std::move(call),
+      m_lifetime.Guard([this, queue, host, sent_at = m_loop.GetClock().Now()](
+                           const wire::HttpOutcome& outcome) {
+        CheckQueueLength(queue, host, sent_at, outcome);
+      }));
+  After(kInterval, [this] { AskQueueLengths(); });
+}
+
+void Callers::CheckQueueLength(std::size_t queue,
+                               std::size_t host,
+                               base::TimePoint sent_at,
+                               const wire::HttpOutcome& outcome) {
+  if (!IsSuccess(outcome)) {
+    return;
+  }
+  const auto count = adapter::DecodeQueueLength(outcome->body);
+  if (!count) {
+    m_fleet.Checker().AddViolation(count.error().message);
+    return;
+  }
+  if (!m_fleet.IsInTouch(host)) {
+    return;
+  }
+  std::vector<std::string> jobs;
+  for (const auto& [id, job] : m_jobs) {
+    if (job.queue == queue) {
+      jobs.push_back(id);
+    }
+  }
+  m_fleet.Checker().QueueLengthAnswered(jobs, sent_at, *count);
+}
+
 void Callers::PollState(const std::string& id, std::optional<Target> from) {
   const KnownState known_state = m_jobs.at(id).known_state;
   if (known_state == KnownState::kDone || known_state == KnownState::kRefused) {
--- a/src/cassiastile/soak/callers.hpp
+++ b/src/cassiastile/soak/callers.hpp
@@ -121,6 +121,12 @@
   // Keeps some connections to each host open that no request waits on, so that
   // a paused host finds requests on them at once when it goes on.
   void KeepConnections();
+  // Asks hosts and queues in turn how many jobs wait, every now and then.
+  void AskQueueLengths();
+  void CheckQueueLength(std::size_t queue,
+                        std::size_t host,
+                        base::TimePoint sent_at,
+                        const wire::HttpOutcome& outcome);
   void CheckCutRequest(std::size_t host,
                        base::TimePoint sent_at,
                        const wire::HttpOutcome& outcome);
@@ -143,6 +149,7 @@
   std::map<std::size_t, base::TimePoint> m_paused_until;  // By host.
   std::map<std::string, Job> m_jobs;
   bool m_submitting = true;
+  std::size_t m_queue_lengths = 0;  // Asked for so far.
   host::Lifetime m_lifetime;
 };
 
