--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -36,8 +36,7 @@
 constexpr std::chrono::milliseconds kBalancerDetectionTime{2500};
 // The end of the stop grace period that is reserved for the exit itself.
 constexpr std::chrono::milliseconds kExitReserve{600};
-// How long the last answers, also to what was not read yet, may be on their
-// way.
+// How long it may take to read what waits in the sockets and to answer it.
 constexpr std::chrono::milliseconds kLastAnswers{150};
 
 host::HostDependencies MakeDependencies(adapter::TableClient& table,
@@ -238,20 +237,25 @@
   }
 
   // Exits once the load balancer has noticed the stop and the node is ready, or
-  // when the grace period is nearly over.
+  // when the grace period is nearly over. A process that stood still may have
+  // requests in its sockets that it has not read: it exits only after it has
+  // run, and been ready, for a while.
   void AwaitExit() {
-    const auto waited = m_clock.Now() - m_stop_at;
-    const bool can_exit =
-        waited > kBalancerDetectionTime && m_node.IsReadyToExit();
-    if (can_exit) {
-      m_context.stop();
-      return;
-    }
+    const base::TimePoint now = m_clock.Now();
+    const auto waited = now - m_stop_at;
     if (waited > m_settings.stop_grace - kExitReserve) {
       m_node.CloseFrontend();
       m_loop.After(kLastAnswers, [this] { m_context.stop(); });
       return;
     }
+    if (!m_node.IsReadyToExit() || now - m_polled_at > 2 * kStopPoll) {
+      m_ready_since = now;
+    }
+    m_polled_at = now;
+    if (waited > kBalancerDetectionTime && now - m_ready_since > kLastAnswers) {
+      m_context.stop();
+      return;
+    }
     m_loop.After(kStopPoll, [this] { AwaitExit(); });
   }
 
@@ -274,6 +278,8 @@
   std::vector<std::unique_ptr<wire::HttpServer>> m_servers;
   bool m_stopping = false;
   base::TimePoint m_stop_at{};
+  base::TimePoint m_polled_at{};    // Whether the node is ready to exit.
+  base::TimePoint m_ready_since{};  // As far as that is known.
 };
 
 }  // namespace
