--- a/include/cassiastile/sim/invariant_checker.hpp
+++ b/include/cassiastile/sim/invariant_checker.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
@@ -25,6 +26,9 @@
 inline constexpr std::chrono::milliseconds kVisibleTime{3000};
 inline constexpr std::chrono::milliseconds kQueueLengthAge{2000};
 
+// Which bounds of a queue's length an answer is judged by.
+enum class QueueLengthBounds : std::uint8_t { kBoth, kLower };
+
 // Checks the invariants of runs, from the requests and answers of callers and
 // from what workers observe. Each violation is a sentence. Not thread-safe.
 class InvariantChecker final : public RunObserver {
@@ -62,9 +66,11 @@
                      jobs::JobPhase phase);
   void AbsenceAnswered(const std::string& job, base::TimePoint sent_at);
   // A caller was told how many of these jobs, all those of one queue, wait.
+  // Only the lower bound holds while starts may be on their way or unheard of.
   void QueueLengthAnswered(const std::vector<std::string>& jobs,
                            base::TimePoint sent_at,
-                           std::size_t count);
+                           std::size_t count,
+                           QueueLengthBounds bounds = QueueLengthBounds::kBoth);
   // The job's last start was carried out late by its worker.
   void StartWasLate(const std::string& job);
   // Adds a violation if the job's last start came too late after its
--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -484,7 +484,12 @@
       jobs.push_back(id);
     }
   }
-  m_fleet.Checker().QueueLengthAnswered(jobs, sent_at, *count);
+  // A new leader counts a job as waiting until a worker has told it of a start
+  // that its predecessor had no answer to.
+  const bool is_calm = sent_at > m_fleet.CalmSince() + kContact;
+  m_fleet.Checker().QueueLengthAnswered(
+      jobs, sent_at, *count,
+      is_calm ? sim::QueueLengthBounds::kBoth : sim::QueueLengthBounds::kLower);
 }
 
 void Callers::PollState(const std::string& id, std::optional<Target> from) {
