--- a/src/cassiastile/host/unconfirmed_answer_test.cpp
+++ b/src/cassiastile/host/unconfirmed_answer_test.cpp
@@ -48,6 +48,20 @@
   EXPECT_THAT(again->status, AnyOf(200, 504, 0)) << again->body;
 }
 
+// The same shortly after it was cut off, when its peers were heard lately.
+TEST_F(UnconfirmedAnswerTest,
+       FormerLeaderCutOffLatelyDoesNotRefuseAnAcceptedJob) {
+  const std::size_t former = WaitForLeader();
+  const std::string name = "host-" + std::to_string(former);
+  m_world.Faults().hosts_without_store = {name};
+  m_world.Faults().hosts_without_peers = {name};
+  m_world.RunFor(milliseconds(3000));
+  const std::string job = Accept(HostBeside(former, former));
+  const Request again = m_world.Send(former, "POST", job);
+  m_world.RunFor(milliseconds(1600));
+  EXPECT_THAT(again->status, AnyOf(200, 504, 0)) << again->body;
+}
+
 // A leader that works on and is taken for gone: an old message of it, which
 // asked for a takeover, is read late. Its pool is full. The parameter is the
 // time between its renewal and that message.
