Log what a lease's end rests on and how old a worker is

New: lease_left_ms, lease_by and reported_ms in run.dropped, age_ms in worker.restarted, worker.first_report for workers that started less than a minute ago, and run.ended_late for ends of runs that were given up. No logic changes.

--- a/include/cassiastile/jobs/orders.hpp
+++ b/include/cassiastile/jobs/orders.hpp
@@ -7,6 +7,7 @@
 
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/jobs/job.hpp"
+#include "cassiastile/jobs/worker_state.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 
 // What the scheduler orders, and what it tells for the log.
@@ -61,6 +62,12 @@
   bool answered = false;               // Its start was answered.
   bool listed = false;                 // Its worker has listed it.
   bool worker_listed = false;  // The platform's list has its worker's entry.
+  // When its worker's lease was taken to end, and what that rests on.
+  base::TimePoint lease_bound{};
+  LeaseEvidence lease_evidence = LeaseEvidence::kNone;
+  // The newest report of its worker's current incarnation to this leader; zero
+  // without one.
+  base::TimePoint worker_reported_at{};
 };
 
 // A list of workers has an entry of another incarnation than the one that is
@@ -112,6 +119,8 @@
   std::vector<DroppedRun> dropped;
   // Runs that a worker lists as running although they were given up.
   std::vector<DroppedRun> resurfaced;
+  // Runs whose ends a worker lists although they were given up before.
+  std::vector<DroppedRun> late_ends;
   // Runs of a worker's former incarnation whose starts the next one may still
   // carry out.
   std::vector<DroppedRun> outlived;
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "cassiastile/base/clock.hpp"
+#include "cassiastile/base/enum_names.hpp"
 #include "cassiastile/jobs/job.hpp"
 #include "cassiastile/jobs/start_reservations.hpp"
 #include "cassiastile/jobs/worker_health.hpp"
@@ -15,6 +17,22 @@
 
 namespace cassiastile::jobs {
 
+// What the bound of a worker's lease rests on.
+enum class LeaseEvidence : std::uint8_t {
+  kNone,        // No lease is known of.
+  kExtension,   // Sent by this leader.
+  kTakeover,    // May have been sent by the previous leader.
+  kFormerLife,  // May have been sent to a former incarnation.
+};
+
+inline constexpr std::array<base::EnumName<LeaseEvidence>, 4>
+    kLeaseEvidenceNames{{
+        {LeaseEvidence::kNone, "none"},
+        {LeaseEvidence::kExtension, "extension"},
+        {LeaseEvidence::kTakeover, "takeover"},
+        {LeaseEvidence::kFormerLife, "former life"},
+    }};
+
 // A worker as the scheduler knows it.
 struct WorkerState {
   WorkerEntry entry;
@@ -32,6 +50,7 @@
   std::int64_t described_ms = 0;
   // Upper bound of its lease: nothing ordered so far can still run after it.
   base::TimePoint lease_bound{};
+  LeaseEvidence lease_evidence = LeaseEvidence::kNone;
   Resources used;               // By runs that may be alive.
   Resources long_running_used;  // The part of `used` for long-running tasks.
   // By runs that its newest report lists and that are not in `runs`. They are
@@ -73,6 +92,8 @@
   bool is_ending = false;
   bool wants_report = false;  // A report is needed to settle a run.
 
+  // Raises `lease_bound` unless it is as high.
+  void RaiseLeaseBound(base::TimePoint bound, LeaseEvidence evidence);
   // Add a run of a step to the capacity in use, and remove it.
   void Use(const StepSpec& step);
   void Release(const StepSpec& step);
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -26,6 +26,9 @@
 // slow and a lease would then end later than LeaseEnd allows for.
 constexpr std::chrono::milliseconds kMaxClockAge{2000};
 constexpr std::chrono::milliseconds kPruneInterval{1000};
+// Calls for a former incarnation have long ended at older workers, so their
+// first reports are not logged.
+constexpr std::chrono::milliseconds kMaxLoggedAge{60000};
 
 nlohmann::json DescribeRun(const jobs::WorkerId& worker,
                            const jobs::TaskId& task,
@@ -58,6 +61,14 @@
   if (drop.start_ordered_at != base::TimePoint{}) {
     line["ordered_ms"] = base::Milliseconds(now - drop.start_ordered_at);
   }
+  if (drop.lease_evidence != jobs::LeaseEvidence::kNone) {
+    line["lease_left_ms"] = base::Milliseconds(drop.lease_bound - now);
+    line["lease_by"] =
+        base::FindName(jobs::kLeaseEvidenceNames, drop.lease_evidence);
+  }
+  if (drop.worker_reported_at != base::TimePoint{}) {
+    line["reported_ms"] = base::Milliseconds(now - drop.worker_reported_at);
+  }
   return line;
 }
 
@@ -258,19 +269,26 @@
   const bool is_current = known != nullptr && known->entry.id.incarnation_ms ==
                                                   result->incarnation_ms;
   const std::uint64_t known_end = is_current ? known->last_end : 0;
+  const bool is_first = !is_current || !known->has_reported;
   ++m_load.reports;
   if (!m_scheduler.WorkerReported(id, *result, asked_at, now)) {
     return;
   }
   if (result->incarnation_ms != link.address.id.incarnation_ms) {
-    m_log.Write("worker.restarted",
-                {{"worker", id},
-                 {"born", result->incarnation_ms},
-                 {"former", link.address.id.incarnation_ms}});
+    m_log.Write("worker.restarted", {{"worker", id},
+                                     {"born", result->incarnation_ms},
+                                     {"former", link.address.id.incarnation_ms},
+                                     {"age_ms", result->clock.count()}});
     UpdateAddress(link, m_scheduler.FindWorker(id)->entry);
   } else {
     link.heard_at = std::max(link.heard_at, asked_at);
   }
+  if (is_first && result->clock < kMaxLoggedAge) {
+    m_log.Write("worker.first_report", {{"worker", id},
+                                        {"born", result->incarnation_ms},
+                                        {"age_ms", result->clock.count()},
+                                        {"runs", result->running.size()}});
+  }
   link.clock_known = true;
   link.clock = result->clock;
   link.clock_at = now;
@@ -301,6 +319,9 @@
   for (const jobs::DroppedRun& drop : orders.resurfaced) {
     m_log.Write("run.resurfaced", DescribeDrop(drop, now));
   }
+  for (const jobs::DroppedRun& drop : orders.late_ends) {
+    m_log.Write("run.ended_late", DescribeDrop(drop, now));
+  }
   for (const jobs::DroppedRun& drop : orders.outlived) {
     m_log.Write("run.outlived", DescribeDrop(drop, now));
   }
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -282,7 +282,7 @@
           for (Run& run : tasks[i].runs) {
             const TaskRef ref{&job, occurrence.number, s, i};
             WorkerState& worker = RecoverWorker(job, run.worker, run.machine);
-            worker.lease_bound = std::max(worker.lease_bound, latest_lease_end);
+            worker.RaiseLeaseBound(latest_lease_end, LeaseEvidence::kTakeover);
             worker.runs.emplace_back(ref, run.number);
             worker.Use(SpecOf(ref));
             m_used_by_customer[job.customer] += SpecOf(ref).need;
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -7,6 +7,14 @@
 
 namespace cassiastile::jobs {
 
+void WorkerState::RaiseLeaseBound(base::TimePoint bound,
+                                  LeaseEvidence evidence) {
+  if (bound > lease_bound) {
+    lease_bound = bound;
+    lease_evidence = evidence;
+  }
+}
+
 bool WorkerState::HasWithdrawn(const TaskRef& ref) const {
   return std::ranges::find(withdrawn, ref) != withdrawn.end();
 }
@@ -83,9 +91,9 @@
     }
     // Leases for the former incarnation end at a time of its clock, which may
     // be far ahead of the clock of this one.
-    worker.lease_bound =
-        std::max(worker.lease_bound,
-                 now + m_options.max_order_delay + m_options.max_worker_lease);
+    worker.RaiseLeaseBound(
+        now + m_options.max_order_delay + m_options.max_worker_lease,
+        LeaseEvidence::kFormerLife);
   }
   worker.entry.id.incarnation_ms = incarnation_ms;
   worker.known_since = now;
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -154,8 +154,15 @@
   drop.start_ordered_at = run.start_ordered_at;
   drop.answered = run.answered_at != base::TimePoint{};
   drop.listed = run.listed;
-  const auto worker = m_workers.find(run.worker.id);
-  drop.worker_listed = worker != m_workers.end() && worker->second.listed;
+  if (const auto found = m_workers.find(run.worker.id);
+      found != m_workers.end()) {
+    const WorkerState& worker = found->second;
+    drop.worker_listed = worker.listed;
+    drop.lease_bound = worker.lease_bound;
+    drop.lease_evidence = worker.lease_evidence;
+    drop.worker_reported_at =
+        worker.has_reported ? worker.last_report : base::TimePoint{};
+  }
   return drop;
 }
 
@@ -227,7 +234,7 @@
 
 void Scheduler::LeaseSent(const std::string& id, base::TimePoint bound) {
   if (WorkerState* worker = FindWorker(id)) {
-    worker->lease_bound = std::max(worker->lease_bound, bound);
+    worker->RaiseLeaseBound(bound, LeaseEvidence::kExtension);
   }
 }
 
@@ -384,6 +391,10 @@
       known->checkpoint = end.checkpoint;
     }
   }
+  if (task.dropped_run == end.run) {
+    m_orders.late_ends.push_back({worker.entry.id, end.task, end.run,
+                                  task.drop_reason, RunPhase::kRunning});
+  }
   DropRun(ref, end.run, DropReason::kNone, now);
   MarkDirty(*ref.job, false);
   if (end.how == RunEnd::kDone) {
