--- a/include/cassiastile/sim/worker_model.hpp
+++ b/include/cassiastile/sim/worker_model.hpp
@@ -73,6 +73,8 @@
   std::size_t RunCount() const { return m_running.size(); }
   // The worker's own clock: the time since it started.
   std::chrono::milliseconds Clock(base::TimePoint now) const;
+  // When the lease ends unless it is extended.
+  base::TimePoint LeaseEnd() const;
 
  private:
   struct Run {
@@ -87,7 +89,6 @@
   // Notes an expiry of the lease up to now.
   void NoteExpiry(base::TimePoint now);
   void Finish(const jobs::TaskId& task, jobs::RunEnd how);
-  base::TimePoint LeaseEnd() const;
 
   jobs::WorkerEntry m_entry;
   base::TimePoint m_started;
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1627,6 +1627,14 @@
   return ids;
 }
 
+base::TimePoint VirtualWorld::LeaseEndOf(const std::string& id) const {
+  return m_workers.at(id)->model->LeaseEnd();
+}
+
+std::size_t VirtualWorld::CountRunsOn(const std::string& id) const {
+  return m_workers.at(id)->model->RunCount();
+}
+
 void VirtualWorld::PublishNextConfig() {
   PublishNextConfig(m_options.services);
 }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -216,6 +216,10 @@
   // carried out late.
   void DrainWorker(const std::string& id);
   std::vector<std::string> WorkerIds() const;
+  // When the lease of a running worker ends unless it is extended.
+  base::TimePoint LeaseEndOf(const std::string& id) const;
+  // Number of runs on a running worker now.
+  std::size_t CountRunsOn(const std::string& id) const;
   // Writes a configuration whose version is 2 higher than the last one's; the
   // first has version 2.
   void PublishNextConfig();
