Test what the next leader doesn't know of a worker's former lives

Cause: leases, the order of incarnations, paces and read ends are in a leader's memory. Tests of the scheduler show where its successor goes wrong without them, and where it doesn't. Change: leader_change_test.cpp. SchedulerBench::Successor lists the workers before it recovers the jobs as well, as the dispatcher does.

--- /dev/null
+++ b/src/cassiastile/jobs/leader_change_test.cpp
@@ -0,0 +1,300 @@
+// What a leader knows of its workers and of their former incarnations, and the
+// next one has to do without.
+#include <string>
+#include <vector>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "cassiastile/jobs/scheduler.hpp"
+#include "scheduler_bench.hpp"
+
+namespace cassiastile::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::IsEmpty;
+using testing::SizeIs;
+
+constexpr char kJob[] = "5c0e7a21d94b36f8";
+// Until then a successor counts runs on workers that do not report as alive.
+constexpr milliseconds kTakeover{13550};
+// Start times of two incarnations of worker "a", of which the second has a
+// clock that was set back.
+constexpr std::int64_t kFormer = 200;
+constexpr std::int64_t kSetBack = 150;
+
+WorkerReport ReportOf(std::int64_t incarnation_ms,
+                      const std::vector<StartOrder>& running = {}) {
+  WorkerReport report;
+  report.incarnation_ms = incarnation_ms;
+  for (const StartOrder& order : running) {
+    ListedRun& run = report.running.emplace_back();
+    run.task = order.task;
+    run.run = order.run;
+    run.percent = 100;
+  }
+  return report;
+}
+
+// Worker "a" answers no more; "b" does. The starts after a time.
+std::vector<StartOrder> StartsWithoutA(SchedulerBench& bench,
+                                       milliseconds time) {
+  bench.GetScheduler().WorkerSilent("a", bench.Now());
+  bench.Advance(time);
+  bench.Report("b", bench.Listing("b"));
+  return bench.Step().starts;
+}
+
+// Starts a job on worker "a", which lists the run. The row is stored.
+StartOrder StartOnA(SchedulerBench& bench,
+                    std::int64_t incarnation_ms,
+                    const JobSpec& spec = SchedulerBench::OneTask()) {
+  bench.Submit(kJob, spec);
+  const auto starts = bench.StepAndStart();
+  EXPECT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker, (WorkerId{"a", incarnation_ms}));
+  bench.Advance(milliseconds(10));
+  bench.Report("a", ReportOf(incarnation_ms, starts));
+  bench.Step();
+  return starts.front();
+}
+
+// A lease extension that was sent to the former incarnation may be carried out
+// by the next one 13 s later, and covers 10 s there.
+class LeaseOfTheNextIncarnationTest : public testing::Test {
+ protected:
+  // A leader that sees the restart of "a" and starts a task there.
+  LeaseOfTheNextIncarnationTest() {
+    m_bench.AddWorker("a", kFormer);
+    m_bench.Advance(milliseconds(10));
+    m_bench.AddWorker("a", kFormer + 100);
+    StartOnA(m_bench, kFormer + 100);
+    m_bench.AddWorker("b");
+  }
+
+  SchedulerBench m_bench;
+};
+
+TEST_F(LeaseOfTheNextIncarnationTest, LeaderThatSawTheRestartWaitsForIt) {
+  EXPECT_THAT(StartsWithoutA(m_bench, milliseconds(22500)), IsEmpty());
+  EXPECT_THAT(StartsWithoutA(m_bench, milliseconds(1000)), SizeIs(1));
+}
+
+TEST_F(LeaseOfTheNextIncarnationTest, SuccessorThatHearsNothingWaitsForIt) {
+  m_bench.Advance(milliseconds(1000));
+  SchedulerBench next = m_bench.Successor(kTakeover);
+  EXPECT_THAT(StartsWithoutA(next, milliseconds(21000)), IsEmpty());
+}
+
+TEST_F(LeaseOfTheNextIncarnationTest, SecondSuccessorThatHearsNothingWaits) {
+  m_bench.Advance(milliseconds(1000));
+  SchedulerBench second = m_bench.Successor(kTakeover);
+  second.Step();
+  second.Advance(milliseconds(1000));
+  SchedulerBench third = second.Successor(kTakeover);
+  EXPECT_THAT(StartsWithoutA(third, milliseconds(20000)), IsEmpty());
+}
+
+// The stored run is of the former incarnation and the list has the next one.
+// What the former leader had sent by its first report may hold it for 10 s.
+TEST(LeaderChangeTest, RestartThatTheListShowsCountsForTheLease) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 100);
+  StartOnA(bench, 100);
+  bench.AddWorker("a", 200);
+  SchedulerBench next = bench.Successor(kTakeover);
+  next.Advance(milliseconds(8000));
+  next.Report("a", ReportOf(200));
+  const auto starts = next.StepAndStart();
+  ASSERT_THAT(starts, SizeIs(1));
+  next.Report("a", next.Listing("a"));
+  next.AddWorker("b");
+  EXPECT_THAT(StartsWithoutA(next, milliseconds(9500)), IsEmpty());
+}
+
+// A leader forgets as much of a worker whose entry is gone for a while: its own
+// extension, sent at 0 s, may come at 13 s and hold the worker until 23 s.
+TEST(LeaderChangeTest, LeaderRemembersAWorkerThatWasUnlistedForAWhile) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 100);
+  bench.Advance(milliseconds(5600));
+  bench.RemoveWorker("a");
+  bench.Advance(milliseconds(2400));
+  bench.AddWorker("a", 200);
+  StartOnA(bench, 200);
+  bench.AddWorker("b");
+  EXPECT_THAT(StartsWithoutA(bench, milliseconds(14500)), IsEmpty());
+}
+
+// A leader that takes over from one that knew which incarnation of "a" is over.
+class IncarnationSetBackTest : public testing::Test {
+ protected:
+  IncarnationSetBackTest() {
+    m_bench.AddWorker("a", kFormer);
+    m_bench.Advance(milliseconds(10));
+    m_bench.Report("a", ReportOf(kSetBack));
+    m_start = StartOnA(m_bench, kSetBack);
+  }
+
+  SchedulerBench m_bench;  // Its list has the former entry.
+  StartOrder m_start;
+};
+
+TEST_F(IncarnationSetBackTest, LeaderKeepsItsRunWhenTheFormerEntryIsWritten) {
+  m_bench.AddWorker("b");
+  EXPECT_THAT(StartsWithoutA(m_bench, milliseconds(10)), IsEmpty());
+}
+
+TEST_F(IncarnationSetBackTest, SuccessorKeepsItsRunUntilTheFirstReport) {
+  SchedulerBench next = m_bench.Successor(kTakeover);
+  next.AddWorker("b");
+  EXPECT_THAT(next.Step().starts, IsEmpty());
+  next.Advance(milliseconds(10));
+  next.Report("a", ReportOf(kSetBack, {m_start}));
+  const Orders orders = next.Step();
+  EXPECT_THAT(orders.starts, IsEmpty());
+  EXPECT_THAT(orders.stops, IsEmpty());
+}
+
+// The entry is written late, when the successor has had a report.
+TEST_F(IncarnationSetBackTest,
+       SuccessorKeepsItsRunWhenTheFormerEntryIsWritten) {
+  const WorkerEntry former = m_bench.GetScheduler().FindWorker("a")->entry;
+  m_bench.Advance(milliseconds(10));
+  m_bench.AddWorker("a", kSetBack);
+  SchedulerBench next = m_bench.Successor(kTakeover);
+  next.Advance(milliseconds(10));
+  next.Report("a", ReportOf(kSetBack, {m_start}));
+  next.AddWorker("b");
+  next.GetScheduler().WorkerSilent("a", next.Now());
+  WorkerEntry late = former;
+  late.id.incarnation_ms = kFormer;
+  next.GetScheduler().WorkersListed(
+      {late, next.GetScheduler().FindWorker("b")->entry}, next.Now());
+  EXPECT_THAT(next.Step().starts, IsEmpty());
+}
+
+// A task that fills, paced down beside one that serves.
+class PacedFillerTest : public testing::Test {
+ protected:
+  PacedFillerTest() {
+    m_bench.AddWorker("a");
+    JobSpec serving = SchedulerBench::LongRunning(1, 1);
+    serving.steps.front().target = milliseconds(100);
+    m_bench.Submit("1", serving);
+    JobSpec filler = SchedulerBench::OneTask();
+    filler.steps.front().is_filler = true;
+    m_bench.Submit("2", filler);
+    m_starts = m_bench.StepAndStart();
+    Report(m_bench, 10);
+    m_bench.Step();
+    Report(m_bench, 200);
+  }
+
+  // Reports the tail latency of the task that serves.
+  void Report(SchedulerBench& bench, std::int64_t load) {
+    bench.Advance(milliseconds(600));
+    WorkerReport report = ReportOf(1, m_starts);
+    for (ListedRun& run : report.running) {
+      run.load = run.task.job == "1" ? load : 0;
+    }
+    bench.Report("a", report);
+  }
+
+  SchedulerBench m_bench;
+  std::vector<StartOrder> m_starts;
+};
+
+TEST_F(PacedFillerTest, LeaderSpeedsItUpAgain) {
+  ASSERT_THAT(m_bench.Step().paces, SizeIs(1));
+  Report(m_bench, 10);
+  const auto paces = m_bench.Step().paces;
+  ASSERT_THAT(paces, SizeIs(1));
+  EXPECT_GT(paces.front().percent, 0);
+}
+
+// The worker keeps the pace that the former leader has ordered.
+TEST_F(PacedFillerTest, SuccessorSpeedsItUpAgain) {
+  ASSERT_THAT(m_bench.Step().paces, SizeIs(1));
+  SchedulerBench next = m_bench.Successor(kTakeover);
+  std::vector<PaceOrder> paces;
+  for (int i = 0; i < 10; ++i) {
+    Report(next, 10);
+    const auto more = next.Step().paces;
+    paces.insert(paces.end(), more.begin(), more.end());
+  }
+  ASSERT_FALSE(paces.empty());
+  EXPECT_EQ(paces.back().percent, 100);
+}
+
+// The worker lists an end of an earlier run until it is acknowledged.
+TEST(LeaderChangeTest, EndListedAgainDoesNotReplaceANewerCheckpoint) {
+  SchedulerBench bench;
+  JobSpec spec = SchedulerBench::OneTask();
+  spec.steps.front().checkpointing = true;
+  const auto stopped = [](const StartOrder& order, const std::string& saved) {
+    WorkerReport report = ReportOf(1);
+    report.ended.push_back({1, order.task, order.run, RunEnd::kStopped, saved});
+    return report;
+  };
+  bench.AddWorker("a");
+  bench.Submit(kJob, spec);
+  const auto first = bench.StepAndStart();
+  ASSERT_THAT(first, SizeIs(1));
+  bench.AddWorker("b");
+  bench.GetScheduler().SetCordoned("a", true);
+  bench.Report("a", stopped(first.front(), "older"));
+  const auto second = bench.StepAndStart();
+  ASSERT_THAT(second, SizeIs(1));
+  ASSERT_EQ(second.front().worker.id, "b");
+  bench.Report("b", stopped(second.front(), "newer"));
+  bench.GetScheduler().SetCordoned("b", true);
+  bench.Step();
+  SchedulerBench next = bench.Successor(kTakeover);
+  next.Report("b", stopped(second.front(), "newer"));
+  next.Report("a", stopped(first.front(), "older"));
+  const auto third = next.Step().starts;
+  ASSERT_THAT(third, SizeIs(1));
+  EXPECT_EQ(third.front().checkpoint, "newer");
+}
+
+// The former leader's stop may be on its way; the successor does not know of
+// it.
+TEST(LeaderChangeTest, RunThatTheFormerLeaderStopsIsKeptUntilItsEnd) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  JobSpec spec = SchedulerBench::OneTask();
+  spec.steps.front().checkpointing = true;
+  const StartOrder start = StartOnA(bench, 1, spec);
+  bench.AddWorker("b");
+  bench.SetDraining("a");
+  bench.Advance(milliseconds(300));
+  ASSERT_THAT(bench.Step().stops, SizeIs(1));
+  SchedulerBench next = bench.Successor(kTakeover);
+  next.Report("a", ReportOf(1, {start}));
+  next.Report("b", next.Listing("b"));
+  EXPECT_THAT(next.Step().starts, IsEmpty());
+  next.End(start, RunEnd::kStopped, 1);
+  const auto starts = next.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker.id, "b");
+}
+
+// What the former leader has read and not stored is not acknowledged by the
+// next one either before it is stored.
+TEST(LeaderChangeTest, SuccessorAcknowledgesOnlyWhatItHasStored) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  const StartOrder start = StartOnA(bench, 1);
+  bench.End(start, RunEnd::kDone, 1);
+  SchedulerBench next = bench.Successor(kTakeover);
+  next.Report("a", next.Listing("a"));
+  EXPECT_EQ(next.GetScheduler().FindWorker("a")->acked_end, 0U);
+  next.Step();
+  EXPECT_EQ(next.GetScheduler().FindWorker("a")->acked_end, 1U);
+  EXPECT_EQ(next.GetScheduler().FindJob(kJob)->stored_phase, JobPhase::kDone);
+}
+
+}  // namespace
+}  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -267,6 +267,8 @@
   bench.m_records = m_records;
   bench.m_progress = m_progress;
   bench.m_scheduler->SetDurations(m_scheduler->Durations());
+  // As the dispatcher does, which reads the list last.
+  bench.ListWorkers();
   bench.m_scheduler->Recover(Stored(), Now(), m_clock.WallNow(),
                              Now() + silent_for);
   bench.ListWorkers();
