Show in the virtual world what is forgotten of a worker's former life

Cause: three bounds end before what they stand for. The next leader doesn't know which incarnation is over; a withdrawn start is forgotten 13 s after its order, while a run waits 10 s longer; a worker without an entry is forgotten with the extensions that are on their way to it.

--- /dev/null
+++ b/src/cassiastile/host/forgotten_life_test.cpp
@@ -0,0 +1,105 @@
+// Leaders that don't know, or know no more, what was sent to a worker's former
+// incarnation, or which one that is.
+#include <string>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "virtual_world_bench.hpp"
+
+namespace cassiastile::host {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::IsEmpty;
+
+// Older than any lease in a call to it, so that a next incarnation, whose clock
+// begins anew, holds such a lease for as long as workers allow.
+constexpr milliseconds kOldWorkers{20000};
+
+// The worker that has runs, for the leader.
+std::string BusyWorker(const VirtualWorld& world) {
+  for (const auto& [id, worker] : world.LeaderScheduler().Workers()) {
+    if (!worker.runs.empty()) {
+      return id;
+    }
+  }
+  return "";
+}
+
+// The former leader has heard the current incarnation; the entry of the one
+// before has a higher start time, since the clock was set back.
+TEST(ForgottenLifeTest, EntryOfAFormerLifeEndsNoRunAtATakeover) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(milliseconds(3000));
+  world.Faults().clock_set_back_chance = 1;
+  world.RestartWorker(world.WorkerIds().front(), milliseconds(300),
+                      milliseconds(6000));
+  world.RunFor(milliseconds(1500));
+  const std::string job = world.Submit(0, 1, 20, milliseconds(8000));
+  // The worker lists its runs in its next report, and that is stored.
+  world.RunFor(milliseconds(2000));
+  world.KillHost(*world.LeaderIndex());
+  world.RunFor(milliseconds(30000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  EXPECT_EQ(world.StateOf(job), "done");
+}
+
+// The start of the first run comes 11.5 s late, to the next incarnation of a
+// worker that was cut off, and its task is bound to that worker for 13 s only.
+TEST(ForgottenLifeTest, WithdrawnStartMayRunAsLongAsALeaseOfTheNextLife) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(kOldWorkers);
+  world.Faults().start_delay = milliseconds(11500);
+  const std::uint64_t sent = world.StartsSent();
+  const std::string job = world.Submit(0, 1, 1, milliseconds(8000));
+  while (world.StartsSent() == sent) {
+    world.RunFor(milliseconds(1));
+  }
+  world.Faults() = {};
+  const std::string worker = BusyWorker(world);
+  ASSERT_NE(worker, "");
+  // The worker has answered the stop by then and runs the task anew.
+  world.RunFor(milliseconds(1500));
+  world.Faults().silent_workers = {worker};
+  world.RunFor(milliseconds(6000));
+  world.RestartWorker(worker, milliseconds(200), milliseconds(20000));
+  world.RunFor(milliseconds(20000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  world.Faults() = {};
+  world.RunFor(milliseconds(20000));
+  EXPECT_EQ(world.StateOf(job), "done");
+}
+
+// There is one leader all the while. It extends the lease of an idle worker,
+// whose entry is then gone for so long that nothing of it is kept.
+TEST(ForgottenLifeTest, LateExtensionHoldsAWorkerThatWasUnlistedForAWhile) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(kOldWorkers);
+  const std::string worker = world.WorkerIds().front();
+  const std::string other = world.WorkerIds().back();
+  // Within this time the worker is called again.
+  world.Faults().extension_delay = milliseconds(11500);
+  world.RunFor(milliseconds(1500));
+  world.Faults() = {};
+  world.RestartWorker(worker, milliseconds(7000), milliseconds(0));
+  world.ExpireEntry(worker);
+  world.RunFor(milliseconds(7100));
+  world.Faults().silent_workers = {other};
+  world.RunFor(milliseconds(1500));
+  const std::string job = world.Submit(0, 1, 1, milliseconds(12000));
+  world.RunFor(milliseconds(500));
+  ASSERT_EQ(BusyWorker(world), worker);
+  world.Faults() = {};
+  // The extension arrives before the worker is cut off.
+  world.RunFor(milliseconds(1900));
+  world.Faults().silent_workers = {worker};
+  world.RunFor(milliseconds(20000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
+}  // namespace
+}  // namespace cassiastile::host
