--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -407,6 +407,7 @@
     if (!delivery.answered) {
       m_world.Post(delivery.delay, [this, address, extension] {
         if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
+          CountDeadline(*worker, address, extension);
           worker->model->ExtendLease(extension, m_world.m_loop.Now());
           m_world.ArmWorkerTimer(*worker);
         }
@@ -430,6 +431,7 @@
                                  " got an acknowledgement of ends in the first "
                                  "call after one that had not reached it");
           }
+          CountDeadline(*worker, address, extension);
           if (!worker->model->ExtendLease(extension, m_world.m_loop.Now())) {
             m_world.Post(kCallLatency, [done] {
               done(tl::unexpected(
@@ -478,6 +480,7 @@
     if (!delivery.answered) {
       m_world.Post(delivery.delay, [this, address, order, fence, until] {
         if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
+          m_world.CountDeadline(*worker, address.id);
           m_world.StartRun(*worker, order, fence, until, true, false);
         }
       });
@@ -499,6 +502,7 @@
             }
             return;
           }
+          m_world.CountDeadline(*worker, address.id);
           const auto result =
               m_world.StartRun(*worker, order, fence, until, false, in_touch);
           m_world.Post(kCallLatency, [done, result] { done(result); });
@@ -577,6 +581,14 @@
     });
   }
 
+  void CountDeadline(const VirtualWorld::Worker& worker,
+                     const WorkerAddress& address,
+                     const LeaseExtension& extension) {
+    if (extension.until) {
+      m_world.CountDeadline(worker, address.id);
+    }
+  }
+
   bool IsInTouch() const {
     const base::TimePoint now = m_world.m_loop.Now();
     return now - std::max(m_loop.RunsSince(), m_world.m_core_disturbed_at) >
@@ -998,6 +1010,13 @@
                                                           : nullptr;
 }
 
+void VirtualWorld::CountDeadline(const Worker& worker,
+                                 const jobs::WorkerId& intended) {
+  m_calls_to_next_incarnations +=
+      worker.model->Entry().id.incarnation_ms != intended.incarnation_ms ? 1
+                                                                         : 0;
+}
+
 void VirtualWorld::AddViolation(std::string what) {
   m_checker.AddViolation(std::move(what));
 }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -269,6 +269,11 @@
   // Number of batches of calls that hosts got for the leader.
   std::uint64_t RelayBatches() const { return m_relay_batches; }
   std::uint64_t StartsSent() const { return m_starts_sent; }
+  // Number of starts and lease extensions with a deadline that an incarnation
+  // other than the intended one got.
+  std::uint64_t CallsToNextIncarnations() const {
+    return m_calls_to_next_incarnations;
+  }
   // Number of configurations that hosts got from peers.
   std::uint64_t ConfigsFromPeers() const { return m_configs_from_peers; }
   // The hosts' log lines, if `keep_log` is set.
@@ -319,6 +324,9 @@
   jobs::WorkerEntry StartIncarnation(Machine& machine, const std::string& id);
   // The worker that runs under the id, whichever its incarnation, or null.
   Worker* FindLiveWorker(const jobs::WorkerId& id);
+  // Counts a call that has a deadline if `worker` is not its intended
+  // incarnation.
+  void CountDeadline(const Worker& worker, const jobs::WorkerId& intended);
   void TerminateWorker(Worker& worker);
   // Writes a worker's row to the workers' table.
   void PublishWorkerEntry(const jobs::WorkerEntry& entry);
@@ -382,6 +390,7 @@
   sim::InvariantChecker m_checker;  // Uses the loop's clock.
   std::uint64_t m_store_calls = 0;
   std::uint64_t m_starts_sent = 0;
+  std::uint64_t m_calls_to_next_incarnations = 0;
   std::uint64_t m_fenced_starts = 0;
   std::uint64_t m_relay_batches = 0;
   // Workers that the last lease extension of a leader did not reach, whichever
