--- a/src/cassiastile/host/restarted_worker_test.cpp
+++ b/src/cassiastile/host/restarted_worker_test.cpp
@@ -105,11 +105,13 @@
   double late_heartbeats = 0;
   double expired_entries = 0;  // Chance that an entry expires with a restart.
   double clocks_set_back = 0;
+  // Chance in each round that the leader is killed. It is back within 2.5 s.
+  double kills = 0;
 };
 
 std::vector<std::string> Play(const RestartDay& day, std::uint64_t seed) {
   VirtualWorld world({.seed = seed,
-                      .hosts = 2,
+                      .hosts = day.kills > 0 ? 5U : 2U,
                       .services = 1,
                       .workers_per_service = 4,
                       .tasks_per_worker = 4,
@@ -141,6 +143,13 @@
     if (std::bernoulli_distribution(day.expired_entries)(random)) {
       world.ExpireEntry(id);
     }
+    const auto leader = world.LeaderIndex();
+    if (day.kills > 0 && leader &&
+        std::bernoulli_distribution(day.kills)(random)) {
+      world.KillHost(*leader);
+      world.RunFor(milliseconds(pick(2500)));
+      world.StartHost(*leader);
+    }
   }
   world.Faults() = {};
   world.RunFor(milliseconds(30000));
@@ -212,6 +221,32 @@
   ExpectRunsOnce(kCallsThatHang);
 }
 
+// The same days with changes of leader.
+RestartDay WithKills(RestartDay day) {
+  day.kills = 0.15;
+  return day;
+}
+
+TEST(RestartsAndTakeoversTest, EntriesThatChangeLate) {
+  ExpectRunsOnce(WithKills(kEntriesThatChangeLate));
+}
+
+TEST(RestartsAndTakeoversTest, EntriesThatExpire) {
+  ExpectRunsOnce(WithKills(kEntriesThatExpire));
+}
+
+TEST(RestartsAndTakeoversTest, HeartbeatsWrittenAfterTheRestart) {
+  ExpectRunsOnce(WithKills(kLateHeartbeats));
+}
+
+TEST(RestartsAndTakeoversTest, ClocksThatAreSetBack) {
+  ExpectRunsOnce(WithKills(kClocksSetBack));
+}
+
+TEST(RestartsAndTakeoversTest, CallsThatHangUntilTheRestart) {
+  ExpectRunsOnce(WithKills(kCallsThatHang));
+}
+
 TEST(RestartedWorkerAcknowledgementsTest, EntriesThatChangeLate) {
   ExpectAcknowledgedOnce(kEntriesThatChangeLate);
 }
