--- a/include/cassiastile/soak/fault_plan.hpp
+++ b/include/cassiastile/soak/fault_plan.hpp
@@ -31,9 +31,16 @@
   kConfigure,       // The operators change the configuration.
   kWave,            // The operators request maintenance of all machines.
   kEvacuate,        // The operators evacuate a zone for a time.
+  // A worker is silent for a time and restarts in its place under its id. Calls
+  // of that time reach the new incarnation.
+  kRestart,
+  kCut,         // No data passes in either direction for a time.
+  kKillLeader,  // SIGKILL of the host that is the leader then.
+  kStopLeader,  // SIGTERM of it.
+  kBurst,       // Many jobs at once, whose tasks take the duration each.
 };
 
-inline constexpr std::array<base::EnumName<FaultKind>, 18> kFaultNames{{
+inline constexpr std::array<base::EnumName<FaultKind>, 23> kFaultNames{{
     {FaultKind::kKill, "kill"},
     {FaultKind::kStop, "stop"},
     {FaultKind::kPause, "pause"},
@@ -52,6 +59,11 @@
     {FaultKind::kConfigure, "configure"},
     {FaultKind::kWave, "wave"},
     {FaultKind::kEvacuate, "evacuate"},
+    {FaultKind::kRestart, "restart"},
+    {FaultKind::kCut, "cut"},
+    {FaultKind::kKillLeader, "kill leader"},
+    {FaultKind::kStopLeader, "stop leader"},
+    {FaultKind::kBurst, "burst"},
 }};
 
 // What a fault applies to. `Fault::target` is an index among these.
@@ -62,15 +74,17 @@
   kWorker,       // A worker, or the connections to it.
   kTable,
   kOperators,
+  kCallers,
 };
 
-inline constexpr std::array<base::EnumName<Place>, 6> kPlaceNames{{
+inline constexpr std::array<base::EnumName<Place>, 7> kPlaceNames{{
     {Place::kHost, "host"},
     {Place::kHostCallers, "callers to host"},
     {Place::kHostTable, "host to table"},
     {Place::kWorker, "worker"},
     {Place::kTable, "table"},
     {Place::kOperators, "operators"},
+    {Place::kCallers, "callers"},
 }};
 
 // A fault, or an action of the operators, at a given time.
--- a/include/cassiastile/soak/soak.hpp
+++ b/include/cassiastile/soak/soak.hpp
@@ -28,6 +28,8 @@
   bool avoid_slow_workers = true;
   // Submissions per second over all services.
   double jobs_per_second = 8;
+  // Whether machines can be moved to other pools.
+  bool machines_move = true;
   // How long accepted jobs may take to be done after all faults have ended.
   std::chrono::milliseconds settle_timeout{20000};
 };
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -92,6 +92,8 @@
       "avoid-slow-workers",
       po::value(&options.avoid_slow_workers)->default_value(true),
       "whether slow workers get tasks after others")(
+      "machines-move", po::value(&options.machines_move)->default_value(true),
+      "whether machines can be moved to other pools")(
       "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
       "hand-ins of the callers")(
       "plan", po::value(&plan_file),
--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -84,7 +84,8 @@
                                    m_options.plan.workers / kWorkersPerTask));
 }
 
-jobs::JobSpec Callers::MakeSpec(bool is_long_running, bool is_small) {
+jobs::JobSpec Callers::MakeSpec(const SubmitOptions& submit_options) {
+  const bool is_long_running = submit_options.is_long_running;
   const auto between = [this](std::int64_t low, std::int64_t high) {
     return std::uniform_int_distribution<std::int64_t>(low, high)(m_random);
   };
@@ -96,7 +97,7 @@
     step.count = static_cast<std::uint32_t>(
         between(1, is_long_running ? WidestLongRunningStep() : kWidestStep));
     step.need = {between(1, 6) * 250, between(1, 8) * 64, 0};
-    if (is_small) {
+    if (submit_options.is_small) {
       step.count = 1;
       step.need = {250, 64, 0};
     }
@@ -106,6 +107,12 @@
       step.after = {static_cast<std::uint32_t>(i - 1)};
     }
   }
+  if (submit_options.task_time.count() > 0) {
+    spec.steps.resize(1);
+    spec.steps[0].count = 2;
+    spec.steps[0].need = {1000, 64, 0};
+    spec.steps[0].estimate = submit_options.task_time;
+  }
   return spec;
 }
 
@@ -156,6 +163,13 @@
   SubmitJob(submit_options);
 }
 
+void Callers::SubmitBurst(milliseconds task_time) {
+  constexpr int kJobs = 5;
+  for (int i = 0; i < kJobs && m_submitting; ++i) {
+    SubmitJob({.host = {}, .task_time = task_time});
+  }
+}
+
 void Callers::SubmitJob(const SubmitOptions& submit_options) {
   Job job;
   job.id = base::MakeId(m_random).substr(0, 16);
@@ -170,8 +184,7 @@
                                         : kCancelledOneIn) ==
       0;
   job.submit_timeout = kTimeout;
-  jobs::JobSpec spec =
-      MakeSpec(submit_options.is_long_running, submit_options.is_small);
+  jobs::JobSpec spec = MakeSpec(submit_options);
   job.encoded_spec = adapter::EncodeJob(spec);
   m_fleet.Checker().JobSubmitted(job.id, std::move(spec));
   const std::string id = job.id;
--- a/src/cassiastile/soak/callers.hpp
+++ b/src/cassiastile/soak/callers.hpp
@@ -27,6 +27,9 @@
   // Submits jobs at random intervals until StopSubmitting.
   void Begin();
   void StopSubmitting() { m_submitting = false; }
+  // Submits five jobs at once, each with two tasks of one core that take
+  // `task_time`.
+  void SubmitBurst(std::chrono::milliseconds task_time);
   // Whether every job's outcome is known and every accepted one is done, is
   // cancelled with no task running, or is long-running with all tasks running.
   bool IsSettled() const;
@@ -85,6 +88,7 @@
     bool gives_up = false;
     bool is_long_running = false;
     bool is_small = false;
+    std::chrono::milliseconds task_time{0};  // Zero if drawn.
   };
 
   // Submits a job drawn at random.
@@ -132,7 +136,7 @@
                        const wire::HttpOutcome& outcome);
   // So many tasks that the fleet holds the long-running jobs of a run.
   std::int64_t WidestLongRunningStep() const;
-  jobs::JobSpec MakeSpec(bool is_long_running, bool is_small);
+  jobs::JobSpec MakeSpec(const SubmitOptions& submit_options);
   wire::HttpCall MakeCall(const std::string& method,
                           const Job& job,
                           std::size_t host) const;
--- a/src/cassiastile/soak/fault_plan.cpp
+++ b/src/cassiastile/soak/fault_plan.cpp
@@ -64,6 +64,7 @@
       return options.workers;
     case Place::kTable:
     case Place::kOperators:
+    case Place::kCallers:
       return 1;
   }
   return 1;
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -478,6 +478,18 @@
   After(down, [this, machine = &machine] { BeginIncarnation(*machine); });
 }
 
+void Fleet::Restart(Machine& machine, milliseconds silence) {
+  machine.restarting = true;
+  machine.reuses_id = true;
+  machine.worker->EndIncarnation();
+  machine.proxy->Set({.cut_to_server = true, .cut_from_server = true});
+  After(silence, [this, &machine] {
+    machine.restarting = false;
+    BeginIncarnation(machine);
+    machine.proxy->Set({});
+  });
+}
+
 Fleet::Machine* Fleet::FindMachine(const std::string& name) {
   for (const auto& machine : m_machines) {
     if (machine->name == name) {
@@ -490,10 +502,14 @@
 host::MachineOrderResult Fleet::Move(const std::string& name,
                                      const std::string& pool) {
   Machine* machine = FindMachine(name);
-  if (machine == nullptr || machine->state != host::MachineState::kUp) {
+  if (machine == nullptr || machine->state != host::MachineState::kUp ||
+      machine->restarting) {
     return host::MachineOrderResult::kRefused;
   }
   if (machine->pool != pool) {
+    if (!m_options.machines_move) {
+      return host::MachineOrderResult::kRefused;
+    }
     machine->reuses_id = false;
     machine->pool = pool;
     EndIncarnation(*machine, host::MachineState::kMoving, kMoveDuration);
@@ -507,7 +523,8 @@
   if (machine != nullptr && machine->last_wave == wave) {
     return host::MachineOrderResult::kAccepted;
   }
-  if (machine == nullptr || machine->state != host::MachineState::kUp) {
+  if (machine == nullptr || machine->state != host::MachineState::kUp ||
+      machine->restarting) {
     return host::MachineOrderResult::kRefused;
   }
   std::size_t down = 0;
@@ -544,7 +561,10 @@
       } else if (fault.kind == FaultKind::kPauseLeader) {
         Pause(FindLeader().value_or(index), fault.active_for);
       } else {
-        ApplyToHost(host, fault);
+        const bool at_leader = fault.kind == FaultKind::kKillLeader ||
+                               fault.kind == FaultKind::kStopLeader;
+        ApplyToHost(at_leader ? *m_hosts[FindLeader().value_or(index)] : host,
+                    fault);
       }
       return;
     case Place::kHostCallers:
@@ -582,6 +602,8 @@
         WriteConfig();
       }
       return;
+    case Place::kCallers:
+      return;
   }
 }
 
@@ -589,12 +611,14 @@
   const base::TimePoint now = m_loop.GetClock().Now();
   switch (fault.kind) {
     case FaultKind::kKill:
+    case FaultKind::kKillLeader:
       host.last_fault_at = now;
       host.disrupted_until = std::max(host.disrupted_until, now);
       host.was_killed = true;
       host.process.Signal(SIGKILL);
       return;
     case FaultKind::kStop:
+    case FaultKind::kStopLeader:
       host.stopped_at = now;
       host.disrupted_until = std::max(host.disrupted_until, now);
       host.was_stopped = true;
@@ -638,8 +662,10 @@
     default:
       proxy.Set({.delay = fault.kind == FaultKind::kDelay ? kLinkDelay
                                                           : milliseconds(0),
-                 .cut_to_server = fault.kind == FaultKind::kCutToServer,
-                 .cut_from_server = fault.kind == FaultKind::kCutFromServer});
+                 .cut_to_server = fault.kind == FaultKind::kCutToServer ||
+                                  fault.kind == FaultKind::kCut,
+                 .cut_from_server = fault.kind == FaultKind::kCutFromServer ||
+                                    fault.kind == FaultKind::kCut});
       After(fault.active_for, [&proxy] { proxy.Set({}); });
       return;
   }
@@ -651,12 +677,17 @@
       std::max(machine.late_until,
                m_loop.GetClock().Now() + fault.active_for +
                    (delays_orders ? kMaxOrderDelay : kFaultEffectTime));
-  if (fault.kind == FaultKind::kCrash) {
-    if (machine.state == host::MachineState::kUp &&
-        machine.worker->CurrentIncarnation() != nullptr) {
-      machine.reuses_id = fault.target % 2 == 0;
-      EndIncarnation(machine, host::MachineState::kDown, fault.active_for);
+  if (fault.kind == FaultKind::kCrash || fault.kind == FaultKind::kRestart) {
+    if (machine.state != host::MachineState::kUp ||
+        machine.worker->CurrentIncarnation() == nullptr) {
+      return;
+    }
+    if (fault.kind == FaultKind::kRestart) {
+      Restart(machine, fault.active_for);
+      return;
     }
+    machine.reuses_id = fault.target % 2 == 0;
+    EndIncarnation(machine, host::MachineState::kDown, fault.active_for);
   } else if (fault.kind == FaultKind::kDelayStarts) {
     machine.worker->Faults().delays_starts = true;
     After(fault.active_for,
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -114,6 +114,7 @@
     std::unique_ptr<LoopbackProxy> proxy;
     std::uint64_t incarnation_number = 0;
     bool reuses_id = false;  // The next incarnation has the same worker id.
+    bool restarting = false;
     std::string worker_id;
     std::uint64_t last_wave = 0;  // The last wave that maintained it.
     std::string zone;
@@ -154,6 +155,8 @@
   void EndIncarnation(Machine& machine,
                       host::MachineState state,
                       std::chrono::milliseconds down);
+  // Restarts the worker under its id without a word; its machine stays up.
+  void Restart(Machine& machine, std::chrono::milliseconds silence);
   host::MachineOrderResult Move(const std::string& name,
                                 const std::string& pool);
   host::MachineOrderResult Maintain(const std::string& name,
--- a/src/cassiastile/soak/soak.cpp
+++ b/src/cassiastile/soak/soak.cpp
@@ -56,7 +56,7 @@
     m_callers->Begin();
     CheckCancelled();
     for (const Fault& fault : m_plan) {
-      m_loop.After(fault.at, [this, fault] { m_fleet->Apply(fault); });
+      m_loop.After(fault.at, [this, fault] { Apply(fault); });
     }
     m_loop.After(m_options.plan.duration / 2,
                  [this] { m_callers->CancelSome(); });
@@ -68,6 +68,14 @@
     });
   }
 
+  void Apply(const Fault& fault) {
+    if (fault.place == Place::kCallers) {
+      m_callers->SubmitBurst(fault.active_for);
+    } else {
+      m_fleet->Apply(fault);
+    }
+  }
+
   void CheckCancelled() {
     m_callers->CheckCancelled();
     m_loop.After(kCheckInterval, [this] { CheckCancelled(); });
--- a/src/cassiastile/soak/soak_test.cpp
+++ b/src/cassiastile/soak/soak_test.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -109,6 +110,37 @@
   }
 }
 
+// A new leader began tasks elsewhere while they ran on workers that had
+// restarted under their ids and held leases of before.
+TEST(RestartedWorkersTest, LeaderKilledSoonAfterwards) {
+  SoakOptions options;
+  options.plan.hosts = 6;
+  options.plan.workers = 9;
+  options.plan.duration = milliseconds(20600);
+  options.jobs_per_second = 1;
+  options.machines_move = false;
+  options.host_program = CASSIASTILE_HOST_PROGRAM;
+  options.folder =
+      testing::TempDir() + "cassia-soak-restarted-" + std::to_string(getpid());
+  std::filesystem::create_directories(options.folder);
+  std::ifstream file(CASSIASTILE_SOURCE_DIR
+                     "/src/cassiastile/soak/regressions/"
+                     "workers-restart-then-leader-killed.jsonl");
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto plan = DecodePlan(text.str());
+  ASSERT_TRUE(plan.has_value()) << plan.error().message;
+  ASSERT_THAT(*plan, testing::Not(IsEmpty()));
+  options.faults = std::move(*plan);
+  const auto result = RunSoak(options);
+  ASSERT_TRUE(result.has_value()) << result.error().message;
+  EXPECT_GT(result->accepted, 0U);
+  EXPECT_THAT(result->violations, IsEmpty());
+  if (!HasFailure()) {
+    std::filesystem::remove_all(options.folder);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest, testing::Values(1, 2, 3));
 
 }  // namespace
