Store how far leases for a worker's former life may reach

What callers saw: tasks that run once ran twice at once, after workers had restarted under their ids and the leader had changed. Cause: starts and lease extensions end a lease at a time of the worker's clock. One that was meant for a former life and reaches the next one, whose clock starts anew, holds it for 10 s, and a lease never shortens. The leader that saw the restart counts 23 s; its successor knew nothing of that, counted its own extensions (5.6 s), and for recovered runs 13.6 s. At a worker's first report to a new leader, calls of earlier leaders are fenced, so a life that no leader had heard may hold a lease for 10.3 s from then; one that is stored counts as stored; where nothing is stored, what the previous leader may have sent is over 25 s after the takeover. A worker that no leader hears waits for the stored bound. The same memory covers a worker that was unlisted for a while under one leader. LostWorkerDelayTest holds before and after: where nothing restarted the wait is the same.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -23,6 +23,7 @@
 #include "cassiastile/jobs/planning_work.hpp"
 #include "cassiastile/jobs/pool_shares.hpp"
 #include "cassiastile/jobs/scheduler_options.hpp"
+#include "cassiastile/jobs/worker_lives.hpp"
 #include "cassiastile/jobs/worker_state.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 #include "cassiastile/jobs/zone_evacuations.hpp"
@@ -120,8 +121,11 @@
   // Replaces the configuration.
   void ApplyConfig(std::shared_ptr<const FleetConfig> config);
 
+  // Tells the store's clock, which may be late by a second.
+  void SetStoreClock(std::chrono::milliseconds store_now, base::TimePoint now);
   // Takes over the jobs of the previous leader. Runs on workers that do not
-  // report count as alive until `latest_lease_end`.
+  // report count as alive until `latest_lease_end`, or longer by Lives(). These
+  // must have been recovered before, and the store's clock must be known.
   void Recover(std::vector<Job> jobs,
                base::TimePoint now,
                base::WallTime wall,
@@ -330,6 +334,8 @@
     m_durations = std::move(durations);
   }
   const DurationModel& Durations() const { return m_durations; }
+  // What leaders have heard of the workers' incarnations.
+  WorkerLives& Lives() { return m_lives; }
 
  private:
   // The state of a pool that admission checks a new job against. Renewed after
@@ -457,6 +463,16 @@
   void BeginIncarnation(WorkerState& worker,
                         std::int64_t incarnation_ms,
                         base::TimePoint now);
+  // The longest time from a call's arrival for which a worker keeps its runs by
+  // it, on a clock that may be slow.
+  base::Duration LongestLease() const;
+  // Bounds the leases that a worker may have by calls that were meant for its
+  // former incarnations, when one of its incarnations reports to this leader
+  // for the first time, and notes it for the next leader.
+  void BoundFormerLeases(WorkerState& worker, base::TimePoint now);
+  // A time by the store's clock. Read back by any leader it is not earlier.
+  std::chrono::milliseconds ToStoreClock(base::TimePoint time) const;
+  base::TimePoint FromStoreClock(std::chrono::milliseconds store_time) const;
   // Whether the order of a run that was stopped, or was recovered and is not
   // listed, may still be carried out by a later incarnation.
   bool MayStartLater(const TaskRef& ref,
@@ -691,6 +707,10 @@
   std::map<std::string, Job*> m_repeating;  // Those of them that repeat.
   std::map<std::string, WorkerState> m_workers;
   base::TimePoint m_list_as_of{};  // See ListConfirmed.
+  WorkerLives m_lives;
+  base::TimePoint m_recovered_at{};
+  std::chrono::milliseconds m_store_clock{0};
+  base::TimePoint m_store_clock_at{};
   // Ids of the workers known on each machine, listed or not.
   std::unordered_map<std::string, std::vector<std::string>>
       m_workers_on_machine;
--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -19,6 +19,10 @@
   // An order without an answer may be carried out up to this long after it was
   // given.
   std::chrono::milliseconds max_order_delay{13000};
+  // Leaders know a former incarnation's clock, by which they give leases, for
+  // up to this long after the next one has started: it is used for 2 s, and a
+  // leader that stood still may go on for the 8 s of its unconfirmed term.
+  std::chrono::milliseconds max_former_orders{12000};
   // No worker keeps its runs longer than this without a new lease;
   // max_worker_lease_ms in the settings.
   std::chrono::milliseconds max_worker_lease{10000};
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -48,9 +48,13 @@
   std::vector<std::int64_t> former;
   // The incarnation that `entry` was last read of.
   std::int64_t described_ms = 0;
-  // Upper bound of its lease: nothing ordered so far can still run after it.
+  // Upper bounds of its lease: nothing ordered so far can still run after both.
+  // One is for leases that were meant for this incarnation.
   base::TimePoint lease_bound{};
   LeaseEvidence lease_evidence = LeaseEvidence::kNone;
+  // The other is for leases that were meant for a former one: they end at a
+  // time of its clock, which may be far ahead of this one's.
+  base::TimePoint former_lease_bound{};
   Resources used;               // By runs that may be alive.
   Resources long_running_used;  // The part of `used` for long-running tasks.
   // By runs that its newest report lists and that are not in `runs`. They are
@@ -94,6 +98,9 @@
 
   // Raises `lease_bound` unless it is as high.
   void RaiseLeaseBound(base::TimePoint bound, LeaseEvidence evidence);
+  // The later of both bounds, and what it rests on.
+  base::TimePoint LeaseEnd() const;
+  LeaseEvidence EvidenceOfLeaseEnd() const;
   // Add a run of a step to the capacity in use, and remove it.
   void Use(const StepSpec& step);
   void Release(const StepSpec& step);
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -216,6 +216,18 @@
         m_log.Write("office.bad_row", {{"error", read.error().message}});
       }
     }
+    ReadWorkerLives();
+  });
+}
+
+void Dispatcher::ReadWorkerLives() {
+  ReadUntilAnswered(kWorkerLifeTable, kLeaderPart, [this](const RowPage& page) {
+    for (const Row& row : page.rows) {
+      const auto read = m_scheduler.Lives().Recover(row.key, row.value);
+      if (!read) {
+        m_log.Write("office.bad_row", {{"error", read.error().message}});
+      }
+    }
     ReadWorkers();
   });
 }
@@ -378,6 +390,7 @@
   const std::size_t count = recovered.size();
   // The previous leader may extend leases until its unconfirmed term ends.
   const base::TimePoint latest_lease_end = LeaseEnd(now + kUnconfirmedTerm);
+  m_scheduler.SetStoreClock(m_transactions->StoreNow(), now);
   m_scheduler.Recover(std::move(recovered), now, m_loop.GetClock().WallNow(),
                       latest_lease_end);
   m_serving = true;
@@ -457,6 +470,7 @@
     return;
   }
   m_planned_at = began;
+  m_scheduler.SetStoreClock(m_transactions->StoreNow(), began);
   m_scheduler.Plan(began, clock.WallNow());
   ++m_load.plans;
   m_load.planning += clock.Now() - began;
@@ -508,15 +522,19 @@
   }
   m_last_commit_at = now;
   ++m_load.commits;
+  std::vector<Row> puts;
+  for (auto& [key, bytes] : m_scheduler.Lives().TakeRows()) {
+    puts.push_back(
+        {kWorkerLifeTable, kLeaderPart, key, std::move(bytes), 0, false});
+  }
   jobs::Batch batch =
-      m_scheduler.TakeBatch(kMaxJobRows, now,
+      m_scheduler.TakeBatch(kMaxJobRows - puts.size(), now,
                             writes_all ? jobs::Scheduler::RowChoice::kAll
                                        : jobs::Scheduler::RowChoice::kUrgent);
   if (writes_all && !m_scheduler.HasRows()) {
     m_last_full_commit_at = now;
   }
   m_load.rows += batch.rows.size();
-  std::vector<Row> puts;
   std::vector<Row> deletes;
   const std::size_t rows = batch.rows.size();
   for (jobs::JobRow& row : std::exchange(batch.rows, {})) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -312,7 +312,11 @@
     }
     m_jobs.emplace(job.id, std::move(owned));
   }
+  m_recovered_at = now;
   for (auto& [id, worker] : m_workers) {
+    if (const WorkerLives::Life* life = m_lives.Find(id)) {
+      worker.former_lease_bound = FromStoreClock(life->former_lease_end);
+    }
     if (!HasLaterRuns(worker)) {
       BeginIncarnation(worker, worker.entry.id.incarnation_ms, now);
     }
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -1,6 +1,9 @@
 #include "scheduler_bench.hpp"
 
 #include <algorithm>
+#include <utility>
+
+#include <gtest/gtest.h>
 
 namespace cassiastile::jobs {
 
@@ -34,6 +37,14 @@
       {.name = "customer", .weight = 1000, .limit = {}, .keys = {}});
   m_config->BuildIndex();
   m_scheduler->ApplyConfig(m_config);
+  SetStoreClock();
+}
+
+void SchedulerBench::SetStoreClock() {
+  m_scheduler->SetStoreClock(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Now().time_since_epoch()),
+      Now());
 }
 
 JobSpec SchedulerBench::OneTask(std::int64_t cpu) {
@@ -156,6 +167,9 @@
 Orders SchedulerBench::Step() {
   m_scheduler->ListConfirmed(Now());
   m_scheduler->Plan(Now(), m_clock.WallNow());
+  for (auto& [key, bytes] : m_scheduler->Lives().TakeRows()) {
+    m_lives[key] = std::move(bytes);
+  }
   while (m_scheduler->HasRows() || m_scheduler->HasUrgentRows()) {
     const Batch batch = m_scheduler->TakeBatch(kMaxRows, Now());
     for (const JobRow& row : batch.rows) {
@@ -266,7 +280,13 @@
   bench.m_ended = m_ended;
   bench.m_records = m_records;
   bench.m_progress = m_progress;
+  for (const auto& [key, bytes] : m_lives) {
+    const auto read = bench.m_scheduler->Lives().Recover(key, bytes);
+    EXPECT_TRUE(read) << key;
+  }
+  bench.m_lives = m_lives;
   bench.m_scheduler->SetDurations(m_scheduler->Durations());
+  bench.SetStoreClock();
   // As the dispatcher does, which reads the list last.
   bench.ListWorkers();
   bench.m_scheduler->Recover(Stored(), Now(), m_clock.WallNow(),
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -69,6 +69,8 @@
 
  private:
   void ListWorkers();
+  // The store's clock is that of the bench.
+  void SetStoreClock();
 
   base::ManualClock m_clock;
   std::uint32_t m_max_attempts;
@@ -79,6 +81,7 @@
   std::map<std::string, std::vector<ListedEnd>> m_ended;
   std::map<std::string, std::string> m_records;
   std::map<std::string, std::string> m_progress;
+  std::map<std::string, std::string> m_lives;
   std::shared_ptr<FleetConfig> m_config;
 };
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -7,6 +7,13 @@
 
 namespace cassiastile::jobs {
 
+namespace {
+
+// A host takes the store's clock from answers to commits, which may be late.
+constexpr std::chrono::milliseconds kStoreClockError{1000};
+
+}  // namespace
+
 void WorkerState::RaiseLeaseBound(base::TimePoint bound,
                                   LeaseEvidence evidence) {
   if (bound > lease_bound) {
@@ -15,6 +22,15 @@
   }
 }
 
+base::TimePoint WorkerState::LeaseEnd() const {
+  return std::max(lease_bound, former_lease_bound);
+}
+
+LeaseEvidence WorkerState::EvidenceOfLeaseEnd() const {
+  return former_lease_bound > lease_bound ? LeaseEvidence::kFormerLife
+                                          : lease_evidence;
+}
+
 bool WorkerState::HasWithdrawn(const TaskRef& ref) const {
   return std::ranges::find(withdrawn, ref) != withdrawn.end();
 }
@@ -89,11 +105,9 @@
     if (worker.former.size() > kMaxFormer) {
       worker.former.erase(worker.former.begin());
     }
-    // Leases for the former incarnation end at a time of its clock, which may
-    // be far ahead of the clock of this one.
-    worker.RaiseLeaseBound(
-        now + m_options.max_order_delay + m_options.max_worker_lease,
-        LeaseEvidence::kFormerLife);
+    worker.former_lease_bound =
+        std::max(worker.former_lease_bound,
+                 now + m_options.max_order_delay + m_options.max_worker_lease);
   }
   worker.entry.id.incarnation_ms = incarnation_ms;
   worker.known_since = now;
@@ -156,6 +170,58 @@
   }
 }
 
+base::Duration Scheduler::LongestLease() const {
+  constexpr int kSlowClockPercent = 103;
+  return m_options.max_worker_lease * kSlowClockPercent / 100;
+}
+
+void Scheduler::BoundFormerLeases(WorkerState& worker, base::TimePoint now) {
+  const WorkerId& id = worker.entry.id;
+  const WorkerLives::Life* life = m_lives.Find(id.id);
+  const bool is_known =
+      life != nullptr && life->incarnation_ms == id.incarnation_ms;
+  if (life != nullptr && life->heard) {
+    // Calls of this leader are not fenced.
+    worker.former_lease_bound = std::max(
+        worker.former_lease_bound,
+        is_known
+            ? FromStoreClock(life->former_lease_end)
+            : now + m_options.max_order_delay + m_options.max_worker_lease);
+  } else {
+    // Calls of previous leaders are fenced from now on.
+    base::TimePoint last_arrival = now;
+    if (life == nullptr) {
+      // The previous leader may have heard a former incarnation in vain.
+      last_arrival =
+          std::min(now, m_recovered_at + m_options.max_former_orders +
+                            m_options.max_order_delay);
+    }
+    worker.former_lease_bound = last_arrival + LongestLease();
+    if (is_known) {
+      worker.former_lease_bound = std::min(
+          worker.former_lease_bound, FromStoreClock(life->former_lease_end));
+    }
+  }
+  m_lives.Heard(id.id, id.incarnation_ms,
+                ToStoreClock(worker.former_lease_bound));
+}
+
+std::chrono::milliseconds Scheduler::ToStoreClock(base::TimePoint time) const {
+  return m_store_clock + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             time - m_store_clock_at);
+}
+
+base::TimePoint Scheduler::FromStoreClock(
+    std::chrono::milliseconds store_time) const {
+  return m_store_clock_at + (store_time - m_store_clock) + kStoreClockError;
+}
+
+void Scheduler::SetStoreClock(std::chrono::milliseconds store_now,
+                              base::TimePoint now) {
+  m_store_clock = store_now;
+  m_store_clock_at = now;
+}
+
 bool Scheduler::MayStartLater(const TaskRef& ref,
                               const Run& run,
                               base::TimePoint now) const {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -158,8 +158,8 @@
       found != m_workers.end()) {
     const WorkerState& worker = found->second;
     drop.worker_listed = worker.listed;
-    drop.lease_bound = worker.lease_bound;
-    drop.lease_evidence = worker.lease_evidence;
+    drop.lease_bound = worker.LeaseEnd();
+    drop.lease_evidence = worker.EvidenceOfLeaseEnd();
     drop.worker_reported_at =
         worker.has_reported ? worker.last_report : base::TimePoint{};
   }
@@ -221,8 +221,11 @@
   const auto erased = std::erase_if(m_workers, [now](const auto& row) {
     const WorkerState& worker = row.second;
     return !worker.listed && worker.runs.empty() && worker.withdrawn.empty() &&
-           now > worker.lease_bound;
+           now > worker.LeaseEnd();
   });
+  m_lives.ForgetUnknown(
+      [this](const std::string& id) { return m_workers.contains(id); },
+      m_options.max_order_delay + LongestLease(), now);
   if (is_index_old || erased > 0) {
     IndexWorkers();
   }
@@ -254,6 +257,7 @@
   }
   if (!is_current || !worker->has_reported) {
     BeginIncarnation(*worker, report.incarnation_ms, now);
+    BoundFormerLeases(*worker, now);
   }
   worker->has_reported = true;
   worker->silent = false;
@@ -634,7 +638,7 @@
       if (run == nullptr) {
         continue;
       }
-      if (run->phase != RunPhase::kPlanned && now > worker.lease_bound &&
+      if (run->phase != RunPhase::kPlanned && now > worker.LeaseEnd() &&
           worker.lease_bound != base::TimePoint{} && IsStartOver(*run, now)) {
         DropRun(ref, number, DropReason::kLeaseOver, now);
       } else if (run->phase == RunPhase::kStarting &&
