End no listed run by an entry that may be a former life's

What callers saw: with a worker whose clock was set back, tasks ran twice at full length after a change of leader. Cause: which lives are over is in a leader's memory. Its successor took an entry that a former life had written late, with a higher start time, for a restart, and dropped the runs that the live one had listed. Change: an entry ends listed runs only for a leader that has heard the current life for longer than entries are late (13 s); otherwise they go on until a report tells, or until the lease is over.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -457,11 +457,16 @@
   static bool IsSuccessor(const WorkerState& worker,
                           const WorkerReport& report,
                           base::TimePoint asked_at);
+  // Tells of an incarnation: an entry, which may be one of a former incarnation
+  // that is written late, or a report.
+  enum class LifeEvidence : std::uint8_t { kEntry, kReport };
   // Makes an incarnation of the worker the current one. Runs that a former one
-  // has listed are dropped. The start orders of the others may still be carried
-  // out, so they are expected and stopped at the new one.
+  // has listed are dropped, unless they may go on since the entry may be older.
+  // The start orders of the others may still be carried out, so they are
+  // expected and stopped at the new one.
   void BeginIncarnation(WorkerState& worker,
                         std::int64_t incarnation_ms,
+                        LifeEvidence evidence,
                         base::TimePoint now);
   // The longest time from a call's arrival for which a worker keeps its runs by
   // it, on a clock that may be slow.
--- a/src/cassiastile/jobs/restarted_worker_test.cpp
+++ b/src/cassiastile/jobs/restarted_worker_test.cpp
@@ -93,7 +93,13 @@
   EXPECT_THAT(m_bench.Step().starts, IsEmpty());
 }
 
+// An entry that comes sooner may be a former incarnation's, written late; see
+// IncarnationSetBackTest.
 TEST_F(RestartedWorkerTest, EntryOfAnotherIncarnationCountsOnceItIsSilent) {
+  m_bench.Advance(milliseconds(13100));
+  m_bench.Report("a", m_bench.Listing("a"));
+  m_bench.Report("b", m_bench.Listing("b"));
+  EXPECT_THAT(m_bench.Step().starts, IsEmpty());
   WorkerEntry entry = GetWorker().entry;
   entry.id.incarnation_ms = 200;
   GetScheduler().WorkerSilent("a", m_bench.Now());
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -318,7 +318,8 @@
       worker.former_lease_bound = FromStoreClock(life->former_lease_end);
     }
     if (!HasLaterRuns(worker)) {
-      BeginIncarnation(worker, worker.entry.id.incarnation_ms, now);
+      BeginIncarnation(worker, worker.entry.id.incarnation_ms,
+                       LifeEvidence::kEntry, now);
     }
   }
   IndexWorkers();
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -93,7 +93,14 @@
 
 void Scheduler::BeginIncarnation(WorkerState& worker,
                                  std::int64_t incarnation_ms,
+                                 LifeEvidence evidence,
                                  base::TimePoint now) {
+  // A leader that has known an incarnation for longer than entries are written
+  // late knows that a later entry is not a former one's.
+  const bool is_certain =
+      evidence == LifeEvidence::kReport ||
+      (worker.has_reported &&
+       now - worker.known_since > m_options.max_order_delay);
   if (!worker.entry.id.id.empty() &&
       worker.entry.id.incarnation_ms != incarnation_ms) {
     worker.is_ending = false;
@@ -130,10 +137,13 @@
     if (run == nullptr || run->worker.incarnation_ms == incarnation_ms) {
       continue;
     }
-    if (run->listed || run->phase == RunPhase::kPlanned) {
+    if (run->phase == RunPhase::kPlanned || (run->listed && is_certain)) {
       DropRun(ref, number, DropReason::kIncarnationOver, now);
       continue;
     }
+    if (run->listed) {
+      continue;
+    }
     const bool to_blame = RecordCrash(ref, *run, DropReason::kIncarnationOver);
     m_orders.outlived.push_back(
         DescribeDrop(ref, *run, DropReason::kIncarnationOver));
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -193,13 +193,15 @@
                    worker.entry.service != entry.service ||
                    worker.entry.id.id.empty();
     if (worker.entry.id.id.empty()) {
-      BeginIncarnation(worker, entry.id.incarnation_ms, now);
+      BeginIncarnation(worker, entry.id.incarnation_ms, LifeEvidence::kEntry,
+                       now);
     } else if (entry.id != worker.entry.id) {
       if (!IsSuccessor(worker, entry)) {
         RejectEntry(worker, entry);
         continue;
       }
-      BeginIncarnation(worker, entry.id.incarnation_ms, now);
+      BeginIncarnation(worker, entry.id.incarnation_ms, LifeEvidence::kEntry,
+                       now);
     }
     const bool is_known = worker.described_ms == entry.id.incarnation_ms;
     if (!is_known) {
@@ -256,7 +258,8 @@
     return false;
   }
   if (!is_current || !worker->has_reported) {
-    BeginIncarnation(*worker, report.incarnation_ms, now);
+    BeginIncarnation(*worker, report.incarnation_ms, LifeEvidence::kReport,
+                     now);
     BoundFormerLeases(*worker, now);
   }
   worker->has_reported = true;
