Bind a task to a withdrawn start for as long as its run may last

What callers saw: a start that was withdrawn and carried out by the worker's next life ran beside the next run, under one leader and after a takeover. Cause: withdrawn starts were forgotten 13 s after their order, when it can't be carried out any more; one carried out at the end of that time may go on for 10 s by the lease of a former clock, at a worker that doesn't answer. Change: it is forgotten then only if a report requested after the 13 s has come, which lists what runs there; else 10 s later.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -490,6 +490,10 @@
                      const WithdrawnStart& start,
                      WorkerState& worker,
                      base::TimePoint now);
+  // Whether no run that a withdrawn start has begun late can be unknown.
+  bool IsWithdrawnOver(const WithdrawnStart& start,
+                       const WorkerState& worker,
+                       base::TimePoint now) const;
   // Forgets withdrawn starts on a worker whose order can't be carried out any
   // more, or all of them.
   void ForgetLateWithdrawn(WorkerState& worker, base::TimePoint now);
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -333,13 +333,23 @@
   ForgetWithdrawnOn(*worker);
 }
 
+bool Scheduler::IsWithdrawnOver(const WithdrawnStart& start,
+                                const WorkerState& worker,
+                                base::TimePoint now) const {
+  const base::TimePoint last_arrival =
+      start.ordered_at + m_options.max_order_delay;
+  // A report lists what has arrived.
+  const bool was_heard = worker.last_asked > last_arrival;
+  return was_heard || now > last_arrival + m_options.max_worker_lease;
+}
+
 void Scheduler::ForgetLateWithdrawn(WorkerState& worker, base::TimePoint now) {
   std::erase_if(worker.withdrawn, [&](const TaskRef& ref) {
     auto& starts = FindTask(ref)->withdrawn;
     const auto forgotten =
         std::erase_if(starts, [&](const WithdrawnStart& start) {
           return start.worker.id == worker.entry.id.id &&
-                 now > start.ordered_at + m_options.max_order_delay;
+                 IsWithdrawnOver(start, worker, now);
         });
     if (forgotten > 0) {
       MarkDirty(*ref.job, false);
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -265,6 +265,7 @@
   worker->has_reported = true;
   worker->silent = false;
   worker->last_report = now;
+  worker->last_asked = std::max(worker->last_asked, asked_at);
   worker->wants_report = false;
   const std::uint64_t known_end = worker->last_end;
   for (const ListedEnd& end : report.ended) {
