Check in the virtual world how many machines of a wave are down

Cause: a leader stores when it ordered which machine, but its successor uses this only to not order the same machine again: it doesn't count it as down. Change: the world checks max_down as each maintenance begins, and can delay orders for machines (WorldFaults::machine_order_delay).

--- a/src/cassiastile/host/forgotten_life_test.cpp
+++ b/src/cassiastile/host/forgotten_life_test.cpp
@@ -101,5 +101,23 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// The machine service is slow: an order that the former leader has sent is
+// carried out after the successor has listed the machines.
+TEST(ForgottenOrderTest, MachineThatTheFormerLeaderHasOrderedCountsAsDown) {
+  for (int after = 100; after <= 1500; after += 50) {
+    VirtualWorld world;
+    world.RunFor(milliseconds(3000));
+    world.RequestWave(world.MachineNames(), 1);
+    world.Faults().machine_order_delay = milliseconds(800);
+    world.RunFor(milliseconds(after));
+    world.KillHost(*world.LeaderIndex());
+    world.RunFor(milliseconds(1000));
+    world.Faults() = {};
+    world.RunFor(milliseconds(9000));
+    EXPECT_THAT(world.Violations(), IsEmpty())
+        << "killed " << after << " ms after the request";
+  }
+}
+
 }  // namespace
 }  // namespace cassiastile::host
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -633,7 +633,7 @@
             const OrderAuthority& authority,
             std::function<void(MachineOrderResult)> done) override {
     done = m_loop.Guard(std::move(done));
-    m_world.Post(kStoreLatency, [this, name, pool, authority, done] {
+    m_world.Post(OrderLatency(), [this, name, pool, authority, done] {
       auto& machine = m_world.m_machines.at(name);
       CheckAuthority(machine, authority);
       if (machine.state != MachineState::kUp) {
@@ -652,7 +652,7 @@
                 const OrderAuthority& authority,
                 std::function<void(MachineOrderResult)> done) override {
     done = m_loop.Guard(std::move(done));
-    m_world.Post(kStoreLatency, [this, name, wave, authority, done] {
+    m_world.Post(OrderLatency(), [this, name, wave, authority, done] {
       auto& machine = m_world.m_machines.at(name);
       CheckAuthority(machine, authority);
       if (machine.waves.contains(wave)) {
@@ -664,6 +664,7 @@
         return;
       }
       machine.waves.insert(wave);
+      CheckMaxDown(name);
       Restart(machine, MachineState::kMaintenance, kMaintenanceTime,
               machine.pool);
       done(MachineOrderResult::kAccepted);
@@ -671,6 +672,23 @@
   }
 
  private:
+  std::chrono::microseconds OrderLatency() const {
+    return kStoreLatency + m_world.m_faults.machine_order_delay;
+  }
+
+  // A machine's maintenance begins.
+  void CheckMaxDown(const std::string& name) {
+    const auto down =
+        std::ranges::count_if(m_world.m_machines, [](const auto& entry) {
+          return entry.second.state == MachineState::kMaintenance;
+        });
+    if (down >= static_cast<std::ptrdiff_t>(m_world.m_max_down)) {
+      m_world.AddViolation(fmt::format(
+          "the maintenance of {} begins while {} machines are down for theirs",
+          name, down));
+    }
+  }
+
   // The platform may check no fencing tokens, so a leader must not give orders
   // after its successor has.
   void CheckAuthority(VirtualWorld::Machine& machine,
@@ -1686,6 +1704,7 @@
 
 void VirtualWorld::RequestWave(const std::vector<std::string>& machines,
                                std::uint32_t max_down) {
+  m_max_down = max_down;
   std::string text = fmt::format("1 {}", max_down);
   for (const std::string& machine : machines) {
     text += " " + machine;
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -73,6 +73,8 @@
   std::chrono::milliseconds start_delay{0};
   std::chrono::milliseconds stop_delay{0};
   std::chrono::milliseconds extension_delay{0};
+  // Time that each order for a machine takes longer than usual.
+  std::chrono::milliseconds machine_order_delay{0};
   // The next leader that records an order for a machine stands still for this
   // long, from when the record is stored and its answer is on its way.
   std::chrono::milliseconds freeze_at_order{0};
@@ -229,7 +231,8 @@
   void WriteRow(Row row);
   // Hands a host a message as a peer might; the host must be running.
   void Gossip(std::size_t host, const GossipMessage& gossip);
-  // Requests wave 1, with a time limit of 25 s.
+  // Requests wave 1, with a time limit of 25 s. More than `max_down` machines
+  // in maintenance at once are a violation.
   void RequestWave(const std::vector<std::string>& machines,
                    std::uint32_t max_down);
   std::vector<std::string> MachineNames() const;
@@ -401,6 +404,7 @@
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
   std::map<std::string, Machine> m_machines;
   std::uint64_t m_started_workers = 0;
+  std::uint32_t m_max_down = 0;  // Of the wave.
   // When the evacuation of each zone was asked for.
   std::map<std::string, base::TimePoint> m_evacuated_since;
   std::map<std::string, std::size_t> m_job_service;
