--- a/src/cassiastile/host/forgotten_life_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -29,7 +29,7 @@
 
 // The former leader has heard the current incarnation; the entry of the one
 // before has a higher start time, since the clock was set back.
-TEST(ForgottenLifeTest, EntryOfAFormerLifeEndsNoRunAtATakeover) {
+TEST(ForgottenIncarnationTest, EntryOfAFormerIncarnationEndsNoRunAtATakeover) {
   VirtualWorld world(
       {.services = 1, .workers_per_service = 2, .spare_machines = 0});
   world.RunFor(milliseconds(3000));
@@ -48,7 +48,8 @@
 
 // The start of the first run comes 11.5 s late, to the next incarnation of a
 // worker that was cut off, and its task is bound to that worker for 13 s only.
-TEST(ForgottenLifeTest, WithdrawnStartMayRunAsLongAsALeaseOfTheNextLife) {
+TEST(ForgottenIncarnationTest,
+     WithdrawnStartMayRunAsLongAsALeaseOfTheNextIncarnation) {
   VirtualWorld world(
       {.services = 1, .workers_per_service = 2, .spare_machines = 0});
   world.RunFor(kOldWorkers);
@@ -75,7 +76,8 @@
 
 // There is one leader all the while. It extends the lease of an idle worker,
 // whose entry is then gone for so long that nothing of it is kept.
-TEST(ForgottenLifeTest, LateExtensionHoldsAWorkerThatWasUnlistedForAWhile) {
+TEST(ForgottenIncarnationTest,
+     LateExtensionHoldsAWorkerThatWasUnlistedForAWhile) {
   VirtualWorld world(
       {.services = 1, .workers_per_service = 2, .spare_machines = 0});
   world.RunFor(kOldWorkers);
