Show that a successor ends a task beside one that its predecessor ends

Cause: the successor doesn't know that the machine of a task is about to be maintained, and counts the task as serving.

--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -121,5 +121,37 @@
   }
 }
 
+// The step of two long-running tasks allows one to be unavailable. Returns
+// whether one was running at all times, from a wave's request on.
+bool RunsThroughAWave(int killed_after) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(milliseconds(3000));
+  const std::string job = world.SubmitLongRunning(0, 2);
+  world.RunFor(milliseconds(2000));
+  EXPECT_EQ(world.CountRuns(job), 2U);
+  world.RequestWave(world.MachineNames(), 2);
+  world.Faults().machine_order_delay = milliseconds(800);
+  bool runs = true;
+  for (int time = 0; time < 15000; time += 5) {
+    if (time == killed_after) {
+      world.KillHost(*world.LeaderIndex());
+    }
+    world.RunFor(milliseconds(5));
+    runs = runs && world.CountRuns(job) > 0;
+  }
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  return runs;
+}
+
+TEST(ForgottenOrderTest,
+     TaskThatTheFormerLeaderIsAboutToEndCountsAsUnavailable) {
+  EXPECT_TRUE(RunsThroughAWave(-1));
+  for (int after = 100; after <= 1500; after += 50) {
+    EXPECT_TRUE(RunsThroughAWave(after))
+        << "killed " << after << " ms after the request";
+  }
+}
+
 }  // namespace
 }  // namespace cassiastile::host
