--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -563,6 +563,7 @@
   m_fleet.Checker().PhaseReported(job.id, *phase);
   if (*phase == jobs::JobPhase::kDone) {
     job.known_state = KnownState::kDone;
+    job.done_at = m_loop.GetClock().Now();
   }
 }
 
@@ -657,6 +658,21 @@
   }
 }
 
+void Callers::CheckStartsAfterDone() {
+  constexpr milliseconds kKnown{1000};
+  for (auto& [id, job] : m_jobs) {
+    const base::TimePoint started = m_fleet.LastStartInTouch(id);
+    if (job.known_state == KnownState::kDone && !job.is_reported &&
+        started > job.done_at + kKnown) {
+      job.is_reported = true;
+      m_fleet.Checker().AddViolation(fmt::format(
+          "a task of job {} started {} ms after the job was shown as done [{}]",
+          id, base::Milliseconds(started - job.done_at),
+          m_fleet.Checker().HistoryOf(id)));
+    }
+  }
+}
+
 void Callers::CheckOutcomes() {
   for (const auto& [id, job] : m_jobs) {
     sim::InvariantChecker& checker = m_fleet.Checker();
--- a/src/cassiastile/soak/callers.hpp
+++ b/src/cassiastile/soak/callers.hpp
@@ -42,6 +42,9 @@
   // enough for that; starts count when their sender was in touch, or with no
   // disruption since. To be called every 100 ms or so.
   void CheckCancelled();
+  // Reports a violation, once, for each job of which a host in touch starts a
+  // task over a second after a caller was told that the job is done.
+  void CheckStartsAfterDone();
   // Adds the numbers of jobs to the result.
   void AddCounts(SoakResult& result) const;
 
@@ -70,11 +73,12 @@
     int no_such_job_answers = 0;  // Consecutive.
     std::chrono::milliseconds submit_timeout{0};
     base::TimePoint accepted_at{};  // Zero if that answer was never received.
+    base::TimePoint done_at{};      // When a caller was told so.
     base::TimePoint cancel_sent_at{};
     base::TimePoint cancelled_at{};  // When that was acknowledged.
     bool was_cancel_stored = false;  // That answer was 2xx.
     bool was_done_before_cancel = false;
-    bool is_reported = false;  // By CheckCancelled.
+    bool is_reported = false;  // By CheckCancelled or CheckStartsAfterDone.
     bool is_state_reported = false;
   };
   // Where to send a request: to a host, by one of the two clients.
--- a/src/cassiastile/soak/soak.cpp
+++ b/src/cassiastile/soak/soak.cpp
@@ -78,6 +78,7 @@
 
   void CheckCancelled() {
     m_callers->CheckCancelled();
+    m_callers->CheckStartsAfterDone();
     m_loop.After(kCheckInterval, [this] { CheckCancelled(); });
   }
 
