Let the random soak restart workers before changes of the leader

The leader changed after a restart by chance only, the longest cut of a link was 4.1 s where a lease lasts 5.55 s after the last word, tasks took 0.9 s at most, and workers lived for less than 5 s when they restarted.

--- a/include/cassiastile/soak/fault_plan.hpp
+++ b/include/cassiastile/soak/fault_plan.hpp
@@ -106,6 +106,9 @@
   std::chrono::milliseconds duration{10000};
   // Between series of faults; a series has up to four.
   std::chrono::milliseconds mean_gap{700};
+  // Whether workers restart under their ids, mostly shortly before a change of
+  // the leader, and are cut off soon after that. Other faults are rarer then.
+  bool restarts = false;
 };
 
 using FaultPlan = std::vector<Fault>;
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -64,6 +64,7 @@
   soak::SoakOptions options;
   std::uint64_t seeds = 1;
   std::int64_t seconds = 10;
+  std::int64_t settle_seconds = 20;
   std::string kept_folder;
   std::string plan_file;
   int shrink_tries = 0;
@@ -92,6 +93,12 @@
       "avoid-slow-workers",
       po::value(&options.avoid_slow_workers)->default_value(true),
       "whether slow workers get tasks after others")(
+      "restarts", po::value(&options.plan.restarts)->default_value(false),
+      "whether workers restart under their ids around changes of the leader")(
+      "settle-seconds",
+      po::value(&settle_seconds)->default_value(settle_seconds),
+      "how long jobs may take to be done after the last fault; 60 suit "
+      "--restarts, where tasks take 12 s")(
       "machines-move", po::value(&options.machines_move)->default_value(true),
       "whether machines can be moved to other pools")(
       "jobs-per-second", po::value(&options.jobs_per_second)->default_value(8),
@@ -112,6 +119,7 @@
     }
     po::notify(values);
     options.plan.duration = std::chrono::seconds(seconds);
+    options.settle_timeout = std::chrono::seconds(settle_seconds);
     if (!plan_file.empty()) {
       std::ifstream file(plan_file);
       std::ostringstream text;
--- a/src/cassiastile/soak/fault_plan.cpp
+++ b/src/cassiastile/soak/fault_plan.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/soak/fault_plan.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <random>
 #include <sstream>
 
@@ -70,6 +71,84 @@
   return 1;
 }
 
+// Draws from [0, bound).
+using Draw = std::function<std::int64_t(std::int64_t bound)>;
+
+// Adds one series: workers restart while jobs are handed in, the leader
+// changes, more jobs come and the same workers are cut off.
+void AddRestarts(FaultPlan& plan,
+                 milliseconds at,
+                 const PlanOptions& options,
+                 const Draw& below) {
+  constexpr milliseconds kShortestSilence{300};
+  constexpr milliseconds kBurstGap{150};
+  constexpr milliseconds kSecondRestart{800};
+  constexpr milliseconds kSecondKill{900};
+  constexpr milliseconds kLeaderPause{3500};
+  // Until another host leads after a leader that stands still; it takes over
+  // sooner from one that is gone.
+  constexpr milliseconds kPauseNoticed{1200};
+  constexpr milliseconds kKillNoticed{400};
+  constexpr milliseconds kLongTask{12000};
+  constexpr milliseconds kShortTask{300};
+  constexpr milliseconds kShortestLongCut{8000};
+  const auto add = [&plan](milliseconds when, FaultKind kind, Place place,
+                           milliseconds active_for, std::size_t target = 0) {
+    plan.push_back({when, kind, place, target, active_for});
+  };
+  std::vector<std::size_t> workers;
+  for (std::size_t i = 0; i < options.workers; ++i) {
+    if (below(5) < 2) {
+      workers.push_back(i);
+    }
+  }
+  const milliseconds silence = kShortestSilence + milliseconds(below(900));
+  const bool twice = below(6) == 0;
+  for (const std::size_t worker : workers) {
+    add(at, FaultKind::kRestart, Place::kWorker, silence, worker);
+    if (twice) {
+      add(at + silence + kSecondRestart / 4, FaultKind::kRestart,
+          Place::kWorker, kSecondRestart, worker);
+    }
+  }
+  for (milliseconds burst{0}; burst < silence; burst += kBurstGap) {
+    add(at + burst, FaultKind::kBurst, Place::kCallers, kShortTask);
+  }
+  milliseconds change = at + silence + milliseconds(below(3000));
+  milliseconds noticed = kKillNoticed;
+  switch (below(8)) {
+    case 0:
+    case 1:
+    case 2:
+      add(change, FaultKind::kKillLeader, Place::kHost, {});
+      break;
+    case 3:
+    case 4:
+      add(change, FaultKind::kStopLeader, Place::kHost, {});
+      break;
+    case 5:
+      add(change, FaultKind::kPauseLeader, Place::kHost, kLeaderPause);
+      noticed = kPauseNoticed;
+      break;
+    case 6:
+      add(change, FaultKind::kKillLeader, Place::kHost, {});
+      change += kSecondKill;
+      add(change, FaultKind::kKillLeader, Place::kHost, {});
+      break;
+    default:
+      break;
+  }
+  const milliseconds cut = change + noticed + milliseconds(200 + below(800));
+  for (milliseconds burst = change + noticed - kBurstGap; burst < cut;
+       burst += 2 * kBurstGap) {
+    add(burst, FaultKind::kBurst, Place::kCallers, kLongTask);
+  }
+  const milliseconds length = kShortestLongCut + milliseconds(below(4000));
+  for (const std::size_t worker : workers) {
+    add(cut, FaultKind::kCut, Place::kWorker, length, worker);
+  }
+}
+
 }  // namespace
 
 FaultPlan MakePlan(std::uint64_t seed, const PlanOptions& options) {
@@ -93,14 +172,17 @@
                     0,
                     {}});
   }
-  milliseconds at(below(options.mean_gap.count()));
+  constexpr int kRarer = 6;
+  const milliseconds mean_gap =
+      options.mean_gap * (options.restarts ? kRarer : 1);
+  milliseconds at(below(mean_gap.count()));
   while (at < options.duration) {
     const FaultChoice& choice = kFaultChoices.at(choose(random));
     constexpr std::int64_t kMaxSeries = 4;
     const std::int64_t series = 1 + below(kMaxSeries) * below(2);
     for (std::int64_t i = 0; i < series; ++i) {
       Fault fault;
-      fault.at = at + milliseconds(below(options.mean_gap.count()));
+      fault.at = at + milliseconds(below(mean_gap.count()));
       fault.kind = choice.kind;
       fault.place = choice.place;
       fault.target = static_cast<std::size_t>(
@@ -112,7 +194,7 @@
       }
       plan.push_back(fault);
     }
-    at += milliseconds(1 + below(2 * options.mean_gap.count()));
+    at += milliseconds(1 + below(2 * mean_gap.count()));
   }
   // Drawn last, so that the rest of a seed's plan is what it was without it.
   constexpr int kEvacuationOneIn = 3;
@@ -128,12 +210,21 @@
   constexpr std::int64_t kLeaderPauseSpread = 2000;
   constexpr milliseconds kTimePerLeaderPause{6000};
   const std::int64_t leader_pauses = 1 + options.duration / kTimePerLeaderPause;
-  for (std::int64_t i = 0; i < leader_pauses; ++i) {
+  for (std::int64_t i = 0; i < leader_pauses && !options.restarts; ++i) {
     plan.push_back(
         {milliseconds(below(options.duration.count())), FaultKind::kPauseLeader,
          Place::kHost, 0,
          milliseconds(kShortestLeaderPause + below(kLeaderPauseSpread))});
   }
+  // Old enough that a lease by the clock of before reaches far in the next
+  // incarnation.
+  constexpr milliseconds kOldEnough{5000};
+  // The tasks of a series are over by the next one.
+  constexpr milliseconds kTimePerRestarts{30000};
+  for (milliseconds from = kOldEnough;
+       options.restarts && from < options.duration; from += kTimePerRestarts) {
+    AddRestarts(plan, from + milliseconds(below(1000)), options, below);
+  }
   std::ranges::stable_sort(plan, {}, &Fault::at);
   return plan;
 }
--- a/src/cassiastile/soak/soak_test.cpp
+++ b/src/cassiastile/soak/soak_test.cpp
@@ -1,5 +1,6 @@
 #include "cassiastile/soak/soak.hpp"
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -32,6 +33,34 @@
   }
 }
 
+TEST(FaultPlanTest, RestartsComeWhereAskedForWithChangesOfTheLeader) {
+  PlanOptions options;
+  options.duration = std::chrono::seconds(30);
+  const auto count = [&options](FaultKind kind) {
+    std::ptrdiff_t found = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      found += std::ranges::count(MakePlan(seed, options), kind, &Fault::kind);
+    }
+    return found;
+  };
+  EXPECT_EQ(count(FaultKind::kRestart), 0);
+  EXPECT_EQ(count(FaultKind::kBurst), 0);
+  options.restarts = true;
+  EXPECT_GT(count(FaultKind::kRestart), 0);
+  EXPECT_GT(count(FaultKind::kKillLeader), 0);
+  EXPECT_GT(count(FaultKind::kStopLeader), 0);
+  EXPECT_GT(count(FaultKind::kPauseLeader), 0);
+  EXPECT_GT(count(FaultKind::kCut), 0);
+}
+
+TEST(FaultPlanTest, ErrorNamesTheInvalidLine) {
+  const auto read = DecodePlan(
+      "{\"at_ms\":1,\"fault\":\"kill\",\"place\":\"host\"}\n"
+      "{\"at_ms\":1,\"fault\":\"flood\",\"place\":\"host\"}\n");
+  ASSERT_FALSE(read.has_value());
+  EXPECT_THAT(read.error().message, testing::HasSubstr("line 2"));
+}
+
 // A process that ends by itself is a finding, with how it ended and what it
 // said last.
 TEST(HostProcessTest, EndThatNobodyCausedIsReported) {
