Wait for leases by what older programs and a late clock leave

The store's clock is taken from answers, which may have waited, and a second was allowed for that. At a takeover every life was written again, its bound being over. Bounds are stored by the latest time that the store's clock can show, and read by the earliest. A bound that is over is stored as zero. A recovered withdrawn start also bounds the lease, as a recovered run does: without a bound a start that the list's incarnation may carry out was never given up.

--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -87,8 +87,11 @@
   // Send time of the last commit known to be applied; this host was the leader
   // then.
   base::TimePoint ConfirmedAt() const { return m_confirmed_at; }
-  // The store's steady clock now, extrapolated from the last reply.
+  // The store's steady clock now, extrapolated from the last reply. It is that
+  // late or later, since the reply may have waited.
   std::chrono::milliseconds StoreNow() const;
+  // The latest that the store's clock can show now.
+  std::chrono::milliseconds LatestStoreNow() const;
   // Start of the current series of failed commits; empty while they succeed.
   std::optional<base::TimePoint> FailingSince() const {
     return m_failing_since;
@@ -123,6 +126,7 @@
   base::TimePoint m_confirmed_at{};
   std::chrono::milliseconds m_store_clock{0};
   base::TimePoint m_store_clock_at{};
+  base::TimePoint m_store_clock_asked_at{};
   std::optional<base::TimePoint> m_failing_since;
   Lifetime m_lifetime;
 };
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -121,8 +121,10 @@
   // Replaces the configuration.
   void ApplyConfig(std::shared_ptr<const FleetConfig> config);
 
-  // Tells the store's clock, which may be late by a second.
-  void SetStoreClock(std::chrono::milliseconds store_now, base::TimePoint now);
+  // Tells what the store's clock shows now, at the earliest and at the latest.
+  void SetStoreClock(std::chrono::milliseconds earliest,
+                     std::chrono::milliseconds latest,
+                     base::TimePoint now);
   // Takes over the jobs of the previous leader. Runs on workers that do not
   // report count as alive until `latest_lease_end`, or longer by Lives(). These
   // must have been recovered before, and the store's clock must be known.
@@ -475,6 +477,10 @@
   // former incarnations, when one of its incarnations reports to this leader
   // for the first time, and notes it for the next leader.
   void BoundFormerLeases(WorkerState& worker, base::TimePoint now);
+  // The same at a takeover, by what is stored. A life that has listed a run is
+  // stored no later than that, but not by older programs.
+  base::TimePoint RecoveredLeaseBound(const WorkerState& worker,
+                                      base::TimePoint now);
   // A time by the store's clock. Read back by any leader it is not earlier.
   std::chrono::milliseconds ToStoreClock(base::TimePoint time) const;
   base::TimePoint FromStoreClock(std::chrono::milliseconds store_time) const;
@@ -718,7 +724,8 @@
   base::TimePoint m_list_as_of{};  // See ListConfirmed.
   WorkerLives m_lives;
   base::TimePoint m_recovered_at{};
-  std::chrono::milliseconds m_store_clock{0};
+  std::chrono::milliseconds m_earliest_store_clock{0};
+  std::chrono::milliseconds m_latest_store_clock{0};
   base::TimePoint m_store_clock_at{};
   // Ids of the workers known on each machine, listed or not.
   std::unordered_map<std::string, std::vector<std::string>>
--- a/include/cassiastile/jobs/worker_lives.hpp
+++ b/include/cassiastile/jobs/worker_lives.hpp
@@ -23,6 +23,7 @@
  public:
   struct Life {
     std::int64_t incarnation_ms = 0;
+    std::int64_t former_ms = 0;  // The incarnation before; zero if unknown.
     // By the store's clock: until when such a lease may last.
     std::chrono::milliseconds former_lease_end{0};
     bool heard = false;  // By this leader; else by an earlier one.
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -42,7 +42,7 @@
   // The incarnation of the last entry of another incarnation, for logs.
   std::int64_t stale_entry_ms = 0;
   base::TimePoint last_report{};
-  base::TimePoint last_asked{};  // When the newest report was requested.
+  base::TimePoint last_asked{};   // When the newest report was requested.
   base::TimePoint known_since{};  // This incarnation became known then.
   // Earlier incarnations, the last one at the end. Their start times need not
   // be lower, since clocks may be set back.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -390,7 +390,8 @@
   const std::size_t count = recovered.size();
   // The previous leader may extend leases until its unconfirmed term ends.
   const base::TimePoint latest_lease_end = LeaseEnd(now + kUnconfirmedTerm);
-  m_scheduler.SetStoreClock(m_transactions->StoreNow(), now);
+  m_scheduler.SetStoreClock(m_transactions->StoreNow(),
+                            m_transactions->LatestStoreNow(), now);
   m_scheduler.Recover(std::move(recovered), now, m_loop.GetClock().WallNow(),
                       latest_lease_end);
   m_serving = true;
@@ -470,7 +471,8 @@
     return;
   }
   m_planned_at = began;
-  m_scheduler.SetStoreClock(m_transactions->StoreNow(), began);
+  m_scheduler.SetStoreClock(m_transactions->StoreNow(),
+                            m_transactions->LatestStoreNow(), began);
   m_scheduler.Plan(began, clock.WallNow());
   ++m_load.plans;
   m_load.planning += clock.Now() - began;
--- a/src/cassiastile/host/leader_transactions.cpp
+++ b/src/cassiastile/host/leader_transactions.cpp
@@ -99,6 +99,11 @@
                              m_loop.GetClock().Now() - m_store_clock_at);
 }
 
+std::chrono::milliseconds LeaderTransactions::LatestStoreNow() const {
+  return m_store_clock + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             m_loop.GetClock().Now() - m_store_clock_asked_at);
+}
+
 void LeaderTransactions::HandleReply(const TransactionReply& reply,
                                      std::uint64_t commit,
                                      base::TimePoint sent_at) {
@@ -110,6 +115,7 @@
   if (reply.now.count() > 0) {
     m_store_clock = reply.now;
     m_store_clock_at = m_loop.GetClock().Now();
+    m_store_clock_asked_at = sent_at;
   }
   if (reply.outcome == Outcome::kApplied) {
     m_record_version = reply.version;
--- a/src/cassiastile/jobs/leader_change_test.cpp
+++ b/src/cassiastile/jobs/leader_change_test.cpp
@@ -96,6 +96,100 @@
   EXPECT_THAT(StartsWithoutA(third, milliseconds(20000)), IsEmpty());
 }
 
+// The leader that saw the restart is of an older program, which stores no
+// lives.
+TEST_F(LeaseOfTheNextIncarnationTest, SuccessorOfAnOlderProgramWaits) {
+  m_bench.Advance(milliseconds(1000));
+  m_bench.StoredLives().clear();
+  SchedulerBench next = m_bench.Successor(kTakeover);
+  EXPECT_THAT(StartsWithoutA(next, milliseconds(21000)), IsEmpty());
+}
+
+// The same, where a newer program had stored the former incarnation before.
+TEST(LeaderChangeTest, SuccessorOfAnOlderProgramIsNotMisledByAnOlderLife) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 200);
+  bench.Step();
+  const auto stored = bench.StoredLives();
+  bench.Advance(milliseconds(60000));
+  bench.AddWorker("a", 300);
+  StartOnA(bench, 300);
+  bench.AddWorker("b");
+  bench.Advance(milliseconds(1000));
+  bench.StoredLives() = stored;
+  SchedulerBench next = bench.Successor(kTakeover);
+  EXPECT_THAT(StartsWithoutA(next, milliseconds(21000)), IsEmpty());
+}
+
+// The answer from which the leader takes the store's clock is 4 s late, as
+// after a standstill.
+TEST(LeaderChangeTest, LeaseIsStoredByTheLatestTimeOfTheStore) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 200);
+  bench.Advance(milliseconds(10000));
+  const auto store_now =
+      std::chrono::duration_cast<milliseconds>(bench.Now().time_since_epoch());
+  bench.GetScheduler().SetStoreClock(store_now - milliseconds(4000), store_now,
+                                     bench.Now());
+  bench.AddWorker("a", 300);
+  StartOnA(bench, 300);
+  bench.AddWorker("b");
+  bench.Advance(milliseconds(1000));
+  SchedulerBench next = bench.Successor(kTakeover);
+  EXPECT_THAT(StartsWithoutA(next, milliseconds(21000)), IsEmpty());
+}
+
+// The row of a run that ended with its incarnation is written later than the
+// life.
+TEST(LeaderChangeTest, RunOfALifeThatIsKnownToBeOverIsNotWaitedForLonger) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 200);
+  StartOnA(bench, 200);
+  bench.AddWorker("b");
+  bench.Advance(milliseconds(60000));
+  bench.Report("a", ReportOf(300));
+  for (auto& [key, bytes] : bench.GetScheduler().Lives().TakeRows()) {
+    bench.StoredLives()[key] = std::move(bytes);
+  }
+  SchedulerBench next = bench.Successor(kTakeover);
+  EXPECT_THAT(StartsWithoutA(next, milliseconds(23500)), SizeIs(1));
+}
+
+// The workers are as the former leader has left them.
+TEST(LeaderChangeTest, TakeoverWritesNoLivesThatAreStored) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 200);
+  bench.AddWorker("b", 200);
+  bench.Step();
+  bench.Advance(milliseconds(60000));
+  SchedulerBench next = bench.Successor(kTakeover);
+  next.Report("a", ReportOf(200));
+  next.Report("b", ReportOf(200));
+  EXPECT_THAT(next.GetScheduler().Lives().TakeRows(), IsEmpty());
+}
+
+// The withdrawn start may be carried out by the incarnation that the list
+// shows, which is never heard.
+TEST(LeaderChangeTest, WithdrawnStartOnAnUnheardIncarnationIsGivenUpInTime) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 200);
+  bench.Submit(kJob, SchedulerBench::OneTask());
+  const auto starts = bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  bench.Withdraw(starts.front());
+  bench.GetScheduler().SetCordoned("a", true);
+  bench.Step();
+  SchedulerBench next = bench.Successor(kTakeover);
+  WorkerEntry entry = next.GetScheduler().FindWorker("a")->entry;
+  entry.id.incarnation_ms = 300;
+  next.GetScheduler().WorkerSilent("a", next.Now());
+  next.GetScheduler().WorkersListed({entry}, next.Now());
+  EXPECT_THAT(next.Step().starts, IsEmpty());
+  next.Advance(milliseconds(24000));
+  next.AddWorker("b");
+  EXPECT_THAT(next.Step().starts, SizeIs(1));
+}
+
 // The stored run is of the former incarnation and the list has the next one.
 // What the former leader had sent by its first report may hold it for 10 s.
 TEST(LeaderChangeTest, RestartThatTheListShowsCountsForTheLease) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -254,6 +254,25 @@
          });
 }
 
+base::TimePoint Scheduler::RecoveredLeaseBound(const WorkerState& worker,
+                                               base::TimePoint now) {
+  const WorkerLives::Life* life = m_lives.Find(worker.entry.id.id);
+  const bool is_life_missing =
+      std::ranges::any_of(worker.runs, [&](const auto& row) {
+        const Run& run = *FindRun(row.first, row.second);
+        const std::int64_t incarnation = run.worker.incarnation_ms;
+        return run.listed &&
+               (life == nullptr || (life->incarnation_ms != incarnation &&
+                                    life->former_ms != incarnation));
+      });
+  if (is_life_missing) {
+    return now + m_options.max_former_orders + m_options.max_order_delay +
+           LongestLease();
+  }
+  return life == nullptr ? base::TimePoint{}
+                         : FromStoreClock(life->former_lease_end);
+}
+
 void Scheduler::Recover(std::vector<Job> jobs,
                         base::TimePoint now,
                         base::WallTime wall,
@@ -298,6 +317,7 @@
             const TaskRef ref{&job, occurrence.number, s, i};
             WorkerState& worker =
                 RecoverWorker(job, start.worker, start.machine);
+            worker.RaiseLeaseBound(latest_lease_end, LeaseEvidence::kTakeover);
             worker.AddWithdrawn(ref);
             start.ordered_at = now;
           }
@@ -314,9 +334,7 @@
   }
   m_recovered_at = now;
   for (auto& [id, worker] : m_workers) {
-    if (const WorkerLives::Life* life = m_lives.Find(id)) {
-      worker.former_lease_bound = FromStoreClock(life->former_lease_end);
-    }
+    worker.former_lease_bound = RecoveredLeaseBound(worker, now);
     if (!HasLaterRuns(worker)) {
       BeginIncarnation(worker, worker.entry.id.incarnation_ms,
                        LifeEvidence::kEntry, now);
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -41,10 +41,9 @@
 }
 
 void SchedulerBench::SetStoreClock() {
-  m_scheduler->SetStoreClock(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Now().time_since_epoch()),
-      Now());
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now().time_since_epoch());
+  m_scheduler->SetStoreClock(now, now, Now());
 }
 
 JobSpec SchedulerBench::OneTask(std::int64_t cpu) {
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -63,6 +63,9 @@
   // The same with a host that has never seen a configuration before this one.
   SchedulerBench Successor(std::chrono::milliseconds silent_for,
                            std::shared_ptr<FleetConfig> config) const;
+  // The rows of WorkerLives in the store. An older program leaves them as they
+  // are.
+  std::map<std::string, std::string>& StoredLives() { return m_lives; }
   void Advance(std::chrono::milliseconds by) { m_clock.Advance(by); }
   base::TimePoint Now() const { return m_clock.Now(); }
   Scheduler& GetScheduler() { return *m_scheduler; }
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -7,13 +7,6 @@
 
 namespace cassiastile::jobs {
 
-namespace {
-
-// A host takes the store's clock from answers to commits, which may be late.
-constexpr std::chrono::milliseconds kStoreClockError{1000};
-
-}  // namespace
-
 void WorkerState::RaiseLeaseBound(base::TimePoint bound,
                                   LeaseEvidence evidence) {
   if (bound > lease_bound) {
@@ -212,23 +205,28 @@
           worker.former_lease_bound, FromStoreClock(life->former_lease_end));
     }
   }
+  const bool is_over = worker.former_lease_bound <= now;
   m_lives.Heard(id.id, id.incarnation_ms,
-                ToStoreClock(worker.former_lease_bound));
+                is_over ? std::chrono::milliseconds(0)
+                        : ToStoreClock(worker.former_lease_bound));
 }
 
 std::chrono::milliseconds Scheduler::ToStoreClock(base::TimePoint time) const {
-  return m_store_clock + std::chrono::duration_cast<std::chrono::milliseconds>(
-                             time - m_store_clock_at);
+  return m_latest_store_clock +
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             time - m_store_clock_at);
 }
 
 base::TimePoint Scheduler::FromStoreClock(
     std::chrono::milliseconds store_time) const {
-  return m_store_clock_at + (store_time - m_store_clock) + kStoreClockError;
+  return m_store_clock_at + (store_time - m_earliest_store_clock);
 }
 
-void Scheduler::SetStoreClock(std::chrono::milliseconds store_now,
+void Scheduler::SetStoreClock(std::chrono::milliseconds earliest,
+                              std::chrono::milliseconds latest,
                               base::TimePoint now) {
-  m_store_clock = store_now;
+  m_earliest_store_clock = earliest;
+  m_latest_store_clock = latest;
   m_store_clock_at = now;
 }
 
--- a/src/cassiastile/jobs/worker_lives.cpp
+++ b/src/cassiastile/jobs/worker_lives.cpp
@@ -20,8 +20,9 @@
   std::string worker;
   std::int64_t incarnation_ms = 0;
   std::int64_t former_lease_end_ms = 0;
+  std::int64_t former_ms = 0;
 
-  MSGPACK_DEFINE(worker, incarnation_ms, former_lease_end_ms)
+  MSGPACK_DEFINE(worker, incarnation_ms, former_lease_end_ms, former_ms)
 };
 
 struct PackedRow {
@@ -50,9 +51,16 @@
                         std::chrono::milliseconds former_lease_end) {
   Row& row = m_rows[RowOf(worker)];
   Life& life = row.lives[worker];
-  row.changed = row.changed || life.incarnation_ms != incarnation_ms ||
-                life.former_lease_end != former_lease_end;
-  life = {incarnation_ms, former_lease_end, true, {}};
+  const bool is_new = life.incarnation_ms != incarnation_ms;
+  row.changed =
+      row.changed || is_new || life.former_lease_end != former_lease_end;
+  if (is_new) {
+    life.former_ms = life.incarnation_ms;
+    life.incarnation_ms = incarnation_ms;
+  }
+  life.former_lease_end = former_lease_end;
+  life.heard = true;
+  life.unknown_since = {};
 }
 
 void WorkerLives::ForgetUnknown(
@@ -85,8 +93,8 @@
     PackedRow packed;
     packed.lives.reserve(row.lives.size());
     for (const auto& [worker, life] : row.lives) {
-      packed.lives.push_back(
-          {worker, life.incarnation_ms, life.former_lease_end.count()});
+      packed.lives.push_back({worker, life.incarnation_ms,
+                              life.former_lease_end.count(), life.former_ms});
     }
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, packed);
@@ -105,10 +113,10 @@
     }
     for (const PackedLife& each : packed.lives) {
       m_rows[RowOf(each.worker)].lives[each.worker] = {
-          each.incarnation_ms,
-          std::chrono::milliseconds(each.former_lease_end_ms),
-          false,
-          {}};
+          .incarnation_ms = each.incarnation_ms,
+          .former_ms = each.former_ms,
+          .former_lease_end =
+              std::chrono::milliseconds(each.former_lease_end_ms)};
     }
     return {};
   } catch (const std::exception& error) {
