Let a successor order the pace of fillers it recovers

What callers saw: a finite task that fills and had been paced down to 0 % stayed there after a change of leader. Cause: the pace last ordered is in a leader's memory; its successor took it for 100 %, so that it never sped one up. Change: a recovered filler counts as paced to 50 %, so that each step up or down gives an order. Evidence: PacedFillerTest.SuccessorSpeedsItUpAgain failed before and holds.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -88,9 +88,10 @@
   base::TimePoint progressed_at{};  // When `percent` last changed.
   // Since when a long-running task serves users; zero while it does not.
   base::TimePoint serving_since{};
-  int percent = -1;         // Progress; -1 until the worker has listed the run.
-  int paced_percent = 100;  // For fillers: the speed last ordered.
-  std::int64_t load = 0;    // See ListedRun::load.
+  int percent = -1;  // Progress; -1 until the worker has listed the run.
+  // For fillers: the speed last ordered; in a recovered run it is not known.
+  int paced_percent = 100;
+  std::int64_t load = 0;  // See ListedRun::load.
   // The newest checkpoint of this run, or the one it was started from.
   std::string checkpoint;
   // Whether a report has listed it some time after its start: its start has not
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -11,6 +11,9 @@
 // A job accepted by an earlier leader counts as no older than this, since its
 // age comes from wall clocks, which may jump.
 constexpr std::chrono::milliseconds kMaxRecoveredAge{60000};
+// Taken for the pace of a recovered filler, which is not stored: from the
+// middle each change gives an order.
+constexpr int kRecoveredPacePercent = 50;
 
 std::chrono::milliseconds Millis(base::WallTime wall) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -308,6 +311,7 @@
             run.ordered_at = now;
             run.start_ordered_at = now;
             run.proven = run.listed;
+            run.paced_percent = kRecoveredPacePercent;
             run.suspicion = SuspicionOf(tasks[i]);
             run.alone = run.suspicion == Suspicion::kIsolated;
             m_suspected_runs += run.suspicion != Suspicion::kNone ? 1 : 0;
