Check that no task starts over a second after its job was said to be done

The checker compared the number of done tasks only, so such a start went unseen where the end itself was never acknowledged. Starts that a worker carries out late and those of hosts out of touch don't count, as for starts after a cancel.

--- a/include/cassiastile/sim/invariant_checker.hpp
+++ b/include/cassiastile/sim/invariant_checker.hpp
@@ -21,6 +21,8 @@
 // go on after that.
 inline constexpr std::chrono::milliseconds kCancelTime{3000};
 inline constexpr std::chrono::milliseconds kStopTime{200};
+// From when a job is said to be done to the last start of one of its tasks.
+inline constexpr std::chrono::milliseconds kEndKnownTime{1000};
 // From a job's acceptance until it counts in its queue, and the greatest age of
 // the count.
 inline constexpr std::chrono::milliseconds kVisibleTime{3000};
@@ -77,6 +79,8 @@
   // cancelling; only for starts by a host in touch that were not carried out
   // late.
   void CheckStartAfterCancel(const std::string& job);
+  // The same after the job was shown as done.
+  void CheckStartAfterDone(const std::string& job);
   // Adds a violation for each cancelled job whose runs go on although nothing
   // has been disrupted since `calm_since`.
   void CheckCancelledRuns(base::TimePoint calm_since);
@@ -122,6 +126,7 @@
     base::TimePoint accepted_at{};
     base::TimePoint cancelled_at{};
     base::TimePoint first_start{};
+    base::TimePoint done_shown_at{};
     // The last start that its worker carried out late.
     base::TimePoint late_start{};
     bool runs_on_reported = false;
--- a/src/cassiastile/host/restarted_worker_takeover_test.cpp
+++ b/src/cassiastile/host/restarted_worker_takeover_test.cpp
@@ -21,6 +21,7 @@
 // by more than the longest lease.
 constexpr milliseconds kLongLives{12000};
 constexpr milliseconds kLongTask{12000};
+constexpr std::size_t kHosts = 5;
 
 // Runs until another leader serves, for 5 s at most.
 void AwaitLeader(VirtualWorld& world) {
@@ -194,7 +195,7 @@
 
 DayResult Play(const TakeoverDay& day, std::uint64_t seed) {
   VirtualWorld world({.seed = seed,
-                      .hosts = 5,
+                      .hosts = kHosts,
                       .services = 1,
                       .workers_per_service = 6,
                       .tasks_per_worker = 4,
@@ -273,10 +274,20 @@
   world.RunFor(milliseconds(200 + pick(600)));
   world.Faults().silent_workers = {restarted.begin(), restarted.end()};
   DayResult result;
-  world.RunFor(day.cut_off);
+  // Callers ask for the jobs' states meanwhile.
+  const auto run_and_ask = [&](milliseconds time) {
+    constexpr milliseconds kAskInterval{500};
+    for (milliseconds waited{0}; waited < time; waited += kAskInterval) {
+      for (const std::string& job : jobs) {
+        world.Send(seed % kHosts, "GET", job);
+      }
+      world.RunFor(kAskInterval);
+    }
+  };
+  run_and_ask(day.cut_off);
   world.Faults() = {};
   // Longer than calls may be late.
-  world.RunFor(milliseconds(14000));
+  run_and_ask(milliseconds(14000));
   const auto list_unfinished = [&] {
     std::vector<std::string> unfinished;
     for (const std::string& job : jobs) {
@@ -290,7 +301,7 @@
   const base::TimePoint end = world.Now() + milliseconds(30000) + 2 * day.task;
   const auto is_wave_open = [&] { return day.wave && !world.WaveIsDone(1); };
   while ((!list_unfinished().empty() || is_wave_open()) && world.Now() < end) {
-    world.RunFor(milliseconds(500));
+    run_and_ask(milliseconds(500));
   }
   if (is_wave_open()) {
     result.faults.emplace_back("the wave is not done at the end");
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1193,6 +1193,7 @@
       m_checker.StartWasLate(order.task.job);
     } else if (in_touch) {
       m_checker.CheckStartAfterCancel(order.task.job);
+      m_checker.CheckStartAfterDone(order.task.job);
     }
   }
   const auto drained = m_loop.Now() - worker.draining_since;
--- a/src/cassiastile/sim/invariant_checker.cpp
+++ b/src/cassiastile/sim/invariant_checker.cpp
@@ -237,6 +237,16 @@
   }
 }
 
+void InvariantChecker::CheckStartAfterDone(const std::string& job) {
+  const JobState& state = m_job_states[job];
+  const base::Duration after = state.last_start - state.done_shown_at;
+  if (state.done_shown_at != base::TimePoint{} && after > kEndKnownTime) {
+    AddViolationOf(job, fmt::format("a task of job {} started {} ms after the "
+                                    "job was said to be done",
+                                    job, base::Milliseconds(after)));
+  }
+}
+
 void InvariantChecker::CheckCancelledRuns(base::TimePoint calm_since) {
   for (const std::string& job : m_cancelled) {
     JobState& state = m_job_states[job];
@@ -259,7 +269,11 @@
 
 void InvariantChecker::PhaseReported(const std::string& job,
                                      jobs::JobPhase phase) {
-  const JobState& state = m_job_states[job];
+  JobState& state = m_job_states[job];
+  if (phase == jobs::JobPhase::kDone &&
+      state.done_shown_at == base::TimePoint{}) {
+    state.done_shown_at = Now();
+  }
   std::size_t tasks = 0;
   for (const jobs::StepSpec& step : state.spec.steps) {
     tasks += step.count;
--- a/src/cassiastile/sim/invariant_checker_test.cpp
+++ b/src/cassiastile/sim/invariant_checker_test.cpp
@@ -166,6 +166,26 @@
               ElementsAre(HasSubstr("was refused though it ran")));
 }
 
+TEST_F(AnswerTest, TaskStartsAfterItsJobWasSaidToBeDone) {
+  m_checker.SubmissionSent("job");
+  for (const std::uint32_t index : {0U, 1U}) {
+    jobs::StartOrder order = Order();
+    order.task.index = index;
+    Start(order);
+    m_checker.RunEnded(order.worker, order.task, 1, jobs::RunEnd::kDone);
+  }
+  m_checker.StateAnswered("job", Now(), jobs::JobPhase::kDone);
+  Advance(kEndKnownTime - std::chrono::milliseconds(7));
+  Start(Order());
+  m_checker.CheckStartAfterDone("job");
+  EXPECT_THAT(m_checker.Violations(), ElementsAre());
+  m_checker.RunEnded(Order().worker, Order().task, 1, jobs::RunEnd::kDone);
+  Start(Order());
+  m_checker.CheckStartAfterDone("job");
+  EXPECT_THAT(m_checker.Violations(),
+              ElementsAre(HasSubstr("1007 ms after the job was said to be")));
+}
+
 TEST_F(AnswerTest, LengthOfAQueueIsThatOfTheLastSeconds) {
   m_checker.SubmissionSent("job");
   m_checker.Accepted("job");
