Let late calls wait for silent workers, answers come late, and entries of cut-off workers expire

A call that is carried out late and came while its worker was down was dropped, also where calls hang until the worker is up again. Answers came at once, though responses on different connections may overtake each other (WorldFaults::slow_answer_chance). Workers that are cut off went on writing their entries, so the table never told of their loss (WorldFaults::silent_workers_expire).

Change: such calls are held as slow ones are; the two faults are off unless a test asks for them.

--- a/src/cassiastile/host/restarted_worker_takeover_test.cpp
+++ b/src/cassiastile/host/restarted_worker_takeover_test.cpp
@@ -149,7 +149,10 @@
   bool long_running = false;
   bool wave = false;
   milliseconds task = kLongTask;
+  // The entries of the workers that are cut off expire.
+  bool expire = false;
   double slow_calls = 0;
+  double slow_answers = 0;
   double late_starts = 0;
   double late_stops = 0;
   double late_extensions = 0;
@@ -225,7 +228,9 @@
   world.RunFor(kLongLives);
   submit_long_running();
   world.Faults().restarting_workers_are_silent = true;
+  world.Faults().silent_workers_expire = day.expire;
   world.Faults().slow_call_chance = day.slow_calls;
+  world.Faults().slow_answer_chance = day.slow_answers;
   world.Faults().late_start_chance = day.late_starts;
   world.Faults().late_stop_chance = day.late_stops;
   world.Faults().late_extension_chance = day.late_extensions;
@@ -425,6 +430,22 @@
   ExpectRunsOnce({.late_stops = 0.3});
 }
 
+TEST(RestartedWorkerTakeoverDaysTest, SlowAnswers) {
+  ExpectRunsOnce({.slow_answers = 0.3});
+}
+
+TEST(RestartedWorkerTakeoverDaysTest, EntriesThatExpire) {
+  ExpectRunsOnce({.expire = true});
+}
+
+TEST(RestartedWorkerTakeoverDaysTest, EntriesThatExpireUnderTheSameLeader) {
+  ExpectRunsOnce({.change = LeaderChange::kNone, .expire = true});
+}
+
+TEST(RestartedWorkerTakeoverDaysTest, EntriesOfUnheardWorkersExpire) {
+  ExpectRunsOnce({.unheard = true, .expire = true});
+}
+
 TEST(RestartedWorkerTakeoverDaysTest, SlowClocks) {
   ExpectRunsOnce({.clock_rate = 0.98});
 }
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -35,6 +35,8 @@
 constexpr std::uint16_t kPeerPort = 1;
 constexpr std::size_t kCustomers = 2;
 constexpr milliseconds kSupervision{100};
+// How long the table keeps the entry of a worker that writes none.
+constexpr milliseconds kEntryExpiry{4500};
 
 std::string ZoneName(std::size_t index) {
   return "zone-" + std::to_string(index);
@@ -405,7 +407,7 @@
         m_world.DrawDelivery(m_world.m_faults.late_extension_chance,
                              m_world.m_faults.extension_delay);
     if (!delivery.answered) {
-      m_world.Post(delivery.delay, [this, address, extension] {
+      DeliverLate(address, delivery.delay, [this, address, extension] {
         if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
           CountDeadline(*worker, address, extension);
           worker->model->ExtendLease(extension, m_world.m_loop.Now());
@@ -417,7 +419,8 @@
     }
     Deliver(
         address, delivery.delay, kCallTimeout, [fail] { fail({}, false); },
-        [this, address, extension, done, fail] {
+        [this, address, extension, done, fail,
+         answer_delay = kCallLatency + delivery.answer_delay] {
           VirtualWorld::Worker* worker = Find(address);
           if (worker == nullptr) {
             m_world.m_unreached.insert({extension.fence, address.id.id});
@@ -441,23 +444,23 @@
           }
           m_world.ArmWorkerTimer(*worker);
           auto answered = std::make_shared<bool>(false);
-          const auto answer = [this, address, done, fail, answered,
-                               incarnation =
-                                   worker->model->Entry().id.incarnation_ms] {
-            if (std::exchange(*answered, true)) {
-              return;
-            }
-            VirtualWorld::Worker* current = Find(address);
-            if (current == nullptr ||
-                current->model->Entry().id.incarnation_ms != incarnation) {
-              fail(milliseconds(0), false);
-              return;
-            }
-            current->model->Advance(m_world.m_loop.Now());
-            const jobs::WorkerReport report =
-                current->model->Report(m_world.m_loop.Now());
-            m_world.Post(kCallLatency, [done, report] { done(report); });
-          };
+          const auto answer =
+              [this, address, done, fail, answered, answer_delay,
+               incarnation = worker->model->Entry().id.incarnation_ms] {
+                if (std::exchange(*answered, true)) {
+                  return;
+                }
+                VirtualWorld::Worker* current = Find(address);
+                if (current == nullptr ||
+                    current->model->Entry().id.incarnation_ms != incarnation) {
+                  fail(milliseconds(0), false);
+                  return;
+                }
+                current->model->Advance(m_world.m_loop.Now());
+                const jobs::WorkerReport report =
+                    current->model->Report(m_world.m_loop.Now());
+                m_world.Post(answer_delay, [done, report] { done(report); });
+              };
           if (extension.wait.count() == 0 || worker->model->HasEnds()) {
             answer();
             return;
@@ -478,19 +481,22 @@
     const VirtualWorld::Delivery delivery = m_world.DrawDelivery(
         m_world.m_faults.late_start_chance, m_world.m_faults.start_delay);
     if (!delivery.answered) {
-      m_world.Post(delivery.delay, [this, address, order, fence, until] {
-        if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
-          m_world.CountDeadline(*worker, address.id);
-          m_world.StartRun(*worker, order, fence, until, true, false);
-        }
-      });
+      DeliverLate(
+          address, delivery.delay, [this, address, order, fence, until] {
+            if (VirtualWorld::Worker* worker =
+                    m_world.FindLiveWorker(address.id)) {
+              m_world.CountDeadline(*worker, address.id);
+              m_world.StartRun(*worker, order, fence, until, true, false);
+            }
+          });
       m_world.Post(kCallTimeout, [done] { done(jobs::StartResult::kUnknown); });
       return;
     }
     Deliver(
         address, delivery.delay, kCallTimeout,
         [done] { done(jobs::StartResult::kUnknown); },
-        [this, address, order, fence, until, done, in_touch] {
+        [this, address, order, fence, until, done, in_touch,
+         answer_delay = kCallLatency + delivery.answer_delay] {
           VirtualWorld::Worker* worker = Find(address);
           if (worker == nullptr) {
             if (IsRefused(address)) {
@@ -505,7 +511,7 @@
           m_world.CountDeadline(*worker, address.id);
           const auto result =
               m_world.StartRun(*worker, order, fence, until, false, in_touch);
-          m_world.Post(kCallLatency, [done, result] { done(result); });
+          m_world.Post(answer_delay, [done, result] { done(result); });
         });
   }
 
@@ -517,7 +523,7 @@
     const VirtualWorld::Delivery delivery = m_world.DrawDelivery(
         m_world.m_faults.late_stop_chance, m_world.m_faults.stop_delay);
     if (!delivery.answered) {
-      m_world.Post(delivery.delay, [this, address, order, fence] {
+      DeliverLate(address, delivery.delay, [this, address, order, fence] {
         if (VirtualWorld::Worker* worker = m_world.FindLiveWorker(address.id)) {
           m_world.StopRun(*worker, order, fence);
         }
@@ -527,11 +533,12 @@
     }
     Deliver(
         address, delivery.delay, kCallTimeout, [done] { done(false); },
-        [this, address, order, fence, done] {
+        [this, address, order, fence, done,
+         answer_delay = kCallLatency + delivery.answer_delay] {
           VirtualWorld::Worker* worker = Find(address);
           const bool stopped =
               worker != nullptr && m_world.StopRun(*worker, order, fence);
-          m_world.Post(kCallLatency, [done, stopped] { done(stopped); });
+          m_world.Post(answer_delay, [done, stopped] { done(stopped); });
         });
   }
 
@@ -551,7 +558,23 @@
   }
 
   // Runs `call` after a delay, or once the worker is up again if it is down and
-  // silent then. Runs `fail` instead if that takes longer than the timeout.
+  // silent then.
+  void DeliverLate(const WorkerAddress& address,
+                   std::chrono::microseconds delay,
+                   const std::function<void()>& call) {
+    m_world.Post(delay, [this, address, call] {
+      const auto found = m_world.m_workers.find(address.id.id);
+      if (found != m_world.m_workers.end() && found->second->restarting &&
+          m_world.m_faults.restarting_workers_are_silent) {
+        found->second->held.emplace_back(call);
+      } else {
+        call();
+      }
+    });
+  }
+
+  // The same for a call that is answered. Runs `fail` instead if that takes
+  // longer than the timeout.
   void Deliver(const WorkerAddress& address,
                std::chrono::microseconds delay,
                milliseconds timeout,
@@ -1013,11 +1036,16 @@
   if (Chance(late_chance)) {
     return {RandomLateDelay(), false};
   }
-  if (Chance(m_faults.slow_call_chance)) {
+  const auto draw_slow = [this] {
     constexpr int kSlowest = 700;
-    return {
-        milliseconds(std::uniform_int_distribution<int>(5, kSlowest)(m_random)),
-        true};
+    return milliseconds(
+        std::uniform_int_distribution<int>(5, kSlowest)(m_random));
+  };
+  if (Chance(m_faults.slow_call_chance)) {
+    return {draw_slow(), true};
+  }
+  if (Chance(m_faults.slow_answer_chance)) {
+    return {kCallLatency, true, draw_slow()};
   }
   return {kCallLatency, true};
 }
@@ -1134,6 +1162,10 @@
 }
 
 void VirtualWorld::PublishWorkerEntry(const jobs::WorkerEntry& entry) {
+  if (m_faults.silent_workers_expire &&
+      m_faults.silent_workers.contains(entry.id.id)) {
+    return;
+  }
   if (Worker* worker = FindLiveWorker(entry.id)) {
     worker->beats = worker->beats || worker->model->Entry().id == entry.id;
   }
@@ -1167,8 +1199,6 @@
   worker.model->Crash();
   RowTransaction transaction;
   transaction.deletes.push_back({kWorkerTable, "", worker.id, "", 0, false});
-  // The table keeps the entry of a worker that is gone for a while.
-  constexpr milliseconds kEntryExpiry{4500};
   Post(kEntryExpiry, [this, transaction] { Apply(transaction); });
 }
 
@@ -1532,7 +1562,8 @@
   return IsCoreDisturbed() || m_faults.feed_delay.count() > 0 ||
          m_faults.late_start_chance > 0 || m_faults.late_stop_chance > 0 ||
          m_faults.late_extension_chance > 0 || m_faults.slow_call_chance > 0 ||
-         m_faults.start_delay.count() > 0 || m_faults.stop_delay.count() > 0 ||
+         m_faults.slow_answer_chance > 0 || m_faults.start_delay.count() > 0 ||
+         m_faults.stop_delay.count() > 0 ||
          m_faults.extension_delay.count() > 0 ||
          !m_faults.silent_workers.empty() ||
          std::ranges::any_of(m_hosts, [](const auto& host) {
@@ -1540,7 +1571,25 @@
          });
 }
 
+void VirtualWorld::ExpireSilentEntries() {
+  const auto& silent = m_faults.silent_workers;
+  std::erase_if(m_silent_since, [this, &silent](const auto& row) {
+    return !m_faults.silent_workers_expire || !silent.contains(row.first);
+  });
+  if (!m_faults.silent_workers_expire) {
+    return;
+  }
+  for (const std::string& id : silent) {
+    const auto [row, is_new] = m_silent_since.emplace(id, m_loop.Now());
+    if (m_loop.Now() - row->second >= kEntryExpiry &&
+        m_table.Find(kWorkerTable, "", id) != nullptr) {
+      ExpireEntry(id);
+    }
+  }
+}
+
 void VirtualWorld::Supervise() {
+  ExpireSilentEntries();
   if (IsCoreDisturbed()) {
     m_core_disturbed_at = m_loop.Now();
   }
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -69,6 +69,9 @@
   double late_extension_chance = 0;
   // Calls to workers that are answered, but arrive up to 0.7 s later.
   double slow_call_chance = 0;
+  // Other calls to workers that are carried out at once, but whose answers
+  // arrive up to 0.7 s later, perhaps after those of later calls.
+  double slow_answer_chance = 0;
   // Delay of every such call; no answer if it is 0.8 s or more.
   std::chrono::milliseconds start_delay{0};
   std::chrono::milliseconds stop_delay{0};
@@ -83,6 +86,9 @@
   std::set<std::string> hosts_without_peers;  // No gossip either way.
   std::set<std::string> hosts_without_store;  // For them the store is down.
   std::set<std::string> silent_workers;       // Unreachable, but running.
+  // The silent workers reach the table no more either: they write no entries,
+  // and theirs expire.
+  bool silent_workers_expire = false;
   // Calls to a worker that is down reach its next incarnation, as connections
   // that are opened to a silent address do, unless they time out before; its
   // long polls hang. Otherwise they are refused and the polls break.
@@ -305,6 +311,7 @@
   struct Delivery {
     std::chrono::microseconds delay{0};
     bool answered = true;
+    std::chrono::microseconds answer_delay{0};  // Besides the usual one.
   };
   Delivery DrawDelivery(double late_chance,
                         std::chrono::milliseconds fixed_delay);
@@ -377,6 +384,8 @@
                         const std::string& key);
   // Submits a job that MakeJob returned to a random live host.
   std::string SubmitJob(std::string job);
+  // Removes the entries of workers that have been silent for long.
+  void ExpireSilentEntries();
   // Notes disruptions and checks cancelled jobs, periodically.
   void Supervise();
   // Whether faults of the store are injected now, and of anything.
@@ -405,6 +414,8 @@
   std::map<std::string, Machine> m_machines;
   std::uint64_t m_started_workers = 0;
   std::uint32_t m_max_down = 0;  // Of the wave.
+  // Since when workers have been silent, where their entries expire.
+  std::map<std::string, base::TimePoint> m_silent_since;
   // When the evacuation of each zone was asked for.
   std::map<std::string, base::TimePoint> m_evacuated_since;
   std::map<std::string, std::size_t> m_job_service;
