Let stops take time in the virtual world, and tell acknowledged ends whose lease had expired

The model ended a run as soon as it was told to stop, while a worker takes up to stop_timeout_ms, in which the run counts and holds its room: a leader that took the answer for the end would not have been noticed. Stops take 0.15 s now, less than the checker allows for.

--- a/include/cassiastile/sim/invariant_checker.hpp
+++ b/include/cassiastile/sim/invariant_checker.hpp
@@ -155,8 +155,9 @@
   const base::Clock* m_clock;
   base::TimePoint m_begin{};
   std::map<std::string, JobState> m_job_states;
-  // Tasks whose successful end the scheduler has acknowledged.
-  std::set<jobs::TaskId> m_acknowledged;
+  // Tasks whose successful end the scheduler has acknowledged, and whether the
+  // lease was valid all the time in between for one of these ends.
+  std::map<jobs::TaskId, bool> m_acknowledged;
   std::set<std::string> m_cancelled;
   std::vector<std::string> m_violations;
 };
--- a/include/cassiastile/sim/worker_model.hpp
+++ b/include/cassiastile/sim/worker_model.hpp
@@ -49,8 +49,8 @@
                           std::uint64_t fence,
                           std::chrono::milliseconds lease_until,
                           base::TimePoint now);
-  // Stops a run, and refuses its start from then on. Returns false when a newer
-  // fencing token has been seen.
+  // Stops a run, which ends 0.15 s later, and refuses its start from then on.
+  // Returns false when a newer fencing token has been seen.
   bool Stop(const jobs::TaskId& task,
             std::uint32_t run,
             std::uint64_t fence,
@@ -81,9 +81,13 @@
     std::uint32_t number = 0;
     base::TimePoint began{};
     base::TimePoint ends{};  // Zero for a long-running task.
+    // When a stop that has been answered is complete; zero before a stop.
+    base::TimePoint stops{};
     jobs::Resources need;
   };
 
+  // When a run ends, if nothing changes.
+  base::TimePoint EndOf(const Run& run) const;
   // Extends the lease to a time of its own clock, by 10 s at most.
   void HoldUntil(std::chrono::milliseconds until, base::TimePoint now);
   // Notes an expiry of the lease up to now.
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1250,6 +1250,7 @@
                            std::uint64_t fence) {
   const bool stopped =
       worker.model->Stop(order.task, order.run, fence, m_loop.Now());
+  ArmWorkerTimer(worker);
   AnswerPolls(worker);
   return stopped;
 }
--- a/src/cassiastile/sim/invariant_checker.cpp
+++ b/src/cassiastile/sim/invariant_checker.cpp
@@ -342,10 +342,13 @@
   for (auto& [done, followed] : state.done_runs) {
     followed = followed || done.first == task;
   }
-  if (m_acknowledged.contains(task)) {
+  if (const auto found = m_acknowledged.find(task);
+      found != m_acknowledged.end()) {
     AddViolationOf(task.job,
-                   fmt::format("task {} started after its end was acknowledged",
-                               FormatTask(task)));
+                   fmt::format("task {} started after its end was acknowledged"
+                               "{}",
+                               FormatTask(task),
+                               found->second ? "" : ", its lease had expired"));
   }
 }
 
@@ -370,7 +373,8 @@
 void InvariantChecker::EndAcknowledged(const jobs::TaskId& task,
                                        std::uint32_t run,
                                        bool lease_held) {
-  m_acknowledged.insert(task);
+  bool& is_held = m_acknowledged[task];
+  is_held = is_held || lease_held;
   const auto& done = m_job_states[task.job].done_runs;
   const auto found = done.find(std::pair(task, run));
   if (lease_held && found != done.end() && found->second) {
--- a/src/cassiastile/sim/worker_model.cpp
+++ b/src/cassiastile/sim/worker_model.cpp
@@ -11,6 +11,8 @@
 
 // Time that a long-running task takes to start up before it serves.
 constexpr milliseconds kStartupTime{300};
+// From a stop's answer to the run's end; shorter than kStopTime.
+constexpr milliseconds kStopDuration{150};
 // A longer lease is shortened to this.
 constexpr milliseconds kMaxLease{10000};
 // Ends in one report, oldest first.
@@ -64,7 +66,7 @@
   }
   m_used += need;
   Run& run = m_running[order.task];
-  run = {order.run, now, {}, need};
+  run = {order.run, now, {}, {}, need};
   if (!step.long_running) {
     run.ends = now + step.estimate;
   }
@@ -83,8 +85,9 @@
   Advance(now);
   m_refused_up_to[task] = std::max(m_refused_up_to[task], run);
   const auto found = m_running.find(task);
-  if (found != m_running.end() && found->second.number <= run) {
-    Finish(task, jobs::RunEnd::kStopped);
+  if (found != m_running.end() && found->second.number <= run &&
+      found->second.stops == base::TimePoint{}) {
+    found->second.stops = now + kStopDuration;
   }
   return true;
 }
@@ -135,32 +138,37 @@
   return report;
 }
 
+base::TimePoint WorkerModel::EndOf(const Run& run) const {
+  base::TimePoint at = LeaseEnd();
+  for (const base::TimePoint end : {run.ends, run.stops}) {
+    at = end == base::TimePoint{} ? at : std::min(at, end);
+  }
+  return at;
+}
+
 void WorkerModel::Advance(base::TimePoint now) {
   // Ends of runs and the end of the lease take effect in the order of their
   // times.
-  const base::TimePoint lease_end = LeaseEnd();
   std::vector<std::pair<base::TimePoint, jobs::TaskId>> due;
   for (const auto& [task, run] : m_running) {
-    const bool done = run.ends != base::TimePoint{} && run.ends <= lease_end;
-    const base::TimePoint at = done ? run.ends : lease_end;
+    const base::TimePoint at = EndOf(run);
     if (at <= now) {
       due.emplace_back(at, task);
     }
   }
   std::ranges::sort(due);
   for (const auto& [at, task] : due) {
-    Finish(task, m_running.at(task).ends == at ? jobs::RunEnd::kDone
-                                               : jobs::RunEnd::kLeaseExpired);
+    const Run& run = m_running.at(task);
+    Finish(task, run.ends == at    ? jobs::RunEnd::kDone
+                 : run.stops == at ? jobs::RunEnd::kStopped
+                                   : jobs::RunEnd::kLeaseExpired);
   }
 }
 
 std::optional<base::TimePoint> WorkerModel::NextEvent() const {
   std::optional<base::TimePoint> next;
   for (const auto& [task, run] : m_running) {
-    base::TimePoint at = LeaseEnd();
-    if (run.ends != base::TimePoint{}) {
-      at = std::min(at, run.ends);
-    }
+    const base::TimePoint at = EndOf(run);
     next = next ? std::min(*next, at) : at;
   }
   return next;
