Add the red test of a late extension that came long after a restart

A call for the former life may come 13 s after the restart, and its lease ends 10 s later: a life of 13 to 23 s may hold one, too, when the successor hears it first.

--- a/src/cassiastile/host/restarted_worker_takeover_test.cpp
+++ b/src/cassiastile/host/restarted_worker_takeover_test.cpp
@@ -131,6 +131,36 @@
   EXPECT_EQ(world.CountDoneTasks(job), 8U);
 }
 
+// The life is older than calls may be late when the successor hears it first,
+// and the lease from such a call still runs.
+TEST(RestartedWorkerTakeoverTest, LateExtensionCameLongAfterTheRestart) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(2 * kLongLives);
+  const std::vector<std::string> workers = world.WorkerIds();
+  world.Faults().extension_delay = milliseconds(12000);
+  world.RunFor(milliseconds(1050));
+  world.Faults().extension_delay = {};
+  for (const std::string& worker : workers) {
+    world.RestartWorker(worker, milliseconds(20), milliseconds(50));
+  }
+  world.RunFor(milliseconds(13150));
+  ASSERT_GT(world.CallsToNextIncarnations(), 0U);
+  world.KillHost(*world.LeaderIndex());
+  AwaitLeader(world);
+  ASSERT_TRUE(world.LeaderIndex());
+  const std::string job = world.Submit(0, 1, 8, kLongTask);
+  world.RunFor(milliseconds(400));
+  ASSERT_EQ(world.CountRuns(job), 8U);
+  world.Faults().silent_workers = {
+      world.CountRunsOn(workers[0]) > 0 ? workers[0] : workers[1]};
+  world.RunFor(milliseconds(11000));
+  world.Faults() = {};
+  world.RunFor(milliseconds(30000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  EXPECT_EQ(world.CountDoneTasks(job), 8U);
+}
+
 enum class LeaderChange { kNone, kKilled, kResigns, kPaused, kTwoKilled };
 
 // A random day: workers restart, the leader changes, and then they are cut off.
