--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -103,6 +103,37 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// The state of a worker without an entry is dropped, and with it what is known
+// of acknowledgements that are on their way to it.
+TEST(ForgottenIncarnationTest, LateAcknowledgementForAnUnlistedWorker) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(kOldWorkers);
+  const std::string worker = world.WorkerIds().front();
+  const std::string other = world.WorkerIds().back();
+  world.Submit(0, 1, 32, milliseconds(300));
+  while (world.LeaderScheduler().Workers().at(worker).last_end == 0) {
+    world.RunFor(milliseconds(1));
+  }
+  world.Faults().extension_delay = milliseconds(11500);
+  world.RunFor(milliseconds(1500));
+  world.Faults() = {};
+  world.RestartWorker(worker, milliseconds(7000), milliseconds(0));
+  world.ExpireEntry(worker);
+  world.RunFor(milliseconds(7100));
+  world.Faults().silent_workers = {other};
+  world.RunFor(milliseconds(700));
+  const std::string job = world.Submit(0, 1, 1, milliseconds(1500));
+  world.RunFor(milliseconds(500));
+  ASSERT_EQ(BusyWorker(world), worker);
+  world.Faults().silent_workers = {worker, other};
+  world.RunFor(milliseconds(3000));
+  world.Faults() = {};
+  world.RunFor(milliseconds(20000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  EXPECT_EQ(world.StateOf(job), "done");
+}
+
 // The machine service is slow: an order that the former leader has sent is
 // carried out after the successor has listed the machines.
 TEST(ForgottenOrderTest, MachineThatTheFormerLeaderHasOrderedCountsAsDown) {
