--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -170,7 +170,7 @@
   void ReadMachineRows();
   void ReadDurations();
   void ReadCancelMarkers();
-  void ReadWorkerLives();
+  void ReadIncarnations();
   void StoreDurations();
   void CommitPending();
   void HandleCommitted(const jobs::Batch& batch);
--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -20,8 +20,8 @@
 inline constexpr char kLearntTable[] = "cassia_learnt";
 // See jobs::CancelMarkers.
 inline constexpr char kCancelTable[] = "cassia_cancelled";
-// See jobs::WorkerLives.
-inline constexpr char kWorkerLifeTable[] = "cassia_worker_lives";
+// See jobs::KnownIncarnations.
+inline constexpr char kIncarnationTable[] = "cassia_incarnations";
 inline constexpr char kHostTable[] = "cassia_hosts";
 // All of the leader's rows are in one part, so that one transaction can cover
 // them.
--- a/include/cassiastile/jobs/worker_lives.hpp
+++ b/include/cassiastile/jobs/known_incarnations.hpp
@@ -19,9 +19,9 @@
 // reach that were meant for a former one. Stored, since a call for a former
 // incarnation may be carried out by the next one after the leader that sent it
 // is gone.
-class WorkerLives {
+class KnownIncarnations {
  public:
-  struct Life {
+  struct Known {
     std::int64_t incarnation_ms = 0;
     std::int64_t former_ms = 0;  // The incarnation before; zero if unknown.
     // By the store's clock: until when such a lease may last.
@@ -32,7 +32,7 @@
   };
 
   // The newest incarnation that was heard, or null.
-  const Life* Find(const std::string& worker) const;
+  const Known* Find(const std::string& worker) const;
   // This leader has heard an incarnation.
   void Heard(const std::string& worker,
              std::int64_t incarnation_ms,
@@ -55,9 +55,9 @@
  private:
   // In the order of their ids, so that a row's bytes depend on its contents
   // only.
-  using Lives = std::map<std::string, Life>;
+  using KnownByWorker = std::map<std::string, Known>;
   struct Row {
-    Lives lives;
+    KnownByWorker known;
     bool changed = false;
   };
 
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -19,11 +19,11 @@
 #include "cassiastile/jobs/fleet_config.hpp"
 #include "cassiastile/jobs/free_capacity.hpp"
 #include "cassiastile/jobs/job.hpp"
+#include "cassiastile/jobs/known_incarnations.hpp"
 #include "cassiastile/jobs/orders.hpp"
 #include "cassiastile/jobs/planning_work.hpp"
 #include "cassiastile/jobs/pool_shares.hpp"
 #include "cassiastile/jobs/scheduler_options.hpp"
-#include "cassiastile/jobs/worker_lives.hpp"
 #include "cassiastile/jobs/worker_state.hpp"
 #include "cassiastile/jobs/worker_view.hpp"
 #include "cassiastile/jobs/zone_evacuations.hpp"
@@ -126,8 +126,9 @@
                      std::chrono::milliseconds latest,
                      base::TimePoint now);
   // Takes over the jobs of the previous leader. Runs on workers that do not
-  // report count as alive until `latest_lease_end`, or longer by Lives(). These
-  // must have been recovered before, and the store's clock must be known.
+  // report count as alive until `latest_lease_end`, or longer by
+  // Incarnations(). These must have been recovered before, and the store's
+  // clock must be known.
   void Recover(std::vector<Job> jobs,
                base::TimePoint now,
                base::WallTime wall,
@@ -337,7 +338,7 @@
   }
   const DurationModel& Durations() const { return m_durations; }
   // What leaders have heard of the workers' incarnations.
-  WorkerLives& Lives() { return m_lives; }
+  KnownIncarnations& Incarnations() { return m_known_incarnations; }
 
  private:
   // The state of a pool that admission checks a new job against. Renewed after
@@ -461,14 +462,14 @@
                           base::TimePoint asked_at);
   // Tells of an incarnation: an entry, which may be one of a former incarnation
   // that is written late, or a report.
-  enum class LifeEvidence : std::uint8_t { kEntry, kReport };
+  enum class IncarnationEvidence : std::uint8_t { kEntry, kReport };
   // Makes an incarnation of the worker the current one. Runs that a former one
   // has listed are dropped, unless they may go on since the entry may be older.
   // The start orders of the others may still be carried out, so they are
   // expected and stopped at the new one.
   void BeginIncarnation(WorkerState& worker,
                         std::int64_t incarnation_ms,
-                        LifeEvidence evidence,
+                        IncarnationEvidence evidence,
                         base::TimePoint now);
   // The longest time from a call's arrival for which a worker keeps its runs by
   // it, on a clock that may be slow.
@@ -477,8 +478,8 @@
   // former incarnations, when one of its incarnations reports to this leader
   // for the first time, and notes it for the next leader.
   void BoundFormerLeases(WorkerState& worker, base::TimePoint now);
-  // The same at a takeover, by what is stored. A life that has listed a run is
-  // stored no later than that, but not by older programs.
+  // The same at a takeover, by what is stored. An incarnation that has listed a
+  // run is stored no later than that, but not by older programs.
   base::TimePoint RecoveredLeaseBound(const WorkerState& worker,
                                       base::TimePoint now);
   // A time by the store's clock. Read back by any leader it is not earlier.
@@ -722,7 +723,7 @@
   std::map<std::string, Job*> m_repeating;  // Those of them that repeat.
   std::map<std::string, WorkerState> m_workers;
   base::TimePoint m_list_as_of{};  // See ListConfirmed.
-  WorkerLives m_lives;
+  KnownIncarnations m_known_incarnations;
   base::TimePoint m_recovered_at{};
   std::chrono::milliseconds m_earliest_store_clock{0};
   std::chrono::milliseconds m_latest_store_clock{0};
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -19,10 +19,10 @@
 
 // What the bound of a worker's lease rests on.
 enum class LeaseEvidence : std::uint8_t {
-  kNone,        // No lease is known of.
-  kExtension,   // Sent by this leader.
-  kTakeover,    // May have been sent by the previous leader.
-  kFormerLife,  // May have been sent to a former incarnation.
+  kNone,               // No lease is known of.
+  kExtension,          // Sent by this leader.
+  kTakeover,           // May have been sent by the previous leader.
+  kFormerIncarnation,  // May have been sent to a former incarnation.
 };
 
 inline constexpr std::array<base::EnumName<LeaseEvidence>, 4>
@@ -30,7 +30,7 @@
         {LeaseEvidence::kNone, "none"},
         {LeaseEvidence::kExtension, "extension"},
         {LeaseEvidence::kTakeover, "takeover"},
-        {LeaseEvidence::kFormerLife, "former life"},
+        {LeaseEvidence::kFormerIncarnation, "former incarnation"},
     }};
 
 // A worker as the scheduler knows it.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -216,20 +216,22 @@
         m_log.Write("office.bad_row", {{"error", read.error().message}});
       }
     }
-    ReadWorkerLives();
+    ReadIncarnations();
   });
 }
 
-void Dispatcher::ReadWorkerLives() {
-  ReadUntilAnswered(kWorkerLifeTable, kLeaderPart, [this](const RowPage& page) {
-    for (const Row& row : page.rows) {
-      const auto read = m_scheduler.Lives().Recover(row.key, row.value);
-      if (!read) {
-        m_log.Write("office.bad_row", {{"error", read.error().message}});
-      }
-    }
-    ReadWorkers();
-  });
+void Dispatcher::ReadIncarnations() {
+  ReadUntilAnswered(
+      kIncarnationTable, kLeaderPart, [this](const RowPage& page) {
+        for (const Row& row : page.rows) {
+          const auto read =
+              m_scheduler.Incarnations().Recover(row.key, row.value);
+          if (!read) {
+            m_log.Write("office.bad_row", {{"error", read.error().message}});
+          }
+        }
+        ReadWorkers();
+      });
 }
 
 void Dispatcher::StoreDurations() {
@@ -525,9 +527,9 @@
   m_last_commit_at = now;
   ++m_load.commits;
   std::vector<Row> puts;
-  for (auto& [key, bytes] : m_scheduler.Lives().TakeRows()) {
+  for (auto& [key, bytes] : m_scheduler.Incarnations().TakeRows()) {
     puts.push_back(
-        {kWorkerLifeTable, kLeaderPart, key, std::move(bytes), 0, false});
+        {kIncarnationTable, kLeaderPart, key, std::move(bytes), 0, false});
   }
   jobs::Batch batch =
       m_scheduler.TakeBatch(kMaxJobRows - puts.size(), now,
--- a/src/cassiastile/jobs/leader_change_test.cpp
+++ b/src/cassiastile/jobs/leader_change_test.cpp
@@ -100,7 +100,7 @@
 // lives.
 TEST_F(LeaseOfTheNextIncarnationTest, SuccessorOfAnOlderProgramWaits) {
   m_bench.Advance(milliseconds(1000));
-  m_bench.StoredLives().clear();
+  m_bench.StoredIncarnations().clear();
   SchedulerBench next = m_bench.Successor(kTakeover);
   EXPECT_THAT(StartsWithoutA(next, milliseconds(21000)), IsEmpty());
 }
@@ -110,13 +110,13 @@
   SchedulerBench bench;
   bench.AddWorker("a", 200);
   bench.Step();
-  const auto stored = bench.StoredLives();
+  const auto stored = bench.StoredIncarnations();
   bench.Advance(milliseconds(60000));
   bench.AddWorker("a", 300);
   StartOnA(bench, 300);
   bench.AddWorker("b");
   bench.Advance(milliseconds(1000));
-  bench.StoredLives() = stored;
+  bench.StoredIncarnations() = stored;
   SchedulerBench next = bench.Successor(kTakeover);
   EXPECT_THAT(StartsWithoutA(next, milliseconds(21000)), IsEmpty());
 }
@@ -148,8 +148,8 @@
   bench.AddWorker("b");
   bench.Advance(milliseconds(60000));
   bench.Report("a", ReportOf(300));
-  for (auto& [key, bytes] : bench.GetScheduler().Lives().TakeRows()) {
-    bench.StoredLives()[key] = std::move(bytes);
+  for (auto& [key, bytes] : bench.GetScheduler().Incarnations().TakeRows()) {
+    bench.StoredIncarnations()[key] = std::move(bytes);
   }
   SchedulerBench next = bench.Successor(kTakeover);
   EXPECT_THAT(StartsWithoutA(next, milliseconds(23500)), SizeIs(1));
@@ -165,7 +165,7 @@
   SchedulerBench next = bench.Successor(kTakeover);
   next.Report("a", ReportOf(200));
   next.Report("b", ReportOf(200));
-  EXPECT_THAT(next.GetScheduler().Lives().TakeRows(), IsEmpty());
+  EXPECT_THAT(next.GetScheduler().Incarnations().TakeRows(), IsEmpty());
 }
 
 // The withdrawn start may be carried out by the incarnation that the list
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -259,21 +259,22 @@
 
 base::TimePoint Scheduler::RecoveredLeaseBound(const WorkerState& worker,
                                                base::TimePoint now) {
-  const WorkerLives::Life* life = m_lives.Find(worker.entry.id.id);
-  const bool is_life_missing =
+  const KnownIncarnations::Known* known =
+      m_known_incarnations.Find(worker.entry.id.id);
+  const bool is_unknown =
       std::ranges::any_of(worker.runs, [&](const auto& row) {
         const Run& run = *FindRun(row.first, row.second);
         const std::int64_t incarnation = run.worker.incarnation_ms;
         return run.listed &&
-               (life == nullptr || (life->incarnation_ms != incarnation &&
-                                    life->former_ms != incarnation));
+               (known == nullptr || (known->incarnation_ms != incarnation &&
+                                     known->former_ms != incarnation));
       });
-  if (is_life_missing) {
+  if (is_unknown) {
     return now + m_options.max_former_orders + m_options.max_order_delay +
            LongestLease();
   }
-  return life == nullptr ? base::TimePoint{}
-                         : FromStoreClock(life->former_lease_end);
+  return known == nullptr ? base::TimePoint{}
+                          : FromStoreClock(known->former_lease_end);
 }
 
 void Scheduler::Recover(std::vector<Job> jobs,
@@ -341,7 +342,7 @@
     worker.former_lease_bound = RecoveredLeaseBound(worker, now);
     if (!HasLaterRuns(worker)) {
       BeginIncarnation(worker, worker.entry.id.incarnation_ms,
-                       LifeEvidence::kEntry, now);
+                       IncarnationEvidence::kEntry, now);
     }
   }
   IndexWorkers();
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -166,8 +166,8 @@
 Orders SchedulerBench::Step() {
   m_scheduler->ListConfirmed(Now());
   m_scheduler->Plan(Now(), m_clock.WallNow());
-  for (auto& [key, bytes] : m_scheduler->Lives().TakeRows()) {
-    m_lives[key] = std::move(bytes);
+  for (auto& [key, bytes] : m_scheduler->Incarnations().TakeRows()) {
+    m_known_incarnations[key] = std::move(bytes);
   }
   while (m_scheduler->HasRows() || m_scheduler->HasUrgentRows()) {
     const Batch batch = m_scheduler->TakeBatch(kMaxRows, Now());
@@ -279,11 +279,11 @@
   bench.m_ended = m_ended;
   bench.m_records = m_records;
   bench.m_progress = m_progress;
-  for (const auto& [key, bytes] : m_lives) {
-    const auto read = bench.m_scheduler->Lives().Recover(key, bytes);
+  for (const auto& [key, bytes] : m_known_incarnations) {
+    const auto read = bench.m_scheduler->Incarnations().Recover(key, bytes);
     EXPECT_TRUE(read) << key;
   }
-  bench.m_lives = m_lives;
+  bench.m_known_incarnations = m_known_incarnations;
   bench.m_scheduler->SetDurations(m_scheduler->Durations());
   bench.SetStoreClock();
   // As the dispatcher does, which reads the list last.
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -63,9 +63,11 @@
   // The same with a host that has never seen a configuration before this one.
   SchedulerBench Successor(std::chrono::milliseconds silent_for,
                            std::shared_ptr<FleetConfig> config) const;
-  // The rows of WorkerLives in the store. An older program leaves them as they
-  // are.
-  std::map<std::string, std::string>& StoredLives() { return m_lives; }
+  // The rows of KnownIncarnations in the store. An older program leaves them as
+  // they are.
+  std::map<std::string, std::string>& StoredIncarnations() {
+    return m_known_incarnations;
+  }
   void Advance(std::chrono::milliseconds by) { m_clock.Advance(by); }
   base::TimePoint Now() const { return m_clock.Now(); }
   Scheduler& GetScheduler() { return *m_scheduler; }
@@ -84,7 +86,7 @@
   std::map<std::string, std::vector<ListedEnd>> m_ended;
   std::map<std::string, std::string> m_records;
   std::map<std::string, std::string> m_progress;
-  std::map<std::string, std::string> m_lives;
+  std::map<std::string, std::string> m_known_incarnations;
   std::shared_ptr<FleetConfig> m_config;
 };
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -20,7 +20,7 @@
 }
 
 LeaseEvidence WorkerState::EvidenceOfLeaseEnd() const {
-  return former_lease_bound > lease_bound ? LeaseEvidence::kFormerLife
+  return former_lease_bound > lease_bound ? LeaseEvidence::kFormerIncarnation
                                           : lease_evidence;
 }
 
@@ -86,12 +86,12 @@
 
 void Scheduler::BeginIncarnation(WorkerState& worker,
                                  std::int64_t incarnation_ms,
-                                 LifeEvidence evidence,
+                                 IncarnationEvidence evidence,
                                  base::TimePoint now) {
   // A leader that has known an incarnation for longer than entries are written
   // late knows that a later entry is not a former one's.
   const bool is_certain =
-      evidence == LifeEvidence::kReport ||
+      evidence == IncarnationEvidence::kReport ||
       (worker.has_reported &&
        now - worker.known_since > m_options.max_order_delay);
   if (!worker.entry.id.id.empty() &&
@@ -180,20 +180,20 @@
 
 void Scheduler::BoundFormerLeases(WorkerState& worker, base::TimePoint now) {
   const WorkerId& id = worker.entry.id;
-  const WorkerLives::Life* life = m_lives.Find(id.id);
+  const KnownIncarnations::Known* known = m_known_incarnations.Find(id.id);
   const bool is_known =
-      life != nullptr && life->incarnation_ms == id.incarnation_ms;
-  if (life != nullptr && life->heard) {
+      known != nullptr && known->incarnation_ms == id.incarnation_ms;
+  if (known != nullptr && known->heard) {
     // Calls of this leader are not fenced.
     worker.former_lease_bound = std::max(
         worker.former_lease_bound,
         is_known
-            ? FromStoreClock(life->former_lease_end)
+            ? FromStoreClock(known->former_lease_end)
             : now + m_options.max_order_delay + m_options.max_worker_lease);
   } else {
     // Calls of previous leaders are fenced from now on.
     base::TimePoint last_arrival = now;
-    if (life == nullptr) {
+    if (known == nullptr) {
       // The previous leader may have heard a former incarnation in vain.
       last_arrival =
           std::min(now, m_recovered_at + m_options.max_former_orders +
@@ -202,13 +202,13 @@
     worker.former_lease_bound = last_arrival + LongestLease();
     if (is_known) {
       worker.former_lease_bound = std::min(
-          worker.former_lease_bound, FromStoreClock(life->former_lease_end));
+          worker.former_lease_bound, FromStoreClock(known->former_lease_end));
     }
   }
   const bool is_over = worker.former_lease_bound <= now;
-  m_lives.Heard(id.id, id.incarnation_ms,
-                is_over ? std::chrono::milliseconds(0)
-                        : ToStoreClock(worker.former_lease_bound));
+  m_known_incarnations.Heard(id.id, id.incarnation_ms,
+                             is_over ? std::chrono::milliseconds(0)
+                                     : ToStoreClock(worker.former_lease_bound));
 }
 
 std::chrono::milliseconds Scheduler::ToStoreClock(base::TimePoint time) const {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -193,15 +193,15 @@
                    worker.entry.service != entry.service ||
                    worker.entry.id.id.empty();
     if (worker.entry.id.id.empty()) {
-      BeginIncarnation(worker, entry.id.incarnation_ms, LifeEvidence::kEntry,
-                       now);
+      BeginIncarnation(worker, entry.id.incarnation_ms,
+                       IncarnationEvidence::kEntry, now);
     } else if (entry.id != worker.entry.id) {
       if (!IsSuccessor(worker, entry)) {
         RejectEntry(worker, entry);
         continue;
       }
-      BeginIncarnation(worker, entry.id.incarnation_ms, LifeEvidence::kEntry,
-                       now);
+      BeginIncarnation(worker, entry.id.incarnation_ms,
+                       IncarnationEvidence::kEntry, now);
     }
     const bool is_known = worker.described_ms == entry.id.incarnation_ms;
     if (!is_known) {
@@ -225,7 +225,7 @@
     return !worker.listed && worker.runs.empty() && worker.withdrawn.empty() &&
            now > worker.LeaseEnd();
   });
-  m_lives.ForgetUnknown(
+  m_known_incarnations.ForgetUnknown(
       [this](const std::string& id) { return m_workers.contains(id); },
       m_options.max_order_delay + LongestLease(), now);
   if (is_index_old || erased > 0) {
@@ -258,8 +258,8 @@
     return false;
   }
   if (!is_current || !worker->has_reported) {
-    BeginIncarnation(*worker, report.incarnation_ms, LifeEvidence::kReport,
-                     now);
+    BeginIncarnation(*worker, report.incarnation_ms,
+                     IncarnationEvidence::kReport, now);
     BoundFormerLeases(*worker, now);
   }
   worker->has_reported = true;
