Show that crowds of clients take a host over its memory and descriptors

What callers saw: clients that don't keep to the limits ended a process, which ran out of memory. The tests start real hosts with 64 MB and 264 descriptors in their settings ("memory_mb" and "max_descriptors", which the program doesn't read yet), connect 60 clients, or 300 idle ones, to one of the four ports, and check that the process lives, its peak of resident memory and its descriptors stay under the settings, and ordinary requests to all ports are answered while the clients send, while they are there and after they have gone. 15 kinds of clients on four ports, a mix on all ports of the leader of three hosts, oversized jobs that another host passes on, and three requests at the limits in calm.

--- a/include/cassiastile/soak/host_process.hpp
+++ b/include/cassiastile/soak/host_process.hpp
@@ -28,6 +28,8 @@
                            const std::string& errors);
   // Does nothing if the process is not running.
   void Signal(int signal) const;
+  // Zero if the process is not running.
+  pid_t Id() const { return m_pid; }
   bool IsRunning() const { return m_pid > 0; }
   // Returns the status of wait(2) once after the process has exited, else
   // nothing. Doesn't block.
--- a/include/cassiastile/soak/soak.hpp
+++ b/include/cassiastile/soak/soak.hpp
@@ -26,6 +26,9 @@
   // avoid slow workers.
   bool share_by_weight = true;
   bool avoid_slow_workers = true;
+  // See the settings of the same names; zero leaves them out.
+  std::size_t memory_mb = 0;
+  std::size_t max_descriptors = 0;
   // Submissions per second over all services.
   double jobs_per_second = 8;
   // Whether machines can be moved to other pools.
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -245,7 +245,7 @@
 
 void Fleet::WriteSettings(const Host& host) const {
   constexpr int kFinishedStateSeconds = 120;
-  const nlohmann::json settings{
+  nlohmann::json settings{
       {"host", host.name},
       {"availability_zone", host.zone},
       {"address", "127.0.0.1"},
@@ -267,6 +267,12 @@
       {"finished_state_s", kFinishedStateSeconds + host.reloads},
       {"machine_order_lease_ms", 3000},
       {"min_relayed_workers", m_options.min_relayed_workers}};
+  if (m_options.memory_mb > 0) {
+    settings["memory_mb"] = m_options.memory_mb;
+  }
+  if (m_options.max_descriptors > 0) {
+    settings["max_descriptors"] = m_options.max_descriptors;
+  }
   std::ofstream(host.settings_path) << settings.dump(2) << "\n";
 }
 
@@ -732,6 +738,11 @@
   return "http://" + LoopbackEndpoint(m_hosts[host]->callers->Port());
 }
 
+HostPorts Fleet::PortsOf(std::size_t host) const {
+  const Host& each = *m_hosts[host];
+  return {each.client_port, each.ready_port, each.peer_port, each.metrics_port};
+}
+
 std::optional<std::size_t> Fleet::FindLeader() const {
   const host::Row* row = m_table->Model().Find(
       host::kLeaderTable, host::kLeaderPart, host::kLeaderKey);
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -24,6 +24,14 @@
 // disrupted.
 inline constexpr std::chrono::milliseconds kContact{3000};
 
+// The ports that a host listens on, without a proxy between.
+struct HostPorts {
+  std::uint16_t callers = 0;
+  std::uint16_t readiness = 0;
+  std::uint16_t peers = 0;
+  std::uint16_t metrics = 0;
+};
+
 std::string ServiceName(std::size_t index);
 
 // The host processes, and the stand-in platform services around them: the
@@ -48,6 +56,11 @@
 
   std::size_t HostCount() const { return m_hosts.size(); }
   std::string CallersEndpoint(std::size_t host) const;
+  HostPorts PortsOf(std::size_t host) const;
+  // The id of the host's process; zero while it is not running.
+  pid_t ProcessIdOf(std::size_t host) const {
+    return m_hosts[host]->process.Id();
+  }
   // The index of the host that the table names as the leader, if there is one.
   std::optional<std::size_t> FindLeader() const;
   // When the host's process last ended; zero if it never has.
