--- a/src/cassiastile/soak/client_crowd_test.cpp
+++ b/src/cassiastile/soak/client_crowd_test.cpp
@@ -218,7 +218,7 @@
               .pieces = kBlocks};
     }
     case CrowdKind::kEndlessPipelines:
-      return {.head = "", .piece = Repeat(get + "\r\n", 100), .pieces = 2};
+      return {.head = "", .piece = Repeat(get + "\r\n", 100), .pieces = 3};
     case CrowdKind::kUnreadAnswers:
       return {.head = "",
               .piece = Repeat(get + "\r\n", 100),
