Refuse jobs that the table can't store, and keep commits within a transaction

What callers saw: after a submission whose record is over 64 KB, the limit of a row, or after several of some ten KB at once, it and what was submitted with it got 504; an ordinary job in the crowd tests was refused for as long as they tried. A job of 2.5 million tasks, in a body of a few KB, was accepted. Cause: a client's body is checked against 4 MB only. The table refuses the whole transaction of a row that is too large, and one of over 1 MB, and the leader sends it again, with everything else in it. Change: a submission that takes over 56 KB in its row, or has over 10,000 tasks, is answered with 400 before it is in any batch; a batch ends at 512 KB of rows. Neither limit is met by what was storable before. Evidence: with the model's limits and without the change, all three LargeJobTest fail (504 in place of 400, 504 in place of 200, 200 in place of 400 and then an ordinary job refused); with it they hold.

--- a/include/cassiastile/jobs/job_spec.hpp
+++ b/include/cassiastile/jobs/job_spec.hpp
@@ -11,8 +11,13 @@
 
 namespace cassiastile::jobs {
 
-// Limit on the memory that one job takes in the scheduler.
+// Limits on the memory that one job takes in the scheduler.
 inline constexpr std::size_t kMaxSteps = 256;
+inline constexpr std::uint64_t kMaxTasksOfOccurrence = 10000;
+
+// Limit on the bytes that a specification takes in the job's row, which also
+// holds the names of its queue and its customer; a row holds 64 KB.
+inline constexpr std::size_t kMaxStoredSpecBytes = 56U << 10U;
 
 // A step of a job: `count` tasks that do the same work on different data.
 struct StepSpec {
@@ -59,6 +64,10 @@
 // or when a count is zero or above its limit.
 base::Result<void> CheckSpec(const JobSpec& spec);
 
+// Fails with kInvalid when a specification is too large to be stored, or has
+// more tasks than a leader can keep: a job that is to be accepted needs both.
+base::Result<void> CheckSize(const JobSpec& spec);
+
 // Identifies one task of one occurrence of a job.
 struct TaskId {
   std::string job;
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -228,11 +228,12 @@
   // completed steps, ends of jobs), or all.
   enum class RowChoice : std::uint8_t { kUrgent, kAll };
   // The next batch to commit, of at most `max_rows` rows, which must be 2 or
-  // more: urgent ones first, but for a share of a batch of all rows, and each
-  // kind in the order of the jobs' oldest changes. It covers the ends that
-  // workers had listed before the oldest change that it leaves to write. Its
-  // jobs count as written, so a scheduler whose batch could not be committed
-  // must be discarded.
+  // more, and as many bytes as a transaction takes besides others: urgent ones
+  // first, but for a share of a batch of all rows, and each kind in the order
+  // of the jobs' oldest changes. It covers the ends that workers had listed
+  // before the oldest change that it leaves to write. Its jobs count as
+  // written, so a scheduler whose batch could not be committed must be
+  // discarded.
   Batch TakeBatch(std::size_t max_rows,
                   base::TimePoint now,
                   RowChoice choice = RowChoice::kAll);
@@ -382,8 +383,8 @@
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
-  // Takes the jobs of the next batch out of those to write.
-  std::vector<Job*> TakeJobs(std::size_t max_rows, RowChoice choice);
+  // Moves jobs from those to write to the next batch, with their rows.
+  void TakeJobs(std::size_t max_rows, RowChoice choice, Batch& batch);
   // Adds the ends whose changes are all in this batch or earlier ones.
   void CoverEnds(Batch& batch);
   // Updates the indices of workers by machine and by service.
--- a/include/cassiastile/sim/table_model.hpp
+++ b/include/cassiastile/sim/table_model.hpp
@@ -16,8 +16,14 @@
 // the table's time, which the answer returns. Not thread-safe.
 class TableModel {
  public:
+  // Limits of the platform's table.
+  static constexpr std::size_t kMaxRowBytes = 64U << 10U;
+  static constexpr std::size_t kMaxTransactionEntries = 100;
+  static constexpr std::size_t kMaxTransactionBytes = 1U << 20U;
+
   // Applies a transaction if each expected row has the expected version, 0 for
-  // none; otherwise returns a conflict with the current rows.
+  // none; otherwise returns a conflict with the current rows. One that is over
+  // a limit is not applied.
   host::TransactionReply Apply(const host::RowTransaction& transaction,
                                std::chrono::milliseconds now);
   // The rows of a part whose keys are `from` or greater, in order of their
@@ -38,6 +44,9 @@
                         const std::string& part,
                         const std::string& key) const;
 
+  // Whether a transaction, as it is sent, is within the limits.
+  static bool IsWithinLimits(const host::RowTransaction& transaction);
+
  private:
   using Key = std::tuple<std::string, std::string, std::string>;
 
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -165,10 +165,13 @@
     return;
   }
   auto spec = m_dependencies.decode_job(request.spec);
-  if (!spec) {
+  const auto checked = spec ? jobs::CheckSize(*spec)
+                            : base::Result<void>(tl::unexpected(spec.error()));
+  if (!checked) {
     m_log.Write("job.invalid",
-                {{"job", request.job}, {"error", spec.error().message}});
-    respond({.kind = JobAnswerKind::kInvalid, .detail = spec.error().message});
+                {{"job", request.job}, {"error", checked.error().message}});
+    respond(
+        {.kind = JobAnswerKind::kInvalid, .detail = checked.error().message});
     return;
   }
   ++m_load.submissions;
--- /dev/null
+++ b/src/cassiastile/host/large_job_test.cpp
@@ -0,0 +1,70 @@
+// Jobs that are too large for a row or a transaction of the table, or for the
+// leader's memory.
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "virtual_world_bench.hpp"
+
+namespace cassiastile::host {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::IsEmpty;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr milliseconds kSettled{3000};
+constexpr milliseconds kUntilAnswered{1600};
+
+class LargeJobTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    m_world.RunFor(kSettled);
+    ASSERT_TRUE(m_world.LeaderIndex().has_value());
+  }
+
+  std::shared_ptr<const CallerRequest> Submit(const std::string& job) {
+    return m_world.Send(*m_world.LeaderIndex(), "POST", job);
+  }
+
+  void ExpectOrdinaryJobIsDone() {
+    const std::string job = m_world.MakeJob(0, 1, 1, milliseconds(100));
+    const auto submitted = Submit(job);
+    m_world.RunFor(kUntilAnswered);
+    EXPECT_EQ(submitted->status, kOk);
+    EXPECT_EQ(m_world.StateOf(job), "done");
+    EXPECT_THAT(m_world.Violations(), IsEmpty());
+  }
+
+  VirtualWorld m_world;
+};
+
+TEST_F(LargeJobTest, JobLargerThanARowStopsNoOtherCommit) {
+  const auto large = Submit(m_world.MakeLargeJob(0, 70000));
+  m_world.RunFor(kUntilAnswered);
+  EXPECT_EQ(large->status, kBadRequest);
+  ExpectOrdinaryJobIsDone();
+}
+
+TEST_F(LargeJobTest, LargeJobsTogetherAreNoTooLargeTransaction) {
+  constexpr std::size_t kJobs = 40;
+  constexpr std::size_t kPayloadBytes = 50000;
+  std::vector<std::shared_ptr<const CallerRequest>> large;
+  large.reserve(kJobs);
+  for (std::size_t i = 0; i < kJobs; ++i) {
+    large.push_back(Submit(m_world.MakeLargeJob(0, kPayloadBytes)));
+  }
+  m_world.RunFor(kUntilAnswered);
+  EXPECT_EQ(large.front()->status, kOk);
+  ExpectOrdinaryJobIsDone();
+}
+
+TEST_F(LargeJobTest, JobWithMoreTasksThanALeaderKeepsIsRefused) {
+  const auto large = Submit(m_world.MakeJob(0, 100, 1000, milliseconds(100)));
+  m_world.RunFor(kUntilAnswered);
+  EXPECT_EQ(large->status, kBadRequest);
+  ExpectOrdinaryJobIsDone();
+}
+
+}  // namespace
+}  // namespace cassiastile::host
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1327,6 +1327,13 @@
                    tasks, "");
 }
 
+std::string VirtualWorld::MakeLargeJob(std::size_t service,
+                                       std::size_t payload_bytes) {
+  std::string text = fmt::format("1 1 100 0 {} ", m_task_counts.size());
+  text.resize(payload_bytes, 'x');
+  return MakeJobOf(service, text, 1, "");
+}
+
 std::string VirtualWorld::SubmitJob(std::string job) {
   m_submission_statuses[job] = 0;
   std::vector<Host*> live;
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -164,6 +164,8 @@
                       std::chrono::milliseconds task_duration,
                       const std::string& key = "");
   std::string MakeLongRunningJob(std::size_t service, std::uint32_t tasks);
+  // A job of one task whose specification has a payload of this many bytes.
+  std::string MakeLargeJob(std::size_t service, std::size_t payload_bytes);
   // Sends a caller's request about a job to a host, which it reaches `delay`
   // later than usual. While the host is paused, it waits there. The result is
   // filled in when the answer arrives, however long that takes.
--- a/src/cassiastile/jobs/job_spec.cpp
+++ b/src/cassiastile/jobs/job_spec.cpp
@@ -40,4 +40,29 @@
   return {};
 }
 
+base::Result<void> CheckSize(const JobSpec& spec) {
+  // What the encoding takes for a step without its texts and its list, and for
+  // the length of a text or a list.
+  constexpr std::size_t kStepBytes = 128;
+  constexpr std::size_t kLengthBytes = 8;
+  std::size_t bytes = kStepBytes + spec.payload.size();
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : spec.steps) {
+    bytes += kStepBytes + 4 * kLengthBytes + step.required_label.size() +
+             step.data_rack.size() + step.image.size() +
+             sizeof(std::uint32_t) * step.after.size();
+    tasks += step.count;
+  }
+  if (bytes > kMaxStoredSpecBytes) {
+    return Invalid(fmt::format("the job takes {} bytes, at most {} are allowed",
+                               bytes, kMaxStoredSpecBytes));
+  }
+  if (tasks > kMaxTasksOfOccurrence) {
+    return Invalid(
+        fmt::format("the steps have {} tasks, at most {} are allowed", tasks,
+                    kMaxTasksOfOccurrence));
+  }
+  return {};
+}
+
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -51,11 +51,35 @@
 // the ends of runs are acknowledged however many callers there are.
 constexpr std::size_t kDeferredShare = 4;
 
+// A transaction takes 1 MB, of encoded rows, which are a third larger. The rest
+// is for what the leader stores besides jobs.
+constexpr std::size_t kMaxBatchBytes = 512U << 10U;
+
 // The progress is always written; the record is written once and removed once.
 std::size_t RowsOf(const Job& job) {
   return IsFinished(job.phase) || !job.accepted ? 2 : 1;
 }
 
+// The rows of a job that a batch writes or removes.
+std::vector<JobRow> RowsToWrite(const Job& job) {
+  std::vector<JobRow> rows;
+  if (IsFinished(job.phase)) {
+    rows.push_back({job.id, true, std::nullopt});
+  } else if (!job.accepted) {
+    rows.push_back({job.id, true, EncodeRecord(job)});
+  }
+  rows.push_back({job.id, false, EncodeProgress(job)});
+  return rows;
+}
+
+std::size_t SizeOf(const std::vector<JobRow>& rows) {
+  std::size_t bytes = 0;
+  for (const JobRow& row : rows) {
+    bytes += row.bytes ? row.bytes->size() : 0;
+  }
+  return bytes;
+}
+
 // The fraction of a task that remains, by the progress of its most advanced
 // run.
 double RemainingFraction(const Task& task) {
@@ -683,20 +707,7 @@
                            RowChoice choice) {
   RemoveFinished(now);
   Batch batch;
-  for (Job* job : TakeJobs(max_rows, choice)) {
-    job->record_taken = true;
-    if (IsFinished(job->phase)) {
-      batch.rows.push_back({job->id, true, std::nullopt});
-      if (!job->accepted) {
-        batch.accepted.push_back(job->id);
-      }
-    } else if (!job->accepted) {
-      batch.rows.push_back({job->id, true, EncodeRecord(*job)});
-      batch.accepted.push_back(job->id);
-    }
-    batch.rows.push_back({job->id, false, EncodeProgress(*job)});
-    batch.phases.emplace_back(job->id, job->phase);
-  }
+  TakeJobs(max_rows, choice, batch);
   std::erase_if(m_planned, [&batch](const auto& planned) {
     if (planned.first.job->oldest_change != 0) {
       return false;
@@ -714,21 +725,28 @@
   return batch;
 }
 
-std::vector<Job*> Scheduler::TakeJobs(std::size_t max_rows, RowChoice choice) {
-  std::vector<Job*> taken;
-  std::size_t rows = 0;
-  const auto take = [&taken, &rows](std::map<std::uint64_t, Job*>& jobs,
-                                    std::size_t up_to) {
+void Scheduler::TakeJobs(std::size_t max_rows, RowChoice choice, Batch& batch) {
+  std::size_t bytes = 0;
+  const auto take = [&batch, &bytes](std::map<std::uint64_t, Job*>& jobs,
+                                     std::size_t up_to) {
     while (!jobs.empty()) {
       Job* job = jobs.begin()->second;
-      const std::size_t needed = RowsOf(*job);
-      if (rows + needed > up_to) {
+      if (batch.rows.size() + RowsOf(*job) > up_to) {
+        return;
+      }
+      std::vector<JobRow> rows = RowsToWrite(*job);
+      bytes += SizeOf(rows);
+      if (bytes > kMaxBatchBytes && !batch.rows.empty()) {
         return;
       }
-      rows += needed;
+      std::ranges::move(rows, std::back_inserter(batch.rows));
       jobs.erase(jobs.begin());
       job->oldest_change = 0;
-      taken.push_back(job);
+      job->record_taken = true;
+      if (!job->accepted) {
+        batch.accepted.push_back(job->id);
+      }
+      batch.phases.emplace_back(job->id, job->phase);
     }
   };
   std::size_t kept = 0;
@@ -739,7 +757,6 @@
   if (choice == RowChoice::kAll) {
     take(m_deferred, max_rows);
   }
-  return taken;
 }
 
 void Scheduler::CoverEnds(Batch& batch) {
--- a/src/cassiastile/sim/table_model.cpp
+++ b/src/cassiastile/sim/table_model.cpp
@@ -2,12 +2,40 @@
 
 namespace cassiastile::sim {
 
+namespace {
+
+// Base64 takes four bytes for three.
+std::size_t EncodedBytes(const host::Row& row) {
+  return row.table.size() + row.part.size() + row.key.size() +
+         (row.value.size() + 2) / 3 * 4;
+}
+
+}  // namespace
+
+bool TableModel::IsWithinLimits(const host::RowTransaction& transaction) {
+  std::size_t bytes = 0;
+  for (const host::Row& row : transaction.puts) {
+    if (row.value.size() > kMaxRowBytes) {
+      return false;
+    }
+    bytes += EncodedBytes(row);
+  }
+  const std::size_t entries = transaction.expect.size() +
+                              transaction.puts.size() +
+                              transaction.deletes.size();
+  return entries <= kMaxTransactionEntries && bytes <= kMaxTransactionBytes;
+}
+
 host::TransactionReply TableModel::Apply(
     const host::RowTransaction& transaction,
     std::chrono::milliseconds now) {
   using Outcome = host::TransactionReply::Outcome;
   host::TransactionReply reply;
   reply.now = now;
+  if (!IsWithinLimits(transaction)) {
+    reply.outcome = Outcome::kNotApplied;
+    return reply;
+  }
   bool holds = true;
   for (const host::RowExpectation& row : transaction.expect) {
     const host::Row* found = Find(row.table, row.part, row.key);
