Bound what the clients of a host can cost, on each port

What callers saw: clients outside the limits ended a process, which ran out of memory. Cause: each request was bounded for itself (a body of 4 MB), what all of them hold was not: four ports took 4,096 connections each, of 4,100 descriptors in all, and the HTTP library keeps a record for each chunk of a body, many times what a small chunk carries. After an accept that failed for want of descriptors the library never accepts again. Change: a listener counts what it receives at its sockets, and ConnectionTable decides which connections close to keep the port's limits of connections, of bytes of one request as it is sent, and of bytes of all that is incomplete or unanswered. Each port has a fixed part of the machine (settings memory_mb and max_descriptors, filled in by the platform), so a crowd on one takes nothing from the others. Chunks leave no records. What goes gets 413, 503 or nothing, and was not passed on. Gauges, a counter by reason, one log line a second.

--- a/include/cassiastile/host/host_metrics.hpp
+++ b/include/cassiastile/host/host_metrics.hpp
@@ -8,6 +8,8 @@
 #include <string_view>
 
 #include "cassiastile/base/clock.hpp"
+#include "cassiastile/host/listener_limits.hpp"
+#include "cassiastile/wire/connection_table.hpp"
 #include "cassiastile/wire/metrics.hpp"
 
 namespace cassiastile::host {
@@ -31,6 +33,10 @@
   void Count(std::string_view event, std::string_view outcome);
   // Adds one duration to a latency's histogram.
   void Observe(Latency latency, base::Duration duration);
+  // Shows what the clients of a port cost now; `last` is what was shown before.
+  void SetUsage(Listener listener,
+                const wire::ConnectionUsage& last,
+                const wire::ConnectionUsage& usage);
   // Returns all metrics in Prometheus' text format, with the process's current
   // processor time and peak memory.
   std::string Expose();
--- a/include/cassiastile/host/settings.hpp
+++ b/include/cassiastile/host/settings.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cassiastile/base/error.hpp"
+#include "cassiastile/host/listener_limits.hpp"
 
 namespace cassiastile::host {
 
@@ -59,6 +60,8 @@
   bool share_by_weight = false;
   bool avoid_slow_workers = false;
   double processor_share = 1.0;  // Of one core.
+  // Its members may be missing.
+  MachineLimits machine;
 
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
 };
--- a/include/cassiastile/wire/http_server.hpp
+++ b/include/cassiastile/wire/http_server.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "cassiastile/base/error.hpp"
+#include "cassiastile/wire/connection_table.hpp"
 #include "cassiastile/wire/router.hpp"
 
 namespace asio {
@@ -22,19 +23,25 @@
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;   // 0 picks a free port.
   std::size_t threads = 2;  // Unused with a caller's loop.
-  std::size_t max_connections = 4096;
+  ConnectionLimits limits;
   std::size_t max_body_bytes = 4U << 20U;
-  std::size_t max_field_value_bytes = 16U << 10U;  // Of one header.
-  std::size_t max_header_count = 100;
+  // Of the target of a request, and of the name and the value of one header.
+  std::size_t max_field_bytes = 16U << 10U;
+  std::size_t max_header_count = 100;  // Trailers included.
+  // Of what the system keeps for one connection before it is read or after it
+  // is written; 0 leaves the system's defaults.
+  std::size_t socket_buffer_bytes = 0;
   // Time limit for receiving a whole request, and for an idle connection.
   std::chrono::milliseconds read_timeout{15000};
   // Time limit for a handler to respond.
   std::chrono::milliseconds handle_timeout{120000};
 };
 
-// An HTTP/1.1 server that passes requests to a router or handler. Handlers run
-// on the server's threads, or on the caller's loop, and must not block for
-// long, or other requests are delayed.
+// An HTTP/1.1 server that passes requests to a router or handler. What its
+// clients can cost together is limited, see ConnectionTable: a request beyond
+// the limits is answered with 413 or 503, or its connection is closed, and it
+// is not passed on. Handlers run on the server's threads, or on the caller's
+// loop, and must not block for long, or other requests are delayed.
 class HttpServer {
  public:
   // Starts listening. Fails with kUnavailable when the address can't be bound.
@@ -54,6 +61,9 @@
   // The number of requests accepted and not yet answered.
   std::size_t InFlight() const;
 
+  // What the clients cost now, and what was closed for it since the start.
+  ConnectionUsage Usage() const;
+
   // From now on each response carries "Connection: close".
   void BeginDrain();
 
--- a/src/bin/cassia_host.cpp
+++ b/src/bin/cassia_host.cpp
@@ -14,6 +14,8 @@
 #include "cassiastile/config/text_file.hpp"
 #include "cassiastile/host/asio_loop.hpp"
 #include "cassiastile/host/host_node.hpp"
+#include "cassiastile/host/listener_limits.hpp"
+#include "cassiastile/host/listener_watch.hpp"
 #include "cassiastile/host/odd_entries.hpp"
 #include "cassiastile/host/peer_client.hpp"
 #include "cassiastile/wire/http_server.hpp"
@@ -31,6 +33,7 @@
 constexpr int kUnavailable = 503;
 constexpr std::chrono::milliseconds kLogFlush{100};
 constexpr std::chrono::milliseconds kStopPoll{50};
+constexpr std::chrono::milliseconds kUsageReport{1000};
 // The load balancer checks readiness once a second and takes a host out after
 // two failed checks.
 constexpr std::chrono::milliseconds kBalancerDetectionTime{2500};
@@ -67,13 +70,13 @@
           .encode_queue_length = adapter::EncodeQueueLength};
 }
 
-wire::HttpServerOptions OptionsFor(asio::io_context& context,
-                                   const std::string& address,
-                                   std::uint16_t port) {
+wire::HttpServerOptions OptionsFor(host::Listener listener,
+                                   const host::MachineLimits& machine) {
+  const host::ListenerLimits limits = host::LimitsOf(listener, machine);
   wire::HttpServerOptions options;
-  options.context = &context;
-  options.address = address;
-  options.port = port;
+  options.limits = limits.connections;
+  options.max_body_bytes = limits.max_body_bytes;
+  options.socket_buffer_bytes = limits.socket_buffer_bytes;
   return options;
 }
 
@@ -87,6 +90,7 @@
         m_settings_path(std::move(settings_path)),
         m_loop(m_context, m_clock),
         m_log(m_clock, m_settings.host, m_metrics, host::StandardOutputSink()),
+        m_listener_watch(m_log),
         m_client(wire::LoopClient::Create(m_context)),
         m_odd_entries(m_log, "list.bad_entry"),
         m_table(*m_client,
@@ -119,6 +123,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     AwaitSignal();
     FlushLog();
+    ReportUsage();
     m_node.Begin();
     m_context.run();
     m_log.Write("host.end", {});
@@ -134,21 +139,25 @@
     };
   }
 
-  base::Result<void> Listen(const std::string& address,
+  base::Result<void> Listen(host::Listener listener,
+                            const std::string& address,
                             std::uint16_t port,
                             wire::HttpHandler handler) {
-    auto server = wire::HttpServer::Start(OptionsFor(m_context, address, port),
-                                          std::move(handler));
+    wire::HttpServerOptions options = OptionsFor(listener, m_settings.machine);
+    options.context = &m_context;
+    options.address = address;
+    options.port = port;
+    auto server = wire::HttpServer::Start(options, std::move(handler));
     if (!server) {
       return tl::unexpected(server.error());
     }
-    m_servers.push_back(std::move(*server));
+    m_servers.emplace_back(listener, std::move(*server));
     return {};
   }
 
   base::Result<void> StartJobApi() {
     const host::Endpoint& endpoint = m_settings.client_endpoint;
-    return Listen(endpoint.address, endpoint.port,
+    return Listen(host::Listener::kCallers, endpoint.address, endpoint.port,
                   [this](const wire::HttpRequest& request,
                          const wire::HttpResponder& respond) {
                     m_node.ServeCaller(request, respond);
@@ -158,7 +167,7 @@
   base::Result<void> StartReadiness() {
     const host::Endpoint& endpoint = m_settings.ready_endpoint;
     return Listen(
-        endpoint.address, endpoint.port,
+        host::Listener::kReadiness, endpoint.address, endpoint.port,
         [this](const wire::HttpRequest&, const wire::HttpResponder& respond) {
           wire::HttpResponse response;
           response.status = m_node.IsReady() ? kOk : kUnavailable;
@@ -167,7 +176,8 @@
   }
 
   base::Result<void> StartPeers() {
-    return Listen(m_settings.address, m_settings.peer_port,
+    return Listen(host::Listener::kPeers, m_settings.address,
+                  m_settings.peer_port,
                   [this](const wire::HttpRequest& request,
                          const wire::HttpResponder& respond) {
                     host::ServePeer(m_node, request, respond);
@@ -175,7 +185,8 @@
   }
 
   base::Result<void> StartMetrics() {
-    return Listen(m_settings.address, m_settings.metrics_port,
+    return Listen(host::Listener::kMetrics, m_settings.address,
+                  m_settings.metrics_port,
                   [this](const wire::HttpRequest& request,
                          const wire::HttpResponder& respond) {
                     wire::HttpResponse response;
@@ -195,6 +206,15 @@
     m_loop.After(kLogFlush, [this] { FlushLog(); });
   }
 
+  void ReportUsage() {
+    host::ListenerWatch::Usages usages;
+    for (const auto& [listener, server] : m_servers) {
+      usages.emplace_back(listener, server->Usage());
+    }
+    m_listener_watch.Report(usages);
+    m_loop.After(kUsageReport, [this] { ReportUsage(); });
+  }
+
   void AwaitSignal() {
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
       if (error) {
@@ -231,7 +251,7 @@
     }
     m_stopping = true;
     m_stop_at = m_clock.Now();
-    m_servers.front()->BeginDrain();
+    m_servers.front().second->BeginDrain();
     m_node.BeginStop();
     AwaitExit();
   }
@@ -266,6 +286,7 @@
   host::AsioLoop m_loop;
   host::HostMetrics m_metrics;
   host::EventLog m_log;
+  host::ListenerWatch m_listener_watch;
   std::unique_ptr<wire::LoopClient> m_client;
   host::OddEntries m_odd_entries;
   adapter::TableClient m_table;
@@ -275,7 +296,8 @@
   host::PeerClient m_peers;
   host::HostNode m_node;
   asio::signal_set m_signals;
-  std::vector<std::unique_ptr<wire::HttpServer>> m_servers;
+  std::vector<std::pair<host::Listener, std::unique_ptr<wire::HttpServer>>>
+      m_servers;
   bool m_stopping = false;
   base::TimePoint m_stop_at{};
   base::TimePoint m_polled_at{};    // Whether the node is ready to exit.
--- a/src/cassiastile/host/host_metrics.cpp
+++ b/src/cassiastile/host/host_metrics.cpp
@@ -68,6 +68,31 @@
       std::chrono::duration<double>(duration).count());
 }
 
+void HostMetrics::SetUsage(Listener listener,
+                           const wire::ConnectionUsage& last,
+                           const wire::ConnectionUsage& usage) {
+  const std::string name(base::FindName(kListenerNames, listener));
+  m_metrics
+      .Gauge("cassia_connections", "Open connections of clients by port.",
+             {{"listener", name}})
+      .Set(static_cast<double>(usage.connections));
+  m_metrics
+      .Gauge("cassia_held_bytes",
+             "Bytes of requests that are incomplete or not answered, and of "
+             "responses that are not sent, by port.",
+             {{"listener", name}})
+      .Set(static_cast<double>(usage.held_bytes));
+  for (const auto& [reason, reason_name] : wire::kCloseReasonNames) {
+    const auto index = static_cast<std::size_t>(reason);
+    m_metrics
+        .Counter("cassia_closed_connections_total",
+                 "Connections closed to keep a port's limits.",
+                 {{"listener", name}, {"reason", std::string(reason_name)}})
+        .Increment(
+            static_cast<double>(usage.closed[index] - last.closed[index]));
+  }
+}
+
 std::string HostMetrics::Expose() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/src/cassiastile/host/malformed_input_test.cpp
+++ b/src/cassiastile/host/malformed_input_test.cpp
@@ -305,6 +305,15 @@
   EXPECT_EQ(ParseHostSettings(R"({"min_relayed_workers":7,)" + rest)
                 ->min_relayed_workers,
             7U);
+  EXPECT_EQ(missing->machine, MachineLimits{});
+  EXPECT_EQ(
+      ParseHostSettings(R"({"memory_mb":160,"max_descriptors":999,)" + rest)
+          ->machine,
+      (MachineLimits{160, 999}));
+  for (const char* small :
+       {R"({"memory_mb":31,)", R"({"max_descriptors":249,)"}) {
+    EXPECT_FALSE(ParseHostSettings(small + rest).has_value()) << small;
+  }
   const auto wrong = ParseHostSettings(R"({"min_relayed_workers":-1,)" + rest);
   ASSERT_FALSE(wrong.has_value());
   EXPECT_EQ(wrong.error().message,
--- a/src/cassiastile/host/settings.cpp
+++ b/src/cassiastile/host/settings.cpp
@@ -100,15 +100,15 @@
   }
 
   // Reads a whole number that may be missing.
-  void OptionalCount(const char* name, std::size_t& value) {
+  void OptionalCount(const char* name, std::size_t least, std::size_t& value) {
     const auto found = m_json.find(name);
     if (found == m_json.end()) {
       return;
     }
-    if (found->is_number_unsigned()) {
+    if (found->is_number_unsigned() && found->get<std::size_t>() >= least) {
       value = found->get<std::size_t>();
     } else {
-      AddError(name, "must be a whole number, 0 or more");
+      AddError(name, fmt::format("must be a whole number, {} or more", least));
     }
   }
 
@@ -152,6 +152,9 @@
 constexpr std::int64_t kSecond = 1000;
 // A start may take this long from the leader to a worker.
 constexpr std::chrono::milliseconds kMinEvacuationTime{1000};
+// Of a machine whose parts for the ports are of any use.
+constexpr std::size_t kMinMemoryMb = 32;
+constexpr std::size_t kMinDescriptors = 250;
 
 }  // namespace
 
@@ -199,8 +202,11 @@
   reader.Time("machine_order_lease_ms", kMillisecond,
               settings.machine_order_lease);
   reader.Number("processor_share", settings.processor_share);
-  reader.OptionalCount("min_relayed_workers", settings.min_relayed_workers);
-  reader.OptionalCount("max_reserved_starts", settings.max_reserved_starts);
+  reader.OptionalCount("memory_mb", kMinMemoryMb, settings.machine.memory_mb);
+  reader.OptionalCount("max_descriptors", kMinDescriptors,
+                       settings.machine.descriptors);
+  reader.OptionalCount("min_relayed_workers", 0, settings.min_relayed_workers);
+  reader.OptionalCount("max_reserved_starts", 0, settings.max_reserved_starts);
   reader.OptionalFlag("share_by_weight", settings.share_by_weight);
   reader.OptionalFlag("avoid_slow_workers", settings.avoid_slow_workers);
   if (!reader.Errors().empty()) {
--- /dev/null
+++ b/src/cassiastile/wire/http_limits_test.cpp
@@ -0,0 +1,153 @@
+// What an HTTP server does at and beyond its limits, as seen by clients that
+// write their requests byte by byte.
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <asio.hpp>
+
+#include "cassiastile/wire/http_server.hpp"
+
+namespace cassiastile::wire {
+namespace {
+
+using testing::HasSubstr;
+using testing::IsEmpty;
+using testing::StartsWith;
+
+constexpr ConnectionLimits kLimits{.max_connections = 4,
+                                   .max_request_bytes = 40000,
+                                   .max_held_bytes = 100000};
+constexpr std::size_t kMaxBodyBytes = 8000;
+
+// A connection of a client.
+class Client {
+ public:
+  Client(asio::io_context& context, const HttpServer& server)
+      : m_socket(context) {
+    m_socket.connect({asio::ip::address_v4::loopback(), server.Port()});
+  }
+
+  // Ends early if the server has closed the connection.
+  void Send(const std::string& text) {
+    asio::error_code ignored;
+    asio::write(m_socket, asio::buffer(text), ignored);
+  }
+
+  // What the server sends until it closes the connection, or until the end of
+  // the first response.
+  std::string Receive() {
+    std::string text;
+    asio::error_code error;
+    while (!error && !text.ends_with("\r\n\r\n") && !text.ends_with("end")) {
+      std::array<char, 4096> buffer{};
+      const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
+      text.append(buffer.data(), size);
+    }
+    return text;
+  }
+
+ private:
+  asio::ip::tcp::socket m_socket;
+};
+
+std::string Announced(const std::string& body) {
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string InChunksOfOneByte(const std::string& body) {
+  std::string text =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char each : body) {
+    text += std::string("1\r\n") + each + "\r\n";
+  }
+  return text + "0\r\n\r\n";
+}
+
+class HttpLimitsTest : public testing::Test {
+ protected:
+  HttpLimitsTest() {
+    HttpServerOptions options;
+    options.limits = kLimits;
+    options.max_body_bytes = kMaxBodyBytes;
+    m_server = HttpServer::Start(options, [](const HttpRequest& request,
+                                             const HttpResponder& respond) {
+                 HttpResponse response;
+                 response.body = std::to_string(request.body.size()) + " end";
+                 respond(response);
+               }).value();
+  }
+
+  Client& Connect() {
+    m_clients.push_back(std::make_unique<Client>(m_context, *m_server));
+    return *m_clients.back();
+  }
+
+  std::string Exchange(const std::string& request) {
+    Client& client = Connect();
+    client.Send(request);
+    return client.Receive();
+  }
+
+  asio::io_context m_context;
+  std::unique_ptr<HttpServer> m_server;
+  std::vector<std::unique_ptr<Client>> m_clients;
+};
+
+TEST_F(HttpLimitsTest, LargestBodyIsTakenHoweverItIsSent) {
+  EXPECT_THAT(Exchange(Announced(std::string(kMaxBodyBytes, 'x'))),
+              HasSubstr("\r\n8000 end"));
+  EXPECT_THAT(Exchange(InChunksOfOneByte(std::string(6000, 'x'))),
+              HasSubstr("\r\n6000 end"));
+  EXPECT_EQ(m_server->Usage().held_bytes, 0U);
+}
+
+TEST_F(HttpLimitsTest, LargerBodyIsNotHandled) {
+  EXPECT_THAT(Exchange(Announced(std::string(kMaxBodyBytes + 1, 'x'))),
+              IsEmpty());
+}
+
+TEST_F(HttpLimitsTest, FramingWithoutEndIsAnsweredWith413) {
+  std::string request =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+  request += std::string(kLimits.max_request_bytes, 'x');
+  Client& client = Connect();
+  client.Send(request);
+  // The response may be lost if the server closes with bytes unread.
+  const std::string response = client.Receive();
+  EXPECT_TRUE(response.empty() || response.starts_with("HTTP/1.1 413"));
+  EXPECT_EQ(m_server->Usage().closed[1], 1U);
+}
+
+TEST_F(HttpLimitsTest, CrowdThatStaysOpenLeavesRoomForARequest) {
+  std::vector<Client*> crowd;
+  for (std::size_t i = 0; i < 3 * kLimits.max_connections; ++i) {
+    crowd.push_back(&Connect());
+    crowd.back()->Send(i % 2 == 0 ? "" : "POST / HTTP/1.1\r\nHost: ");
+  }
+  EXPECT_THAT(Exchange(Announced("x")), HasSubstr("\r\n1 end"));
+  EXPECT_LE(m_server->Usage().connections, kLimits.max_connections);
+  EXPECT_EQ(m_server->Usage().closed[0], 10U);
+  // An idle client is not answered, one in the middle of a request is refused.
+  EXPECT_THAT(crowd[0]->Receive(), IsEmpty());
+  EXPECT_THAT(crowd[1]->Receive(), StartsWith("HTTP/1.1 503"));
+}
+
+TEST_F(HttpLimitsTest, UnfinishedBodiesLeaveRoomForARequest) {
+  std::vector<Client*> crowd;
+  for (int i = 0; i < 4; ++i) {
+    crowd.push_back(&Connect());
+    crowd.back()->Send(
+        InChunksOfOneByte(std::string(5800, 'x')).substr(0, 34000));
+  }
+  EXPECT_THAT(Exchange(Announced(std::string(kMaxBodyBytes, 'x'))),
+              HasSubstr("\r\n8000 end"));
+  EXPECT_LE(m_server->Usage().held_bytes, kLimits.max_held_bytes);
+}
+
+}  // namespace
+}  // namespace cassiastile::wire
--- a/src/cassiastile/wire/http_server.cpp
+++ b/src/cassiastile/wire/http_server.cpp
@@ -7,13 +7,41 @@
 
 #include <restinio/all.hpp>
 
+#include "counting_socket.hpp"
+
+namespace cassiastile::wire {
+
+namespace {
+
+// A type of its own, to select the parser's callbacks below.
+struct HttpMethods : public restinio::default_http_methods_t {};
+
+}  // namespace
+
+}  // namespace cassiastile::wire
+
+// RESTinio records each chunk of a body, which costs many times as much as a
+// small chunk carries. Nothing here reads these records, so none are kept.
+template <>
+inline http_parser_settings restinio::impl::create_parser_settings<
+    cassiastile::wire::HttpMethods>() noexcept {
+  auto settings = create_parser_settings<restinio::default_http_methods_t>();
+  settings.on_chunk_header = [](http_parser*) { return 0; };
+  return settings;
+}
+
 namespace cassiastile::wire {
 
 namespace {
 
 constexpr std::chrono::milliseconds kDrainPoll{5};
+// Connections that the table has closed may have their descriptors for a moment
+// longer, until the loop gets to them.
+constexpr std::size_t kClosingConnections = 16;
 
 struct ServerTraits : public restinio::default_traits_t {
+  using stream_socket_t = CountingSocket;
+  using http_methods_mapper_t = HttpMethods;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
   using logger_t = restinio::null_logger_t;
@@ -44,6 +72,7 @@
   Impl(HttpServerOptions options, HttpHandler handler)
       : m_options(std::move(options)),
         m_handler(std::move(handler)),
+        m_gate(std::make_shared<ConnectionGate>(m_options.limits)),
         m_context(m_options.context == nullptr ? m_own_context
                                                : *m_options.context) {}
 
@@ -52,6 +81,7 @@
   // Binds the address and starts the server's threads, if it has its own.
   base::Result<void> Open() {
     try {
+      const ConnectionGate::SocketScope scope(m_gate);
       m_server = std::make_unique<Server>(
           restinio::external_io_context(m_context), MakeSettings());
       m_server->open_sync();
@@ -71,6 +101,7 @@
 
   std::uint16_t Port() const { return m_port; }
   std::size_t InFlight() const { return m_in_flight.load(); }
+  ConnectionUsage Usage() const { return m_gate->Usage(); }
 
   void BeginDrain() { m_draining.store(true); }
 
@@ -94,16 +125,26 @@
     restinio::server_settings_t<ServerTraits> settings{};
     settings.address(m_options.address)
         .port(m_options.port)
-        .max_parallel_connections(m_options.max_connections)
+        .max_parallel_connections(m_options.limits.max_connections +
+                                  kClosingConnections)
         .read_next_http_message_timelimit(m_options.read_timeout)
         .handle_request_timeout(m_options.handle_timeout)
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}
-                .max_field_value_size(m_options.max_field_value_bytes)
+                .max_url_size(m_options.max_field_bytes)
+                .max_field_name_size(m_options.max_field_bytes)
+                .max_field_value_size(m_options.max_field_bytes)
                 .max_field_count(m_options.max_header_count)
                 .max_body_size(m_options.max_body_bytes))
-        .acceptor_options_setter([](restinio::acceptor_options_t& acceptor) {
+        .acceptor_options_setter([bytes = m_options.socket_buffer_bytes](
+                                     restinio::acceptor_options_t& acceptor) {
           acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+          if (bytes > 0) {
+            // Connections inherit them; set before the window is agreed on.
+            const auto size = static_cast<int>(bytes);
+            acceptor.set_option(asio::socket_base::receive_buffer_size(size));
+            acceptor.set_option(asio::socket_base::send_buffer_size(size));
+          }
         })
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
           m_port = acceptor.local_endpoint().port();
@@ -117,14 +158,18 @@
 
   void Accept(const restinio::request_handle_t& source) {
     m_in_flight.fetch_add(1);
+    const auto held =
+        ConnectionGate::CompleteRequest(m_gate, source->remote_endpoint());
     m_handler(ReadRequest(source),
-              [this, source](const HttpResponse& response) {
-                Answer(source, response);
+              [this, source, held](const HttpResponse& response) {
+                Answer(source, held, response);
               });
   }
 
   void Answer(const restinio::request_handle_t& source,
+              const std::shared_ptr<ConnectionGate::HeldRequest>& held,
               const HttpResponse& response) {
+    const bool ends = held->BeginResponse(response.body.size());
     auto builder = source->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(
             static_cast<std::uint16_t>(response.status)),
@@ -132,11 +177,12 @@
     for (const auto& [name, value] : response.headers) {
       builder.append_header(name, value);
     }
-    if (m_draining.load()) {
+    if (ends || m_draining.load()) {
       builder.connection_close();
     }
     builder.set_body(response.body);
-    builder.done([this](const asio::error_code&) { m_in_flight.fetch_sub(1); });
+    builder.done(
+        [this, held](const asio::error_code&) { m_in_flight.fetch_sub(1); });
   }
 
   void CloseAcceptor() {
@@ -160,6 +206,7 @@
 
   HttpServerOptions m_options;
   HttpHandler m_handler;
+  std::shared_ptr<ConnectionGate> m_gate;
   asio::io_context m_own_context;
   asio::io_context& m_context;
   std::unique_ptr<Server> m_server;
@@ -202,6 +249,10 @@
   return m_impl->InFlight();
 }
 
+ConnectionUsage HttpServer::Usage() const {
+  return m_impl->Usage();
+}
+
 void HttpServer::BeginDrain() {
   m_impl->BeginDrain();
 }
