Count a machine that a former leader has ordered as down

What callers saw: around a change of leader during a wave, two machines were down where one may be (LIMIT), and two tasks of a step were ended where one may be unavailable (AVAIL); by reading also tasks that were given to a machine just before its move ended them. Cause: a leader's open orders for machines were in its memory only. Its successor lists a machine as up whose order is on its way, plans the next one beside it and places tasks there. The time of each order was stored, but only kept the successor from ordering the same machine. Change: a stored order of which no acceptance is stored is an open order of the successor too. Its machine counts as down against the wave's limit or as arriving in the pool that it is moved to, its worker's tasks as ended, and it gets no new ones. Since the worker may go on, tasks with withdrawn starts stay bound to it, unlike to one that this leader ends. The doubt ends when a list shows the order as carried out, when a wave repeats it after the lease of orders, which takes no further part of the limit, or 5.8 s after the stored time (1.5 s until it is sent, 4 s on its way, 0.3 s for clocks). The destinations of moves are stored in a row of their own, which older programs pass over; a machine whose worker serves in the destination isn't in doubt. An own order whose answer was lost also counts as carried out once a list shows it.

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -72,6 +72,9 @@
     std::uint32_t missed_lists = 0;  // Newest lists in a row that lack it.
     jobs::WorkerId incarnation;      // Of the worker at the time of the order.
     PendingOrder pending = PendingOrder::kNone;  // Order whose outcome is open.
+    // The order is a former leader's, which may have been sent and may still
+    // be carried out.
+    bool is_recovered = false;
     bool accepted = false;
     base::TimePoint ordered_at{};
     base::TimePoint accepted_at{};
@@ -83,6 +86,11 @@
     base::TimePoint retry_at{};
     base::TimePoint blocked_logged_at{};
   };
+  // A machine's last order, as it is stored.
+  struct StoredOrder {
+    std::chrono::milliseconds at{0};  // By the store's clock.
+    std::string destination;          // Of a move; empty for maintenance.
+  };
   // A wave's row in the status table, which is in no commit of the leader. Each
   // write expects the row as this leader has seen it last, and its first one
   // changes the row: so a write of a former leader, or one that is applied
@@ -95,6 +103,10 @@
     bool is_writing = false;
   };
   struct Wave {
+    // Whether an order for the machine may have been sent of which no
+    // acceptance is known.
+    bool MayHaveBegun(const std::string& machine) const;
+
     WaveRequest request;
     std::map<std::string, bool> begun;  // Order accepted, by machine.
     // Machines for which an order may have been sent, also by an earlier
@@ -113,6 +125,16 @@
   void HandleMachineList(std::vector<Machine> machines,
                          base::TimePoint asked_at);
   void ClearSettledOrder(TrackedMachine& tracked, base::TimePoint asked_at);
+  // Whether the newest list shows that the pending order was carried out.
+  static bool IsCarriedOut(const TrackedMachine& tracked);
+  // Takes a former leader's order as pending if it may still be carried out.
+  void RecoverOrder(const std::string& machine, const StoredOrder& order);
+  // Cordons the worker that a recovered order ends, once it is listed.
+  void CordonRecovered(TrackedMachine& tracked);
+  // From the stored time of an order until it can't be carried out any more.
+  std::chrono::milliseconds LongestOrder() const;
+  // From the stored time of an order until it is sent; no later one is sent.
+  std::chrono::milliseconds MaxOrderDelay() const;
   void RunWave(Wave& wave, const PoolLoads& pools, base::TimePoint now);
   void MoveMachines(const PoolLoads& loads, base::TimePoint now);
   // Whether the machine's zone is being evacuated: pools can't count on it.
@@ -142,13 +164,17 @@
   // Whether no order of a previous leader to the machine can still be in
   // flight.
   bool MayOrder(const std::string& machine) const;
-  // Stores the time of an order together with `rows`, then sends it, unless
-  // the next leader could give orders by then.
+  // Stores an order's time and destination, which is empty for maintenance,
+  // together with `rows`, then sends it, unless the next leader could give
+  // orders by then.
   void RecordOrder(const std::string& machine,
+                   std::string destination,
                    std::vector<Row> rows,
                    std::function<void()> order);
   // Ends an order that was not carried out; the machine is planned again.
   void CancelOrder(TrackedMachine& tracked, base::TimePoint now);
+  // The machine has no pending order any more and takes tasks again.
+  void SettleOrder(TrackedMachine& tracked, base::TimePoint now);
   void SendMove(const jobs::MachineMove& move);
   // Stores that all machines have begun, unless that is stored.
   void RecordWaveDone(Wave& wave);
@@ -174,9 +200,12 @@
   std::map<std::uint64_t, Wave> m_waves;
   std::uint64_t m_fencing_token = 0;
   std::function<std::chrono::milliseconds()> m_store_now;
-  // Time of each machine's last order, by the store's clock. A new leader must
-  // not order a machine while the previous leader's order may still arrive.
-  std::map<std::string, std::chrono::milliseconds> m_last_order_at;
+  // A new leader must not order a machine while the previous leader's order may
+  // still arrive.
+  std::map<std::string, StoredOrder> m_last_orders;
+  // Read, but not yet matched with the times of orders; empty once the term has
+  // begun.
+  std::map<std::string, StoredOrder> m_recovered_moves;
   base::TimePoint m_listed_at{};
   base::TimePoint m_planned_at{};
   base::TimePoint m_loads_logged_at{};
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -282,6 +282,9 @@
   // Cordons a worker whose runs are about to be ended on purpose, and counts
   // its long-running tasks as unavailable.
   void CordonAndMarkUnavailable(const std::string& worker, base::TimePoint now);
+  // The same for a worker that may go on running: tasks with withdrawn starts
+  // on it stay bound to it.
+  void CordonInDoubt(const std::string& worker, base::TimePoint now);
   // Sets whether a worker gets no new tasks, before it is moved or maintained.
   void SetCordoned(const std::string& worker, bool cordoned);
   // The load of a pool, for the pool planner.
--- a/include/cassiastile/jobs/wave_plan.hpp
+++ b/include/cassiastile/jobs/wave_plan.hpp
@@ -13,6 +13,9 @@
   std::string name;
   bool begun = false;  // Its maintenance has begun or is done.
   bool down = false;   // In maintenance, or an order for it is pending.
+  // It is down since a former leader may have ordered it for this wave. It may
+  // be ordered again, which settles that.
+  bool may_repeat = false;
   bool cannot_be_ordered = false;  // Moving, not up, or may get no order now.
   // Whether all its runs may end now; see Scheduler::CanDrainMachine.
   bool can_drain = true;
@@ -28,7 +31,8 @@
 struct WavePlan {
   // Machines to cordon and to move tasks off.
   std::vector<std::string> cordon;
-  std::vector<std::string> maintain;  // Machines to order maintenance for.
+  // Machines to order maintenance for.
+  std::vector<std::string> maintain;
 };
 
 // Limits of a wave.
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -95,6 +95,8 @@
   // Its runs are about to be ended by an order that may not have been sent yet.
   // Until then it reports them as serving, which they do not count as.
   bool is_ending = false;
+  // That order is a former leader's and may not have been sent at all.
+  bool may_stay = false;
   bool wants_report = false;  // A report is needed to settle a run.
 
   // Raises `lease_bound` unless it is as high.
--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -1,5 +1,6 @@
 // Leaders that don't know, or know no more, what was sent to a worker's former
 // incarnation, or which one that is.
+#include <algorithm>
 #include <string>
 
 #include <gmock/gmock.h>
@@ -184,5 +185,119 @@
   }
 }
 
+// The former leader is about to move idle machines. Its successor gives them
+// no tasks that the moves would end.
+TEST(ForgottenOrderTest, MachineThatTheFormerLeaderMovesGetsNoTasks) {
+  constexpr std::uint32_t kMachines = 5;  // One task of the job each.
+  int killed_before_a_move = 0;
+  for (int after = 0; after <= 1500; after += 50) {
+    VirtualWorld world({.services = 1,
+                        .workers_per_service = 4,
+                        .spare_machines = 1,
+                        .keep_log = true});
+    world.Faults().machine_order_delay = milliseconds(800);
+    world.RunFor(milliseconds(2000 + after));
+    world.KillHost(*world.LeaderIndex());
+    while (!world.LeaderIndex()) {
+      world.RunFor(milliseconds(5));
+    }
+    const std::size_t workers = world.WorkerIds().size();
+    const std::string job = world.SubmitLongRunning(0, kMachines);
+    std::size_t most = 0;
+    bool were_ended = false;
+    for (int time = 0; time < 1500; time += 5) {
+      world.RunFor(milliseconds(5));
+      const std::size_t runs = world.CountRuns(job);
+      were_ended = were_ended || runs < most;
+      most = std::max(most, runs);
+    }
+    EXPECT_FALSE(were_ended) << "killed after " << 2000 + after << " ms";
+    killed_before_a_move += world.WorkerIds().size() < workers ? 1 : 0;
+    EXPECT_THAT(world.Violations(), IsEmpty());
+    // What was in doubt serves again.
+    world.Faults() = {};
+    world.RunFor(milliseconds(10000));
+    EXPECT_EQ(world.CountRuns(job), kMachines);
+  }
+  EXPECT_GT(killed_before_a_move, 0);
+}
+
+// The machines have moved, and their new workers serve, when the leader that
+// ordered it is killed. What it has stored says nothing of these workers.
+TEST(ForgottenOrderTest, MachineThatHasMovedIsNotInDoubt) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 4});
+  world.RunFor(milliseconds(3000));
+  const std::size_t before = world.WorkerIds().size();
+  const std::string job = world.Submit(0, 1, 96, milliseconds(8000));
+  while (world.WorkerIds().size() == before) {
+    world.RunFor(milliseconds(5));
+  }
+  const std::string arrived = world.WorkerIds().back();
+  while (world.CountRunsOn(arrived) == 0) {
+    world.RunFor(milliseconds(5));
+  }
+  world.KillHost(*world.LeaderIndex());
+  while (!world.LeaderIndex()) {
+    world.RunFor(milliseconds(5));
+  }
+  EXPECT_FALSE(world.LeaderScheduler().Workers().at(arrived).cordoned);
+  world.RunFor(milliseconds(20000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  EXPECT_EQ(world.StateOf(job), "done");
+}
+
+// The former leader was killed before it sent the order that it had stored.
+TEST(ForgottenOrderTest, OrderThatWasNeverSentHoldsTheWaveUpForAWhileOnly) {
+  for (int after = 100; after <= 1500; after += 50) {
+    VirtualWorld world;
+    world.RunFor(milliseconds(3000));
+    world.RequestWave({world.MachineNames().front()}, 1);
+    world.Faults().machine_order_delay = milliseconds(60000);
+    world.RunFor(milliseconds(after));
+    world.KillHost(*world.LeaderIndex());
+    world.Faults() = {};
+    world.RunFor(milliseconds(8000));
+    EXPECT_TRUE(world.WaveIsDone(1))
+        << "killed " << after << " ms after the request";
+    EXPECT_THAT(world.Violations(), IsEmpty());
+  }
+}
+
+// Two leaders in a row are killed at any moment of a wave, and orders take up
+// to 3 s. The doubt of each successor holds the wave up for a while only.
+TEST(ForgottenOrderTest, WaveKeepsItsLimitsThroughChangesOfLeader) {
+  constexpr int kTimeLimit = 25000;  // Of the wave.
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    VirtualWorld world({.seed = seed});
+    base::Random& random = world.RandomSource();
+    world.RunFor(milliseconds(3000));
+    for (std::size_t i = 0; i < 4; ++i) {
+      world.SubmitLongRunning(i % 2, 3);
+    }
+    world.RunFor(milliseconds(1000));
+    auto machines = world.MachineNames();
+    const std::uint32_t max_down = 1 + seed % 2;
+    machines.resize(machines.size() / 2 * max_down);
+    world.RequestWave(machines, max_down);
+    world.Faults().machine_order_delay = milliseconds(100 + random() % 2900);
+    std::uint64_t next_kill = 100 + random() % 4000;
+    int kills = 0;
+    for (std::uint64_t time = 0; time < kTimeLimit; time += 10) {
+      world.RunFor(milliseconds(10));
+      if (kills < 2 && time >= next_kill && world.LeaderIndex()) {
+        world.KillHost(*world.LeaderIndex());
+        ++kills;
+        next_kill = time + 300 + random() % 4000;
+      }
+      if (time > 9000) {
+        world.Faults() = {};
+      }
+    }
+    EXPECT_TRUE(world.WaveIsDone(1)) << "seed " << seed;
+    EXPECT_THAT(world.Violations(), IsEmpty()) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace cassiastile::host
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -36,7 +36,10 @@
 constexpr std::chrono::milliseconds kOrderLeaseMargin{300};
 // A machine that so many lists in a row lack is removed.
 constexpr std::uint32_t kListsUntilRemoved = 2;
+// Rows with the time of each machine's last order, and with the destinations
+// of those orders that are moves. Older programs read the first one only.
 constexpr char kOrdersKey[] = "orders";
+constexpr char kMovesKey[] = "moves";
 // States of a machine in a wave's stored row.
 constexpr char kBegun[] = "begun";
 constexpr char kOrderedOnly[] = "ordered";
@@ -93,7 +96,16 @@
     std::string machine;
     std::int64_t at = 0;
     while (lines >> machine >> at) {
-      m_last_order_at[machine] = std::chrono::milliseconds(at);
+      m_last_orders[machine].at = std::chrono::milliseconds(at);
+    }
+    return;
+  }
+  if (row.key == kMovesKey) {
+    std::string machine;
+    std::int64_t at = 0;
+    std::string destination;
+    while (lines >> machine >> at >> destination) {
+      m_recovered_moves[machine] = {std::chrono::milliseconds(at), destination};
     }
     return;
   }
@@ -115,28 +127,93 @@
   m_fencing_token = fence;
   m_store_now = std::move(store_now);
   m_term_began = m_store_now();
+  for (auto& [machine, order] : m_last_orders) {
+    const auto move = m_recovered_moves.find(machine);
+    if (move != m_recovered_moves.end() && move->second.at == order.at) {
+      order.destination = move->second.destination;
+    }
+    RecoverOrder(machine, order);
+  }
+  m_recovered_moves.clear();
+}
+
+void MachineController::RecoverOrder(const std::string& machine,
+                                     const StoredOrder& order) {
+  const bool is_move = !order.destination.empty();
+  const bool is_open =
+      is_move || std::ranges::any_of(m_waves, [&machine](const auto& entry) {
+        return entry.second.MayHaveBegun(machine);
+      });
+  const auto age =
+      std::max(m_term_began - order.at, std::chrono::milliseconds(0));
+  const jobs::WorkerState* worker = m_scheduler.FindWorkerOnMachine(machine);
+  const bool has_moved = is_move && worker != nullptr &&
+                         worker->entry.service == order.destination;
+  if (!is_open || has_moved || age > LongestOrder()) {
+    return;
+  }
+  TrackedMachine& tracked = m_machines[machine];
+  tracked.machine.name = machine;
+  tracked.pending = is_move ? PendingOrder::kMove : PendingOrder::kMaintain;
+  tracked.is_recovered = true;
+  tracked.destination = order.destination;
+  const base::TimePoint now = m_loop.GetClock().Now();
+  tracked.cordoned = true;
+  tracked.cordoned_at = now;
+  // The latest time at which it may have been sent.
+  tracked.ordered_at = now - age + MaxOrderDelay() + kOrderLeaseMargin;
+  m_log.Write("machine.order_recovered", {{"machine", machine},
+                                          {"to", order.destination},
+                                          {"age_ms", base::Milliseconds(age)}});
+  CordonRecovered(tracked);
+}
+
+void MachineController::CordonRecovered(TrackedMachine& tracked) {
+  const jobs::WorkerState* worker = WorkerOf(tracked);
+  if (worker == nullptr || !tracked.incarnation.id.empty()) {
+    return;
+  }
+  tracked.incarnation = worker->entry.id;
+  m_scheduler.CordonInDoubt(tracked.incarnation.id, m_loop.GetClock().Now());
+}
+
+std::chrono::milliseconds MachineController::LongestOrder() const {
+  return MaxOrderDelay() + kOrderLeaseMargin + kUnknownOrderTimeout;
+}
+
+std::chrono::milliseconds MachineController::MaxOrderDelay() const {
+  return m_options.machine_order_lease / 2;
 }
 
 bool MachineController::MayOrder(const std::string& machine) const {
-  const auto found = m_last_order_at.find(machine);
-  return found == m_last_order_at.end() || found->second >= m_term_began ||
-         m_store_now() - found->second >
+  const auto found = m_last_orders.find(machine);
+  return found == m_last_orders.end() || found->second.at >= m_term_began ||
+         m_store_now() - found->second.at >
              m_options.machine_order_lease + kOrderLeaseMargin;
 }
 
 void MachineController::RecordOrder(const std::string& machine,
+                                    std::string destination,
                                     std::vector<Row> rows,
                                     std::function<void()> order) {
   const auto now = m_store_now();
-  std::erase_if(m_last_order_at, [this, now](const auto& entry) {
-    return now - entry.second >
-           m_options.machine_order_lease + kOrderLeaseMargin;
+  const auto keep = std::max(m_options.machine_order_lease + kOrderLeaseMargin,
+                             LongestOrder());
+  std::erase_if(m_last_orders, [now, keep](const auto& entry) {
+    return now - entry.second.at > keep;
   });
-  m_last_order_at[machine] = now;
-  std::string lines;
-  for (const auto& [name, at] : m_last_order_at) {
-    lines += name + " " + std::to_string(at.count()) + "\n";
+  m_last_orders[machine] = {now, std::move(destination)};
+  std::string times;
+  std::string moves;
+  for (const auto& [name, last] : m_last_orders) {
+    const std::string line = name + " " + std::to_string(last.at.count());
+    times += line + "\n";
+    if (!last.destination.empty()) {
+      moves += line + " " + last.destination + "\n";
+    }
   }
+  rows.push_back(
+      {kMachineTable, kLeaderPart, kMovesKey, std::move(moves), 0, false});
   for (Row& row : rows) {
     m_store_row(std::move(row), [] {});
   }
@@ -144,11 +221,11 @@
   // may give orders by then. It sends nothing, and plans anew if it still
   // leads.
   m_store_row(
-      {kMachineTable, kLeaderPart, kOrdersKey, std::move(lines), 0, false},
+      {kMachineTable, kLeaderPart, kOrdersKey, std::move(times), 0, false},
       m_lifetime.Guard([this, machine, order = std::move(order),
                         recorded_at = m_loop.GetClock().Now()] {
         const base::TimePoint stored_at = m_loop.GetClock().Now();
-        if (stored_at - recorded_at > m_options.machine_order_lease / 2) {
+        if (stored_at - recorded_at > MaxOrderDelay()) {
           m_log.Write(
               "machine.order_too_late",
               {{"machine", machine},
@@ -163,8 +240,15 @@
 
 void MachineController::CancelOrder(TrackedMachine& tracked,
                                     base::TimePoint now) {
-  tracked.pending = PendingOrder::kNone;
   tracked.retry_at = now + kRefusedPause;
+  SettleOrder(tracked, now);
+}
+
+void MachineController::SettleOrder(TrackedMachine& tracked,
+                                    base::TimePoint now) {
+  tracked.pending = PendingOrder::kNone;
+  tracked.is_recovered = false;
+  tracked.destination.clear();
   SetCordoned(tracked, false, now);
 }
 
@@ -215,6 +299,11 @@
   if (m_lists == 0 || !may_order) {
     return;
   }
+  for (auto& [name, tracked] : m_machines) {
+    if (tracked.is_recovered && !tracked.accepted) {
+      CordonRecovered(tracked);
+    }
+  }
   const PoolLoads loads = m_scheduler.GetPoolLoads(now);
   if (now - m_loads_logged_at > kLoadLogInterval) {
     m_loads_logged_at = now;
@@ -267,16 +356,29 @@
   if (tracked.pending == PendingOrder::kNone) {
     return;
   }
+  if (!tracked.accepted && IsCarriedOut(tracked)) {
+    tracked.accepted = true;
+    tracked.accepted_at = asked_at;
+  }
   const bool up = tracked.machine.state == MachineState::kUp;
+  const bool has_moved = tracked.pending == PendingOrder::kMove &&
+                         tracked.machine.pool == tracked.destination;
   const bool accepted = tracked.accepted && asked_at > tracked.accepted_at;
   const bool given_up = asked_at > tracked.ordered_at + kUnknownOrderTimeout;
-  if (up && (accepted || given_up)) {
-    tracked.pending = PendingOrder::kNone;
-    tracked.destination.clear();
-    SetCordoned(tracked, false, asked_at);
+  if (up && (has_moved || accepted || given_up)) {
+    SettleOrder(tracked, asked_at);
   }
 }
 
+bool MachineController::IsCarriedOut(const TrackedMachine& tracked) {
+  const Machine& machine = tracked.machine;
+  if (tracked.pending == PendingOrder::kMove) {
+    return machine.state == MachineState::kMoving ||
+           machine.pool == tracked.destination;
+  }
+  return machine.state == MachineState::kMaintenance;
+}
+
 bool MachineController::IsRemoved(const std::string& machine) const {
   const auto found = m_machines.find(machine);
   const std::uint32_t missed =
@@ -371,6 +473,9 @@
     machine.cannot_be_ordered = tracked.machine.state != MachineState::kUp ||
                                 tracked.pending == PendingOrder::kMove ||
                                 now < tracked.retry_at || !MayOrder(name);
+    machine.may_repeat = tracked.is_recovered &&
+                         tracked.pending == PendingOrder::kMaintain &&
+                         !machine.cannot_be_ordered && wave.MayHaveBegun(name);
     machine.cordoned = tracked.cordoned;
     machine.cordoned_at = tracked.cordoned_at;
     if (const jobs::WorkerState* worker = WorkerOf(tracked)) {
@@ -434,6 +539,11 @@
               }));
 }
 
+bool MachineController::Wave::MayHaveBegun(const std::string& machine) const {
+  const auto found = begun.find(machine);
+  return ordered.contains(machine) && (found == begun.end() || !found->second);
+}
+
 Row MachineController::MakeWaveRow(const Wave& wave) {
   std::string lines;
   for (const std::string& machine : wave.ordered) {
@@ -449,6 +559,7 @@
   const std::uint64_t number = wave.request.wave;
   const std::string name = tracked.machine.name;
   tracked.pending = PendingOrder::kMaintain;
+  tracked.is_recovered = false;
   tracked.accepted = false;
   tracked.ordered_at = m_loop.GetClock().Now();
   const jobs::WorkerState* worker = WorkerOf(tracked);
@@ -457,11 +568,11 @@
                                        tracked.ordered_at);
   const bool first_order = wave.ordered.insert(name).second;
   if (!first_order) {
-    RecordOrder(name, {},
+    RecordOrder(name, "", {},
                 [this, number, name] { SendMaintain(number, name, false); });
     return;
   }
-  RecordOrder(name, {MakeWaveRow(wave)},
+  RecordOrder(name, "", {MakeWaveRow(wave)},
               [this, number, name] { SendMaintain(number, name, true); });
 }
 
@@ -681,7 +792,7 @@
   const jobs::WorkerState* worker = WorkerOf(tracked);
   tracked.incarnation = worker == nullptr ? jobs::WorkerId{} : worker->entry.id;
   SetCordoned(tracked, true, tracked.ordered_at);
-  RecordOrder(move.machine, {}, [this, move] { SendMove(move); });
+  RecordOrder(move.machine, move.to, {}, [this, move] { SendMove(move); });
 }
 
 void MachineController::SendMove(const jobs::MachineMove& move) {
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -540,13 +540,14 @@
   if (start.has_left || found == m_workers.end()) {
     return true;
   }
-  const WorkerEntry& entry = found->second.entry;
+  const WorkerState& worker = found->second;
+  const WorkerEntry& entry = worker.entry;
   const ServiceConfig* service = m_config->LastService(entry.service);
   const bool guards = service != nullptr && service->workers_guard_capacity;
   const bool would_refuse =
       guards && !Fits(CapacityNeed(SpecOf(ref)), entry.capacity);
-  return entry.draining || found->second.cordoned || would_refuse ||
-         IsEvacuated(found->second);
+  const bool is_leaving = worker.cordoned && !worker.may_stay;
+  return entry.draining || is_leaving || would_refuse || IsEvacuated(worker);
 }
 
 bool Scheduler::IsBound(const TaskRef& ref) const {
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -136,6 +136,7 @@
   if (WorkerState* worker = FindWorker(id)) {
     worker->cordoned = cordoned;
     worker->is_ending = worker->is_ending && cordoned;
+    worker->may_stay = worker->may_stay && cordoned;
   }
 }
 
@@ -147,6 +148,7 @@
   }
   worker->cordoned = true;
   worker->is_ending = true;
+  worker->may_stay = false;
   for (const auto& [ref, number] : worker->runs) {
     Run* run = FindRun(ref, number);
     if (run != nullptr && run->serving_since != base::TimePoint{}) {
@@ -156,6 +158,13 @@
   }
 }
 
+void Scheduler::CordonInDoubt(const std::string& id, base::TimePoint now) {
+  CordonAndMarkUnavailable(id, now);
+  if (WorkerState* worker = FindWorker(id)) {
+    worker->may_stay = true;
+  }
+}
+
 std::uint32_t Scheduler::CountOtherUnavailable(const TaskRef& ref) const {
   std::uint32_t unavailable = 0;
   const auto& tasks =
--- a/src/cassiastile/jobs/wave_plan_test.cpp
+++ b/src/cassiastile/jobs/wave_plan_test.cpp
@@ -73,5 +73,47 @@
   EXPECT_THAT(PlanWave({needed}, limits, kNow).cordon, SizeIs(1));
 }
 
+WaveMachine MakeOrderedByAFormerLeader(const std::string& name) {
+  WaveMachine machine = MakeDraining(name);
+  machine.down = true;
+  machine.may_repeat = true;
+  return machine;
+}
+
+TEST(WavePlanTest, OrderOfAFormerLeaderIsRepeatedBeforeOthersAreGiven) {
+  const WavePlan plan = PlanWave(
+      {MakeDraining("a"), MakeOrderedByAFormerLeader("b"), MakeMachine("c")},
+      {.max_down = 1, .time_left = milliseconds(0)}, kNow);
+  EXPECT_THAT(plan.maintain, ElementsAre("b"));
+  EXPECT_THAT(plan.cordon, IsEmpty());
+}
+
+TEST(WavePlanTest, RepeatedOrderTakesNoFurtherPartOfTheLimit) {
+  const WavePlan plan =
+      PlanWave({MakeOrderedByAFormerLeader("a"), MakeDraining("b"),
+                MakeMachine("c"), MakeMachine("d")},
+               {.max_down = 3, .time_left = milliseconds(0)}, kNow);
+  EXPECT_THAT(plan.maintain, ElementsAre("a", "b"));
+  EXPECT_THAT(plan.cordon, ElementsAre("c"));
+}
+
+TEST(WavePlanTest, NoOrderIsRepeatedWhileTooManyMachinesAreDown) {
+  WaveMachine down = MakeMachine("down");
+  down.down = true;
+  const WavePlan plan =
+      PlanWave({MakeOrderedByAFormerLeader("a"), down},
+               {.max_down = 1, .time_left = milliseconds(0)}, kNow);
+  EXPECT_THAT(plan.maintain, IsEmpty());
+}
+
+TEST(WavePlanTest, OrderIsNotRepeatedWhileTheMachineMayNotBeDrained) {
+  WaveMachine blocked = MakeOrderedByAFormerLeader("a");
+  blocked.can_drain = false;
+  EXPECT_THAT(
+      PlanWave({blocked}, {.max_down = 1, .time_left = milliseconds(0)}, kNow)
+          .maintain,
+      IsEmpty());
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -149,6 +149,30 @@
   EXPECT_EQ(starts.front().worker.id, "b");
 }
 
+// An order that a former leader may have given ends the worker, or it doesn't.
+TEST_F(WithdrawnStartTest, TaskStaysOnAWorkerThatMayGoOn) {
+  Withdraw();
+  m_bench.GetScheduler().CordonInDoubt("a", m_bench.Now());
+  m_bench.Report("a", m_bench.Listing("a"));
+  m_bench.Report("b", m_bench.Listing("b"));
+  EXPECT_THAT(m_bench.Step().starts, IsEmpty());
+  m_bench.GetScheduler().SetCordoned("a", false);
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker.id, "a");
+}
+
+// This leader's own order ends it.
+TEST_F(WithdrawnStartTest, TaskLeavesAWorkerWhoseOrderIsRepeated) {
+  Withdraw();
+  m_bench.GetScheduler().CordonInDoubt("a", m_bench.Now());
+  m_bench.GetScheduler().CordonAndMarkUnavailable("a", m_bench.Now());
+  m_bench.Report("b", m_bench.Listing("b"));
+  const auto starts = m_bench.Step().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().worker.id, "b");
+}
+
 // It may come back under its id.
 TEST_F(WithdrawnStartTest, TaskStaysOnAWorkerWhoseEntryIsGone) {
   Withdraw();
