Remember an unlisted worker while acknowledgements may reach it

What callers saw: under one leader, a task that was done was started again ("started after its end was acknowledged"). Cause: a worker without an entry, without runs and past its lease is erased, and with it the acknowledgements that have no answer yet. Back with an entry, its next incarnation gets a finite task at once; an acknowledgement that was sent to the former one arrives late and makes it forget how the task has ended. Change: such a worker is erased only once none of these calls can arrive, 13 s after they were sent; until then a next incarnation gets no finite tasks, as that of a listed worker does. By reading, a worker that is lost with an acknowledgement on its way is called for up to 13 s in place of some 5.6 s.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -422,6 +422,10 @@
   DroppedRun DescribeDrop(const TaskRef& ref,
                           const Run& run,
                           DropReason reason) const;
+  // Whether an acknowledgement for this incarnation or a former one may yet be
+  // carried out by the next one.
+  bool MayGetLateAcknowledgement(const WorkerState& worker,
+                                 base::TimePoint now) const;
   // Whether no run that an order began in a later incarnation can be alive.
   bool IsStartOver(const Run& run, base::TimePoint now) const;
   // Drops the runs of one incarnation of a worker.
--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -104,9 +104,13 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
-// The state of a worker without an entry is dropped, and with it what is known
-// of acknowledgements that are on their way to it.
+// Acknowledgements are on their way to a worker without an entry. Its next
+// incarnation gets a task once they must have arrived, and no later; what the
+// task does there is not lost.
 TEST(ForgottenIncarnationTest, LateAcknowledgementForAnUnlistedWorker) {
+  constexpr milliseconds kArrival{11500};
+  constexpr milliseconds kLatestArrival{13000};
+  constexpr milliseconds kSending{1500};
   VirtualWorld world(
       {.services = 1, .workers_per_service = 2, .spare_machines = 0});
   world.RunFor(kOldWorkers);
@@ -116,8 +120,9 @@
   while (world.LeaderScheduler().Workers().at(worker).last_end == 0) {
     world.RunFor(milliseconds(1));
   }
-  world.Faults().extension_delay = milliseconds(11500);
-  world.RunFor(milliseconds(1500));
+  const base::TimePoint first_sent = world.Now();
+  world.Faults().extension_delay = kArrival;
+  world.RunFor(kSending);
   world.Faults() = {};
   world.RestartWorker(worker, milliseconds(7000), milliseconds(0));
   world.ExpireEntry(worker);
@@ -125,8 +130,13 @@
   world.Faults().silent_workers = {other};
   world.RunFor(milliseconds(700));
   const std::string job = world.Submit(0, 1, 1, milliseconds(1500));
+  while (BusyWorker(world).empty() &&
+         world.Now() < first_sent + kSending + kLatestArrival) {
+    world.RunFor(milliseconds(10));
+  }
   world.RunFor(milliseconds(500));
   ASSERT_EQ(BusyWorker(world), worker);
+  EXPECT_GE(world.Now(), first_sent + kArrival + milliseconds(500));
   world.Faults().silent_workers = {worker, other};
   world.RunFor(milliseconds(3000));
   world.Faults() = {};
--- a/src/cassiastile/jobs/leader_change_test.cpp
+++ b/src/cassiastile/jobs/leader_change_test.cpp
@@ -221,6 +221,39 @@
   EXPECT_THAT(StartsWithoutA(bench, milliseconds(14500)), IsEmpty());
 }
 
+// An acknowledgement for it may come 13 s after it was sent, and make the next
+// incarnation forget an end.
+TEST(LeaderChangeTest, UnlistedWorkerIsForgottenOnceNoAcknowledgementCanCome) {
+  SchedulerBench bench;
+  bench.AddWorker("a");
+  const Scheduler& scheduler = bench.GetScheduler();
+  bench.GetScheduler().AcknowledgementSent("a", bench.Now());
+  bench.RemoveWorker("a");
+  bench.Advance(milliseconds(13000));
+  bench.AddWorker("b");
+  EXPECT_TRUE(scheduler.Workers().contains("a"));
+  bench.Advance(milliseconds(1));
+  bench.AddWorker("c");
+  EXPECT_FALSE(scheduler.Workers().contains("a"));
+}
+
+// The next incarnation of a worker gets no finite tasks while one may come, and
+// this is remembered if its entry is gone again meanwhile.
+TEST(LeaderChangeTest, UnlistedWorkerIsRememberedWhileItTakesNoFiniteTasks) {
+  SchedulerBench bench;
+  bench.AddWorker("a", 100);
+  bench.GetScheduler().AcknowledgementSent("a", bench.Now());
+  bench.AddWorker("a", 200);
+  bench.RemoveWorker("a");
+  bench.Advance(milliseconds(12900));
+  bench.AddWorker("a", 300);
+  bench.Submit("1", SchedulerBench::OneTask());
+  EXPECT_THAT(bench.Step().starts, IsEmpty());
+  bench.Advance(milliseconds(100));
+  bench.AddWorker("a", 300);
+  EXPECT_THAT(bench.Step().starts, SizeIs(1));
+}
+
 // A leader that takes over from one that knew which incarnation of "a" is over.
 class IncarnationSetBackTest : public testing::Test {
  protected:
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -289,6 +289,15 @@
   }
 }
 
+bool Scheduler::MayGetLateAcknowledgement(const WorkerState& worker,
+                                          base::TimePoint now) const {
+  return now < worker.finite_from ||
+         std::ranges::any_of(
+             worker.unanswered_acks, [&](base::TimePoint sent_at) {
+               return now <= sent_at + m_options.max_order_delay;
+             });
+}
+
 bool Scheduler::IsStartOver(const Run& run, base::TimePoint now) const {
   // An incarnation that has answered is listed before the lease is over. A
   // worker that is not in the platform's list may come back under its id.
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -220,10 +220,10 @@
     worker.SetEntry(entry);
     worker.entry.draining = entry.draining || drains;
   }
-  const auto erased = std::erase_if(m_workers, [now](const auto& row) {
+  const auto erased = std::erase_if(m_workers, [this, now](const auto& row) {
     const WorkerState& worker = row.second;
     return !worker.listed && worker.runs.empty() && worker.withdrawn.empty() &&
-           now > worker.LeaseEnd();
+           now > worker.LeaseEnd() && !MayGetLateAcknowledgement(worker, now);
   });
   m_known_incarnations.ForgetUnknown(
       [this](const std::string& id) { return m_workers.contains(id); },
