--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -283,6 +283,9 @@
   // Cordons a worker whose runs are about to be ended on purpose, and counts
   // its long-running tasks as unavailable.
   void CordonAndMarkUnavailable(const std::string& worker, base::TimePoint now);
+  // The same for a worker that may go on running: tasks with withdrawn starts
+  // on it stay bound to it.
+  void CordonInDoubt(const std::string& worker, base::TimePoint now);
   // Sets whether a worker gets no new tasks, before it is moved or maintained.
   void SetCordoned(const std::string& worker, bool cordoned);
   // The load of a pool, for the pool planner.
@@ -420,6 +423,10 @@
   DroppedRun DescribeDrop(const TaskRef& ref,
                           const Run& run,
                           DropReason reason) const;
+  // Whether an acknowledgement for this incarnation or a former one may yet be
+  // carried out by the next one.
+  bool MayGetLateAcknowledgement(const WorkerState& worker,
+                                 base::TimePoint now) const;
   // Whether no run that an order began in a later incarnation can be alive.
   bool IsStartOver(const Run& run, base::TimePoint now) const;
   // Drops the runs of one incarnation of a worker.
