Let no earlier run replace the checkpoint that a later one has saved

Callers saw work done twice: a task resumed from an older checkpoint than its newest. A worker lists an end until it is acknowledged, so a worker that was cut off for a while lists the end of an earlier run again to the next leader, and the checkpoint of any end that is read became the task's. With one leader a run did the same that was started from an older checkpoint and ended without having saved anything, while the end of the lapsed run before it had brought a newer one.

Cause: a checkpoint was kept without the run it stems from, so nothing told which of two is newer.

Task::checkpoint_run is the run that saved the task's checkpoint; what a run with a lower number has saved doesn't replace it. A run that is dropped gives its checkpoint to the task only if it has saved it itself (Run::has_saved). The number is stored in a list beside the tasks of an occurrence, for unfinished tasks that have a checkpoint: the rows of others grow by a byte for each occurrence. Older programs ignore the list, and rows without it are read as before: the run is not known, and any end replaces the checkpoint until the next one is saved.

A run that still lists the checkpoint that it was started from to the next leader, while the row has a newer one of an earlier run, counts as having saved it: as before, by reading, no test.

--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -94,6 +94,7 @@
   std::int64_t load = 0;  // See ListedRun::load.
   // The newest checkpoint of this run, or the one it was started from.
   std::string checkpoint;
+  bool has_saved = false;  // Whether the checkpoint is this run's own.
   // Whether a report has listed it some time after its start: its start has not
   // crashed the worker.
   bool proven = false;
@@ -136,6 +137,9 @@
   std::vector<std::uint32_t> failed_runs;
   std::uint32_t last_run = 0;  // Number of the last run; 0 for none.
   std::string checkpoint;      // The newest; empty if there is none.
+  // The run that saved the checkpoint; 0 if there is none, or if the row of an
+  // older program did not say. No earlier run's checkpoint replaces it.
+  std::uint32_t checkpoint_run = 0;
   // At most one for each run.
   std::vector<Crash> crashes;
   // Since when the task has waited for a worker to be isolated on; zero
--- a/src/cassiastile/jobs/job_codec.cpp
+++ b/src/cassiastile/jobs/job_codec.cpp
@@ -184,11 +184,23 @@
                  crashes);
 };
 
+// Which run has saved the checkpoint of a task.
+struct PackedCheckpoint {
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  std::uint32_t run = 0;
+
+  MSGPACK_DEFINE(step, index, run);
+};
+
 struct PackedOccurrence {
   std::uint32_t number = 0;
   std::vector<PackedTask> tasks;
+  // Apart from the tasks, most of which have none. Missing in rows of older
+  // programs.
+  std::vector<PackedCheckpoint> checkpoints;
 
-  MSGPACK_DEFINE(number, tasks);
+  MSGPACK_DEFINE(number, tasks, checkpoints);
 };
 
 struct PackedProgress {
@@ -228,6 +240,10 @@
         packed.number = occurrence.number;
         for (const TaskRow& row : TouchedTasks(occurrence)) {
           packed.tasks.push_back(PackTask(row));
+          if (!row.task->done && row.task->checkpoint_run != 0) {
+            packed.checkpoints.push_back(
+                {row.step, row.index, row.task->checkpoint_run});
+          }
         }
       }
     }
@@ -358,6 +374,9 @@
     for (const PackedTask& task : packed.tasks) {
       UnpackTask(progress, task, occurrence);
     }
+    for (const PackedCheckpoint& saved : packed.checkpoints) {
+      TaskAt(occurrence, saved.step, saved.index).checkpoint_run = saved.run;
+    }
     FinishOccurrence(job, occurrence);
   }
 }
--- a/src/cassiastile/jobs/leader_change_test.cpp
+++ b/src/cassiastile/jobs/leader_change_test.cpp
@@ -353,6 +353,37 @@
   EXPECT_EQ(third.front().checkpoint, "newer");
 }
 
+// A lapsed run's end is listed once its worker answers again, while the next
+// run, started from an older checkpoint, has not saved anything yet.
+TEST(LeaderChangeTest, RunThatHasSavedNothingDoesNotReplaceANewerCheckpoint) {
+  SchedulerBench bench;
+  JobSpec spec = SchedulerBench::OneTask();
+  spec.steps.front().checkpointing = true;
+  bench.AddWorker("a");
+  const StartOrder first = StartOnA(bench, 1, spec);
+  bench.AddWorker("b");
+  WorkerReport report = ReportOf(1, {first});
+  report.running.front().checkpoint = "older";
+  bench.Report("a", report);
+  const auto second = StartsWithoutA(bench, kTakeover);
+  ASSERT_THAT(second, SizeIs(1));
+  ASSERT_EQ(second.front().checkpoint, "older");
+  report = ReportOf(1);
+  report.ended.push_back(
+      {1, first.task, first.run, RunEnd::kLeaseExpired, "newer"});
+  bench.Report("a", report);
+  report = ReportOf(1, second);
+  report.running.front().checkpoint = "older";
+  bench.Report("b", report);
+  report = ReportOf(1);
+  report.ended.push_back(
+      {1, second.front().task, second.front().run, RunEnd::kStopped, ""});
+  bench.Report("b", report);
+  const auto third = bench.Step().starts;
+  ASSERT_THAT(third, SizeIs(1));
+  EXPECT_EQ(third.front().checkpoint, "newer");
+}
+
 // The former leader's stop may be on its way; the successor does not know of
 // it.
 TEST(LeaderChangeTest, RunThatTheFormerLeaderStopsIsKeptUntilItsEnd) {
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -517,6 +517,7 @@
   for (std::size_t i = 0; i < members.size(); ++i) {
     step.tasks[members[i]].last_run = run;
     step.tasks[members[i]].checkpoint = step.tasks.front().checkpoint;
+    step.tasks[members[i]].checkpoint_run = step.tasks.front().checkpoint_run;
     BeginRun({&job, occurrence.number, step_number, members[i]}, *places[i],
              now);
     UseSpareOfStart(*places[i], need, EndsBy(job, spec, now));
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -12,6 +12,17 @@
 // the connection has not failed.
 constexpr std::chrono::milliseconds kStartTimeout{3000};
 
+// Keeps what a run has saved, unless a later run has saved something.
+void KeepCheckpoint(Task& task,
+                    std::uint32_t run,
+                    const std::string& checkpoint) {
+  if (checkpoint.empty() || run < task.checkpoint_run) {
+    return;
+  }
+  task.checkpoint = checkpoint;
+  task.checkpoint_run = run;
+}
+
 }  // namespace
 
 Run* Scheduler::FindRun(const TaskRef& ref, std::uint32_t number) {
@@ -107,8 +118,8 @@
   }
   m_used_by_customer[ref.job->customer] -= spec.need;
   --ref.job->live_runs;
-  if (!run->checkpoint.empty()) {
-    task->checkpoint = run->checkpoint;
+  if (run->has_saved) {
+    KeepCheckpoint(*task, number, run->checkpoint);
   }
   if (run->phase == RunPhase::kPlanned || run->phase == RunPhase::kStopping) {
     std::erase_if(m_planned, [&](const auto& planned) {
@@ -338,8 +349,9 @@
     job.started = true;
     MarkDirty(job, false);
   }
-  if (!listed.checkpoint.empty()) {
+  if (!listed.checkpoint.empty() && listed.checkpoint != run->checkpoint) {
     run->checkpoint = listed.checkpoint;
+    run->has_saved = true;
   }
   if (listed.percent != run->percent) {
     run->percent = listed.percent;
@@ -394,9 +406,10 @@
     began = seen_to_begin ? run->confirmed_at : base::TimePoint{};
   }
   if (!end.checkpoint.empty() && !task.done) {
-    task.checkpoint = end.checkpoint;
+    KeepCheckpoint(task, end.run, end.checkpoint);
     if (Run* known = FindRun(ref, end.run)) {
       known->checkpoint = end.checkpoint;
+      known->has_saved = true;
     }
   }
   if (task.dropped_run == end.run) {
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -11,6 +11,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <msgpack.hpp>
 
 #include "cassiastile/jobs/scheduler.hpp"
 #include "scheduler_bench.hpp"
@@ -518,7 +519,49 @@
   }
 }
 
+TEST(JobCodecTest, ProgressKeepsWhichRunHasSavedTheCheckpoint) {
+  Job job;
+  job.spec = SchedulerBench::OneTask();
+  job.spec.steps[0].count = 2;
+  BeginOccurrence(job, 0);
+  Task& task = job.occurrences.front().steps.front().tasks[1];
+  task.last_run = 300;
+  task.checkpoint = "c";
+  task.checkpoint_run = 299;
+  Job read;
+  read.spec = job.spec;
+  ASSERT_TRUE(DecodeProgress(read, EncodeProgress(job)));
+  const Task& back = read.occurrences.front().steps.front().tasks[1];
+  EXPECT_EQ(back.checkpoint, "c");
+  EXPECT_EQ(back.checkpoint_run, 299U);
+}
+
 // Rows of leaders of former versions, read during a rolling update.
+TEST(JobCodecTest, ReadsCheckpointsWithoutTheirRun) {
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  const std::vector<std::uint32_t> none;
+  packer.pack_array(8);
+  // Layout, phase, started, next occurrence, occurrences done, workers.
+  packer.pack(4).pack(static_cast<int>(JobPhase::kRunning)).pack(true);
+  packer.pack(1).pack(0).pack(none);
+  // One occurrence: its number and its tasks.
+  packer.pack_array(1).pack_array(2).pack(0);
+  packer.pack_array(1).pack_array(9);
+  // Step, index, done, last run, checkpoint; failed runs, runs, withdrawn
+  // starts, crashes.
+  packer.pack(0).pack(0).pack(false).pack(3).pack(std::string("c"));
+  packer.pack(none).pack(none).pack(none).pack(none);
+  packer.pack(std::string());  // The customer.
+  Job job;
+  job.spec = SchedulerBench::OneTask();
+  ASSERT_TRUE(DecodeProgress(job, {buffer.data(), buffer.size()}));
+  const Task& task = job.occurrences.front().steps.front().tasks.front();
+  EXPECT_EQ(task.last_run, 3U);
+  EXPECT_EQ(task.checkpoint, "c");
+  EXPECT_EQ(task.checkpoint_run, 0U);
+}
+
 TEST(JobCodecTest, ReadsProgressOfLayoutThree) {
   std::ostringstream out;
   {
