Add the red test of a start that an unheard incarnation answers

A task that runs once runs twice at once. Cause: a worker restarts under its id, and a start for its former incarnation, which its address can't tell apart, is answered by the next one. The leader takes the answer for the former one's: the run counts as answered, and its lease as over 5.55 s after the order. The next incarnation, whose clock starts anew, holds it for 10 s. If it is cut off before its first report and before its entry is written, no leader learns of it in time. A change of leader isn't needed.

--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -27,6 +27,17 @@
   return "";
 }
 
+// Runs until the leader has extended the worker's lease once more.
+void AwaitExtension(VirtualWorld& world, const std::string& worker) {
+  const auto lease_bound = [&world, &worker] {
+    return world.LeaderScheduler().Workers().at(worker).lease_bound;
+  };
+  const base::TimePoint former = lease_bound();
+  while (lease_bound() == former) {
+    world.RunFor(milliseconds(1));
+  }
+}
+
 // The former leader has heard the current incarnation; the entry of the one
 // before has a higher start time, since the clock was set back.
 TEST(ForgottenIncarnationTest, EntryOfAFormerIncarnationEndsNoRunAtATakeover) {
@@ -103,6 +114,31 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// Starts reach the next incarnation and are answered. It is cut off before its
+// leader has heard or listed it, and holds the lease of the former clock.
+TEST(ForgottenIncarnationTest, StartAnsweredByAnIncarnationThatIsNeverHeard) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(kOldWorkers);
+  const std::string worker = world.WorkerIds().front();
+  world.Faults().restarting_workers_are_silent = true;
+  // The call that waits for a report began just before the restart.
+  AwaitExtension(world, worker);
+  world.RunFor(milliseconds(20));
+  world.RestartWorker(worker, milliseconds(600), milliseconds(30000));
+  world.RunFor(milliseconds(300));
+  const std::string job = world.Submit(0, 1, 8, milliseconds(12000));
+  world.RunFor(milliseconds(350));
+  ASSERT_GT(world.CallsToNextIncarnations(), 0U);
+  ASSERT_GT(world.CountRunsOn(worker), 0U);
+  world.Faults().silent_workers = {worker};
+  world.RunFor(milliseconds(20000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  world.Faults() = {};
+  world.RunFor(milliseconds(30000));
+  EXPECT_EQ(world.StateOf(job), "done");
+}
+
 // The state of a worker without an entry is dropped, and with it what is known
 // of acknowledgements that are on their way to it.
 TEST(ForgottenIncarnationTest, LateAcknowledgementForAnUnlistedWorker) {
