--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -17,6 +17,8 @@
 // Older than any lease in a call to it, so that a next incarnation, whose clock
 // begins anew, holds such a lease for as long as workers allow.
 constexpr milliseconds kOldWorkers{20000};
+// SchedulerOptions::max_order_delay.
+constexpr milliseconds kLatestCall{13000};
 
 // The worker that has runs, for the leader.
 std::string BusyWorker(const VirtualWorld& world) {
@@ -28,6 +30,17 @@
   return "";
 }
 
+// Runs until the leader has extended the worker's lease once more.
+void AwaitExtension(VirtualWorld& world, const std::string& worker) {
+  const auto lease_bound = [&world, &worker] {
+    return world.LeaderScheduler().Workers().at(worker).lease_bound;
+  };
+  const base::TimePoint former = lease_bound();
+  while (lease_bound() == former) {
+    world.RunFor(milliseconds(1));
+  }
+}
+
 // The former leader has heard the current incarnation; the entry of the one
 // before has a higher start time, since the clock was set back.
 TEST(ForgottenIncarnationTest, EntryOfAFormerIncarnationEndsNoRunAtATakeover) {
@@ -104,12 +117,87 @@
   EXPECT_THAT(world.Violations(), IsEmpty());
 }
 
+// Starts reach the next incarnation and are answered. It is cut off before its
+// leader has heard or listed it, and holds the lease of the former clock.
+void PlayStartAnsweredUnheard(const WorldOptions& options) {
+  VirtualWorld world(options);
+  world.RunFor(kOldWorkers);
+  const std::string worker = world.WorkerIds().front();
+  world.Faults().restarting_workers_are_silent = true;
+  // The call that waits for a report began just before the restart.
+  AwaitExtension(world, worker);
+  world.RunFor(milliseconds(20));
+  world.RestartWorker(worker, milliseconds(600), milliseconds(30000));
+  world.RunFor(milliseconds(300));
+  const std::string job = world.Submit(0, 1, 8, milliseconds(12000));
+  world.RunFor(milliseconds(350));
+  ASSERT_GT(world.CallsToNextIncarnations(), 0U);
+  ASSERT_GT(world.CountRunsOn(worker), 0U);
+  world.Faults().silent_workers = {worker};
+  world.RunFor(milliseconds(20000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+  world.Faults() = {};
+  world.RunFor(milliseconds(30000));
+  EXPECT_EQ(world.StateOf(job), "done");
+}
+
+TEST(ForgottenIncarnationTest, StartAnsweredByAnIncarnationThatIsNeverHeard) {
+  PlayStartAnsweredUnheard(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+}
+
+TEST(ForgottenIncarnationTest, RelayedStartAnsweredByAnUnheardIncarnation) {
+  PlayStartAnsweredUnheard({.services = 1,
+                            .workers_per_service = 2,
+                            .spare_machines = 0,
+                            .min_relayed_workers = 1});
+}
+
+// Runs for a time in which the leader plans often, so that it gives runs up as
+// soon as it may.
+void RunBusily(VirtualWorld& world, milliseconds time) {
+  constexpr milliseconds kStep{20};
+  for (milliseconds waited{0}; waited < time; waited += kStep) {
+    world.Submit(0, 1, 1, milliseconds(10));
+    world.RunFor(kStep);
+  }
+}
+
+// A call that is as late as calls may be, and the longest lease by a clock that
+// is 2 % slow.
+TEST(ForgottenIncarnationTest, LateExtensionHoldsAWorkerWithASlowClock) {
+  for (int i = 0; i < 30; ++i) {
+    VirtualWorld world({.services = 1,
+                        .workers_per_service = 2,
+                        .spare_machines = 0,
+                        .worker_clock_rate = 0.98});
+    world.RunFor(kOldWorkers + milliseconds(20 * i));
+    const std::string worker = world.WorkerIds().front();
+    const std::string other = world.WorkerIds().back();
+    world.Faults().extension_delay = kLatestCall;
+    AwaitExtension(world, worker);
+    world.Faults() = {};
+    world.RestartWorker(worker, milliseconds(10), milliseconds(0));
+    world.RunFor(milliseconds(2000));
+    world.Faults().silent_workers = {other};
+    world.RunFor(milliseconds(2500));
+    const std::string job = world.Submit(0, 1, 1, milliseconds(30000));
+    world.RunFor(milliseconds(1500));
+    ASSERT_EQ(BusyWorker(world), worker);
+    world.Faults() = {};
+    world.RunFor(milliseconds(3000));
+    world.Faults().silent_workers = {worker};
+    world.RunFor(milliseconds(13000));
+    RunBusily(world, milliseconds(3000));
+    EXPECT_THAT(world.Violations(), IsEmpty()) << "phase " << i;
+  }
+}
+
 // Acknowledgements are on their way to a worker without an entry. Its next
 // incarnation gets a task once they must have arrived, and no later; what the
 // task does there is not lost.
 TEST(ForgottenIncarnationTest, LateAcknowledgementForAnUnlistedWorker) {
   constexpr milliseconds kArrival{11500};
-  constexpr milliseconds kLatestArrival{13000};
   constexpr milliseconds kSending{1500};
   VirtualWorld world(
       {.services = 1, .workers_per_service = 2, .spare_machines = 0});
@@ -131,7 +219,7 @@
   world.RunFor(milliseconds(700));
   const std::string job = world.Submit(0, 1, 1, milliseconds(1500));
   while (BusyWorker(world).empty() &&
-         world.Now() < first_sent + kSending + kLatestArrival) {
+         world.Now() < first_sent + kSending + kLatestCall) {
     world.RunFor(milliseconds(10));
   }
   world.RunFor(milliseconds(500));
