Count with leases that are sent after a late start

A task runs twice at once. Cause: a start without an answer, or a withdrawn one, may be carried out 13 s late by the next incarnation, and its run was counted as over 23.3 s after the start. A lease that is sent by the former clock after the start may come as late, and holds that run for 10 s more. No leader hears the incarnation meanwhile, so nothing else shows it. Change: the bound counts from the last call with a lease to that worker. A leader that has had an answer from an unheard incarnation gives no further lease by the former clock before the next report. Cost: a task whose start had no answer from a worker that is then cut off waits longer by the time from the start to the last call with a lease, 2 s at most; one that a withdrawn start binds, 13 s at most. Evidence: ForgottenIncarnationTest.LateExtensionFollowsALateStart (two runs at once 10 s after the late start) and WithdrawnStartTest.LeaseThatWasSentLaterMayHoldALateRun failed before and hold now.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -195,8 +195,10 @@
   // The same, by the leader's own order: the worker need not be asked for
   // reports any more.
   void WorkerTerminated(const WorkerId& worker, base::TimePoint now);
-  // A lease was sent to the worker that ends at `bound` at the latest.
-  void LeaseSent(const std::string& worker, base::TimePoint bound);
+  // A lease is sent to the worker that ends at `bound` at the latest.
+  void LeaseSent(const std::string& worker,
+                 base::TimePoint bound,
+                 base::TimePoint now);
   // A start was answered by a clock that is not the one of this incarnation:
   // by the next one, which has not reported yet.
   void UnheardIncarnationAnswered(const WorkerId& worker, base::TimePoint now);
@@ -423,7 +425,9 @@
                           const Run& run,
                           DropReason reason) const;
   // Whether no run that an order began in a later incarnation can be alive.
-  bool IsStartOver(const Run& run, base::TimePoint now) const;
+  bool IsStartOver(const Run& run,
+                   const WorkerState& worker,
+                   base::TimePoint now) const;
   // Drops the runs of one incarnation of a worker.
   void DropRunsOf(const WorkerId& id, DropReason reason, base::TimePoint now);
   // Orders the worker to stop a run. The run is kept until it is known to have
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -56,6 +56,9 @@
   // The other is for leases that were meant for a former one: they end at a
   // time of its clock, which may be far ahead of this one's.
   base::TimePoint former_lease_bound{};
+  // When a lease was last sent to it. Should it have restarted unheard, that
+  // lease may hold what a late start begins there.
+  base::TimePoint lease_sent_at{};
   Resources used;               // By runs that may be alive.
   Resources long_running_used;  // The part of `used` for long-running tasks.
   // By runs that its newest report lists and that are not in `runs`. They are
--- a/src/bin/measure_jobs.cpp
+++ b/src/bin/measure_jobs.cpp
@@ -242,7 +242,8 @@
       report.running.push_back({run.order.task, run.order.run, "", 50, 0});
     }
     report.ended = worker.ended;
-    m_scheduler.LeaseSent(worker.id, m_clock.Now() + std::chrono::seconds(5));
+    m_scheduler.LeaseSent(worker.id, m_clock.Now() + std::chrono::seconds(5),
+                          m_clock.Now());
     m_scheduler.WorkerReported(worker.id, report, m_clock.Now(), m_clock.Now());
     const std::uint64_t acked = m_scheduler.FindWorker(worker.id)->acked_end;
     std::erase_if(worker.ended, [acked](const ListedEnd& end) {
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -190,7 +190,7 @@
     extension.until =
         WorkerClock(link) + std::min(kWorkerLease, m_settings.max_worker_lease);
     extension.wait = probe ? std::chrono::milliseconds(0) : kPollWait;
-    m_scheduler.LeaseSent(link.address.id.id, LeaseEnd(now));
+    m_scheduler.LeaseSent(link.address.id.id, LeaseEnd(now), now);
   }
   (probe ? link.probing : link.polling) = true;
   const std::string id = link.address.id.id;
@@ -426,7 +426,7 @@
   const jobs::WorkerState* state = m_scheduler.FindWorker(order.worker.id);
   const bool draining =
       state != nullptr && (state->entry.draining || !state->listed);
-  m_scheduler.LeaseSent(order.worker.id, LeaseEnd(now));
+  m_scheduler.LeaseSent(order.worker.id, LeaseEnd(now), now);
   ++m_load.starts;
   m_workers.Start(
       link.address, order, FencingToken(), until,
@@ -475,13 +475,18 @@
                            std::chrono::milliseconds lease) {
   const base::TimePoint now = m_loop.GetClock().Now();
   if (lease <= kWorkerLease + kMaxClockError) {
-    m_scheduler.LeaseSent(worker.id, now + WithSlowClock(lease));
+    m_scheduler.LeaseSent(worker.id, now + WithSlowClock(lease), now);
     return;
   }
   m_log.Write("worker.unheard_incarnation", {{"worker", worker.id},
                                              {"born", worker.incarnation_ms},
                                              {"lease_ms", lease.count()}});
   m_scheduler.UnheardIncarnationAnswered(worker, now);
+  // No further lease is given by the clock of the former incarnation.
+  const auto link = m_links.find(worker.id);
+  if (link != m_links.end() && link->second.address.id == worker) {
+    link->second.clock_known = false;
+  }
 }
 
 void Dispatcher::SendStop(const jobs::StopOrder& order) {
--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -192,6 +192,33 @@
   }
 }
 
+// The start and an extension that follows it come as late as calls may, to an
+// incarnation that the leader doesn't hear.
+TEST(ForgottenIncarnationTest, LateExtensionFollowsALateStart) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(kOldWorkers);
+  const std::string worker = world.WorkerIds().front();
+  AwaitExtension(world, worker);
+  world.Faults().restarting_workers_are_silent = true;
+  world.Faults().start_delay = kLatestCall;
+  world.Faults().extension_delay = kLatestCall;
+  const std::uint64_t sent = world.StartsSent();
+  const std::string job = world.Submit(0, 1, 1, milliseconds(15000));
+  while (world.StartsSent() == sent) {
+    world.RunFor(milliseconds(1));
+  }
+  ASSERT_EQ(BusyWorker(world), worker);
+  world.RestartWorker(worker, milliseconds(20), milliseconds(60000));
+  // The leader asks for a report when the start has no answer.
+  world.RunFor(milliseconds(900));
+  world.Faults() = {};
+  world.Faults().silent_workers = {worker};
+  world.RunFor(milliseconds(21000));
+  RunBusily(world, milliseconds(3000));
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
 // The state of a worker without an entry is dropped, and with it what is known
 // of acknowledgements that are on their way to it.
 TEST(ForgottenIncarnationTest, LateAcknowledgementForAnUnlistedWorker) {
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -227,7 +227,7 @@
 
 void SchedulerBench::Report(const std::string& worker,
                             const WorkerReport& report) {
-  m_scheduler->LeaseSent(worker, Now() + std::chrono::seconds(5));
+  m_scheduler->LeaseSent(worker, Now() + std::chrono::seconds(5), Now());
   m_scheduler->WorkerReported(worker, report, Now(), Now());
 }
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -300,12 +300,15 @@
   }
 }
 
-bool Scheduler::IsStartOver(const Run& run, base::TimePoint now) const {
+bool Scheduler::IsStartOver(const Run& run,
+                            const WorkerState& worker,
+                            base::TimePoint now) const {
   // An incarnation that has answered is listed before the lease is over. A
   // worker that is not in the platform's list may come back under its id.
+  const base::TimePoint last_call =
+      std::max(run.start_ordered_at, worker.lease_sent_at);
   return run.listed || run.answered_at != base::TimePoint{} ||
-         now >
-             run.start_ordered_at + m_options.max_order_delay + LongestLease();
+         now > last_call + m_options.max_order_delay + LongestLease();
 }
 
 void Scheduler::WorkerGone(const WorkerId& id,
@@ -349,7 +352,9 @@
       start.ordered_at + m_options.max_order_delay;
   // A report lists what has arrived.
   const bool was_heard = worker.last_asked > last_arrival;
-  return was_heard || now > last_arrival + LongestLease();
+  const base::TimePoint last_lease =
+      std::max(last_arrival, worker.lease_sent_at + m_options.max_order_delay);
+  return was_heard || now > last_lease + LongestLease();
 }
 
 void Scheduler::ForgetLateWithdrawn(WorkerState& worker, base::TimePoint now) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -237,8 +237,11 @@
   m_list_as_of = std::max(m_list_as_of, as_of);
 }
 
-void Scheduler::LeaseSent(const std::string& id, base::TimePoint bound) {
+void Scheduler::LeaseSent(const std::string& id,
+                          base::TimePoint bound,
+                          base::TimePoint now) {
   if (WorkerState* worker = FindWorker(id)) {
+    worker->lease_sent_at = now;
     worker->RaiseLeaseBound(bound, LeaseEvidence::kExtension);
   }
 }
@@ -643,7 +646,8 @@
         continue;
       }
       if (run->phase != RunPhase::kPlanned && now > worker.LeaseEnd() &&
-          worker.lease_bound != base::TimePoint{} && IsStartOver(*run, now)) {
+          worker.lease_bound != base::TimePoint{} &&
+          IsStartOver(*run, worker, now)) {
         DropRun(ref, number, DropReason::kLeaseOver, now);
       } else if (run->phase == RunPhase::kStarting &&
                  now - run->ordered_at > kStartTimeout) {
--- a/src/cassiastile/jobs/withdrawn_start_test.cpp
+++ b/src/cassiastile/jobs/withdrawn_start_test.cpp
@@ -142,6 +142,21 @@
   EXPECT_EQ(starts.front().worker.id, "b");
 }
 
+// The next incarnation may begin the run late and be held by a lease that was
+// sent after the start.
+TEST_F(WithdrawnStartTest, LeaseThatWasSentLaterMayHoldALateRun) {
+  Withdraw();
+  m_bench.Advance(milliseconds(9000));
+  m_bench.Report("a", m_bench.Listing("a"));
+  m_bench.GetScheduler().WorkerSilent("a", m_bench.Now());
+  m_bench.Advance(kMayRun);
+  m_bench.Report("b", m_bench.Listing("b"));
+  EXPECT_THAT(m_bench.Step().starts, IsEmpty());
+  m_bench.Advance(kDoubtEnds);
+  m_bench.Report("b", m_bench.Listing("b"));
+  EXPECT_THAT(m_bench.Step().starts, SizeIs(1));
+}
+
 // A report lists what the worker has begun.
 TEST_F(WithdrawnStartTest, TaskLeavesAWorkerThatIsHeardAfterTheLastArrival) {
   Withdraw();
