Keep a port open when clients reset before they are accepted

What callers saw: nothing yet; found in review. Clients that connect and reset at once, as some checks of a port do, close a port for good, while the host lives. Cause: RESTinio asks an accepted socket for its client's address before it counts the connection. For a client that is gone already that throws, and the accept counts as active for ever. The limit of connections counts active accepts too, so after limit + 16 such clients (97 + 16 for readiness) nothing is accepted again. Change: the address of such a socket is empty, without an exception; the connection is made, and its first read closes it. UpgradeIsHandledOnce guards a library path that was checked and holds without the change.

--- a/src/cassiastile/wire/counting_socket.hpp
+++ b/src/cassiastile/wire/counting_socket.hpp
@@ -100,6 +100,17 @@
   CountingSocket& operator=(CountingSocket&&) = delete;
   ~CountingSocket() { Leave(); }
 
+  // RESTinio asks the lowest layer for the client's address right after it has
+  // accepted. An exception there would leave the accept counted as active for
+  // ever, so a client that is gone already has no address instead.
+  CountingSocket& lowest_layer() { return *this; }
+  const CountingSocket& lowest_layer() const { return *this; }
+  using Base::remote_endpoint;
+  endpoint_type remote_endpoint() const {
+    asio::error_code error;
+    return Base::remote_endpoint(error);
+  }
+
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers& buffers, Handler&& handler) {
     if (!m_id) {
--- a/src/cassiastile/wire/http_limits_test.cpp
+++ b/src/cassiastile/wire/http_limits_test.cpp
@@ -1,7 +1,9 @@
 // What an HTTP server does at and beyond its limits, as seen by clients that
 // write their requests byte by byte.
 #include <array>
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -149,5 +151,85 @@
   EXPECT_LE(m_server->Usage().held_bytes, kLimits.max_held_bytes);
 }
 
+// A server on the test's own loop, so that what clients do meanwhile waits for
+// it.
+class HttpLoopTest : public testing::Test {
+ protected:
+  HttpLoopTest() {
+    HttpServerOptions options;
+    options.context = &m_context;
+    options.limits = kLimits;
+    options.read_timeout = std::chrono::minutes(10);
+    m_server = HttpServer::Start(options, [this](const HttpRequest& request,
+                                                 const HttpResponder& respond) {
+                 ++m_requests;
+                 if (request.path == "/waits") {
+                   m_waiting.push_back(respond);
+                   return;
+                 }
+                 HttpResponse response;
+                 response.body = "end";
+                 respond(response);
+               }).value();
+  }
+  ~HttpLoopTest() override { m_waiting.clear(); }
+
+  std::unique_ptr<asio::ip::tcp::socket> Connect() {
+    auto socket = std::make_unique<asio::ip::tcp::socket>(m_context);
+    socket->connect({asio::ip::address_v4::loopback(), m_server->Port()});
+    return socket;
+  }
+
+  // Runs the loop until the server has sent something or closed, or nothing has
+  // happened for long. Returns what it sent; nothing if it did neither.
+  std::optional<std::string> Receive(asio::ip::tcp::socket& socket) {
+    constexpr std::chrono::seconds kLong{5};
+    std::optional<std::string> text;
+    std::array<char, 4096> buffer{};
+    socket.async_read_some(asio::buffer(buffer),
+                           [&](const asio::error_code&, std::size_t size) {
+                             text.emplace(buffer.data(), size);
+                             m_context.stop();
+                           });
+    m_context.restart();
+    m_context.run_for(kLong);
+    if (!text) {
+      socket.cancel();
+      m_context.restart();
+      m_context.poll();
+      text.reset();
+    }
+    return text;
+  }
+
+  asio::io_context m_context{1};
+  std::size_t m_requests = 0;
+  std::vector<HttpResponder> m_waiting;
+  std::unique_ptr<HttpServer> m_server;
+};
+
+TEST_F(HttpLoopTest, ClientsThatResetBeforeTheyAreAcceptedLeaveThePortOpen) {
+  for (std::size_t i = 0; i < 40 * kLimits.max_connections; ++i) {
+    const auto client = Connect();
+    client->set_option(asio::socket_base::linger(true, 0));
+    client->close();
+  }
+  m_context.poll();
+  const auto client = Connect();
+  asio::write(*client, asio::buffer(Announced("x")));
+  EXPECT_THAT(Receive(*client), testing::Optional(StartsWith("HTTP/1.1 200")));
+}
+
+TEST_F(HttpLoopTest, UpgradeIsHandledOnce) {
+  const auto client = Connect();
+  asio::write(*client, asio::buffer(std::string(
+                           "GET / HTTP/1.1\r\nHost: a\r\nConnection: "
+                           "Upgrade\r\nUpgrade: websocket\r\n\r\n")));
+  EXPECT_THAT(Receive(*client), testing::Optional(StartsWith("HTTP/1.1 200")));
+  m_context.restart();
+  m_context.run_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(m_requests, 1U);
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
