Close a connection that has no room at once

What callers saw: nothing yet; found in review. While all connections of a port are being handled, sixteen clients that connect and send nothing keep it from accepting anyone for up to 15 s, also when room has come meanwhile. Cause: a connection that ConnectionTable::Open turns away was left to read; it closed with its first byte or at the time limit, and held one of the few places that the library has beside those of the table. Change: it is shut down before it reads. Evidence: ConnectionWithoutRoomIsClosedAtOnce saw no close within 5 s before, with a time limit of 10 min; now it does. 28 of 28 tests of HttpLimits, HttpLoop, ConnectionTable and Http hold.

--- a/src/cassiastile/wire/counting_socket.hpp
+++ b/src/cassiastile/wire/counting_socket.hpp
@@ -115,6 +115,10 @@
   void async_read_some(const Buffers& buffers, Handler&& handler) {
     if (!m_id) {
       m_id = m_gate->Open(*this);
+      if (!m_id) {
+        // Else it would wait for a byte, in a place that others need.
+        Refuse(CloseReason::kTooManyConnections, false);
+      }
     }
     const auto executor =
         asio::get_associated_executor(handler, get_executor());
--- a/src/cassiastile/wire/http_limits_test.cpp
+++ b/src/cassiastile/wire/http_limits_test.cpp
@@ -231,5 +231,18 @@
   EXPECT_EQ(m_requests, 1U);
 }
 
+TEST_F(HttpLoopTest, ConnectionWithoutRoomIsClosedAtOnce) {
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> clients;
+  for (std::size_t i = 0; i < kLimits.max_connections; ++i) {
+    clients.push_back(Connect());
+    asio::write(*clients.back(),
+                asio::buffer(std::string("GET /waits HTTP/1.1\r\n\r\n")));
+    m_context.restart();
+    m_context.run_for(std::chrono::milliseconds(20));
+  }
+  const auto client = Connect();
+  EXPECT_THAT(Receive(*client), testing::Optional(IsEmpty()));
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
