Store that a worker drains with its incarnation

What callers saw: nothing yet, found by reading. A task was started on a worker 2.6 s after it had said that it drains, where it expects no starts after 2 s (DRAIN). Cause: a heartbeat that is written late hides that the worker drains. A leader that has read the former word goes by its memory; its successor reads only the late heartbeat and places tasks until the next one is written. Change: KnownIncarnations has it, for an incarnation that was heard, in the row that is stored with the leader's next commit. It holds until the next incarnation. The field stands last, so that older programs read the rows as before and their rows are read (RowsOfOlderProgramsAreRead; what older programs read is by the layout, not run). It is lost if the leader is gone before that commit.

--- a/include/cassiastile/jobs/known_incarnations.hpp
+++ b/include/cassiastile/jobs/known_incarnations.hpp
@@ -15,10 +15,10 @@
 
 namespace cassiastile::jobs {
 
-// Which incarnation of each worker leaders have heard, and how far leases may
-// reach that were meant for a former one. Stored, since a call for a former
-// incarnation may be carried out by the next one after the leader that sent it
-// is gone.
+// Which incarnation of each worker leaders have heard, whether it drains, and
+// how far leases may reach that were meant for a former one. Stored, since a
+// call for a former incarnation may be carried out by the next one after the
+// leader that sent it is gone.
 class KnownIncarnations {
  public:
   struct Known {
@@ -27,6 +27,8 @@
     // By the store's clock: until when such a lease may last.
     std::chrono::milliseconds former_lease_end{0};
     bool heard = false;  // By this leader; else by an earlier one.
+    // It has said that it is about to leave, which holds to its end.
+    bool drains = false;
     // Since when the scheduler doesn't know the worker; zero if it does.
     base::TimePoint unknown_since{};
   };
@@ -37,6 +39,11 @@
   void Heard(const std::string& worker,
              std::int64_t incarnation_ms,
              std::chrono::milliseconds former_lease_end);
+  // The worker's entry says that this incarnation drains. Noted only of one
+  // that was heard.
+  void Drains(const std::string& worker, std::int64_t incarnation_ms);
+  // Whether this was noted, also by an earlier leader.
+  bool IsDraining(const std::string& worker, std::int64_t incarnation_ms) const;
   // Forgets workers that have been unknown for longer than `keep`.
   void ForgetUnknown(const std::function<bool(const std::string&)>& is_known,
                      base::Duration keep,
--- a/src/cassiastile/host/draining_worker_test.cpp
+++ b/src/cassiastile/host/draining_worker_test.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include <fmt/format.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -71,6 +72,32 @@
   }
 }
 
+// A heartbeat from before is written after the worker has said that it drains,
+// and the next leader reads only this one.
+TEST(DrainingWorkerTest, HeartbeatWrittenLateEndsNoDrainingForASuccessor) {
+  VirtualWorld world(
+      {.services = 1, .workers_per_service = 2, .spare_machines = 0});
+  world.RunFor(kSettled);
+  const std::string worker = world.WorkerIds().front();
+  const jobs::WorkerEntry entry =
+      world.LeaderScheduler().Workers().at(worker).entry;
+  world.DrainWorker(worker);
+  world.RunFor(milliseconds(1000));
+  world.WriteRow(
+      {"workers", "", worker,
+       fmt::format("{} {} {} 16 0 {}", entry.id.incarnation_ms, entry.service,
+                   entry.machine, entry.availability_zone),
+       0, false});
+  world.RunFor(milliseconds(100));
+  world.KillHost(*world.LeaderIndex());
+  world.RunFor(milliseconds(1500));
+  for (int i = 0; i < 20; ++i) {
+    world.Submit(0, 1, 8, milliseconds(300));
+    world.RunFor(milliseconds(100));
+  }
+  EXPECT_THAT(world.Violations(), IsEmpty());
+}
+
 // Other hosts send the orders of a leader that reads its list late, and they
 // are not late themselves.
 TEST(DrainingWorkerTest, LeaderThatReadsItsListLateOrdersNoStart) {
--- a/src/cassiastile/jobs/draining_start_test.cpp
+++ b/src/cassiastile/jobs/draining_start_test.cpp
@@ -60,6 +60,26 @@
   EXPECT_THAT(m_bench.Step().starts, IsEmpty());
 }
 
+// The successor's list has only the late heartbeat.
+TEST_F(DrainingStartTest,
+       HeartbeatWrittenLateDoesNotEndTheDrainingAtATakeover) {
+  m_bench.AddWorker("a");
+  m_bench.SetDraining("a");
+  m_bench.Step();
+  m_bench.AddWorker("a");
+  SchedulerBench next = m_bench.Successor(milliseconds(8000));
+  next.Report("a", next.Listing("a"));
+  next.Submit("1", SchedulerBench::OneTask());
+  EXPECT_THAT(next.Step().starts, IsEmpty());
+  // And the same for its own successor.
+  SchedulerBench second = next.Successor(milliseconds(8000));
+  second.Report("a", second.Listing("a"));
+  EXPECT_THAT(second.Step().starts, IsEmpty());
+  second.AddWorker("a", 2);
+  second.AddWorker("a", 2);  // Its entry counts once it has reported.
+  EXPECT_THAT(second.Step().starts, SizeIs(1));
+}
+
 TEST_F(DrainingStartTest, CordonedWorkerGetsNoStart) {
   m_bench.AddWorker("a");
   m_bench.Submit("1", SchedulerBench::OneTask());
--- a/src/cassiastile/jobs/known_incarnations.cpp
+++ b/src/cassiastile/jobs/known_incarnations.cpp
@@ -21,8 +21,9 @@
   std::int64_t incarnation_ms = 0;
   std::int64_t former_lease_end_ms = 0;
   std::int64_t former_ms = 0;
+  bool drains = false;  // Older programs neither write nor read it.
 
-  MSGPACK_DEFINE(worker, incarnation_ms, former_lease_end_ms, former_ms)
+  MSGPACK_DEFINE(worker, incarnation_ms, former_lease_end_ms, former_ms, drains)
 };
 
 struct PackedRow {
@@ -58,12 +59,31 @@
   if (is_new) {
     known.former_ms = known.incarnation_ms;
     known.incarnation_ms = incarnation_ms;
+    known.drains = false;
   }
   known.former_lease_end = former_lease_end;
   known.heard = true;
   known.unknown_since = {};
 }
 
+void KnownIncarnations::Drains(const std::string& worker,
+                               std::int64_t incarnation_ms) {
+  Row& row = m_rows[RowOf(worker)];
+  const auto found = row.known.find(worker);
+  if (found != row.known.end() &&
+      found->second.incarnation_ms == incarnation_ms) {
+    row.changed = row.changed || !found->second.drains;
+    found->second.drains = true;
+  }
+}
+
+bool KnownIncarnations::IsDraining(const std::string& worker,
+                                   std::int64_t incarnation_ms) const {
+  const Known* known = Find(worker);
+  return known != nullptr && known->drains &&
+         known->incarnation_ms == incarnation_ms;
+}
+
 void KnownIncarnations::ForgetUnknown(
     const std::function<bool(const std::string&)>& is_known,
     base::Duration keep,
@@ -95,7 +115,8 @@
     packed.known.reserve(row.known.size());
     for (const auto& [worker, known] : row.known) {
       packed.known.push_back({worker, known.incarnation_ms,
-                              known.former_lease_end.count(), known.former_ms});
+                              known.former_lease_end.count(), known.former_ms,
+                              known.drains});
     }
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, packed);
@@ -117,7 +138,8 @@
           .incarnation_ms = each.incarnation_ms,
           .former_ms = each.former_ms,
           .former_lease_end =
-              std::chrono::milliseconds(each.former_lease_end_ms)};
+              std::chrono::milliseconds(each.former_lease_end_ms),
+          .drains = each.drains};
     }
     return {};
   } catch (const std::exception& error) {
--- a/src/cassiastile/jobs/leader_change_test.cpp
+++ b/src/cassiastile/jobs/leader_change_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <msgpack.hpp>
 
 #include "cassiastile/jobs/scheduler.hpp"
 #include "scheduler_bench.hpp"
@@ -221,6 +222,27 @@
   EXPECT_THAT(StartsWithoutA(bench, milliseconds(14500)), IsEmpty());
 }
 
+// They have no word on whether a worker drains.
+TEST(LeaderChangeTest, RowsOfOlderProgramsAreRead) {
+  msgpack::sbuffer buffer;
+  msgpack::packer packer(buffer);
+  packer.pack_array(2);
+  packer.pack(1);  // Layout.
+  packer.pack_array(1);
+  packer.pack_array(4);
+  packer.pack(std::string("a"));
+  packer.pack(100);
+  packer.pack(7000);
+  packer.pack(90);
+  KnownIncarnations known;
+  ASSERT_TRUE(known.Recover("00", std::string(buffer.data(), buffer.size())));
+  ASSERT_NE(known.Find("a"), nullptr);
+  EXPECT_EQ(known.Find("a")->incarnation_ms, 100);
+  EXPECT_EQ(known.Find("a")->former_ms, 90);
+  EXPECT_EQ(known.Find("a")->former_lease_end, milliseconds(7000));
+  EXPECT_FALSE(known.IsDraining("a", 100));
+}
+
 // An acknowledgement for it may come 13 s after it was sent, and make the next
 // incarnation forget an end.
 TEST(LeaderChangeTest, UnlistedWorkerIsForgottenOnceNoAcknowledgementCanCome) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -213,12 +213,17 @@
     }
     // A heartbeat that is written late may be older than the word that this
     // incarnation drains.
-    const bool drains = is_known && worker.entry.draining;
+    const bool drains =
+        (is_known && worker.entry.draining) ||
+        m_known_incarnations.IsDraining(entry.id.id, entry.id.incarnation_ms);
     if (!is_known || entry.cold_for != worker.entry.cold_for) {
       worker.cold_until = now + entry.cold_for;
     }
     worker.SetEntry(entry);
     worker.entry.draining = entry.draining || drains;
+    if (worker.entry.draining) {
+      m_known_incarnations.Drains(entry.id.id, entry.id.incarnation_ms);
+    }
   }
   const auto erased = std::erase_if(m_workers, [this, now](const auto& row) {
     const WorkerState& worker = row.second;
