Count a machine in maintenance that one list lacks as down

What callers saw: nothing yet, found beside the orders of former leaders. Under one leader, the maintenance of a machine began while another one of the wave was down, where one may be (LIMIT). Cause: the pages of a list are of different moments, so that a list may lack a machine. The wave left such a machine out, and its part of the limit went to the next one. Change: until two lists lack it, it counts as it was in the list before, and gets no order.

--- a/src/cassiastile/host/host_node_test.cpp
+++ b/src/cassiastile/host/host_node_test.cpp
@@ -379,6 +379,21 @@
   EXPECT_TRUE(world.WaveIsDone(1));
 }
 
+// It is in maintenance or about to be, whatever the list lacks.
+TEST(HostNodeTest, MachineMissingFromOneListStillCountsAsDown) {
+  for (int after = 100; after <= 3600; after += 100) {
+    VirtualWorld world;
+    world.RunFor(milliseconds(3000));
+    const std::vector<std::string> machines = world.MachineNames();
+    world.RequestWave(machines, 1);
+    world.RunFor(milliseconds(after));
+    world.Faults().unlisted_machines[machines.front()] = 1;
+    world.RunFor(milliseconds(6000));
+    EXPECT_THAT(world.Violations(), IsEmpty())
+        << "unlisted " << after << " ms after the request";
+  }
+}
+
 // The next call may reach another incarnation of the worker.
 TEST(HostNodeTest, NoStartIsSentToAWorkerThatDoesNotAnswer) {
   VirtualWorld world({.hosts = 1,
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -460,7 +460,7 @@
   bool all_begun = true;
   for (const std::string& name : wave.request.machines) {
     const auto found = m_machines.find(name);
-    if (found == m_machines.end() || !found->second.listed) {
+    if (found == m_machines.end() || IsRemoved(name)) {
       all_begun = all_begun && (wave.begun[name] || IsRemoved(name));
       continue;
     }
@@ -470,6 +470,12 @@
     machine.begun = wave.begun[name];
     machine.down = tracked.pending == PendingOrder::kMaintain ||
                    tracked.machine.state == MachineState::kMaintenance;
+    if (!tracked.listed) {
+      // It is as it was in the list before.
+      machine.cannot_be_ordered = true;
+      all_begun = all_begun && machine.begun;
+      continue;
+    }
     machine.cannot_be_ordered = tracked.machine.state != MachineState::kUp ||
                                 tracked.pending == PendingOrder::kMove ||
                                 now < tracked.retry_at || !MayOrder(name);
