Count with starts that a leader gives after it stood still

A task runs twice at once. The successor counted 23.3 s from the takeover for that start. It may reach the next incarnation 13 s after it was given, and hold it for 10.2 s there. Change: a leader gives no start more than 1.5 s after it sent the commit that allows it, which is the commit's own time limit, so only a standstill meets it. Another one takes over from a leader that is alive 0.7 s after its last commit at the earliest, so a successor counts recovered starts from 0.8 s after the takeover. Cost: a task whose start the former leader has stored, and whose worker the successor never hears, waits 0.8 s longer.

--- a/include/cassiastile/jobs/scheduler_options.hpp
+++ b/include/cassiastile/jobs/scheduler_options.hpp
@@ -23,6 +23,10 @@
   // up to this long after the next one has started: it is used for 2 s, and a
   // leader that stood still may go on for the 8 s of its unconfirmed term.
   std::chrono::milliseconds max_former_orders{12000};
+  // A former leader that stood still may give starts up to this long after the
+  // takeover: 1.5 s after the commit that allows them, and no sooner than 0.7 s
+  // after it another one takes over from a leader that is alive.
+  std::chrono::milliseconds max_start_after_term{800};
   // No worker keeps its runs longer than this without a new lease;
   // max_worker_lease_ms in the settings.
   std::chrono::milliseconds max_worker_lease{10000};
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -28,6 +28,10 @@
 // By how much it may be ahead of the clock then, at most. A worker whose clock
 // is further behind is another incarnation.
 constexpr std::chrono::milliseconds kMaxClockError{100};
+// A start is sent at most this long after the commit that allows it. A leader
+// that stood still may have a successor, which counts with that; see
+// SchedulerOptions::max_start_after_term.
+constexpr std::chrono::milliseconds kMaxStartAge{1500};
 constexpr std::chrono::milliseconds kPruneInterval{1000};
 // Calls for a former incarnation have long ended at older workers, so their
 // first reports are not logged.
@@ -415,7 +419,7 @@
   const auto found = m_links.find(order.worker.id);
   if (found == m_links.end() || !IsClockKnown(found->second) ||
       found->second.failures > 0 || found->second.address.id != order.worker ||
-      !MayGiveOrders()) {
+      !MayGiveOrders() || now - m_transactions->ConfirmedAt() > kMaxStartAge) {
     m_scheduler.StartAnswered(order.worker, order.task, order.run,
                               jobs::StartResult::kUnreachable, now);
     RequestPlan();
--- a/src/cassiastile/host/forgotten_by_leaders_test.cpp
+++ b/src/cassiastile/host/forgotten_by_leaders_test.cpp
@@ -1,6 +1,7 @@
 // Leaders that don't know, or know no more, what was sent to a worker's former
 // incarnation, or which one that is.
 #include <string>
+#include <vector>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -192,6 +193,57 @@
   }
 }
 
+// A leader that stood still gives a start after its successor has taken over.
+// The start comes as late as calls may, to an incarnation that the successor
+// doesn't hear.
+TEST(ForgottenIncarnationTest, StartOfALeaderThatStoodStill) {
+  std::size_t late_starts = 0;
+  for (int i = 0; i < 40; ++i) {
+    VirtualWorld world({.services = 1,
+                        .workers_per_service = 2,
+                        .spare_machines = 0,
+                        .worker_clock_rate = 0.98});
+    world.RunFor(kOldWorkers + milliseconds(50 * i));
+    const std::vector<std::string> workers = world.WorkerIds();
+    // The job has room when the tasks before it end, so that only its progress
+    // is stored then.
+    world.Submit(0, 1, 32, milliseconds(1000));
+    world.RunFor(milliseconds(700));
+    const std::string job = world.Submit(0, 1, 1, milliseconds(12000));
+    world.RunFor(milliseconds(200));
+    const std::uint64_t sent = world.StartsSent();
+    const std::size_t leader = *world.LeaderIndex();
+    world.Faults().freeze_at_progress = milliseconds(1250);
+    world.Faults().start_delay = kLatestCall;
+    while (world.Faults().freeze_at_progress.count() > 0) {
+      world.RunFor(milliseconds(1));
+    }
+    world.Faults().silent_workers = {workers.begin(), workers.end()};
+    bool has_successor = false;
+    for (int ms = 0; ms < 1300 && world.StartsSent() == sent; ++ms) {
+      world.RunFor(milliseconds(1));
+      has_successor = has_successor ||
+                      (world.LeaderIndex() && world.LeaderIndex() != leader);
+    }
+    if (world.StartsSent() == sent || !has_successor) {
+      continue;
+    }
+    ++late_starts;
+    world.Faults().start_delay = {};
+    for (const std::string& worker : workers) {
+      world.RestartWorker(worker, milliseconds(20), milliseconds(60000));
+    }
+    world.RunFor(kLatestCall + milliseconds(10));
+    ASSERT_EQ(world.CountRuns(job), 1U);
+    world.Faults().silent_workers = {
+        world.CountRunsOn(workers[0]) > 0 ? workers[0] : workers[1]};
+    world.RunFor(milliseconds(8500));
+    RunBusily(world, milliseconds(3000));
+    EXPECT_THAT(world.Violations(), IsEmpty()) << "phase " << i;
+  }
+  EXPECT_GT(late_starts, 0U);
+}
+
 // The start and an extension that follows it come as late as calls may, to an
 // incarnation that the leader doesn't hear.
 TEST(ForgottenIncarnationTest, LateExtensionFollowsALateStart) {
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -310,7 +310,7 @@
             worker.Use(SpecOf(ref));
             m_used_by_customer[job.customer] += SpecOf(ref).need;
             run.ordered_at = now;
-            run.start_ordered_at = now;
+            run.start_ordered_at = now + m_options.max_start_after_term;
             run.proven = run.listed;
             run.paced_percent = kRecoveredPacePercent;
             run.suspicion = SuspicionOf(tasks[i]);
@@ -324,7 +324,7 @@
                 RecoverWorker(job, start.worker, start.machine);
             worker.RaiseLeaseBound(latest_lease_end, LeaseEvidence::kTakeover);
             worker.AddWithdrawn(ref);
-            start.ordered_at = now;
+            start.ordered_at = now + m_options.max_start_after_term;
           }
         }
       }
