Don't handle a request whose connection was closed for the limits

What callers saw: nothing yet; found in review. A request of a connection that the table had closed could still be handled, though what is closed so "was not passed on". On a host: a second request behind a first one, whose connection closes while the first response is being sent. On a server with threads of its own also one that was refused with 503 while another thread parsed its last bytes. Cause: the library handles what it has read already, and nothing asked the table. Change: CompleteRequest returns null for a connection that is closed, and the request is rejected in the library. The race of two threads is by reading; no test shows it.

--- a/include/cassiastile/wire/connection_table.hpp
+++ b/include/cassiastile/wire/connection_table.hpp
@@ -82,6 +82,8 @@
   // own.
   void Release(Id id, std::size_t bytes);
 
+  // Whether the connection is open.
+  bool Contains(Id id) const { return m_connections.contains(id); }
   // Whether a request of the connection waits for its response, or for the rest
   // of it to be sent.
   bool OwesResponse(Id id) const;
--- a/src/cassiastile/wire/counting_socket.cpp
+++ b/src/cassiastile/wire/counting_socket.cpp
@@ -93,8 +93,11 @@
     const asio::ip::tcp::endpoint& client) {
   const std::scoped_lock lock(gate->m_mutex);
   const auto found = gate->m_by_client.find(client);
-  const ConnectionTable::Id id =
-      found == gate->m_by_client.end() ? 0 : found->second;
+  if (found == gate->m_by_client.end() ||
+      !gate->m_table.Contains(found->second)) {
+    return nullptr;
+  }
+  const ConnectionTable::Id id = found->second;
   return std::make_shared<HeldRequest>(gate, id,
                                        gate->m_table.CompleteRequest(id));
 }
--- a/src/cassiastile/wire/counting_socket.hpp
+++ b/src/cassiastile/wire/counting_socket.hpp
@@ -64,7 +64,8 @@
   void Remove(ConnectionTable::Id id);
   // Returns false if the connection has to close.
   bool Receive(ConnectionTable::Id id, std::size_t bytes);
-  // A request from this client is complete.
+  // A request from this client is complete. Returns null if its connection was
+  // closed before, so that the request must not be handled.
   static std::shared_ptr<HeldRequest> CompleteRequest(
       const std::shared_ptr<ConnectionGate>& gate,
       const asio::ip::tcp::endpoint& client);
--- a/src/cassiastile/wire/http_limits_test.cpp
+++ b/src/cassiastile/wire/http_limits_test.cpp
@@ -2,6 +2,7 @@
 // write their requests byte by byte.
 #include <array>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -180,6 +181,16 @@
     return socket;
   }
 
+  // Runs the loop until the condition holds, or for long.
+  void RunUntil(const std::function<bool()>& condition) {
+    constexpr int kSteps = 500;
+    for (int i = 0; i < kSteps && !condition(); ++i) {
+      m_context.restart();
+      m_context.run_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_TRUE(condition());
+  }
+
   // Runs the loop until the server has sent something or closed, or nothing has
   // happened for long. Returns what it sent; nothing if it did neither.
   std::optional<std::string> Receive(asio::ip::tcp::socket& socket) {
@@ -237,12 +248,47 @@
     clients.push_back(Connect());
     asio::write(*clients.back(),
                 asio::buffer(std::string("GET /waits HTTP/1.1\r\n\r\n")));
-    m_context.restart();
-    m_context.run_for(std::chrono::milliseconds(20));
+    RunUntil([&] { return m_requests == i + 1; });
   }
   const auto client = Connect();
   EXPECT_THAT(Receive(*client), testing::Optional(IsEmpty()));
 }
 
+TEST_F(HttpLoopTest, RequestOfAClosedConnectionIsNotHandled) {
+  const std::string request = "GET /waits HTTP/1.1\r\n\r\n";
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> clients;
+  const auto send = [&](const std::string& text) {
+    clients.push_back(Connect());
+    asio::write(*clients.back(), asio::buffer(text));
+    RunUntil([&] { return m_requests == clients.size(); });
+  };
+  send(request);
+  send(request);
+  send(request + request);
+  send(request);
+  ASSERT_EQ(m_requests, 4U);
+  // The next connection comes while the third client's response is being sent;
+  // its second request waits behind it.
+  const auto next = Connect();
+  m_waiting[2]({});
+  RunUntil([&] { return m_server->Usage().closed[0] == 2; });
+  m_context.restart();
+  m_context.run_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(m_requests, 4U);
+}
+
+TEST_F(HttpLoopTest, ClientThatLeavesWhileItIsHandledLeavesNoBytesHeld) {
+  auto client = Connect();
+  asio::write(*client,
+              asio::buffer(std::string("GET /waits HTTP/1.1\r\n\r\n")));
+  RunUntil([&] { return m_requests == 1; });
+  client->set_option(asio::socket_base::linger(true, 0));
+  client.reset();
+  m_waiting.front()({.body = "end"});
+  m_waiting.clear();
+  RunUntil([&] { return m_server->Usage().connections == 0; });
+  EXPECT_EQ(m_server->Usage().held_bytes, 0U);
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
--- a/src/cassiastile/wire/http_server.cpp
+++ b/src/cassiastile/wire/http_server.cpp
@@ -150,20 +150,25 @@
           m_port = acceptor.local_endpoint().port();
         })
         .request_handler([this](restinio::request_handle_t request) {
-          Accept(std::move(request));
-          return restinio::request_accepted();
+          return Accept(request) ? restinio::request_accepted()
+                                 : restinio::request_rejected();
         });
     return settings;
   }
 
-  void Accept(const restinio::request_handle_t& source) {
-    m_in_flight.fetch_add(1);
+  // Returns false for a request that was refused with its connection.
+  bool Accept(const restinio::request_handle_t& source) {
     const auto held =
         ConnectionGate::CompleteRequest(m_gate, source->remote_endpoint());
+    if (held == nullptr) {
+      return false;
+    }
+    m_in_flight.fetch_add(1);
     m_handler(ReadRequest(source),
               [this, source, held](const HttpResponse& response) {
                 Answer(source, held, response);
               });
+    return true;
   }
 
   void Answer(const restinio::request_handle_t& source,
