Show that accepted scheduled jobs exceed the leader's memory, and send nested jobs

Admission looks at finite jobs without a due time only, and no bound counts what accepted jobs hold.

--- a/src/cassiastile/soak/client_crowd_test.cpp
+++ b/src/cassiastile/soak/client_crowd_test.cpp
@@ -61,9 +61,10 @@
   kIdle,              // 300 connections without a byte.
   kHeadersThatStop,   // 300 of them.
   kLargeJobs,         // Complete jobs whose spec has 1 to 3 MB.
+  kNestedJobs,        // Complete jobs of many lists of lists.
 };
 
-constexpr std::array<base::EnumName<CrowdKind>, 16> kCrowdNames{{
+constexpr std::array<base::EnumName<CrowdKind>, 17> kCrowdNames{{
     {CrowdKind::kAnnouncedBodies, "announced_bodies"},
     {CrowdKind::kAnnouncedBodiesThatStop, "announced_bodies_that_stop"},
     {CrowdKind::kManyHeaderFields, "many_header_fields"},
@@ -80,6 +81,7 @@
     {CrowdKind::kIdle, "idle"},
     {CrowdKind::kHeadersThatStop, "headers_that_stop"},
     {CrowdKind::kLargeJobs, "large_jobs"},
+    {CrowdKind::kNestedJobs, "nested_jobs"},
 }};
 
 enum class HostPort : std::uint8_t { kCallers, kReadiness, kPeers, kMetrics };
@@ -161,6 +163,31 @@
                      path, adapter::kKeyHeader);
 }
 
+// A job that takes much more memory once it is parsed. Between hosts it is part
+// of a message.
+std::string NestedJob(HostPort port, std::size_t client) {
+  constexpr std::size_t kDepth = 28;
+  constexpr std::size_t kCallersBytes = 480U << 10U;
+  constexpr std::size_t kPeersBytes = 900U << 10U;
+  const bool is_peer = port == HostPort::kPeers;
+  const std::string lists =
+      std::string(kDepth, '[') + std::string(kDepth, ']') + ",";
+  const std::size_t count =
+      (is_peer ? kPeersBytes : kCallersBytes) / lists.size();
+  const std::string job = "{\"steps\":[" + Repeat(lists, count) + "0]}";
+  if (!is_peer) {
+    return job;
+  }
+  host::JobRequest request;
+  request.queue = "queue-0";
+  request.customer = "customer";
+  request.job = fmt::format("{:016x}", client);
+  request.verb = host::JobVerb::kSubmit;
+  request.timeout_ms = 1000;
+  request.spec = job;
+  return host::Encode(request);
+}
+
 ClientScript MakeScript(CrowdKind kind, HostPort port, std::size_t client) {
   const std::string path = PathOf(port, JobOf(client));
   const std::string post = BeginRequest("POST", path);
@@ -229,6 +256,14 @@
       return {};
     case CrowdKind::kHeadersThatStop:
       return {.head = get};
+    case CrowdKind::kNestedJobs: {
+      const std::string body = NestedJob(port, client);
+      return {.head = post + fmt::format("Content-Type: application/json\r\n"
+                                         "Content-Length: {}\r\n\r\n",
+                                         body.size()),
+              .piece = body,
+              .pieces = 1};
+    }
     case CrowdKind::kLargeJobs:
       break;
   }
@@ -553,6 +588,37 @@
   CheckHosts();
 }
 
+// Each job is inside the limits, and none starts before the end of the test.
+TEST_F(CrowdedHostTest, ScheduledJobsExceedTheLeadersMemory) {
+  constexpr std::size_t kCustomers = 15;
+  constexpr std::size_t kJobsOfEach = 100;
+  constexpr std::size_t kPayloadBytes = 50000;
+  constexpr std::chrono::hours kDueIn{10};
+  ASSERT_NO_FATAL_FAILURE(StartFleet(1));
+  jobs::JobSpec spec = MakeJob(1, std::string(kPayloadBytes, 'a'));
+  spec.repeats = 1;
+  spec.first_due = std::chrono::duration_cast<milliseconds>(
+      m_clock.WallNow().time_since_epoch() + kDueIn);
+  spec.interval = kDueIn;
+  const std::string body = adapter::EncodeJob(spec);
+  m_crowd = std::make_unique<ClientCrowd>(m_context);
+  for (std::size_t i = 0; i < kCustomers; ++i) {
+    ClientScript script{.pieces = 1};
+    for (std::size_t k = 0; k < kJobsOfEach; ++k) {
+      script.piece += BeginRequest("POST", PathOf(HostPort::kCallers,
+                                                  JobOf(i * kJobsOfEach + k))) +
+                      fmt::format(
+                          "Content-Type: application/json\r\n"
+                          "Content-Length: {}\r\n\r\n",
+                          body.size()) +
+                      body;
+    }
+    m_crowd->Add(m_fleet->PortsOf(m_host).callers,
+                 std::make_shared<const ClientScript>(std::move(script)));
+  }
+  CheckHosts();
+}
+
 // A single client's requests at the limits, in calm.
 class CalmHostTest : public CrowdedHostTest {
  protected:
