Refuse requests between hosts whose names the table can't store

What callers saw: nothing yet; found in review. One message to the leader's port for peers, a submission with a job id of 300 bytes, ends all acceptance: ordinary jobs got 504, then 503, for the 31 s that the test tried, also after the sender had gone. Cause: the callers' port checks ids and takes customers from the configuration, the peers' port takes any. Change: a request for a job id of over 64 bytes or a customer of over 1 KB is answered as invalid. The model of the table refuses keys of over 200 bytes, as the platform's does.

--- a/include/cassiastile/sim/table_model.hpp
+++ b/include/cassiastile/sim/table_model.hpp
@@ -17,6 +17,7 @@
 class TableModel {
  public:
   // Limits of the platform's table.
+  static constexpr std::size_t kMaxKeyBytes = 200;  // Of each of its parts.
   static constexpr std::size_t kMaxRowBytes = 64U << 10U;
   static constexpr std::size_t kMaxTransactionEntries = 100;
   static constexpr std::size_t kMaxTransactionBytes = 1U << 20U;
--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -13,6 +13,10 @@
 // hosts within a few rounds.
 constexpr std::chrono::milliseconds kGossipInterval{500};
 constexpr std::size_t kGossipFanout = 2;
+// Of requests that other hosts pass on. Rows have names in their keys; the
+// table refuses a whole transaction with a long key or row.
+constexpr std::size_t kMaxJobIdBytes = 64;
+constexpr std::size_t kMaxCustomerBytes = 1024;
 // While the leader asks for a takeover, or is not heard.
 constexpr std::size_t kTakeoverFanout = 8;
 constexpr std::chrono::milliseconds kFindPeersInterval{3000};
@@ -645,6 +649,11 @@
 
 void HostNode::HandleJobRequest(const JobRequest& request,
                                 const std::function<void(JobAnswer)>& respond) {
+  if (request.job.size() > kMaxJobIdBytes ||
+      request.customer.size() > kMaxCustomerBytes) {
+    respond({.kind = JobAnswerKind::kInvalid, .detail = "a name is too long"});
+    return;
+  }
   if (DropOldSubmission(request, respond)) {
     return;
   }
--- a/src/cassiastile/sim/table_model.cpp
+++ b/src/cassiastile/sim/table_model.cpp
@@ -1,5 +1,7 @@
 #include "cassiastile/sim/table_model.hpp"
 
+#include <algorithm>
+
 namespace cassiastile::sim {
 
 namespace {
@@ -10,9 +12,21 @@
          (row.value.size() + 2) / 3 * 4;
 }
 
+template <typename Entry>
+bool HasLongKey(const Entry& entry) {
+  return std::max({entry.table.size(), entry.part.size(), entry.key.size()}) >
+         TableModel::kMaxKeyBytes;
+}
+
 }  // namespace
 
 bool TableModel::IsWithinLimits(const host::RowTransaction& transaction) {
+  if (std::ranges::any_of(transaction.expect,
+                          HasLongKey<host::RowExpectation>) ||
+      std::ranges::any_of(transaction.puts, HasLongKey<host::Row>) ||
+      std::ranges::any_of(transaction.deletes, HasLongKey<host::Row>)) {
+    return false;
+  }
   std::size_t bytes = 0;
   for (const host::Row& row : transaction.puts) {
     if (row.value.size() > kMaxRowBytes) {
--- a/src/cassiastile/soak/client_crowd_test.cpp
+++ b/src/cassiastile/soak/client_crowd_test.cpp
@@ -619,6 +619,37 @@
   CheckHosts();
 }
 
+// A request whose names are longer than a key or a row of the table.
+TEST_F(CrowdedHostTest, LongNamesAtThePeersPortStopOtherCommits) {
+  constexpr std::size_t kLongIdBytes = 300;
+  constexpr std::size_t kLongCustomerBytes = 100'000;
+  ASSERT_NO_FATAL_FAILURE(StartFleet(1));
+  host::JobRequest long_id;
+  long_id.queue = "queue-0";
+  long_id.customer = "customer";
+  long_id.job = std::string(kLongIdBytes, 'a');
+  long_id.timeout_ms = 1000;
+  long_id.spec = adapter::EncodeJob(MakeJob());
+  host::JobRequest long_customer = long_id;
+  long_customer.job = JobOf(0);
+  long_customer.customer = std::string(kLongCustomerBytes, 'a');
+  m_crowd = std::make_unique<ClientCrowd>(m_context);
+  for (const auto verb : {host::JobVerb::kSubmit, host::JobVerb::kCancel}) {
+    for (host::JobRequest request : {long_id, long_customer}) {
+      request.verb = verb;
+      const std::string body = host::Encode(request);
+      m_crowd->Add(
+          m_fleet->PortsOf(m_host).peers,
+          std::make_shared<const ClientScript>(ClientScript{
+              .head = BeginRequest("POST", kPeerJobPath) +
+                      fmt::format("Content-Length: {}\r\n\r\n", body.size()),
+              .piece = body,
+              .pieces = 1}));
+    }
+  }
+  CheckHosts();
+}
+
 // A single client's requests at the limits, in calm.
 class CalmHostTest : public CrowdedHostTest {
  protected:
