Bound what gossip makes a host remember

What callers saw: nothing yet; found in review. Gossip from hosts that don't exist, each with a name of its own, stays in memory for good and is sent gossip to: 700 messages with names of 100 KB took a host with 64 MB to 276 MB. Cause: MergeGossip remembers any name, of any length, and forgets none. Change: names of over 255 bytes are ignored, and of more than 1,024 hosts the one heard of longest ago is forgotten; the table's list brings real ones back. The bound on the number of hosts has no test of its own. Why 70 MB of names took 276 MB is not traced.

--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -17,6 +17,9 @@
 // table refuses a whole transaction with a long key or row.
 constexpr std::size_t kMaxJobIdBytes = 64;
 constexpr std::size_t kMaxCustomerBytes = 1024;
+constexpr std::size_t kMaxHostBytes = 255;
+// Several times as many as a fleet has.
+constexpr std::size_t kMaxKnownPeers = 1024;
 // While the leader asks for a takeover, or is not heard.
 constexpr std::size_t kTakeoverFanout = 8;
 constexpr std::chrono::milliseconds kFindPeersInterval{3000};
@@ -266,12 +269,18 @@
 }
 
 void HostNode::MergeGossip(const GossipMessage& gossip) {
-  if (gossip.host == m_settings.host) {
+  if (gossip.host == m_settings.host || gossip.host.size() > kMaxHostBytes) {
     return;
   }
   if (!HasAddresses(gossip)) {
     return;
   }
+  if (m_known_peers.size() >= kMaxKnownPeers &&
+      !m_known_peers.contains(gossip.host)) {
+    m_known_peers.erase(std::ranges::min_element(
+        m_known_peers, {},
+        [](const auto& entry) { return entry.second.heard_at; }));
+  }
   Peer& peer = m_known_peers[gossip.host];
   peer.endpoint = gossip.endpoint;
   peer.heard_at = m_loop.GetClock().Now();
--- a/src/cassiastile/soak/client_crowd_test.cpp
+++ b/src/cassiastile/soak/client_crowd_test.cpp
@@ -650,6 +650,32 @@
   CheckHosts();
 }
 
+// Gossip of hosts that don't exist, each with a name of its own.
+TEST_F(CrowdedHostTest, GossipOfManyHostsExceedsMemory) {
+  constexpr std::size_t kNames = 700;
+  constexpr std::size_t kNameBytes = 100'000;
+  ASSERT_NO_FATAL_FAILURE(StartFleet(1));
+  std::shared_ptr<OrdinaryRequest> last;
+  std::shared_ptr<OrdinaryRequest> first;
+  for (std::size_t i = 0; i < kNames; ++i) {
+    host::GossipMessage gossip;
+    gossip.host = JobOf(i) + std::string(kNameBytes, 'a');
+    gossip.endpoint = "127.0.0.1:1";
+    first = MakeRequest("gossip", "POST", m_fleet->PortsOf(m_host).peers,
+                        "/peer/v1/greeting", host::Encode(gossip));
+    first->next = std::exchange(last, first);
+  }
+  std::shared_ptr<OrdinaryRequest> end = first;
+  while (end->next != nullptr) {
+    end = end->next;
+  }
+  Try(first);
+  RunUntil([&] { return end->is_over; });
+  EXPECT_TRUE(end->is_over);
+  m_crowd = std::make_unique<ClientCrowd>(m_context);
+  CheckHosts();
+}
+
 // A single client's requests at the limits, in calm.
 class CalmHostTest : public CrowdedHostTest {
  protected:
