Refuse specifications between hosts that are larger than a caller's

What callers saw: nothing yet; found in review. A job of lists in lists takes some 32 times its bytes once parsed. A caller's body has at most 512 KB, one of the peers' port 4 MB, for relay batches: about 128 MB (by these figures, not run) at once. Change: a request between hosts with a specification of over 512 KB, which no caller can have sent, is answered as invalid before it is parsed.

--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -17,6 +17,7 @@
 // table refuses a whole transaction with a long key or row.
 constexpr std::size_t kMaxJobIdBytes = 64;
 constexpr std::size_t kMaxCustomerBytes = 1024;
+constexpr std::size_t kMaxSpecBytes = 512U << 10U;
 constexpr std::size_t kMaxHostBytes = 255;
 // Several times as many as a fleet has.
 constexpr std::size_t kMaxKnownPeers = 1024;
@@ -659,8 +660,10 @@
 void HostNode::HandleJobRequest(const JobRequest& request,
                                 const std::function<void(JobAnswer)>& respond) {
   if (request.job.size() > kMaxJobIdBytes ||
-      request.customer.size() > kMaxCustomerBytes) {
-    respond({.kind = JobAnswerKind::kInvalid, .detail = "a name is too long"});
+      request.customer.size() > kMaxCustomerBytes ||
+      request.spec.size() > kMaxSpecBytes) {
+    respond({.kind = JobAnswerKind::kInvalid,
+             .detail = "a name or the specification is too long"});
     return;
   }
   if (DropOldSubmission(request, respond)) {
