--- a/src/cassiastile/host/host_node.cpp
+++ b/src/cassiastile/host/host_node.cpp
@@ -13,6 +13,14 @@
 // hosts within a few rounds.
 constexpr std::chrono::milliseconds kGossipInterval{500};
 constexpr std::size_t kGossipFanout = 2;
+// Of requests that other hosts pass on. Rows have names in their keys; the
+// table refuses a whole transaction with a long key or row.
+constexpr std::size_t kMaxJobIdBytes = 64;
+constexpr std::size_t kMaxCustomerBytes = 1024;
+constexpr std::size_t kMaxSpecBytes = 512U << 10U;
+constexpr std::size_t kMaxHostBytes = 255;
+// Several times as many as a fleet has.
+constexpr std::size_t kMaxKnownPeers = 1024;
 // While the leader asks for a takeover, or is not heard.
 constexpr std::size_t kTakeoverFanout = 8;
 constexpr std::chrono::milliseconds kFindPeersInterval{3000};
@@ -262,12 +270,18 @@
 }
 
 void HostNode::MergeGossip(const GossipMessage& gossip) {
-  if (gossip.host == m_settings.host) {
+  if (gossip.host == m_settings.host || gossip.host.size() > kMaxHostBytes) {
     return;
   }
   if (!HasAddresses(gossip)) {
     return;
   }
+  if (m_known_peers.size() >= kMaxKnownPeers &&
+      !m_known_peers.contains(gossip.host)) {
+    m_known_peers.erase(std::ranges::min_element(
+        m_known_peers, {},
+        [](const auto& entry) { return entry.second.heard_at; }));
+  }
   Peer& peer = m_known_peers[gossip.host];
   peer.endpoint = gossip.endpoint;
   peer.heard_at = m_loop.GetClock().Now();
@@ -645,6 +659,13 @@
 
 void HostNode::HandleJobRequest(const JobRequest& request,
                                 const std::function<void(JobAnswer)>& respond) {
+  if (request.job.size() > kMaxJobIdBytes ||
+      request.customer.size() > kMaxCustomerBytes ||
+      request.spec.size() > kMaxSpecBytes) {
+    respond({.kind = JobAnswerKind::kInvalid,
+             .detail = "a name or the specification is too long"});
+    return;
+  }
   if (DropOldSubmission(request, respond)) {
     return;
   }
