--- a/include/cassiastile/host/relay_message.hpp
+++ b/include/cassiastile/host/relay_message.hpp
@@ -173,9 +173,9 @@
   std::uint64_t call = 0;
   std::uint8_t value = 0;
   // The worker's clock in its answer to a start; negative if it told none.
-  std::int64_t clock_ms = -1;
+  std::int64_t worker_clock_ms = -1;
 
-  MSGPACK_DEFINE(call, value, clock_ms);
+  MSGPACK_DEFINE(call, value, worker_clock_ms);
 };
 
 // Outcomes of relayed calls, in any order.
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -484,8 +484,8 @@
     CompleteCall(start.call, [&start](const Done& done) {
       if (const auto* started = std::get_if<StartDone>(&done)) {
         StartAnswer answer{static_cast<jobs::StartResult>(start.value)};
-        if (start.clock_ms >= 0) {
-          answer.clock = std::chrono::milliseconds(start.clock_ms);
+        if (start.worker_clock_ms >= 0) {
+          answer.clock = std::chrono::milliseconds(start.worker_clock_ms);
         }
         (*started)(answer);
       }
