Answer requests after their handler, so that the next one is read once

What callers saw: nothing yet; found in review. Of requests that a client sends without waiting, those with bodies were lost when a handler answered at once: the connection closed without an answer, and bytes of a body could be read as a request (by reading). Cause: after an answer within the handler, RESTinio starts to read the next request, and again when the answer is sent: the parser is reset in the middle of it. Change: answers are posted to the loop.

--- a/src/cassiastile/wire/http_limits_test.cpp
+++ b/src/cassiastile/wire/http_limits_test.cpp
@@ -290,5 +290,17 @@
   EXPECT_EQ(m_server->Usage().held_bytes, 0U);
 }
 
+TEST_F(HttpLoopTest, RequestsThatArePipelinedAreAllHandled) {
+  constexpr std::size_t kPipelined = 5;
+  const auto client = Connect();
+  std::string text;
+  for (std::size_t i = 0; i < kPipelined; ++i) {
+    text += Announced(std::string(kMaxBodyBytes - 10, 'x'));
+  }
+  asio::write(*client, asio::buffer(text));
+  RunUntil([&] { return m_requests == kPipelined; });
+  EXPECT_EQ(m_server->Usage().connections, 1U);
+}
+
 }  // namespace
 }  // namespace cassiastile::wire
--- a/src/cassiastile/wire/http_server.cpp
+++ b/src/cassiastile/wire/http_server.cpp
@@ -166,7 +166,11 @@
     m_in_flight.fetch_add(1);
     m_handler(ReadRequest(source),
               [this, source, held](const HttpResponse& response) {
-                Answer(source, held, response);
+                // RESTinio begins to read the next request twice if it is
+                // answered within its handler, and loses its place in it.
+                asio::post(m_context, [this, source, held, response] {
+                  Answer(source, held, response);
+                });
               });
     return true;
   }
