--- a/src/cassiastile/wire/counting_socket.cpp
+++ b/src/cassiastile/wire/counting_socket.cpp
@@ -115,10 +115,10 @@
   }
 }
 
-void CountingSocket::Refuse(CloseReason reason, bool answer) {
+void CountingSocket::Refuse(CloseReason reason, bool answers) {
   // The system calls leave asio's state of the socket alone, which another
   // thread may be using: a read that is pending ends, and its handler closes.
-  if (answer) {
+  if (answers) {
     const std::string_view response = reason == CloseReason::kTooLargeRequest
                                           ? kTooLargeResponse
                                           : kOverloadResponse;
--- a/src/cassiastile/wire/counting_socket.hpp
+++ b/src/cassiastile/wire/counting_socket.hpp
@@ -140,9 +140,9 @@
     Base::close();
   }
 
-  // Refuses the request whose first part has come, if there is one that no
-  // response has been begun for, and ends the connection.
-  void Refuse(CloseReason reason, bool answer);
+  // Ends the connection; if `answers` is set, with a response that refuses the
+  // request of which a part has come.
+  void Refuse(CloseReason reason, bool answers);
 
  private:
   void Leave() {
