Take no silence of a worker for a lack of progress

Cause: a run was stuck when its percentage had not changed for 2 s, whether its worker was heard meanwhile or not. Each such run counts as a failure of the worker, so one that was cut off for 2 s with three finite runs was on probation when it was back, though it had failed nothing. Change: only reports show a lack of progress. The 2 s, and the age of a slow run, count to the last report of the worker, and anew from the first report after a gap of 1.5 s: a worker that stood still isn't at fault either. A healthy worker reports at least once a second. Evidence: WorkerHealthTest, three of its four tests failed before and all hold now.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -722,7 +722,10 @@
   bool MayInterrupt(const TaskRef& ref,
                     const Run& run,
                     std::uint32_t max_unavailable) const;
-  void MoveStuckRun(const TaskRef& ref, Run& run, base::TimePoint now);
+  void MoveStuckRun(const TaskRef& ref,
+                    Run& run,
+                    WorkerState& worker,
+                    base::TimePoint now);
   void DrainWorker(WorkerState& worker, base::TimePoint now);
 
   SchedulerOptions m_options;
--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -42,6 +42,8 @@
   // The incarnation of the last entry of another incarnation, for logs.
   std::int64_t stale_entry_ms = 0;
   base::TimePoint last_report{};
+  // Since when it has reported without being silent for a while.
+  base::TimePoint heard_since{};
   base::TimePoint last_asked{};   // When the newest report was requested.
   base::TimePoint known_since{};  // This incarnation became known then.
   // Earlier incarnations, the last one at the end. Their start times need not
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -11,6 +11,9 @@
 // A run whose start order is not answered for this long is stopped, even when
 // the connection has not failed.
 constexpr std::chrono::milliseconds kStartTimeout{3000};
+// A healthy worker reports at least once a second. One that has not reported
+// for this long was silent.
+constexpr std::chrono::milliseconds kMaxReportGap{1500};
 
 // Keeps what a run has saved, unless a later run has saved something.
 void KeepCheckpoint(Task& task,
@@ -281,6 +284,9 @@
                      IncarnationEvidence::kReport, now);
     BoundFormerLeases(*worker, now);
   }
+  if (!worker->has_reported || now - worker->last_report > kMaxReportGap) {
+    worker->heard_since = now;
+  }
   worker->has_reported = true;
   worker->silent = false;
   worker->last_report = now;
--- a/src/cassiastile/jobs/scheduler_supervision.cpp
+++ b/src/cassiastile/jobs/scheduler_supervision.cpp
@@ -52,7 +52,7 @@
     const auto runs = worker.runs;
     for (const auto& [ref, number] : runs) {
       if (Run* run = FindRun(ref, number)) {
-        MoveStuckRun(ref, *run, now);
+        MoveStuckRun(ref, *run, worker, now);
       }
     }
   }
@@ -60,6 +60,7 @@
 
 void Scheduler::MoveStuckRun(const TaskRef& ref,
                              Run& run,
+                             WorkerState& worker,
                              base::TimePoint now) {
   const StepSpec& spec = SpecOf(ref);
   if (run.phase != RunPhase::kRunning || spec.long_running || spec.is_filler ||
@@ -67,8 +68,12 @@
     return;
   }
   const auto expected = m_durations.Expect(ref.job->queue, spec.estimate);
-  const auto age = now - run.confirmed_at;
-  const bool stuck = now - run.progressed_at > kStuckAfter;
+  // Only reports show a lack of progress: a silent worker may have made some,
+  // or have stood still.
+  const auto heard_for = worker.last_report - worker.heard_since;
+  const auto age = std::min(worker.last_report - run.confirmed_at, heard_for);
+  const bool stuck =
+      std::min(worker.last_report - run.progressed_at, heard_for) > kStuckAfter;
   const bool slow =
       age > kMinSlowAge && age > kSlowFactor * expected && run.percent < 50;
   if (!stuck && !slow) {
@@ -79,9 +84,7 @@
     return;
   }
   task.avoided_worker = run.worker.id;
-  if (WorkerState* worker = FindWorker(run.worker.id)) {
-    worker->health.RunFailed(now);
-  }
+  worker.health.RunFailed(now);
   StopRun(ref, run, StopReason::kStuck, now);
 }
 
