Let a probation end beside long-running tasks

Cause: a worker on probation got a task only while it had none, and only a task that is done ends a probation. Where the task that it got was a long-running one, neither came any more: its capacity stayed free, and jobs that had room only there waited. Change: on probation a worker gets one task at a time as before, but long-running ones that are proven (listed 200 ms after their start) no longer count. The next task may be a finite one, whose success ends the probation, or a further long-running one.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -655,6 +655,9 @@
                               base::TimePoint now,
                               ReservedStart& start) const;
 
+  // Whether a task of the worker may yet show if the worker is healthy: a
+  // finite one, or a long-running one that has just been started.
+  bool HasUnprovenTask(const WorkerState& worker) const;
   // Whether the worker may run the task, apart from its free capacity and from
   // suspicion.
   bool IsSuitable(const WorkerState& worker,
--- a/include/cassiastile/jobs/worker_health.hpp
+++ b/include/cassiastile/jobs/worker_health.hpp
@@ -20,7 +20,8 @@
   // While quarantined, a worker gets no new tasks.
   bool IsQuarantined(base::TimePoint now) const;
   // On probation, after three failed runs in a row, a worker gets at most one
-  // task at a time.
+  // task at a time. Long-running tasks that work count no longer: they have no
+  // end that could show whether the worker is healthy.
   bool IsOnProbation() const { return m_failures_in_row >= kProbationFailures; }
 
  private:
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -574,6 +574,17 @@
   return full;
 }
 
+bool Scheduler::HasUnprovenTask(const WorkerState& worker) const {
+  return std::ranges::any_of(worker.runs, [this](const auto& ref_and_number) {
+    const auto& [ref, number] = ref_and_number;
+    const StepSpec& spec = SpecOf(ref);
+    const auto& runs = FindTask(ref)->runs;
+    const auto run = std::ranges::find(runs, number, &Run::number);
+    const bool works = run != runs.end() && run->proven && spec.long_running;
+    return !works && !spec.is_filler;
+  });
+}
+
 bool Scheduler::IsEligible(const WorkerState& worker,
                            const TaskRef& ref,
                            const Advice* advice) const {
@@ -588,7 +599,8 @@
   const bool has_label = HasLabel(entry, spec.required_label);
   const bool advised =
       advice == nullptr || advice->ticket_of_worker.contains(entry.id.id);
-  const bool healthy = !worker.health.IsOnProbation() || worker.used.cpu == 0 ||
+  const bool healthy = !worker.health.IsOnProbation() ||
+                       !HasUnprovenTask(worker) ||
                        (spec.long_running && worker.Binds(ref));
   const bool expected = std::ranges::all_of(
       FindTask(ref)->withdrawn,
--- a/src/cassiastile/jobs/worker_health_test.cpp
+++ b/src/cassiastile/jobs/worker_health_test.cpp
@@ -109,5 +109,47 @@
   EXPECT_TRUE(IsOnProbation());
 }
 
+// A worker that has failed three tasks in a row.
+class ProbationTest : public WorkerHealthTest {
+ protected:
+  ProbationTest() {
+    EndRuns(RunEnd::kFailed);
+    EXPECT_TRUE(IsOnProbation());
+    Pass(milliseconds(1100));
+  }
+
+  void Pass(milliseconds time) {
+    m_bench.Advance(time);
+    Report();
+  }
+};
+
+// Otherwise nothing could end its probation: long-running tasks never end.
+TEST_F(ProbationTest, FiniteTaskStartsBesideALongRunningOne) {
+  m_bench.Submit("4", SchedulerBench::LongRunning(1, 1));
+  ASSERT_THAT(m_bench.StepAndStart(), SizeIs(1));
+  m_bench.Submit("5", SchedulerBench::OneTask());
+  EXPECT_THAT(m_bench.StepAndStart(), IsEmpty());
+  Pass(milliseconds(500));
+  const auto starts = m_bench.StepAndStart();
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts.front().task.job, "5");
+  m_bench.Submit("6", SchedulerBench::OneTask());
+  Pass(milliseconds(500));
+  EXPECT_THAT(m_bench.StepAndStart(), IsEmpty());
+  m_bench.End(starts.front(), RunEnd::kDone, 4);
+  EXPECT_FALSE(IsOnProbation());
+  EXPECT_THAT(m_bench.StepAndStart(), SizeIs(1));
+}
+
+TEST_F(ProbationTest, LongRunningTasksStartOneAfterAnother) {
+  m_bench.Submit("4", SchedulerBench::LongRunning(3, 0));
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_THAT(m_bench.StepAndStart(), SizeIs(1));
+    EXPECT_THAT(m_bench.StepAndStart(), IsEmpty());
+    Pass(milliseconds(500));
+  }
+}
+
 }  // namespace
 }  // namespace cassiastile::jobs
