--- a/src/cassiastile/soak/client_crowd_test.cpp
+++ b/src/cassiastile/soak/client_crowd_test.cpp
@@ -174,7 +174,7 @@
       std::string(kDepth, '[') + std::string(kDepth, ']') + ",";
   const std::size_t count =
       (is_peer ? kPeersBytes : kCallersBytes) / lists.size();
-  const std::string job = "{\"steps\":[" + Repeat(lists, count) + "0]}";
+  std::string job = "{\"steps\":[" + Repeat(lists, count) + "0]}";
   if (!is_peer) {
     return job;
   }
--- a/src/cassiastile/wire/http_server.cpp
+++ b/src/cassiastile/wire/http_server.cpp
@@ -149,7 +149,7 @@
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
           m_port = acceptor.local_endpoint().port();
         })
-        .request_handler([this](restinio::request_handle_t request) {
+        .request_handler([this](const restinio::request_handle_t& request) {
           return Accept(request) ? restinio::request_accepted()
                                  : restinio::request_rejected();
         });
