Give no more orders for machines than the row of recent ones holds

What callers saw: nothing yet; shown by the limits that gave the model of the table. With 3,200 workers, idle machines of all pools are ordered to the spare pool at once; the row of recent orders then passes 64 KB, and the table refuses each transaction with it: 179 of 1,000 submissions got 503. Change: at most 1,000 orders count as recent at a time; further machines wait for the next round. The platform takes some 370 in that time. By reading: the row of a wave with 3,200 machines is as large; not tested.

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -164,6 +164,10 @@
   // Whether no order of a previous leader to the machine can still be in
   // flight.
   bool MayOrder(const std::string& machine) const;
+  // Whether the row of recent orders has room for another one; if not, machines
+  // wait for the next round.
+  bool HasRoomForOrder();
+  void ForgetOldOrders();
   // Stores an order's time and destination, which is empty for maintenance,
   // together with `rows`, then sends it, unless the next leader could give
   // orders by then.
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -30,6 +30,9 @@
 constexpr std::chrono::milliseconds kMaxListInterval{2000};
 // How long an order whose answer was lost may still be carried out.
 constexpr std::chrono::milliseconds kUnknownOrderTimeout{4000};
+// The recent orders are stored in a row, which holds 64 KB; the platform takes
+// fewer orders in the time for which they count.
+constexpr std::size_t kMaxRecentOrders = 1000;
 constexpr std::chrono::milliseconds kRefusedPause{500};
 constexpr std::chrono::milliseconds kStoreTimeout{1500};
 // Allows for inexact clocks and for call latency.
@@ -192,17 +195,26 @@
              m_options.machine_order_lease + kOrderLeaseMargin;
 }
 
-void MachineController::RecordOrder(const std::string& machine,
-                                    std::string destination,
-                                    std::vector<Row> rows,
-                                    std::function<void()> order) {
+bool MachineController::HasRoomForOrder() {
+  ForgetOldOrders();
+  return m_last_orders.size() < kMaxRecentOrders;
+}
+
+void MachineController::ForgetOldOrders() {
   const auto now = m_store_now();
   const auto keep = std::max(m_options.machine_order_lease + kOrderLeaseMargin,
                              LongestOrder());
   std::erase_if(m_last_orders, [now, keep](const auto& entry) {
     return now - entry.second.at > keep;
   });
-  m_last_orders[machine] = {now, std::move(destination)};
+}
+
+void MachineController::RecordOrder(const std::string& machine,
+                                    std::string destination,
+                                    std::vector<Row> rows,
+                                    std::function<void()> order) {
+  ForgetOldOrders();
+  m_last_orders[machine] = {m_store_now(), std::move(destination)};
   std::string times;
   std::string moves;
   for (const auto& [name, last] : m_last_orders) {
@@ -528,7 +540,7 @@
     TrackedMachine& tracked = m_machines[name];
     // Machines ordered earlier in this loop may have changed what can be
     // drained.
-    if (m_scheduler.CanDrainMachine(name)) {
+    if (HasRoomForOrder() && m_scheduler.CanDrainMachine(name)) {
       Maintain(wave, tracked);
     }
   }
@@ -729,6 +741,9 @@
   jobs::PoolPlan plan = jobs::PlanPools(machines, pools, {}, now);
   m_scheduler.SetPoolProspects(ListArrivals(now), std::move(plan.reachable));
   for (const jobs::MachineMove& move : plan.moves) {
+    if (!HasRoomForOrder()) {
+      break;
+    }
     Move(m_machines[move.machine], move);
   }
   SetVacating({plan.vacate.begin(), plan.vacate.end()});
