Keep a seventh of the descriptors free on the smallest machines too

ListenerLimitsTest failed for 64 MB and 264 descriptors (55 of 54), since the two small ports have four connections at least: callers now have 55 % and peers, of which there may be hundreds, 35 %.

--- a/src/cassiastile/host/listener_limits.cpp
+++ b/src/cassiastile/host/listener_limits.cpp
@@ -10,8 +10,8 @@
 constexpr std::size_t kMegabyte = kKilobyte * kKilobyte;
 
 // Of the machine's memory, what requests and responses may hold on all ports.
-// Each byte counted costs up to three: in the server's buffer while that grows,
-// and in the handler's copy.
+// Each byte counted costs up to five: in the server's buffer while that grows,
+// in the handler's copy, and in those of a message to the leader.
 constexpr double kHeldShare = 0.1;
 // Of the descriptors. Each connection of a caller has one request at a time
 // that may need another one, to the leader; the rest is for workers, other
@@ -36,10 +36,10 @@
 };
 
 constexpr std::array<Row, kListenerNames.size()> kRows{{
-    {Listener::kCallers, 0.6, 512 * kKilobyte, 2 * kMegabyte, 16 * kKilobyte},
+    {Listener::kCallers, 0.55, 512 * kKilobyte, 2 * kMegabyte, 16 * kKilobyte},
     {Listener::kReadiness, 0.05, 4 * kKilobyte, 64 * kKilobyte, 16 * kKilobyte},
     // Batches of a relay hold the specifications of tasks for many workers.
-    {Listener::kPeers, 0.3, 4 * kMegabyte, 5 * kMegabyte, 0},
+    {Listener::kPeers, 0.35, 4 * kMegabyte, 5 * kMegabyte, 0},
     {Listener::kMetrics, 0.05, 4 * kKilobyte, 64 * kKilobyte, 16 * kKilobyte},
 }};
 
--- a/src/cassiastile/wire/http_limits_test.cpp
+++ b/src/cassiastile/wire/http_limits_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gmock/gmock.h>
@@ -106,6 +107,10 @@
               HasSubstr("\r\n8000 end"));
   EXPECT_THAT(Exchange(InChunksOfOneByte(std::string(6000, 'x'))),
               HasSubstr("\r\n6000 end"));
+  // The client may see the response before the server knows that it is sent.
+  for (int i = 0; i < 500 && m_server->Usage().held_bytes > 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
   EXPECT_EQ(m_server->Usage().held_bytes, 0U);
 }
 
