Keep answered orders out of the rows of recent orders, and post answers only where it matters

Change: an order that was accepted or refused is not on its way any more: it leaves the row of destinations at once and the other one after the lease, as before. An answer is posted only if it is given within its handler. ForgottenOrderTest, HostNodeTest, CancelBurstTest and wire_test hold.

--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -89,7 +89,9 @@
   // A machine's last order, as it is stored.
   struct StoredOrder {
     std::chrono::milliseconds at{0};  // By the store's clock.
-    std::string destination;          // Of a move; empty for maintenance.
+    // Of a move without an answer; empty otherwise.
+    std::string destination;
+    bool answered = false;  // It is not on its way any more. Not stored.
   };
   // A wave's row in the status table, which is in no commit of the leader. Each
   // write expects the row as this leader has seen it last, and its first one
@@ -168,6 +170,9 @@
   // wait for the next round.
   bool HasRoomForOrder();
   void ForgetOldOrders();
+  // The machine's last order has been accepted or refused: it is no longer on
+  // its way.
+  void OrderAnswered(const std::string& machine);
   // Stores an order's time and destination, which is empty for maintenance,
   // together with `rows`, then sends it, unless the next leader could give
   // orders by then.
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -202,13 +202,22 @@
 
 void MachineController::ForgetOldOrders() {
   const auto now = m_store_now();
-  const auto keep = std::max(m_options.machine_order_lease + kOrderLeaseMargin,
-                             LongestOrder());
-  std::erase_if(m_last_orders, [now, keep](const auto& entry) {
-    return now - entry.second.at > keep;
+  const auto lease = m_options.machine_order_lease + kOrderLeaseMargin;
+  const auto keep = std::max(lease, LongestOrder());
+  std::erase_if(m_last_orders, [now, lease, keep](const auto& entry) {
+    const StoredOrder& order = entry.second;
+    return now - order.at > (order.answered ? lease : keep);
   });
 }
 
+void MachineController::OrderAnswered(const std::string& machine) {
+  const auto found = m_last_orders.find(machine);
+  if (found != m_last_orders.end()) {
+    found->second.destination.clear();
+    found->second.answered = true;
+  }
+}
+
 void MachineController::RecordOrder(const std::string& machine,
                                     std::string destination,
                                     std::vector<Row> rows,
@@ -608,6 +617,9 @@
                                        {"wave", number},
                                        {"fence", m_fencing_token},
                                        {"result", static_cast<int>(result)}});
+        if (result != MachineOrderResult::kUnknown) {
+          OrderAnswered(name);
+        }
         if (result == MachineOrderResult::kAccepted) {
           m_waves[number].begun[name] = true;
           m_store_row(MakeWaveRow(m_waves[number]), [] {});
@@ -827,6 +839,9 @@
                                      {"to", move.to},
                                      {"fence", m_fencing_token},
                                      {"result", static_cast<int>(result)}});
+        if (result != MachineOrderResult::kUnknown) {
+          OrderAnswered(move.machine);
+        }
         if (result == MachineOrderResult::kAccepted) {
           tracked.accepted = true;
           tracked.accepted_at = now;
--- a/src/cassiastile/wire/http_server.cpp
+++ b/src/cassiastile/wire/http_server.cpp
@@ -164,14 +164,21 @@
       return false;
     }
     m_in_flight.fetch_add(1);
+    // RESTinio begins to read the next request twice if it is answered within
+    // its handler, and loses its place in it.
+    const auto in_handler = std::make_shared<std::atomic<bool>>(true);
     m_handler(ReadRequest(source),
-              [this, source, held](const HttpResponse& response) {
-                // RESTinio begins to read the next request twice if it is
-                // answered within its handler, and loses its place in it.
-                asio::post(m_context, [this, source, held, response] {
+              [this, source, held, in_handler](HttpResponse response) {
+                if (!in_handler->load()) {
+                  Answer(source, held, response);
+                  return;
+                }
+                asio::post(m_context, [this, source, held,
+                                       response = std::move(response)] {
                   Answer(source, held, response);
                 });
               });
+    in_handler->store(false);
     return true;
   }
 
