Count the rows beside those of jobs by their keys

Cause: a commit takes ten of these rows, counted before those of one key become one. Since each order for a machine has two, so half as many orders went out with a commit, and machines came later. Change: ten different rows, each with all that waits for it.

--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -553,15 +553,16 @@
   }
   std::vector<std::function<void()>> stored;
   std::map<std::string, Row> newest;  // The last row of each key.
-  const auto others_end =
-      m_pending_rows.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                   m_pending_rows.size(), kMaxOtherRows));
-  for (auto other = m_pending_rows.begin(); other != others_end; ++other) {
+  auto other = m_pending_rows.begin();
+  for (; other != m_pending_rows.end(); ++other) {
     auto& [row, done] = *other;
+    if (newest.size() == kMaxOtherRows && !newest.contains(row.key)) {
+      break;
+    }
     newest[row.key] = std::move(row);
     stored.push_back(std::move(done));
   }
-  m_pending_rows.erase(m_pending_rows.begin(), others_end);
+  m_pending_rows.erase(m_pending_rows.begin(), other);
   for (auto& [key, row] : newest) {
     puts.push_back(std::move(row));
   }
