--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -9,7 +9,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 trap 'kill "$pid" 2>/dev/null; exit 2' TERM INT
-"$play" advised-gang "${TROUBLE:-1}" target/bin/cassia-host "$folder" \
+"$play" far-advice "${TROUBLE:-1}" target/bin/cassia-host "$folder" \
   "${RECORD:-$case_folder/record.txt}" &
 pid=$!
 wait "$pid"
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -17,6 +17,7 @@
             {"advised-gang", review::PlayAdvisedGang},
             {"far-advice", review::PlayFarAdvice},
             {"release", review::PlayRelease},
+            {"advice-burst", review::PlayAdviceBurst},
             {"late-start", review::PlayLateStart}};
   if (argc != kArguments || !plays.contains(argv[1])) {
     std::fprintf(stderr,
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -14,6 +14,9 @@
 constexpr int kConflict = 409;
 constexpr int kPrecondition = 412;
 constexpr int kWrongInstance = 421;
+constexpr int kTooMany = 429;
+// Calls for advice that wait at most.
+constexpr std::size_t kMaxWaitingAdvice = 32;
 // A healthy store answers within this time.
 constexpr milliseconds kStoreDelay{4};
 constexpr milliseconds kTransactionTime{5};
@@ -308,8 +311,15 @@
 }
 
 Advisor::Advisor(asio::io_context& context, Record& record, Policy policy)
+    : Advisor(context, record, std::move(policy), Times{}) {}
+
+Advisor::Advisor(asio::io_context& context,
+                 Record& record,
+                 Policy policy,
+                 Times times)
     : m_record(record),
       m_policy(std::move(policy)),
+      m_times(times),
       m_server(context, [this](HttpRequest request) {
         return Handle(std::move(request));
       }) {}
@@ -318,6 +328,16 @@
   const Json body = Json::parse(request.body);
   const std::string step = body.at("step");
   const auto workers = body.at("workers").get<std::vector<std::string>>();
+  if (m_waiting >= kMaxWaitingAdvice) {
+    m_record.Line("advice for step " + step + ": 429");
+    co_return HttpResponse{.status = kTooMany};
+  }
+  ++m_waiting;
+  const std::uint64_t turn = m_next_turn++;
+  while (turn != m_turn) {
+    co_await Sleep(milliseconds(2));
+  }
+  --m_waiting;
   co_await Sleep(milliseconds(m_times.decision_ms +
                               m_times.period_ms *
                                   static_cast<std::int64_t>(workers.size())));
@@ -335,6 +355,7 @@
   m_record.Line("advice for step " + step + ": " +
                 std::to_string(workers.size()) +
                 " runners named, allowed:" + (names.empty() ? " none" : names));
+  ++m_turn;
   co_return HttpResponse{.status = kOk,
                          .body = Json{{"allowed", std::move(allowed)},
                                       {"validity_ms", m_times.validity_ms}}
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -150,6 +150,10 @@
   using Policy = std::function<bool(const std::string& runner)>;
 
   Advisor(asio::io_context& context, Record& record, Policy policy);
+  Advisor(asio::io_context& context,
+          Record& record,
+          Policy policy,
+          Times times);
 
   std::uint16_t Port() const { return m_server.Port(); }
   const Times& GetTimes() const { return m_times; }
@@ -171,6 +175,10 @@
   Policy m_policy;
   Times m_times;
   std::map<std::string, Ticket> m_tickets;
+  // Calls are handled one at a time, in turn.
+  std::size_t m_waiting = 0;
+  std::uint64_t m_next_turn = 0;
+  std::uint64_t m_turn = 0;
   std::uint64_t m_last_ticket = 0;
   HttpServer m_server;
 };
--- a/review/standin-2/play.hpp
+++ b/review/standin-2/play.hpp
@@ -91,6 +91,7 @@
 awaitable<int> PlayTimetable(World& world);
 awaitable<int> PlayAdvisedGang(World& world);
 awaitable<int> PlayFarAdvice(World& world);
+awaitable<int> PlayAdviceBurst(World& world);
 awaitable<int> PlayRelease(World& world);
 awaitable<int> PlayLateStart(World& world);
 
--- a/review/standin-2/plays.cpp
+++ b/review/standin-2/plays.cpp
@@ -386,4 +386,49 @@
   co_return is_twice ? kBroken : kHeld;
 }
 
+awaitable<int> PlayAdviceBurst(World& world) {
+  constexpr std::size_t kRunners = 12;
+  constexpr milliseconds kTraffic{30000};
+  constexpr milliseconds kInterval{250};
+  constexpr milliseconds kBurst{4000};
+  AddRunners(world, kRunners);
+  Advisor::Times times;
+  times.decision_ms = 100;
+  times.period_ms = 5;
+  Advisor advisor(
+      world.context, world.record,
+      [](const std::string& runner) { return runner >= RunnerName(5); }, times);
+  world.runners.SetAdvisor(&advisor, {"/advised/"});
+  Json route = Route("advised", kService);
+  route["placement_advice"] = {{"decision_ms", advisor.GetTimes().decision_ms},
+                               {"period_ms", advisor.GetTimes().period_ms},
+                               {"validity_ms", advisor.GetTimes().validity_ms}};
+  world.store.Put("op", "config", Config(7, {route}).dump());
+  world.StartHosts(3, advisor.Port());
+  asio::co_spawn(world.context, world.WatchHosts(), asio::detached);
+  const bool is_ready = co_await world.AwaitReady(kReadyTime);
+  if (!is_ready) {
+    co_return kCouldNotRun;
+  }
+  co_await Sleep(kContact);
+  const std::int64_t end = Now() + kTraffic.count();
+  StepPlan step;
+  step.count = 4;
+  step.work_ms = 800;
+  const std::vector<StepPlan> steps{step};
+  asio::co_spawn(world.context,
+                 SendJobs(world, "/advised/", steps, kInterval, end),
+                 asio::detached);
+  co_await Sleep(milliseconds(6000));
+  if (world.options.trouble) {
+    // 2.6 times the usual traffic.
+    world.record.Line("a burst begins");
+    co_await SendJobs(world, "/advised/", steps, kInterval * 10 / 16,
+                      Now() + kBurst.count());
+    world.record.Line("the burst ends");
+  }
+  co_await Sleep(milliseconds(end - Now()));
+  co_return co_await JudgeLost(world);
+}
+
 }  // namespace review
