Call each incarnation of a worker with a newer fencing token

Cause: a start without an answer is carried out seconds later by the next incarnation of its worker. An incarnation that has just started knows no fencing token, and the leader's token is the same for its whole term, so nothing tells an order for the former incarnation from one for the current one.

Change: the leader calls an incarnation with the version of its record in the last applied commit, which is newer than all tokens used before and older than a successor's. Relays get the token of each worker, and say that they heed it; workers that have restarted are called directly beside relays that don't.

The check of acknowledgements in the virtual world was keyed by the leader's token, which an incarnation no longer shares with the one before it; it now counts older tokens as well, so it is as strict.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -116,6 +116,12 @@
   // The calls to one worker.
   struct Link {
     WorkerAddress address;
+    // Fencing token of the calls to this incarnation, newer than that of any
+    // call to a former one; 0 until the leader has such a token.
+    std::uint64_t fence = 0;
+    bool fence_sent = false;  // With an extension.
+    // The newest token of calls to former incarnations; 0 if there were none.
+    std::uint64_t former_fence = 0;
     bool polling = false;  // A lease extension with a long poll is in flight.
     bool probing = false;  // An extension without waiting is in flight.
     bool silent = false;   // Was logged as silent.
@@ -227,12 +233,19 @@
   // Turns the link to the worker's current incarnation, of which nothing is
   // known yet.
   void UpdateAddress(Link& link, const jobs::WorkerEntry& entry);
+  // Gives the link a fencing token if it has none, and returns whether it has
+  // one now. A worker knows no token when it starts, so calls that were meant
+  // for its former incarnation and arrive late would be carried out; it refuses
+  // them once it has been called with a newer token. Without one, nothing may
+  // be sent to the worker; a commit is requested, which brings one.
+  bool EnsureFence(Link& link);
   // Extends a worker's lease and asks for its report; with `probe` the worker
   // answers at once instead of waiting for a run to end.
   void Extend(Link& link, bool probe);
   void HandleReport(const std::string& worker,
                     bool probe,
                     base::TimePoint asked_at,
+                    std::uint64_t fence,
                     tl::expected<jobs::WorkerReport, WorkerCallFailure> result);
   // A call to the worker that acknowledged ends up to `end` was answered.
   void HandleAcknowledged(const jobs::WorkerId& worker,
@@ -275,6 +288,8 @@
   std::uint64_t m_worker_feed_version = 0;
   std::map<std::string, Link> m_links;
   base::TimePoint m_links_pruned_at{};
+  // The newest fencing token of calls to workers whose links were removed.
+  std::uint64_t m_pruned_fence = 0;
   // Callers to answer once the acceptance or the cancellation is stored, by
   // job.
   std::map<std::string, std::vector<Responder>> m_await_accept;
--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -58,6 +58,11 @@
                std::function<void(bool)> done);
   // Valid once Acquire has succeeded.
   std::uint64_t FencingToken() const { return m_fencing_token; }
+  // The version of the record that the last applied commit wrote. It is not
+  // lower than the term's fencing token and lower than the next term's, so it
+  // can serve as a newer token within the term. Valid once Acquire has
+  // succeeded.
+  std::uint64_t NewestVersion() const { return m_record_version; }
 
   // Writes and deletes rows in one transaction. Only one commit may be in
   // flight. It is retried for as long as the store fails, and sent again beside
--- a/include/cassiastile/host/relay_message.hpp
+++ b/include/cassiastile/host/relay_message.hpp
@@ -18,8 +18,10 @@
   std::string id;
   std::int64_t incarnation_ms = 0;
   std::string endpoint;
+  // Fencing token of the calls to it; 0: RelayBatch::fence.
+  std::uint64_t fence = 0;
 
-  MSGPACK_DEFINE(id, incarnation_ms, endpoint);
+  MSGPACK_DEFINE(id, incarnation_ms, endpoint, fence);
 };
 
 // A task and the number of its run.
@@ -76,7 +78,7 @@
 
 // What a leader lets a relay carry out at once.
 struct RelayBatch {
-  std::uint64_t fence = 0;     // The leader's fencing token.
+  std::uint64_t fence = 0;     // The fencing token of the leader's term.
   std::string reply_endpoint;  // Of the leader's peer interface.
   // The relay's process, from its last reply; empty to ask for that reply only.
   std::string relay_incarnation;
@@ -118,8 +120,14 @@
   std::string incarnation;
   std::int64_t steady_ms = 0;  // The relay's steady clock.
   std::string availability_zone;
-
-  MSGPACK_DEFINE(verdict, incarnation, steady_ms, availability_zone);
+  // Whether it heeds RelayedWorker::fence, which former versions don't.
+  bool has_worker_fences = false;
+
+  MSGPACK_DEFINE(verdict,
+                 incarnation,
+                 steady_ms,
+                 availability_zone,
+                 has_worker_fences);
 };
 
 // A jobs::ListedRun.
--- a/include/cassiastile/host/relayed_workers.hpp
+++ b/include/cassiastile/host/relayed_workers.hpp
@@ -48,7 +48,8 @@
                  RelayedWorkersOptions options = {});
 
   // Chooses relays among the live hosts, for a fleet of this many workers by
-  // availability zone. To be called a few times a second.
+  // availability zone. To be called a few times a second, with the fencing
+  // token of the term.
   void ChooseRelays(std::uint64_t fence,
                     const std::vector<RelayCandidate>& candidates,
                     const std::map<std::string, std::size_t>& workers_of_zone);
@@ -97,8 +98,9 @@
     base::TimePoint asked_at{};
     bool is_asking = false;
     base::TimePoint failed_at{};
-    bool is_live = false;           // Among the newest candidates.
-    bool is_chosen = false;         // Gets calls.
+    bool is_live = false;    // Among the newest candidates.
+    bool is_chosen = false;  // Gets calls.
+    bool has_worker_fences = false;
     bool is_armed = false;          // The next batch will be sent soon.
     base::TimePoint batch_since{};  // When the batch got its first call.
     RelayBatch batch;               // The next one.
@@ -113,8 +115,9 @@
     Done done;
   };
 
-  // The relay for a worker, or null to call it directly.
-  Relay* RelayFor(const WorkerAddress& worker);
+  // The relay for a call to a worker with this fencing token, or null to call
+  // it directly.
+  Relay* RelayFor(const WorkerAddress& worker, std::uint64_t fence);
   std::vector<Relay*> RankZone(const std::string& zone);
   bool IsUsable(const Relay& relay) const;
   // Adds a call to the next batch and returns its number.
@@ -122,7 +125,9 @@
                         const WorkerAddress& worker,
                         base::Duration timeout,
                         Done done);
-  std::uint32_t IndexOf(Relay& relay, const WorkerAddress& worker);
+  static std::uint32_t IndexOf(Relay& relay,
+                               const WorkerAddress& worker,
+                               std::uint64_t fence);
   void Send(const std::string& host);
   void HandleReply(const std::string& host,
                    const std::vector<std::uint64_t>& calls,
@@ -145,7 +150,7 @@
   EventLog& m_log;
   std::string m_own_endpoint;
   RelayedWorkersOptions m_options;
-  std::uint64_t m_fence = 0;
+  std::uint64_t m_fence = 0;                            // Of the term.
   std::map<std::string, Relay> m_relays;                // By host.
   std::map<std::string, std::vector<Relay*>> m_chosen;  // By zone.
   std::chrono::milliseconds m_collect{0};
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -111,6 +111,10 @@
   if (link.address.id == entry.id && link.address.endpoint == entry.endpoint) {
     return;
   }
+  if (link.address.id != entry.id && link.fence > 0) {
+    link.former_fence = std::exchange(link.fence, 0);
+    link.fence_sent = false;
+  }
   link.address = {entry.id, entry.endpoint, entry.availability_zone};
   link.clock_known = false;
   link.heard_at = {};
@@ -119,6 +123,27 @@
   link.next_poll_at = m_loop.GetClock().Now();
 }
 
+bool Dispatcher::EnsureFence(Link& link) {
+  if (link.fence > 0) {
+    return true;
+  }
+  const std::uint64_t newest =
+      link.former_fence == 0 ? FencingToken() : m_transactions->NewestVersion();
+  if (newest <= link.former_fence) {
+    m_last_commit_at = {};
+    return false;
+  }
+  link.fence = newest;
+  if (link.former_fence > 0) {
+    m_log.Write("worker.fence_raised",
+                {{"worker", link.address.id.id},
+                 {"born", link.address.id.incarnation_ms},
+                 {"fence", link.fence},
+                 {"former_fence", link.former_fence}});
+  }
+  return true;
+}
+
 void Dispatcher::PollWorkers() {
   const base::TimePoint now = m_loop.GetClock().Now();
   // Both maps are in the order of ids, so no link is searched for.
@@ -132,13 +157,15 @@
     }
     if (position == m_links.end() || position->first != id) {
       position = m_links.emplace_hint(position, id, Link{});
+      position->second.former_fence = m_pruned_fence;
     }
     Link& link = position->second;
     UpdateAddress(link, worker.entry);
-    if (!MayGiveOrders()) {
+    if (!MayGiveOrders() || !EnsureFence(link)) {
       continue;
     }
-    if (worker.wants_report && link.polling && !link.probing) {
+    const bool is_urgent = worker.wants_report || !link.fence_sent;
+    if (is_urgent && link.polling && !link.probing) {
       Extend(link, true);
     }
     if (!link.polling && now >= link.next_poll_at) {
@@ -150,8 +177,13 @@
   }
   m_links_pruned_at = now;
   std::erase_if(m_links, [this](const auto& entry) {
-    return !entry.second.polling && !entry.second.probing &&
-           !m_scheduler.Workers().contains(entry.first);
+    const Link& link = entry.second;
+    if (link.polling || link.probing ||
+        m_scheduler.Workers().contains(entry.first)) {
+      return false;
+    }
+    m_pruned_fence = std::max({m_pruned_fence, link.fence, link.former_fence});
+    return true;
   });
 }
 
@@ -176,7 +208,8 @@
   const base::TimePoint now = m_loop.GetClock().Now();
   const auto found = m_scheduler.Workers().find(link.address.id.id);
   LeaseExtension extension;
-  extension.fence = FencingToken();
+  extension.fence = link.fence;
+  link.fence_sent = true;
   // Sent until it is answered and not again: carried out late, it would make a
   // later incarnation forget its own ends. A call in parallel with a long poll
   // may be the first to reach the next incarnation, before the poll fails; a
@@ -202,13 +235,13 @@
       link.address, extension,
       m_lifetime.Guard(
           [this, id, probe, now, born = link.address.id.incarnation_ms,
-           acknowledged = extension.acknowledged_end](
+           fence = extension.fence, acknowledged = extension.acknowledged_end](
               tl::expected<jobs::WorkerReport, WorkerCallFailure> result) {
             if (result && acknowledged > 0) {
               HandleAcknowledged({id, born}, acknowledged, now,
                                  result->incarnation_ms);
             }
-            HandleReport(id, probe, now, std::move(result));
+            HandleReport(id, probe, now, fence, std::move(result));
           }));
 }
 
@@ -229,6 +262,7 @@
     const std::string& id,
     bool probe,
     base::TimePoint asked_at,
+    std::uint64_t fence,
     tl::expected<jobs::WorkerReport, WorkerCallFailure> result) {
   const base::TimePoint now = m_loop.GetClock().Now();
   const auto found = m_links.find(id);
@@ -239,8 +273,10 @@
   (probe ? link.probing : link.polling) = false;
   if (!result) {
     link.failed_at = now;
-    if (probe || link.answered_call_at > asked_at) {
-      // An incarnation that has answered a later call is not silent.
+    if (probe || link.answered_call_at > asked_at ||
+        (result.error().fenced && fence != link.fence)) {
+      // An incarnation that has answered a later call is not silent, nor is one
+      // that refuses a call for its former incarnation.
       return;
     }
     if (++link.failures == 1) {
@@ -299,6 +335,10 @@
   link.clock_known = true;
   link.clock = result->clock;
   link.clock_at = now;
+  if (!link.fence_sent && !link.probing && MayGiveOrders() &&
+      EnsureFence(link)) {
+    Extend(link, true);
+  }
   for (const jobs::ListedEnd& end : result->ended) {
     if (end.sequence > known_end) {
       const std::string_view how = base::FindName(jobs::kRunEndNames, end.how);
@@ -378,14 +418,15 @@
   }
   for (const jobs::PaceOrder& order : orders.paces) {
     const auto link = m_links.find(order.worker.id);
-    if (link == m_links.end()) {
+    if (link == m_links.end() || link->second.address.id != order.worker ||
+        !EnsureFence(link->second)) {
       continue;
     }
     m_log.Write("run.paced", {{"job", order.task.job},
                               {"worker", order.worker.id},
                               {"percent", order.percent}});
     m_workers.Pace(
-        link->second.address, order, FencingToken(),
+        link->second.address, order, link->second.fence,
         m_lifetime.Guard([this, id = order.worker.id](bool answered) {
           if (!answered) {
             CallFailed(id);
@@ -419,7 +460,8 @@
   const auto found = m_links.find(order.worker.id);
   if (found == m_links.end() || !IsClockKnown(found->second) ||
       found->second.failures > 0 || found->second.address.id != order.worker ||
-      !MayGiveOrders() || now - m_transactions->ConfirmedAt() > kMaxStartAge) {
+      !MayGiveOrders() || !EnsureFence(found->second) ||
+      now - m_transactions->ConfirmedAt() > kMaxStartAge) {
     m_scheduler.StartAnswered(order.worker, order.task, order.run,
                               jobs::StartResult::kUnreachable, now);
     RequestPlan();
@@ -433,7 +475,7 @@
   m_scheduler.LeaseSent(order.worker.id, LeaseEnd(now), now);
   ++m_load.starts;
   m_workers.Start(
-      link.address, order, FencingToken(), until,
+      link.address, order, link.fence, until,
       m_lifetime.Guard([this, now, worker = order.worker, task = order.task,
                         run = order.run, waited = now - order.placed_at,
                         draining, until](const StartAnswer& answer) {
@@ -502,10 +544,13 @@
   }
   // The incarnation may be new: a stop can't wait for the first poll.
   UpdateAddress(found->second, worker->entry);
+  if (!EnsureFence(found->second)) {
+    return;
+  }
   nlohmann::json line = DescribeRun(order.worker, order.task, order.run);
   line["reason"] = base::FindName(jobs::kStopReasonNames, order.reason);
   m_log.Write("run.stop", line);
-  m_workers.Stop(found->second.address, order, FencingToken(),
+  m_workers.Stop(found->second.address, order, found->second.fence,
                  m_lifetime.Guard([this, order](bool answered) {
                    if (answered) {
                      m_scheduler.StopAnswered(order.worker, order.task,
--- a/src/cassiastile/host/relayed_workers.cpp
+++ b/src/cassiastile/host/relayed_workers.cpp
@@ -181,7 +181,8 @@
   }
 }
 
-RelayedWorkers::Relay* RelayedWorkers::RelayFor(const WorkerAddress& worker) {
+RelayedWorkers::Relay* RelayedWorkers::RelayFor(const WorkerAddress& worker,
+                                                std::uint64_t fence) {
   const auto zone = m_chosen.find(worker.availability_zone);
   if (zone == m_chosen.end() || zone->second.empty()) {
     return nullptr;
@@ -197,7 +198,9 @@
   std::size_t best_affinity = 0;
   for (Relay* relay : zone->second) {
     const std::size_t affinity = Affinity(worker.id.id, relay->endpoint);
-    if (IsUsable(*relay) && (best == nullptr || affinity > best_affinity)) {
+    const bool can_call = fence == m_fence || relay->has_worker_fences;
+    if (IsUsable(*relay) && can_call &&
+        (best == nullptr || affinity > best_affinity)) {
       best = relay;
       best_affinity = affinity;
     }
@@ -206,14 +209,16 @@
 }
 
 std::uint32_t RelayedWorkers::IndexOf(Relay& relay,
-                                      const WorkerAddress& worker) {
-  const std::string key =
-      worker.id.id + "." + std::to_string(worker.id.incarnation_ms);
+                                      const WorkerAddress& worker,
+                                      std::uint64_t fence) {
+  const std::string key = worker.id.id + "." +
+                          std::to_string(worker.id.incarnation_ms) + "." +
+                          std::to_string(fence);
   const auto [found, is_new] = relay.worker_index.emplace(
       key, static_cast<std::uint32_t>(relay.batch.workers.size()));
   if (is_new) {
     relay.batch.workers.push_back(
-        {worker.id.id, worker.id.incarnation_ms, worker.endpoint});
+        {worker.id.id, worker.id.incarnation_ms, worker.endpoint, fence});
   }
   return found->second;
 }
@@ -245,7 +250,8 @@
 void RelayedWorkers::Extend(const WorkerAddress& worker,
                             const LeaseExtension& extension,
                             ExtendDone done) {
-  Relay* relay = extension.fresh_connection ? nullptr : RelayFor(worker);
+  Relay* relay =
+      extension.fresh_connection ? nullptr : RelayFor(worker, extension.fence);
   if (relay == nullptr) {
     ++m_direct_calls;
     m_direct.Extend(worker, extension, std::move(done));
@@ -254,7 +260,7 @@
   RelayedExtension call;
   call.call =
       AddCall(*relay, worker, extension.wait + kWorkerTimeout, std::move(done));
-  call.worker = IndexOf(*relay, worker);
+  call.worker = IndexOf(*relay, worker, extension.fence);
   call.acknowledged_end = extension.acknowledged_end;
   call.until_ms = extension.until ? extension.until->count() : -1;
   call.wait_ms = extension.wait.count();
@@ -266,15 +272,15 @@
                            std::uint64_t fence,
                            std::chrono::milliseconds until,
                            StartDone done) {
-  Relay* relay = RelayFor(worker);
-  if (relay == nullptr || fence != m_fence) {
+  Relay* relay = RelayFor(worker, fence);
+  if (relay == nullptr) {
     ++m_direct_calls;
     m_direct.Start(worker, order, fence, until, std::move(done));
     return;
   }
   RelayedStart call;
   call.call = AddCall(*relay, worker, kWorkerTimeout, std::move(done));
-  call.worker = IndexOf(*relay, worker);
+  call.worker = IndexOf(*relay, worker, fence);
   call.run = MakeRun(order.task, order.run);
   const auto [payload, is_new] = relay->payload_index.emplace(
       order.task.job, static_cast<std::uint32_t>(relay->batch.payloads.size()));
@@ -292,31 +298,31 @@
                           const jobs::StopOrder& order,
                           std::uint64_t fence,
                           ChangeDone done) {
-  Relay* relay = RelayFor(worker);
-  if (relay == nullptr || fence != m_fence) {
+  Relay* relay = RelayFor(worker, fence);
+  if (relay == nullptr) {
     ++m_direct_calls;
     m_direct.Stop(worker, order, fence, std::move(done));
     return;
   }
   const std::uint64_t call =
       AddCall(*relay, worker, kWorkerTimeout, std::move(done));
-  relay->batch.stops.push_back(
-      {call, IndexOf(*relay, worker), MakeRun(order.task, order.run), 0});
+  relay->batch.stops.push_back({call, IndexOf(*relay, worker, fence),
+                                MakeRun(order.task, order.run), 0});
 }
 
 void RelayedWorkers::Pace(const WorkerAddress& worker,
                           const jobs::PaceOrder& order,
                           std::uint64_t fence,
                           ChangeDone done) {
-  Relay* relay = RelayFor(worker);
-  if (relay == nullptr || fence != m_fence) {
+  Relay* relay = RelayFor(worker, fence);
+  if (relay == nullptr) {
     ++m_direct_calls;
     m_direct.Pace(worker, order, fence, std::move(done));
     return;
   }
   const std::uint64_t call =
       AddCall(*relay, worker, kWorkerTimeout, std::move(done));
-  relay->batch.paces.push_back({call, IndexOf(*relay, worker),
+  relay->batch.paces.push_back({call, IndexOf(*relay, worker, fence),
                                 MakeRun(order.task, order.run), order.percent});
 }
 
@@ -380,6 +386,7 @@
     relay.clock_at = {};
   }
   relay.availability_zone = reply->availability_zone;
+  relay.has_worker_fences = reply->has_worker_fences;
   if (relay.clock_at == base::TimePoint{} || sent_at > relay.clock_at) {
     relay.steady_ms = reply->steady_ms;
     relay.clock_at = m_loop.GetClock().Now();
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -396,6 +396,7 @@
       const LeaseExtension& extension,
       std::function<void(tl::expected<jobs::WorkerReport, WorkerCallFailure>)>
           done) override {
+    m_world.CheckFence(address, extension.fence);
     done = m_loop.Guard(std::move(done));
     const auto fail = [this, done](milliseconds after, bool refused) {
       m_world.Post(after, [done, refused] {
@@ -423,13 +424,17 @@
          answer_delay = kCallLatency + delivery.answer_delay] {
           VirtualWorld::Worker* worker = Find(address);
           if (worker == nullptr) {
-            m_world.m_unreached.insert({extension.fence, address.id.id});
+            m_world.m_unreached.insert({address.id.id, extension.fence});
             const bool refused = IsRefused(address);
             fail(refused ? milliseconds(0) : kCallTimeout, refused);
             return;
           }
-          if (m_world.m_unreached.erase({extension.fence, address.id.id}) > 0 &&
-              extension.acknowledged_end > 0) {
+          const auto unreached = std::erase_if(
+              m_world.m_unreached, [&address, &extension](const auto& call) {
+                return call.first == address.id.id &&
+                       call.second <= extension.fence;
+              });
+          if (unreached > 0 && extension.acknowledged_end > 0) {
             m_world.AddViolation(address.id.id +
                                  " got an acknowledgement of ends in the first "
                                  "call after one that had not reached it");
@@ -476,6 +481,7 @@
              milliseconds until,
              std::function<void(const StartAnswer&)> done) override {
     done = m_loop.Guard(std::move(done));
+    m_world.CheckFence(address, fence);
     const bool in_touch = IsInTouch();
     ++m_world.m_starts_sent;
     const VirtualWorld::Delivery delivery = m_world.DrawDelivery(
@@ -523,6 +529,7 @@
             std::uint64_t fence,
             std::function<void(bool)> done) override {
     done = m_loop.Guard(std::move(done));
+    m_world.CheckFence(address, fence);
     const VirtualWorld::Delivery delivery = m_world.DrawDelivery(
         m_world.m_faults.late_stop_chance, m_world.m_faults.stop_delay);
     if (!delivery.answered) {
@@ -545,10 +552,11 @@
         });
   }
 
-  void Pace(const WorkerAddress&,
+  void Pace(const WorkerAddress& address,
             const jobs::PaceOrder&,
-            std::uint64_t,
+            std::uint64_t fence,
             std::function<void(bool)> done) override {
+    m_world.CheckFence(address, fence);
     m_world.Post(kCallLatency,
                  [done = m_loop.Guard(std::move(done))] { done(true); });
   }
@@ -1248,6 +1256,17 @@
   return result;
 }
 
+void VirtualWorld::CheckFence(const WorkerAddress& address,
+                              std::uint64_t fence) {
+  const auto [first, is_new] = m_fenced_for.emplace(
+      std::pair(address.id.id, fence), address.id.incarnation_ms);
+  if (!is_new && first->second != address.id.incarnation_ms) {
+    AddViolation(fmt::format(
+        "incarnations {} and {} of {} were called with fencing token {}",
+        first->second, address.id.incarnation_ms, address.id.id, fence));
+  }
+}
+
 bool VirtualWorld::StopRun(Worker& worker,
                            const jobs::StopOrder& order,
                            std::uint64_t fence) {
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -351,6 +351,9 @@
                              std::chrono::milliseconds until,
                              bool is_late,
                              bool in_touch);
+  // Checks that no two incarnations of a worker are called with one fencing
+  // token: the later one would carry out what was meant for the other.
+  void CheckFence(const WorkerAddress& address, std::uint64_t fence);
   bool StopRun(Worker& worker,
                const jobs::StopOrder& order,
                std::uint64_t fence);
@@ -407,9 +410,12 @@
   std::uint64_t m_calls_to_next_incarnations = 0;
   std::uint64_t m_fenced_starts = 0;
   std::uint64_t m_relay_batches = 0;
-  // Workers that the last lease extension of a leader did not reach, whichever
-  // host sent it, with the leader's fencing token.
-  std::set<std::pair<std::uint64_t, std::string>> m_unreached;
+  // Workers that lease extensions did not reach since one with the same or a
+  // newer fencing token did, whichever host sent them, with their tokens.
+  std::set<std::pair<std::string, std::uint64_t>> m_unreached;
+  // The start time of the incarnation for which a fencing token was used, by
+  // worker and token.
+  std::map<std::pair<std::string, std::uint64_t>, std::int64_t> m_fenced_for;
   std::uint64_t m_configs_from_peers = 0;
   std::vector<std::function<bool()>> m_feeds;
   std::map<std::string, std::unique_ptr<Worker>> m_workers;
--- a/src/cassiastile/host/worker_relay.cpp
+++ b/src/cassiastile/host/worker_relay.cpp
@@ -44,6 +44,11 @@
   return {{worker.id, worker.incarnation_ms}, worker.endpoint, ""};
 }
 
+std::uint64_t FenceOf(const RelayBatch& batch, std::uint32_t index) {
+  const std::uint64_t fence = batch.workers[index].fence;
+  return fence > 0 ? fence : batch.fence;
+}
+
 }  // namespace
 
 WorkerRelay::WorkerRelay(WorkerPort& workers,
@@ -61,6 +66,7 @@
   RelayReply reply;
   reply.incarnation = m_identity.incarnation;
   reply.availability_zone = m_identity.availability_zone;
+  reply.has_worker_fences = true;
   reply.steady_ms =
       base::Milliseconds(m_loop.GetClock().Now().time_since_epoch());
   reply.verdict = Check(batch, reply.steady_ms);
@@ -107,7 +113,7 @@
   const std::uint64_t fence = batch.fence;
   for (const RelayedExtension& each : batch.extensions) {
     LeaseExtension extension;
-    extension.fence = fence;
+    extension.fence = FenceOf(batch, each.worker);
     extension.acknowledged_end = each.acknowledged_end;
     if (each.until_ms >= 0) {
       extension.until = std::chrono::milliseconds(each.until_ms);
@@ -146,7 +152,7 @@
         worker,
         {worker.id, TaskOf(each.run), each.run.run,
          batch.payloads[each.payload], each.checkpoint, each.ticket},
-        fence, std::chrono::milliseconds(each.until_ms),
+        FenceOf(batch, each.worker), std::chrono::milliseconds(each.until_ms),
         m_lifetime.Guard([this, fence, id = worker.id.id,
                           call = each.call](const StartAnswer& answer) {
           const jobs::StartResult result = answer.result;
@@ -180,13 +186,13 @@
     m_workers.Stop(
         worker,
         {worker.id, TaskOf(each.run), each.run.run, jobs::StopReason::kUnknown},
-        fence, answer(worker, each.call));
+        FenceOf(batch, each.worker), answer(worker, each.call));
   }
   for (const RelayedChange& each : batch.paces) {
     const WorkerAddress worker = AddressOf(batch, each.worker);
     m_workers.Pace(worker,
                    {worker.id, TaskOf(each.run), each.run.run, each.value},
-                   fence, answer(worker, each.call));
+                   FenceOf(batch, each.worker), answer(worker, each.call));
   }
 }
 
--- a/src/cassiastile/host/worker_relay_test.cpp
+++ b/src/cassiastile/host/worker_relay_test.cpp
@@ -13,36 +13,44 @@
 using testing::ElementsAre;
 using testing::IsEmpty;
 using testing::SizeIs;
+using testing::UnorderedElementsAre;
 
 // Notes the calls to workers and answers none by itself.
 class RecordingWorkers final : public WorkerPort {
  public:
   void Extend(
       const WorkerAddress& worker,
-      const LeaseExtension&,
+      const LeaseExtension& extension,
       std::function<void(tl::expected<jobs::WorkerReport, WorkerCallFailure>)>
           done) override {
     extended.push_back(worker.id.id);
+    fences.push_back(extension.fence);
     extensions.push_back(std::move(done));
   }
   void Start(const WorkerAddress&,
              const jobs::StartOrder& order,
-             std::uint64_t,
+             std::uint64_t fence,
              milliseconds,
              std::function<void(const StartAnswer&)> done) override {
     payloads.push_back(order.payload);
+    fences.push_back(fence);
     starts.push_back(std::move(done));
   }
   void Stop(const WorkerAddress&,
             const jobs::StopOrder&,
-            std::uint64_t,
-            std::function<void(bool)>) override {}
+            std::uint64_t fence,
+            std::function<void(bool)>) override {
+    fences.push_back(fence);
+  }
   void Pace(const WorkerAddress&,
             const jobs::PaceOrder&,
-            std::uint64_t,
-            std::function<void(bool)>) override {}
+            std::uint64_t fence,
+            std::function<void(bool)>) override {
+    fences.push_back(fence);
+  }
 
   std::vector<std::string> extended;
+  std::vector<std::uint64_t> fences;  // Of all calls.
   std::vector<std::string> payloads;
   std::vector<
       std::function<void(tl::expected<jobs::WorkerReport, WorkerCallFailure>)>>
@@ -69,7 +77,8 @@
         done(tl::unexpected(Failure{true, true}));
         return;
       }
-      const RelayReply reply = relay->Handle(batch);
+      RelayReply reply = relay->Handle(batch);
+      reply.has_worker_fences = has_worker_fences;
       loop->After(delay, [done, reply] { done(reply); });
     });
   }
@@ -83,6 +92,7 @@
   RelayedWorkers* leader = nullptr;
   milliseconds delay{1};
   bool refuses = false;
+  bool has_worker_fences = true;  // Whether the relay says so.
   std::vector<RelayBatch> batches;
 };
 
@@ -218,6 +228,36 @@
   EXPECT_THAT(m_results, ElementsAre(jobs::StartResult::kUnreachable));
 }
 
+// A worker that has restarted refuses calls with the token of its former
+// incarnation, which the others are still called with.
+TEST_F(WorkerRelayTest, RelayCallsEachWorkerWithItsOwnFence) {
+  const WorkerAddress restarted{{"restarted", 2}, "restarted:1", "zone"};
+  const jobs::TaskId task{"job", 0, 0, 0};
+  const auto ignore = [](const auto&) {};
+  m_leader.Extend(restarted, {.fence = 9}, ignore);
+  m_leader.Start(restarted, {restarted.id, task, 1, "payload", "", ""}, 9,
+                 milliseconds(5000), ignore);
+  m_leader.Stop(restarted,
+                {restarted.id, task, 1, jobs::StopReason::kDuplicate}, 9,
+                ignore);
+  m_leader.Pace(restarted, {restarted.id, task, 1, 50}, 9, ignore);
+  Extend("worker");
+  m_loop.RunFor(milliseconds(50));
+  EXPECT_THAT(m_relayed.fences, UnorderedElementsAre(9, 9, 9, 9, 7));
+  EXPECT_THAT(m_direct.fences, IsEmpty());
+}
+
+// A relay of a former version would call it with the token of the term.
+TEST_F(WorkerRelayTest, RelayWithoutWorkerFencesGetsNoCallsForARestartedOne) {
+  m_wire.has_worker_fences = false;
+  Extend("worker");
+  m_loop.RunFor(milliseconds(50));
+  m_leader.Extend({{"restarted", 2}, "restarted:1", "zone"}, {.fence = 9},
+                  [](const auto&) {});
+  EXPECT_THAT(m_direct.fences, ElementsAre(9));
+  EXPECT_THAT(m_relayed.fences, ElementsAre(7));
+}
+
 TEST_F(WorkerRelayTest, ProcessThatWasNotMeantSendsNothing) {
   RelayBatch batch;
   batch.fence = 7;
