Count no planned end of a worker as a crash under its tasks

Cause: RecordCrash noted the end of a draining worker as a crash that is not certain, and one certain crash among four noted ones is enough to give a task up. An order of ours to end a worker had the same effect where its next incarnation was heard of first, and so had ends between two leaders.

Change: planned ends are not noted, by what any leader has heard; the end of a worker that this leader never knew is not certain unless it came back under its id; giving up needs two certain crashes at least.

Five of six new tests of CrashingTaskTest fail on the parent and pass now; the sixth guards the bound of starts after three crashes.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -535,6 +535,9 @@
   // Notes under a task that its worker has ended unasked, unless the run can't
   // have been there. Returns whether the task is to blame.
   bool RecordCrash(const TaskRef& ref, const Run& run, DropReason reason);
+  // Whether the worker was about to end anyway, by its own word or by an order,
+  // so that its end tells nothing of the run.
+  bool IsEndPlanned(const WorkerState& worker, const Run& run) const;
   // Whether it may not be started again, since workers have crashed under it.
   static bool IsStartLimitReached(const Task& task);
   // Fails the task's job. A long-running job with tasks that serve goes on
--- a/src/cassiastile/jobs/crashing_task_test.cpp
+++ b/src/cassiastile/jobs/crashing_task_test.cpp
@@ -40,6 +40,7 @@
     const WorkerId id{worker, m_incarnations[worker]};
     m_bench.GetScheduler().WorkerReplaced(id, m_bench.Now());
     m_bench.RemoveWorker(worker);
+    m_incarnations.erase(worker);
     const std::string next = worker + "+";
     m_incarnations[next] = 1;
     m_bench.AddWorker(next);
@@ -47,13 +48,43 @@
 
   void ReportAll() {
     for (const auto& [id, worker] : m_bench.GetScheduler().Workers()) {
-      m_reported.push_back(id);
+      if (m_incarnations.contains(id)) {
+        m_reported.push_back(id);
+      }
     }
     for (const std::string& id : std::exchange(m_reported, {})) {
       m_bench.Report(id, m_bench.Listing(id));
     }
   }
 
+  // Lets the only waiting task start and returns its worker.
+  std::string StartOnce() {
+    for (int round = 0; round < kManyRounds; ++round) {
+      const auto starts = m_bench.StepStartAndStop();
+      if (!starts.empty()) {
+        return starts.front().worker.id;
+      }
+      m_bench.Advance(milliseconds(250));
+      ReportAll();
+    }
+    ADD_FAILURE() << "no task was started";
+    return "";
+  }
+
+  void LeaveAfterStart() {
+    const std::string worker = StartOnce();
+    ReportAll();
+    m_bench.SetDraining(worker);
+    Replace(worker);
+  }
+
+  void CrashAfterStart() {
+    const std::string worker = StartOnce();
+    ReportAll();
+    Crash(worker);
+    ReportAll();
+  }
+
   JobPhase PhaseOf(const std::string& job) {
     return m_bench.GetScheduler().FindJob(job)->phase;
   }
@@ -224,6 +255,113 @@
   EXPECT_EQ(PhaseOf(kJob), JobPhase::kRunning);
 }
 
+// The order of ends of review/9: the job was shown as failed after one crash.
+TEST_F(CrashingTaskTest, PlannedLeavesBeforeACrashFailNoJob) {
+  m_bench.Submit(kJob, SchedulerBench::OneTask());
+  for (int leave = 0; leave < 6; ++leave) {
+    LeaveAfterStart();
+  }
+  CrashAfterStart();
+  LeaveAfterStart();
+  EXPECT_THAT(m_bench.StepStartAndStop(), SizeIs(1));
+  EXPECT_EQ(PhaseOf(kJob), JobPhase::kRunning);
+}
+
+// Leaves count neither as crashes nor towards the starts after them.
+TEST_F(CrashingTaskTest, PlannedLeavesAmongTwoCrashesFailNoJob) {
+  for (int first = 0; first < 5; ++first) {
+    for (int second = first + 1; second < 6; ++second) {
+      const std::string job =
+          "5c0e7a21d94b36" + std::to_string(first) + std::to_string(second);
+      m_bench.Submit(job, SchedulerBench::OneTask());
+      for (int end = 0; end < 6; ++end) {
+        if (end == first || end == second) {
+          CrashAfterStart();
+        } else {
+          LeaveAfterStart();
+        }
+      }
+      EXPECT_EQ(PhaseOf(job), JobPhase::kRunning) << first << ", " << second;
+      m_bench.GetScheduler().Cancel(job, m_bench.Now());
+      m_bench.StepStartAndStop();
+    }
+  }
+}
+
+// The leader that sees the worker end is not the one that saw it drain.
+TEST_F(CrashingTaskTest, PlannedLeavesOverChangesOfLeaderFailNoJob) {
+  m_bench.Submit(kJob, SchedulerBench::OneTask());
+  for (int leave = 0; leave < 6; ++leave) {
+    const std::string worker = StartOnce();
+    ReportAll();
+    m_bench.SetDraining(worker);
+    m_bench.Step();
+    m_bench = m_bench.Successor(milliseconds(18000));
+    Replace(worker);
+  }
+  CrashAfterStart();
+  EXPECT_THAT(m_bench.StepStartAndStop(), SizeIs(1));
+  EXPECT_EQ(PhaseOf(kJob), JobPhase::kRunning);
+}
+
+// It drained, left and was removed from the list while there was no leader.
+TEST_F(CrashingTaskTest, WorkersThatEndedBetweenLeadersFailNoJob) {
+  m_bench.Submit(kJob, SchedulerBench::OneTask());
+  for (int leave = 0; leave < 6; ++leave) {
+    const std::string worker = StartOnce();
+    ReportAll();
+    m_bench.Step();
+    const WorkerId id{worker, m_incarnations[worker]};
+    m_bench.RemoveWorker(worker);
+    m_incarnations.erase(worker);
+    m_bench = m_bench.Successor(milliseconds(18000));
+    m_bench.GetScheduler().WorkerReplaced(id, m_bench.Now());
+    m_incarnations[worker + "+"] = 1;
+    m_bench.AddWorker(worker + "+");
+    ReportAll();
+  }
+  EXPECT_THAT(m_bench.StepStartAndStop(), SizeIs(1));
+  EXPECT_EQ(PhaseOf(kJob), JobPhase::kRunning);
+}
+
+// The order to end the worker had no answer; its next incarnation is heard of.
+TEST_F(CrashingTaskTest, EndsByAnOrderOfTheLeaderFailNoJob) {
+  m_bench.Submit(kJob, SchedulerBench::OneTask());
+  for (int order = 0; order < 6; ++order) {
+    const std::string worker = StartOnce();
+    ReportAll();
+    m_bench.GetScheduler().CordonAndMarkUnavailable(worker, m_bench.Now());
+    Crash(worker);
+    m_bench.GetScheduler().SetCordoned(worker, false);
+    ReportAll();
+  }
+  EXPECT_THAT(m_bench.StepStartAndStop(), SizeIs(1));
+  EXPECT_EQ(PhaseOf(kJob), JobPhase::kRunning);
+}
+
+TEST_F(CrashingTaskTest, IsNotStartedOnEveryWorkerInTurnAmongPlannedLeaves) {
+  m_bench.Submit(kJob, SchedulerBench::OneTask());
+  std::size_t starts_after_third_crash = 0;
+  std::size_t crashes = 0;
+  for (int round = 0; round < kManyRounds && PhaseOf(kJob) != JobPhase::kFailed;
+       ++round) {
+    const std::string worker = StartOnce();
+    ASSERT_FALSE(worker.empty());
+    starts_after_third_crash += crashes >= 3 ? 1 : 0;
+    if (round % 3 == 0) {
+      m_bench.SetDraining(worker);
+      Replace(worker);
+    } else {
+      Crash(worker);
+      ++crashes;
+      m_bench.Advance(milliseconds(250));
+      ReportAll();
+    }
+  }
+  EXPECT_EQ(PhaseOf(kJob), JobPhase::kFailed);
+  EXPECT_LE(starts_after_third_crash, 2U);
+}
+
 TEST_F(CrashingTaskTest, WorkerThatCrashedIsUsedSoon) {
   m_bench.Submit(kJob, SchedulerBench::OneTask());
   const auto starts = m_bench.StepStartAndStop();
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -19,8 +19,9 @@
 // at most.
 constexpr std::size_t kMaxCrashes = 3;
 constexpr std::uint32_t kLastStarts = 2;
-// With so many, one certain crash is enough for that.
+// With so many, fewer certain ones are enough for that.
 constexpr std::size_t kLikelyCrashes = 4;
+constexpr std::size_t kMinCertainOfLikely = 2;
 // A task that has waited for this long may run next to others.
 constexpr std::chrono::milliseconds kMaxIsolationWait{1500};
 
@@ -32,9 +33,9 @@
   return run.suspicion != Suspicion::kNone && !run.proven && may_run;
 }
 
-bool IsCertain(const Task& task) {
-  return std::ranges::count_if(task.crashes, &Crash::certain) >=
-         static_cast<std::ptrdiff_t>(kMinCertainCrashes);
+std::size_t CountCertain(const Task& task) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(task.crashes, &Crash::certain));
 }
 
 }  // namespace
@@ -64,13 +65,19 @@
     return false;
   }
   const WorkerState* worker = FindWorker(run.worker.id);
-  const bool leaving =
-      worker != nullptr && (worker->entry.draining || worker->is_ending);
+  if (worker != nullptr && IsEndPlanned(*worker, run)) {
+    return false;
+  }
   const bool out_of_reach = reason == DropReason::kLeaseOver;
   const bool started = run.listed || run.answered_at != base::TimePoint{};
+  // A worker that ended before this leader knew of it may have left as planned
+  // or by an order of a former leader, unless it came back under its id.
+  const bool may_have_left = reason == DropReason::kWorkerGone &&
+                             worker != nullptr && !worker->has_reported &&
+                             worker->described_ms != run.worker.incarnation_ms;
   const Crash crash{.run = run.number,
-                    .certain = started && !leaving && !out_of_reach,
-                    .proven = run.proven || leaving || out_of_reach};
+                    .certain = started && !out_of_reach && !may_have_left,
+                    .proven = run.proven || out_of_reach || may_have_left};
   Task& task = *FindTask(ref);
   const auto known = std::ranges::find(task.crashes, run.number, &Crash::run);
   if (known == task.crashes.end()) {
@@ -79,13 +86,21 @@
     known->certain = known->certain || crash.certain;
   }
   return crash.certain && run.alone && run.suspicion != Suspicion::kNone &&
-         !run.proven && IsCertain(task);
+         !run.proven && CountCertain(task) >= kMinCertainCrashes;
+}
+
+bool Scheduler::IsEndPlanned(const WorkerState& worker, const Run& run) const {
+  return worker.entry.draining || worker.is_ending ||
+         m_known_incarnations.IsDraining(run.worker.id,
+                                         run.worker.incarnation_ms);
 }
 
 bool Scheduler::IsStartLimitReached(const Task& task) {
-  const bool likely = task.crashes.size() >= kLikelyCrashes &&
-                      std::ranges::any_of(task.crashes, &Crash::certain);
-  return task.crashes.size() >= kMaxCrashes && (likely || IsCertain(task)) &&
+  const std::size_t certain = CountCertain(task);
+  const bool likely =
+      task.crashes.size() >= kLikelyCrashes && certain >= kMinCertainOfLikely;
+  return task.crashes.size() >= kMaxCrashes &&
+         (likely || certain >= kMinCertainCrashes) &&
          task.last_run >= task.crashes[kMaxCrashes - 1].run + kLastStarts;
 }
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -94,9 +94,9 @@
       evidence == IncarnationEvidence::kReport ||
       (worker.has_reported &&
        now - worker.known_since > m_options.max_order_delay);
-  if (!worker.entry.id.id.empty() &&
-      worker.entry.id.incarnation_ms != incarnation_ms) {
-    worker.is_ending = false;
+  const bool is_next = !worker.entry.id.id.empty() &&
+                       worker.entry.id.incarnation_ms != incarnation_ms;
+  if (is_next) {
     worker.terminated = false;
     worker.speed = {};
     constexpr std::size_t kMaxFormer = 8;
@@ -171,6 +171,8 @@
       }
     }
   }
+  // Only now, as it tells why the runs of the former incarnation ended.
+  worker.is_ending = worker.is_ending && !is_next;
 }
 
 base::Duration Scheduler::LongestLease() const {
