Name each worker that has room to the placement advisor

Cause: each call for advice named the first 30 workers by room and id, whatever the advisor had said of them before, and each answer replaced the last one.

Change: what is known of a step is kept until its occurrence or job is over; a call names those that were not named yet and allowed ones without a valid ticket. Tickets count for one incarnation and until they expire; a start without one is placed again instead of sent. A task that no allowed worker can take leaves the reservation for finite tasks to others.

--- a/include/cassiastile/jobs/orders.hpp
+++ b/include/cassiastile/jobs/orders.hpp
@@ -46,6 +46,7 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::vector<std::string> workers;  // The candidates, by id.
+  base::TimePoint asked_at{};
   std::chrono::milliseconds validity{0};
 };
 
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -365,12 +365,25 @@
     std::map<std::string, Work> backlog_of_customer;
   };
 
-  // The answer of a placement advisor about one step.
+  // What the placement advisor has said about one step. Whether a worker may
+  // run the step does not change; its ticket expires, and is for one
+  // incarnation of the worker.
   struct Advice {
-    base::TimePoint valid_until{};
-    base::TimePoint asked_at{};
-    std::map<std::string, std::string> ticket_of_worker;
-    std::set<std::string> asked;
+    struct Answer {
+      bool is_allowed = false;
+      std::string ticket;
+      std::int64_t incarnation_ms = 0;
+      base::TimePoint valid_until{};  // Of the ticket.
+    };
+    base::TimePoint asked_at{};             // Zero if no answer is awaited.
+    std::map<std::string, Answer> answers;  // By worker.
+
+    bool IsAllowed(const std::string& worker) const;
+    // Whether some worker may run the step.
+    bool AllowsAny() const;
+    // The ticket for this incarnation of a worker; null without a valid one.
+    const std::string* FindTicket(const WorkerId& worker,
+                                  base::TimePoint now) const;
   };
 
   // scheduler.cpp
@@ -561,7 +574,8 @@
   // What a crash of the worker would cost, to choose one for a suspected task.
   static std::int64_t CrashCost(const WorkerState& worker, const Job& job);
   // Reserves a whole worker for a task that must be isolated.
-  void ReserveWorker(const TaskRef& ref,
+  // Returns whether there was one.
+  bool ReserveWorker(const TaskRef& ref,
                      const std::vector<WorkerState*>& workers,
                      const Advice* advice);
 
@@ -591,8 +605,8 @@
   // Whether no worker has room for `need`, regardless of other constraints.
   bool IsFull(const Resources& need);
   // Reserves capacity that becomes free on one worker for a task that could not
-  // be placed.
-  void Reserve(const TaskRef& ref,
+  // be placed. Returns whether there was one.
+  bool Reserve(const TaskRef& ref,
                const std::vector<WorkerState*>& workers,
                const Advice* advice);
   // Reserves capacity on a worker for the rest of the planning round.
@@ -641,8 +655,9 @@
                                                base::TimePoint now) const;
   // Reserves the earliest start of a finite task that fits nowhere, and for a
   // gang the earliest at which all members fit, if it has not been reserved for
-  // too many others. No start is reserved on a worker twice.
-  void ReserveStart(const TaskRef& ref,
+  // too many others. No start is reserved on a worker twice. ReserveStart
+  // returns whether a worker had one.
+  bool ReserveStart(const TaskRef& ref,
                     const std::vector<WorkerState*>& workers,
                     const Advice* advice,
                     base::TimePoint now);
@@ -704,13 +719,25 @@
   }
   // Whether the worker may get new tasks.
   bool IsUsable(const WorkerState& worker, base::TimePoint now) const;
-  // The valid advice on a step; otherwise null, after requesting it unless a
-  // request is pending.
-  const Advice* AdviceFor(Job& job,
-                          const Occurrence& occurrence,
-                          std::uint32_t step,
-                          const std::vector<WorkerState*>& workers,
-                          base::TimePoint now);
+
+  // scheduler_advice.cpp
+  // Whether the placement advisor decides which workers may run the job.
+  bool NeedsAdvice(const Job& job) const;
+  // Asks the advisor about workers that it has not been asked about, and for
+  // tickets of allowed ones, unless an answer is awaited. Workers without room
+  // are only named while none is known to be allowed.
+  void RequestAdvice(Job& job,
+                     const Occurrence& occurrence,
+                     std::uint32_t step,
+                     const std::vector<WorkerState*>& workers,
+                     base::TimePoint now);
+  // The ticket for a run's start; null without a valid one.
+  const std::string* FindTicket(const TaskRef& ref,
+                                const Run& run,
+                                base::TimePoint now) const;
+  // Forgets what was said about the steps of a job, or of an occurrence.
+  void ForgetAdvice(const std::string& job);
+  void ForgetAdvice(const std::string& job, std::uint32_t occurrence);
 
   // scheduler_stalls.cpp
   // Notes since when a long-running task has had no confirmed run, and returns
--- a/include/cassiastile/jobs/worker_view.hpp
+++ b/include/cassiastile/jobs/worker_view.hpp
@@ -38,6 +38,10 @@
   // How much longer the worker is slow after its start, when this was written.
   std::chrono::milliseconds cold_for{0};
 
+  // Whether it is of this kind or in this rack; true for an empty label.
+  bool HasLabel(const std::string& label) const {
+    return label.empty() || kind == label || rack == label;
+  }
   friend bool operator==(const WorkerEntry&, const WorkerEntry&) = default;
 };
 
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -442,6 +442,11 @@
                                           {"error", reply.error().message}});
             return;
           }
+          m_log.Write("advice.answered", {{"job", request.job},
+                                          {"occurrence", request.occurrence},
+                                          {"step", request.step},
+                                          {"named", request.workers.size()},
+                                          {"allowed", reply->allowed.size()}});
           m_scheduler.AdviceAnswered(request, reply->allowed, reply->validity,
                                      m_loop.GetClock().Now());
           RequestPlan();
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -667,6 +667,7 @@
 void Scheduler::Finish(Job& job, JobPhase phase, base::TimePoint now) {
   job.phase = phase;
   job.finished_at = now;
+  ForgetAdvice(job.id);
   RemoveUnfinished(job.id);
   StopAllRuns(job, now);
   m_finished.push_back(&job);
@@ -799,11 +800,12 @@
   DropStartsWithoutRoom(batch, now);
   // The members of a gang are ordered together or not at all.
   std::set<std::string> dropped_gangs;
-  const auto is_usable = [this, now](const Run& run) {
+  const auto is_usable = [this, now](const TaskRef& ref, const Run& run) {
     const WorkerState* worker = FindWorker(run.worker.id);
     return IsListCurrent(now) && m_evacuations.IsCurrent(now) &&
            worker != nullptr && worker->entry.id == run.worker &&
-           IsUsable(*worker, now);
+           IsUsable(*worker, now) &&
+           (!NeedsAdvice(*ref.job) || FindTicket(ref, run, now) != nullptr);
   };
   std::map<std::string, std::uint32_t> members;
   for (const auto& [ref, number] : batch.starts) {
@@ -813,7 +815,7 @@
     const Run* run = FindRun(ref, number);
     const std::string gang = StepKey(ref.job->id, ref.occurrence, ref.step);
     ++members[gang];
-    if (run == nullptr || !is_usable(*run)) {
+    if (run == nullptr || !is_usable(ref, *run)) {
       dropped_gangs.insert(gang);
     }
   }
@@ -835,7 +837,7 @@
     const bool is_whole =
         !SpecOf(ref).gang ||
         !dropped_gangs.contains(StepKey(ref.job->id, ref.occurrence, ref.step));
-    if (is_whole && is_usable(*run)) {
+    if (is_whole && is_usable(ref, *run)) {
       OrderStart(ref, *run, now);
     } else {
       DropRun(ref, number, DropReason::kNotOrdered, now);
@@ -850,14 +852,8 @@
   m_orders.starts.push_back({run.worker, IdOf(ref), run.number,
                              ref.job->spec.payload, run.checkpoint, "",
                              run.placed_at});
-  const auto advice =
-      m_advice.find(StepKey(ref.job->id, ref.occurrence, ref.step));
-  if (advice == m_advice.end()) {
-    return;
-  }
-  const auto ticket = advice->second.ticket_of_worker.find(run.worker.id);
-  if (ticket != advice->second.ticket_of_worker.end()) {
-    m_orders.starts.back().ticket = ticket->second;
+  if (const std::string* ticket = FindTicket(ref, run, now)) {
+    m_orders.starts.back().ticket = *ticket;
   }
 }
 
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -216,7 +216,7 @@
   return kPerRun * others + (HasUnprovenRun(worker, job) ? kUnproven : 0);
 }
 
-void Scheduler::ReserveWorker(const TaskRef& ref,
+bool Scheduler::ReserveWorker(const TaskRef& ref,
                               const std::vector<WorkerState*>& workers,
                               const Advice* advice) {
   WorkerState* best = nullptr;
@@ -233,6 +233,7 @@
   if (best != nullptr) {
     ReserveOn(*best, best->entry.capacity);
   }
+  return best != nullptr;
 }
 
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -36,9 +36,6 @@
 // load.
 constexpr std::size_t kReservedForFinite = 1;
 
-// The advisor accepts at most this many workers in one call.
-constexpr std::size_t kMaxAdvisedWorkers = 30;
-
 // How urgent a job is; more urgent jobs are placed first.
 enum class Urgency : std::uint8_t {
   kLongRunning,  // Serves users as long as it runs.
@@ -143,41 +140,6 @@
          left.step == right.step;
 }
 
-bool HasLabel(const WorkerEntry& entry, const std::string& label) {
-  return label.empty() || entry.kind == label || entry.rack == label;
-}
-
-// Workers with the label of the step: first those that withdrawn starts bind a
-// task of it to, then those with room.
-std::vector<const WorkerState*> RankForAdvice(
-    Job& job,
-    const Occurrence& occurrence,
-    std::uint32_t step,
-    const std::vector<WorkerState*>& workers) {
-  const StepSpec& spec = job.spec.steps[step];
-  const TaskRef any_task{&job, occurrence.number, step, 0};
-  std::vector<std::pair<int, const WorkerState*>> ranked;
-  for (const WorkerState* worker : workers) {
-    if (!HasLabel(worker->entry, spec.required_label)) {
-      continue;
-    }
-    const bool is_bound = std::ranges::any_of(
-        worker->withdrawn, [&any_task](const TaskRef& bound) {
-          return IsOfSameStep(bound, any_task);
-        });
-    const int rank = HasRoom(*worker, CapacityNeed(spec)) ? 1 : 2;
-    ranked.emplace_back(is_bound ? 0 : rank, worker);
-  }
-  std::ranges::stable_sort(ranked, {},
-                           &std::pair<int, const WorkerState*>::first);
-  std::vector<const WorkerState*> result;
-  result.reserve(ranked.size());
-  for (const auto& [rank, worker] : ranked) {
-    result.push_back(worker);
-  }
-  return result;
-}
-
 std::uint32_t RunsOfStep(const WorkerState& worker, const TaskRef& ref) {
   std::uint32_t count = 0;
   for (const auto& [other, run] : worker.runs) {
@@ -330,52 +292,6 @@
   }
 }
 
-const Scheduler::Advice* Scheduler::AdviceFor(
-    Job& job,
-    const Occurrence& occurrence,
-    std::uint32_t step,
-    const std::vector<WorkerState*>& workers,
-    base::TimePoint now) {
-  const QueueConfig* queue = QueueOf(job);
-  const std::string key = StepKey(job.id, occurrence.number, step);
-  Advice& advice = m_advice[key];
-  // An advisor that has not answered is asked again after this time.
-  constexpr std::chrono::milliseconds kRetryAfter{2000};
-  const bool valid = now < advice.valid_until;
-  const bool asking = advice.asked_at != base::TimePoint{} &&
-                      now - advice.asked_at < kRetryAfter;
-  if (!valid && !asking) {
-    AdviceRequest request{
-        job.id, occurrence.number, step, {}, queue->advice->validity};
-    for (const WorkerState* worker :
-         RankForAdvice(job, occurrence, step, workers)) {
-      if (request.workers.size() < kMaxAdvisedWorkers) {
-        request.workers.push_back(worker->entry.id.id);
-      }
-    }
-    advice.asked_at = now;
-    m_orders.advice.push_back(std::move(request));
-  }
-  return valid ? &advice : nullptr;
-}
-
-void Scheduler::AdviceAnswered(
-    const AdviceRequest& request,
-    const std::vector<std::pair<std::string, std::string>>& allowed,
-    std::chrono::milliseconds validity,
-    base::TimePoint now) {
-  Advice& advice =
-      m_advice[StepKey(request.job, request.occurrence, request.step)];
-  // Subtracted, so that tickets are still valid when the order arrives.
-  constexpr std::chrono::milliseconds kMargin{300};
-  advice.valid_until = now + std::max(validity - kMargin, kMargin);
-  advice.asked_at = {};
-  advice.ticket_of_worker.clear();
-  for (const auto& [worker, ticket] : allowed) {
-    advice.ticket_of_worker.emplace(worker, ticket);
-  }
-}
-
 void Scheduler::PlaceStep(Job& job,
                           Occurrence& occurrence,
                           std::uint32_t step_number,
@@ -387,9 +303,10 @@
     return;
   }
   const Advice* advice = nullptr;
-  if (queue != nullptr && queue->advice) {
-    advice = AdviceFor(job, occurrence, step_number, workers, now);
-    if (advice == nullptr) {
+  if (NeedsAdvice(job)) {
+    advice = &m_advice[StepKey(job.id, occurrence.number, step_number)];
+    if (!advice->AllowsAny()) {
+      RequestAdvice(job, occurrence, step_number, workers, now);
       return;
     }
   }
@@ -409,6 +326,13 @@
   if (!spec.long_running && m_reserved_for_finite < most) {
     may_reserve = most - m_reserved_for_finite;
   }
+  // A task that no allowed worker can take leaves the place to others.
+  const auto count_reserved = [&](bool is_reserved) {
+    if (is_reserved || advice == nullptr) {
+      --may_reserve;
+      m_reserved_for_finite += spec.long_running ? 0 : 1;
+    }
+  };
   bool full = IsFull(CapacityNeed(spec));
   bool allowed = IsWithinLimit(job, spec.need);
   std::int64_t unplaced = 0;
@@ -437,20 +361,14 @@
     if (worker == nullptr) {
       if (allowed && step.tasks[index].must_be_isolated) {
         if (may_reserve > 0) {
-          --may_reserve;
-          m_reserved_for_finite += spec.long_running ? 0 : 1;
-          ReserveWorker(ref, workers, advice);
+          count_reserved(ReserveWorker(ref, workers, advice));
         }
       } else if (allowed && !bound) {
         ++unplaced;
         if (may_reserve > 0) {
-          --may_reserve;
-          m_reserved_for_finite += spec.long_running ? 0 : 1;
-          if (spec.long_running || m_options.max_reserved_starts == 0) {
-            Reserve(ref, workers, advice);
-          } else {
-            ReserveStart(ref, workers, advice, now);
-          }
+          count_reserved(spec.long_running || m_options.max_reserved_starts == 0
+                             ? Reserve(ref, workers, advice)
+                             : ReserveStart(ref, workers, advice, now));
         }
       }
       left.push_back(index);
@@ -462,6 +380,9 @@
     allowed = IsWithinLimit(job, spec.need);
   }
   step.waiting = std::move(left);
+  if (advice != nullptr && allowed && !step.waiting.empty()) {
+    RequestAdvice(job, occurrence, step_number, workers, now);
+  }
   if (unplaced > 0) {
     const Resources need = CapacityNeed(spec) * unplaced;
     m_unplaced[ServiceOf(job)] += need;
@@ -596,9 +517,8 @@
                            const Advice* advice) const {
   const StepSpec& spec = SpecOf(ref);
   const WorkerEntry& entry = worker.entry;
-  const bool has_label = HasLabel(entry, spec.required_label);
-  const bool advised =
-      advice == nullptr || advice->ticket_of_worker.contains(entry.id.id);
+  const bool has_label = entry.HasLabel(spec.required_label);
+  const bool advised = advice == nullptr || advice->IsAllowed(entry.id.id);
   const bool healthy = !worker.health.IsOnProbation() ||
                        !HasUnprovenTask(worker) ||
                        (spec.long_running && worker.Binds(ref));
@@ -613,7 +533,7 @@
           TakenPlacesOfStep(worker, ref) < spec.max_per_worker);
 }
 
-void Scheduler::Reserve(const TaskRef& ref,
+bool Scheduler::Reserve(const TaskRef& ref,
                         const std::vector<WorkerState*>& workers,
                         const Advice* advice) {
   const Resources need = CapacityNeed(SpecOf(ref));
@@ -636,6 +556,7 @@
   if (best != nullptr) {
     ReserveOn(*best, need);
   }
+  return best != nullptr;
 }
 
 void Scheduler::ReserveOn(WorkerState& worker, const Resources& need) {
@@ -651,7 +572,9 @@
   const StepSpec& spec = SpecOf(ref);
   const Task& task = *FindTask(ref);
   ++m_work.workers_examined;
-  if (!IsEligible(worker, ref, advice)) {
+  const bool has_ticket =
+      advice == nullptr || advice->FindTicket(worker.entry.id, now) != nullptr;
+  if (!has_ticket || !IsEligible(worker, ref, advice)) {
     return std::nullopt;
   }
   const bool slow = IsAvoidedAsSlow(worker) && !spec.long_running;
--- a/src/cassiastile/jobs/scheduler_reserve.cpp
+++ b/src/cassiastile/jobs/scheduler_reserve.cpp
@@ -124,20 +124,21 @@
   return best;
 }
 
-void Scheduler::ReserveStart(const TaskRef& ref,
+bool Scheduler::ReserveStart(const TaskRef& ref,
                              const std::vector<WorkerState*>& workers,
                              const Advice* advice,
                              base::TimePoint now) {
   ReservedStart start;
   WorkerState* worker = FindReservable(ref, workers, advice, now, start);
   if (worker == nullptr) {
-    return;
+    return false;
   }
   if (now - ref.job->arrived_at > kMaxOvertaken) {
     start.at = now;
   }
   worker->reserved_start = start;
   ++m_reserved_starts[worker->entry.service];
+  return true;
 }
 
 void Scheduler::ReserveGang(Job& job,
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -492,6 +492,7 @@
     RefreshReadySteps(job, occurrence);
     return;
   }
+  ForgetAdvice(job.id, occurrence.number);
   ++job.occurrences_done;
   if (job.occurrences_done >= job.spec.Occurrences()) {
     Finish(job, JobPhase::kDone, now);
@@ -585,7 +586,12 @@
       }
       return;
     case StartResult::kNoTicket:
-      m_advice.erase(StepKey(task.job, task.occurrence, task.step));
+      if (const auto advice =
+              m_advice.find(StepKey(task.job, task.occurrence, task.step));
+          advice != m_advice.end()) {
+        // Another one is asked for; the worker stays allowed.
+        advice->second.answers[id.id].valid_until = {};
+      }
       DropRun(*ref, number, DropReason::kRefused, now);
       return;
     case StartResult::kBusy:
