Place gangs on workers that the placement advisor allows

Cause: the advisor was asked about the step, but PlaceGang and ReserveGang chose workers regardless of its answer; those that are not allowed refused their members for want of a ticket, again and again.

Change: both heed the advice, and the advisor is asked about further workers until the gang fits.

Two new tests in AdvisedStepTest fail on the parent and pass now.

--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -594,6 +594,7 @@
                  Occurrence& occurrence,
                  std::uint32_t step,
                  std::vector<WorkerState*>& workers,
+                 const Advice* advice,
                  base::TimePoint now);
   // Whether the task of a withdrawn start need not stay on its worker: it has
   // left before, or the worker gets no new tasks or would refuse this one.
@@ -665,6 +666,7 @@
                    const Occurrence& occurrence,
                    std::uint32_t step,
                    const std::vector<WorkerState*>& workers,
+                   const Advice* advice,
                    base::TimePoint now);
   // The worker with the best start for the task that has no reserved one.
   WorkerState* FindReservable(const TaskRef& ref,
--- a/src/cassiastile/jobs/advised_step_test.cpp
+++ b/src/cassiastile/jobs/advised_step_test.cpp
@@ -16,6 +16,7 @@
 using testing::SizeIs;
 
 constexpr milliseconds kValidity{3000};
+constexpr std::int64_t kWholeWorker = 16000;  // Its CPU.
 constexpr char kJob[] = "5c0e7a21d94b36f8";
 
 class AdvisedStepTest : public testing::Test {
@@ -204,7 +205,6 @@
     config.queues.push_back(plain);
   });
   AddWorkers(2);
-  constexpr std::int64_t kWholeWorker = 16000;
   constexpr std::size_t kPlain = 1;
   const auto submit = [this](const std::string& job, JobSpec spec,
                              std::size_t queue) {
@@ -228,6 +228,40 @@
   EXPECT_EQ(workers.at(lasting.front().worker.id).reserved, Resources{});
 }
 
+// Gangs were placed regardless of the advice, and their starts refused for want
+// of a ticket again and again.
+TEST_F(AdvisedStepTest, GangStartsOnAllowedWorkersOnly) {
+  AddWorkers(85);
+  m_policy = {Id(2), Id(50), Id(84)};
+  JobSpec spec = SchedulerBench::OneTask(kWholeWorker);
+  spec.steps.front().count = 3;
+  spec.steps.front().gang = true;
+  m_bench.Submit(kJob, spec);
+  const auto started = StartWithin(20);
+  ASSERT_THAT(started, SizeIs(3));
+  std::set<std::string> used;
+  for (const StartOrder& start : started) {
+    used.insert(start.worker.id);
+  }
+  EXPECT_EQ(used, m_policy);
+  EXPECT_EQ(m_refused, 0);
+}
+
+// Gangs of which no more than two members find an allowed worker don't start.
+TEST_F(AdvisedStepTest, GangWithoutEnoughAllowedWorkersWaits) {
+  AddWorkers(40);
+  m_policy = {Id(2), Id(39)};
+  JobSpec spec = SchedulerBench::OneTask(kWholeWorker);
+  spec.steps.front().count = 3;
+  spec.steps.front().gang = true;
+  m_bench.Submit(kJob, spec);
+  EXPECT_THAT(StartWithin(20), IsEmpty());
+  m_policy.insert(Id(40));
+  m_bench.AddWorker(Id(40));
+  EXPECT_THAT(StartWithin(20), SizeIs(3));
+  EXPECT_EQ(m_refused, 0);
+}
+
 // What was said of a job is forgotten with it.
 TEST_F(AdvisedStepTest, LateAnswerAboutACancelledJobIsIgnored) {
   AddWorkers(1);
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -312,7 +312,7 @@
   }
   const StepSpec& spec = job.spec.steps[step_number];
   if (spec.gang) {
-    PlaceGang(job, occurrence, step_number, workers, now);
+    PlaceGang(job, occurrence, step_number, workers, advice, now);
     return;
   }
   StepState& step = occurrence.steps[step_number];
@@ -396,6 +396,7 @@
                           Occurrence& occurrence,
                           std::uint32_t step_number,
                           std::vector<WorkerState*>& workers,
+                          const Advice* advice,
                           base::TimePoint now) {
   StepState& step = occurrence.steps[step_number];
   if (step.waiting.size() < step.tasks.size()) {
@@ -411,7 +412,7 @@
   const Resources need = CapacityNeed(spec);
   for (const std::uint32_t index : step.waiting) {
     const TaskRef member{&job, occurrence.number, step_number, index};
-    WorkerState* place = ChooseWorker(member, workers, nullptr, now);
+    WorkerState* place = ChooseWorker(member, workers, advice, now);
     if (place == nullptr) {
       break;
     }
@@ -426,7 +427,10 @@
     m_free.Update(*places[i]);
   }
   if (places.size() < step.waiting.size()) {
-    ReserveGang(job, occurrence, step_number, workers, now);
+    ReserveGang(job, occurrence, step_number, workers, advice, now);
+    if (advice != nullptr) {
+      RequestAdvice(job, occurrence, step_number, workers, now);
+    }
     return false;
   }
   std::uint32_t run = 0;
--- a/src/cassiastile/jobs/scheduler_reserve.cpp
+++ b/src/cassiastile/jobs/scheduler_reserve.cpp
@@ -145,6 +145,7 @@
                             const Occurrence& occurrence,
                             std::uint32_t step,
                             const std::vector<WorkerState*>& workers,
+                            const Advice* advice,
                             base::TimePoint now) {
   const auto& waiting = occurrence.steps[step].waiting;
   if (m_reserved_for_finite >= m_options.max_reserved_starts ||
@@ -157,7 +158,7 @@
   for (const std::uint32_t index : waiting) {
     ReservedStart start;
     WorkerState* place = FindReservable({&job, occurrence.number, step, index},
-                                        workers, nullptr, now, start);
+                                        workers, advice, now, start);
     if (place == nullptr) {
       break;
     }
