Count the members of a gang that are held on a worker

What callers would see: more members of a gang on one worker than its step allows. Found by a test of gangs with placement advice; not reported.

Cause: members are chosen before any of them has a run, and only runs count for max_per_worker.

Change: held members count while the gang is placed.

Evidence: SchedulerTest.GangKeepsToItsMembersPerWorker has four members on one worker on the parent, where two are allowed, and passes now.

--- a/include/cassiastile/jobs/worker_state.hpp
+++ b/include/cassiastile/jobs/worker_state.hpp
@@ -70,6 +70,8 @@
   Resources largest_capacity;
   // Number of long-running runs, without fillers.
   std::int64_t long_running_runs = 0;
+  // Members that are held here of the gang that is being placed.
+  std::uint32_t held_members = 0;
   // Reserved in this planning round for a task that fits nowhere yet.
   Resources reserved;
   // The same for a finite task, from a time on.
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -419,11 +419,13 @@
     // Held while the others are placed.
     held.push_back(place->Binds(member) ? Resources{} : need);
     place->used += held.back();
+    ++place->held_members;
     m_free.Update(*place);
     places.push_back(place);
   }
   for (std::size_t i = 0; i < places.size(); ++i) {
     places[i]->used -= held[i];
+    places[i]->held_members = 0;
     m_free.Update(*places[i]);
   }
   if (places.size() < step.waiting.size()) {
@@ -534,7 +536,8 @@
   const bool lasting = worker.takes_finite || spec.long_running;
   return has_label && advised && healthy && expected && lasting &&
          (spec.max_per_worker == 0 ||
-          TakenPlacesOfStep(worker, ref) < spec.max_per_worker);
+          TakenPlacesOfStep(worker, ref) + worker.held_members <
+              spec.max_per_worker);
 }
 
 bool Scheduler::Reserve(const TaskRef& ref,
--- a/src/cassiastile/jobs/scheduler_test.cpp
+++ b/src/cassiastile/jobs/scheduler_test.cpp
@@ -599,6 +599,28 @@
   EXPECT_THAT(bench.Step().starts, IsEmpty());
 }
 
+// Members are chosen before any of them has a run, so that they were not
+// counted for each other, and all of them went to one worker.
+TEST(SchedulerTest, GangKeepsToItsMembersPerWorker) {
+  SchedulerBench bench;
+  bench.AddWorker("worker-a");
+  bench.AddWorker("worker-b");
+  JobSpec spec = SchedulerBench::OneTask();
+  spec.steps.front().count = 4;
+  spec.steps.front().gang = true;
+  spec.steps.front().max_per_worker = 2;
+  bench.Submit("gang", spec);
+  std::map<std::string, int> members;
+  for (const StartOrder& start : bench.StepAndStart()) {
+    ++members[start.worker.id];
+  }
+  EXPECT_EQ(members,
+            (std::map<std::string, int>{{"worker-a", 2}, {"worker-b", 2}}));
+  spec.steps.front().count = 5;
+  bench.Submit("too large", spec);
+  EXPECT_TRUE(bench.StepAndStart().empty());
+}
+
 // All members of a gang have one run number, and a new attempt needs all of
 // them.
 TEST(SchedulerTest, GangWaitsForItsMemberThatMayStartAtTheNextLife) {
