--- a/include/cassiastile/jobs/orders.hpp
+++ b/include/cassiastile/jobs/orders.hpp
@@ -46,8 +46,8 @@
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
   std::vector<std::string> workers;  // The candidates, by id.
-  base::TimePoint asked_at{};
   std::chrono::milliseconds validity{0};
+  base::TimePoint asked_at{};
 };
 
 // A run that was given up although its end was not listed, or one that a worker
--- a/src/cassiastile/jobs/scheduler_advice.cpp
+++ b/src/cassiastile/jobs/scheduler_advice.cpp
@@ -100,8 +100,8 @@
                         .occurrence = occurrence.number,
                         .step = step,
                         .workers = {},
-                        .asked_at = now,
-                        .validity = QueueOf(job)->advice->validity};
+                        .validity = QueueOf(job)->advice->validity,
+                        .asked_at = now};
   for (const auto& [rank, worker] : candidates) {
     if (request.workers.size() < kMaxAdvisedWorkers) {
       request.workers.push_back(worker->entry.id.id);
