Store the progress of large jobs in segments, and forget what is done

Callers saw: one ordinary job stopped the deployment for good. A repeating job (review/6) or one of 6,000 tasks made the row of its progress outgrow the 64 KB that the store takes; the store refused each transaction with that row, the leader sent it again without end, and nothing of any job was stored any more: 503, 504, and accepted jobs that stood still.

Cause: a job's progress was one row with every task that was ever started, of all occurrences, and an occurrence became objects as soon as it was due. So rows, transactions, memory and each round grew with what was long done or had not begun, and no bound of the store bounded them.

Change: - Occurrences that are over are forgotten. An end or a run of one that is listed later is of no known task: it is acknowledged or stopped. - Due occurrences are a number. They begin as their turn comes, while few tasks wait, and the tasks that are kept in memory are bounded. - Progress beyond 48 KB is split into segments of 64 consecutive tasks in a table of their own, each of as many rows as it needs. Only segments that have changed are written. All segments are written first, then the job's row, which counts until then: a leader killed in between loses nothing. - A batch holds part of a job. A start waits for its own segment, for those of its gang and of the steps before it; an end for its segment; and a segment is never written before a change of the job's row. - Jobs that fit into one row are stored as before.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -145,6 +145,7 @@
   struct StoredJob {
     std::string record;
     std::string progress;
+    jobs::StoredSegments segments;
   };
   using Responder = std::function<void(JobAnswer)>;
 
@@ -160,6 +161,7 @@
                          const std::string& part,
                          const std::function<void(RowPage)>& on_rows);
   void ReadJobs();
+  void ReadSegments();
   void ReadWorkers();
   void FeedWorkers();
   void ApplyWorkerRows(const std::vector<Row>& rows);
--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -15,6 +15,8 @@
 // Tables in which the leader stores its state.
 inline constexpr char kLeaderTable[] = "cassia_office";
 inline constexpr char kJobTable[] = "cassia_jobs";
+// The tasks of jobs that are too large for one row; see jobs::ProgressForm.
+inline constexpr char kSegmentTable[] = "cassia_segments";
 inline constexpr char kMachineTable[] = "cassia_machines";
 // Task durations learnt per queue; if lost, they are learnt again.
 inline constexpr char kLearntTable[] = "cassia_learnt";
--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -195,6 +197,20 @@
   friend bool operator==(const AcceptedTerms&, const AcceptedTerms&) = default;
 };
 
+// How the progress of a job is stored. One row holds it while it fits, which
+// older programs can read.
+enum class ProgressForm : std::uint8_t {
+  kWhole,  // One row for all tasks.
+  // The row of kWhole is still what counts; segments are being written.
+  kSplitting,
+  kSplit,  // A row for the job and one or more for each segment.
+};
+
+// Tasks that are stored together in a split progress: the tasks of all
+// occurrences, counted through, are cut into segments of equal length.
+using SegmentNumber = std::uint64_t;
+inline constexpr std::uint64_t kTasksOfSegment = 64;
+
 // A job and its progress, as the scheduler keeps it.
 struct Job {
   std::string id;
@@ -222,9 +238,19 @@
   bool record_taken = false;
   // Number of its oldest change that is not written yet; 0 if there is none.
   std::uint64_t oldest_change = 0;
+  ProgressForm form = ProgressForm::kWhole;
+  // The same for each segment that is to be written.
+  std::map<SegmentNumber, std::uint64_t> changed_segments;
+  // The number of rows that each segment has in the store.
+  std::map<SegmentNumber, std::uint32_t> stored_segments;
+  // In kSplitting: segments that have to be written before the job's row.
+  std::set<SegmentNumber> unsplit_segments;
   bool started = false;  // One of its tasks has run.
   std::uint32_t next_occurrence = 0;
-  std::vector<Occurrence> occurrences;  // Those that have begun.
+  // Number of occurrences that are due, begun or not.
+  std::uint32_t due_occurrences = 0;
+  // Those that have begun and are not over, in the order of their numbers.
+  std::vector<Occurrence> occurrences;
   std::uint32_t occurrences_done = 0;
   std::uint32_t live_runs = 0;  // Runs of its tasks that may be alive.
   // The work that was left when it was last summed up; zero time: not known
@@ -262,18 +288,46 @@
 // The capacity that a task reserves on its worker; a filler reserves no CPU.
 Resources CapacityNeed(const StepSpec& step);
 
-// Adds an occurrence and makes the steps without predecessors ready.
+// Adds an occurrence and makes the steps without predecessors ready. Its number
+// must be higher than those of all others.
 Occurrence& BeginOccurrence(Job& job, std::uint32_t number);
+// Whether all steps of the occurrence are done and no run of it is left, so
+// that nothing of it needs to be known any more.
+bool IsOver(const Occurrence& occurrence);
+// Number of tasks of one occurrence.
+std::uint64_t TasksOfOccurrence(const JobSpec& spec);
+// The segment of a task.
+SegmentNumber SegmentOf(const TaskRef& ref);
+// The first and the last segment with tasks of a step.
+std::pair<SegmentNumber, SegmentNumber> SegmentsOfStep(const Job& job,
+                                                       std::uint32_t occurrence,
+                                                       std::uint32_t step);
 // Makes the steps ready whose predecessors are done, and queues their tasks.
 void RefreshReadySteps(Job& job, Occurrence& occurrence);
 
 // Serialize a job's record, which never changes, and its progress for the
-// store.
+// store. The tasks of a split progress are in its segments.
 std::string EncodeRecord(const Job& job);
-std::string EncodeProgress(const Job& job);
-// Read them back: DecodeRecord makes the job, DecodeProgress adds to it. Fail
-// with kInvalid when the bytes were not written by the functions above.
+std::string EncodeProgress(const Job& job, bool is_split = false);
+// The tasks of a segment; empty if none of them has begun.
+std::string EncodeSegment(const Job& job, SegmentNumber segment);
+// The segments that have a task to be stored.
+std::set<SegmentNumber> FindBegunSegments(const Job& job);
+
+// A segment as it was read: its rows one after the other.
+struct StoredSegment {
+  std::string bytes;
+  std::uint32_t rows = 0;
+};
+using StoredSegments = std::map<SegmentNumber, StoredSegment>;
+
+// Read them back: DecodeRecord makes the job, DecodeProgress adds to it.
+// Segments of a job whose progress is not split are left over from an
+// interrupted split and count only as stored. Fail with kInvalid when the bytes
+// were not written by the functions above.
 base::Result<Job> DecodeRecord(const std::string& id, const std::string& bytes);
-base::Result<void> DecodeProgress(Job& job, const std::string& bytes);
+base::Result<void> DecodeProgress(Job& job,
+                                  const std::string& bytes,
+                                  const StoredSegments& segments = {});
 
 }  // namespace cassiastile::jobs
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -65,8 +65,11 @@
 // A row of the store to write, or to remove if it has no bytes.
 struct JobRow {
   std::string job;
-  bool is_record = false;  // The job's record, else its progress.
+  bool is_record = false;  // The job's record, else of its progress.
   std::optional<std::string> bytes;
+  // The segment of the progress that the row is of; none for the job's own row.
+  std::optional<SegmentNumber> segment;
+  std::uint32_t place = 0;  // Among the rows of the segment.
 };
 
 // The rows of one transaction, and what may take effect once it is committed.
@@ -244,8 +247,8 @@
                   RowChoice choice = RowChoice::kAll);
   // Whether there are rows that should be written without delay.
   bool HasUrgentRows() const { return !m_urgent.empty(); }
-  // Number of jobs that have such rows.
-  std::size_t UrgentJobs() const { return m_urgent.size(); }
+  // Number of such rows; a job's record and its progress count as one.
+  std::size_t UrgentRows() const { return m_urgent.size(); }
   bool HasRows() const { return !m_urgent.empty() || !m_deferred.empty(); }
   // The batch is committed: updates the jobs and orders the starts in it. A
   // start whose worker takes no tasks any more, as far as an up-to-date list of
@@ -253,6 +256,9 @@
   // again, as are all members of its gang.
   void Confirm(const Batch& batch, base::TimePoint now);
 
+  // Removes segments whose job is gone, with one of the next batches.
+  void RemoveSegments(const std::string& job, const StoredSegments& segments);
+
   // Returns the orders given since the last call.
   Orders TakeOrders();
 
@@ -262,8 +268,8 @@
                                             base::TimePoint now);
   // What waits to be written. For logs.
   struct RowBacklog {
-    std::size_t urgent = 0;         // Jobs whose rows must not wait.
-    std::size_t deferred = 0;       // Other jobs.
+    std::size_t urgent = 0;         // Rows that must not wait.
+    std::size_t deferred = 0;       // Other rows.
     std::size_t starts = 0;         // Placed runs that are in no batch yet.
     base::Duration oldest_start{};  // Since the oldest of them was placed.
   };
@@ -396,7 +402,22 @@
   // worker's entry. Which is the later incarnation is known once the worker
   // reports.
   bool HasLaterRuns(const WorkerState& worker);
+  // A row of a job's progress that is to be written: the job's own or that of a
+  // segment.
+  struct ChangedRow {
+    Job* job = nullptr;
+    std::optional<SegmentNumber> segment;
+  };
+  using ChangedRows = std::map<std::uint64_t, ChangedRow>;  // By oldest change.
+  // The job's own row is to be written.
   void MarkDirty(Job& job, bool urgent);
+  // The row that holds the task is to be written.
+  void MarkDirty(const TaskRef& ref, bool urgent);
+  void MarkSegmentDirty(Job& job, SegmentNumber segment, bool urgent);
+  // The task's step is done, all of it at once or with this task.
+  void MarkStepDirty(const TaskRef& ref, bool at_once);
+  // Notes a change of a row whose oldest unwritten change is `oldest`.
+  void MarkRowDirty(const ChangedRow& row, std::uint64_t& oldest, bool urgent);
   // The work that is left of a job, up to kMaxRemainingAge old.
   const Work& RemainingWorkOf(Job& job, base::TimePoint now);
   void AddUnfinished(Job& job);
@@ -404,8 +425,38 @@
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
-  // Moves jobs from those to write to the next batch, with their rows.
-  void TakeJobs(std::size_t max_rows, RowChoice choice, Batch& batch);
+  // Moves rows from those to write to the next batch.
+  void TakeRows(std::size_t max_rows, RowChoice choice, Batch& batch);
+  // The same from one of the two kinds, up to a number of rows in the batch and
+  // while there is room for `bytes` more.
+  void TakeRowsOf(ChangedRows& changed,
+                  std::size_t up_to,
+                  std::size_t& bytes,
+                  Batch& batch);
+  // The rows that the changed one stands for. A segment is preceded by the
+  // job's own row if that has changed too: it says which occurrences the
+  // segment is of.
+  static std::vector<JobRow> RowsToWrite(const ChangedRow& changed,
+                                         bool ends_split);
+  // Whether the job's own row is among them.
+  static bool HasOwnRow(const ChangedRow& changed);
+  // Notes that these rows are in the batch.
+  void NoteTaken(const ChangedRow& changed,
+                 const std::vector<JobRow>& rows,
+                 Batch& batch);
+  // Has those segments of a job removed of which nothing has begun.
+  void RemoveEmptySegments(Job& job);
+  // Has all segments of a finished job removed.
+  void RemoveAllSegments(Job& job);
+  // Begins to split the progress of a job that has become too large for a row.
+  void BeginSplit(Job& job);
+  // Whether the record of a planned run is in this batch or an earlier one,
+  // with all that the next leader must know before it.
+  static bool IsStartStored(const TaskRef& ref);
+  // Forgets the occurrences that are over.
+  void RemoveOverOccurrences();
+  // Whether another occurrence that is due may begin.
+  bool MayBeginOccurrence(const Job& job) const;
   // Adds the ends whose changes are all in this batch or earlier ones.
   void CoverEnds(Batch& batch);
   // Updates the indices of workers by machine and by service.
@@ -824,10 +875,13 @@
   base::TimePoint m_zones_evacuated_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
   std::uint64_t m_last_change = 0;         // Counts MarkDirty.
-  // Jobs whose rows are to be written, by oldest change: at once, and with
-  // others.
-  std::map<std::uint64_t, Job*> m_urgent;
-  std::map<std::uint64_t, Job*> m_deferred;
+  // Rows that are to be written: at once, and with others.
+  ChangedRows m_urgent;
+  ChangedRows m_deferred;
+  // Unfinished jobs with occurrences of which all steps are done.
+  std::set<std::string> m_jobs_with_done_occurrences;
+  // Rows of segments to be removed whose jobs are gone.
+  std::vector<JobRow> m_removed_rows;
   // Ends that no batch covers yet, the oldest first: the worker, the sequence
   // number of the last one in a report, and the number of the newest change
   // when it had been applied.
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -1,8 +1,10 @@
 #include "cassiastile/host/dispatcher.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "cassiastile/host/worker_lease.hpp"
@@ -83,6 +85,40 @@
   return options;
 }
 
+// The key of a row of a job. Those of a segment sort by its number, then by
+// their place in it.
+std::string KeyOf(const jobs::JobRow& row) {
+  if (row.segment) {
+    return fmt::format("{}.{:016x}.{:04x}", row.job, *row.segment, row.place);
+  }
+  return row.job + (row.is_record ? kRecordSuffix : kProgressSuffix);
+}
+
+struct SegmentKey {
+  std::string job;
+  jobs::SegmentNumber segment = 0;
+};
+
+// Fails with kInvalid for a key that KeyOf does not make.
+base::Result<SegmentKey> DecodeSegmentKey(const std::string& key) {
+  constexpr std::size_t kSegmentDigits = 16;
+  constexpr std::size_t kSuffix = kSegmentDigits + 6;
+  constexpr int kHexadecimal = 16;
+  SegmentKey decoded;
+  if (key.size() > kSuffix) {
+    decoded.job = key.substr(0, key.size() - kSuffix);
+    const char* first = key.data() + decoded.job.size() + 1;
+    const char* last = first + kSegmentDigits;
+    const auto read =
+        std::from_chars(first, last, decoded.segment, kHexadecimal);
+    if (read.ec == std::errc() && read.ptr == last) {
+      return decoded;
+    }
+  }
+  return base::Fail(base::ErrorCode::kInvalid,
+                    fmt::format("key of a segment: {}", key));
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(HostDependencies& dependencies,
@@ -172,6 +208,24 @@
                   }));
 }
 
+void Dispatcher::ReadSegments() {
+  ReadUntilAnswered(kSegmentTable, kLeaderPart, [this](const RowPage& page) {
+    for (const Row& row : page.rows) {
+      const auto key = DecodeSegmentKey(row.key);
+      if (!key) {
+        m_log.Write("office.bad_row", {{"error", key.error().message}});
+        continue;
+      }
+      // Rows come in the order of their keys.
+      jobs::StoredSegment& segment =
+          m_recovered[key->job].segments[key->segment];
+      segment.bytes += row.value;
+      ++segment.rows;
+    }
+    ReadMachineRows();
+  });
+}
+
 void Dispatcher::ReadJobs() {
   ReadUntilAnswered(kJobTable, kLeaderPart, [this](const RowPage& page) {
     for (const Row& row : page.rows) {
@@ -180,7 +234,7 @@
       (row.key.ends_with(kRecordSuffix) ? job.record : job.progress) =
           row.value;
     }
-    ReadMachineRows();
+    ReadSegments();
   });
 }
 
@@ -363,6 +417,9 @@
   for (const auto& [id, rows] : m_recovered) {
     jobs::Job job;
     job.id = id;
+    if (rows.progress.empty()) {
+      m_scheduler.RemoveSegments(id, rows.segments);
+    }
     // A finished job's record is deleted; its progress is kept for a while.
     base::Result<void> read;
     if (!rows.record.empty()) {
@@ -374,7 +431,7 @@
       }
     }
     if (read) {
-      read = jobs::DecodeProgress(job, rows.progress);
+      read = jobs::DecodeProgress(job, rows.progress, rows.segments);
     }
     if (read) {
       recovered.push_back(std::move(job));
@@ -466,7 +523,7 @@
   }
   const base::Clock& clock = m_loop.GetClock();
   const base::TimePoint began = clock.Now();
-  if (m_scheduler.UrgentJobs() >= kFullCommits * kMaxJobRows &&
+  if (m_scheduler.UrgentRows() >= kFullCommits * kMaxJobRows &&
       began - m_planned_at < kMaxPlanPause) {
     CommitPending();
     RequestPlan();
@@ -543,12 +600,8 @@
   const std::size_t rows = batch.rows.size();
   for (jobs::JobRow& row : std::exchange(batch.rows, {})) {
     const bool is_put = row.bytes.has_value();
-    Row put{kJobTable,
-            kLeaderPart,
-            row.job + (row.is_record ? kRecordSuffix : kProgressSuffix),
-            is_put ? std::move(*row.bytes) : "",
-            0,
-            false};
+    Row put{row.segment ? kSegmentTable : kJobTable, kLeaderPart, KeyOf(row),
+            is_put ? std::move(*row.bytes) : "",     0,           false};
     (is_put ? puts : deletes).push_back(std::move(put));
   }
   std::vector<std::function<void()>> stored;
--- a/src/cassiastile/host/dispatcher_jobs.cpp
+++ b/src/cassiastile/host/dispatcher_jobs.cpp
@@ -212,7 +212,7 @@
 bool Dispatcher::IsTooBusyFor(const JobRequest& request) const {
   // If the next commit has room for the job, a slow answer of the store is no
   // reason to refuse it.
-  if (m_scheduler.UrgentJobs() * kRowsOfNewJob < kMaxJobRows) {
+  if (m_scheduler.UrgentRows() * kRowsOfNewJob < kMaxJobRows) {
     return false;
   }
   const base::Duration wait =
--- a/src/cassiastile/host/large_job_test.cpp
+++ b/src/cassiastile/host/large_job_test.cpp
@@ -66,5 +66,58 @@
   ExpectOrdinaryJobIsDone();
 }
 
+// All tasks of a step run at once: their rows must not outgrow what the table
+// takes, whatever becomes of the leader meanwhile.
+class WideJobTest : public testing::TestWithParam<std::uint32_t> {
+ protected:
+  static constexpr milliseconds kTask{4000};
+
+  void SetUp() override {
+    m_world.RunFor(kSettled);
+    ASSERT_TRUE(m_world.LeaderIndex().has_value());
+  }
+
+  void ExpectAllDone(const std::string& wide) {
+    const std::string job = m_world.MakeJob(0, 1, 1, milliseconds(100));
+    const auto submitted = m_world.Send(*m_world.LeaderIndex(), "POST", job);
+    m_world.RunFor(kUntilAnswered);
+    EXPECT_EQ(submitted->status, kOk);
+    EXPECT_EQ(m_world.StateOf(job), "done");
+    m_world.RunFor(milliseconds(60000));
+    EXPECT_EQ(m_world.StateOf(wide), "done");
+    EXPECT_EQ(m_world.CountDoneTasks(wide), m_world.TaskCountOf(wide));
+    EXPECT_THAT(m_world.Violations(), IsEmpty());
+  }
+
+  VirtualWorld m_world{{.seed = 66, .tasks_per_worker = 6000}};
+};
+
+TEST_P(WideJobTest, AllTasksRunAndOtherJobsGoOn) {
+  const std::string wide = m_world.Submit(0, 1, GetParam(), kTask);
+  m_world.RunFor(kUntilAnswered);
+  EXPECT_EQ(m_world.SubmissionStatuses().at(wide), kOk);
+  ExpectAllDone(wide);
+}
+
+TEST_P(WideJobTest, LeadersAreKilledWhileItsTasksStart) {
+  const std::string wide = m_world.Submit(0, 1, GetParam(), kTask);
+  constexpr int kKills = 3;
+  for (int i = 0; i < kKills; ++i) {
+    m_world.RunFor(milliseconds(1000 + 40 * i));
+    const auto leader = m_world.LeaderIndex();
+    if (leader) {
+      m_world.KillHost(*leader);
+      m_world.RunFor(milliseconds(4000));
+      m_world.StartHost(*leader);
+    }
+  }
+  m_world.RunFor(kSettled);
+  ExpectAllDone(wide);
+}
+
+INSTANTIATE_TEST_SUITE_P(Tasks,
+                         WideJobTest,
+                         testing::Values(2000U, 6000U, 10000U));
+
 }  // namespace
 }  // namespace cassiastile::host
--- a/src/cassiastile/jobs/job.cpp
+++ b/src/cassiastile/jobs/job.cpp
@@ -4,15 +4,34 @@
 
 namespace cassiastile::jobs {
 
+namespace {
+
+// The number of a step's first task, when the tasks of all occurrences are
+// counted through.
+std::uint64_t FirstTaskOfStep(const Job& job,
+                              std::uint32_t occurrence,
+                              std::uint32_t step) {
+  std::uint64_t first = 0;
+  std::uint64_t tasks = 0;
+  for (std::uint32_t i = 0; i < job.spec.steps.size(); ++i) {
+    first += i < step ? job.spec.steps[i].count : 0;
+    tasks += job.spec.steps[i].count;
+  }
+  return occurrence * tasks + first;
+}
+
+}  // namespace
+
 bool IsFinished(JobPhase phase) {
   return phase == JobPhase::kDone || phase == JobPhase::kFailed ||
          phase == JobPhase::kCancelled;
 }
 
 Occurrence* FindOccurrence(Job& job, std::uint32_t number) {
-  const auto found =
-      std::ranges::find(job.occurrences, number, &Occurrence::number);
-  return found == job.occurrences.end() ? nullptr : &*found;
+  const auto found = std::ranges::lower_bound(job.occurrences, number, {},
+                                              &Occurrence::number);
+  const bool exists = found != job.occurrences.end() && found->number == number;
+  return exists ? &*found : nullptr;
 }
 
 Task* FindTask(const TaskRef& ref) {
@@ -58,6 +77,36 @@
   return occurrence;
 }
 
+bool IsOver(const Occurrence& occurrence) {
+  return occurrence.steps_done == occurrence.steps.size() &&
+         std::ranges::all_of(occurrence.steps, [](const StepState& step) {
+           return std::ranges::all_of(step.tasks, [](const Task& task) {
+             return task.runs.empty() && task.withdrawn.empty();
+           });
+         });
+}
+
+std::uint64_t TasksOfOccurrence(const JobSpec& spec) {
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : spec.steps) {
+    tasks += step.count;
+  }
+  return tasks;
+}
+
+SegmentNumber SegmentOf(const TaskRef& ref) {
+  return (FirstTaskOfStep(*ref.job, ref.occurrence, ref.step) + ref.index) /
+         kTasksOfSegment;
+}
+
+std::pair<SegmentNumber, SegmentNumber> SegmentsOfStep(const Job& job,
+                                                       std::uint32_t occurrence,
+                                                       std::uint32_t step) {
+  const std::uint64_t first = FirstTaskOfStep(job, occurrence, step);
+  const std::uint64_t last = first + job.spec.steps[step].count - 1;
+  return {first / kTasksOfSegment, last / kTasksOfSegment};
+}
+
 void RefreshReadySteps(Job& job, Occurrence& occurrence) {
   for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
     StepState& step = occurrence.steps[i];
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -55,21 +55,52 @@
 // is for what the leader stores besides jobs.
 constexpr std::size_t kMaxBatchBytes = 512U << 10U;
 
+// The store takes rows of 64 KB. The rest of a row of the whole progress is for
+// what an older program may add to it.
+constexpr std::size_t kMaxRowBytes = 60U << 10U;
+constexpr std::size_t kMaxWholeProgressBytes = 48U << 10U;
+
 // The progress is always written; the record is written once and removed once.
 std::size_t RowsOf(const Job& job) {
   return IsFinished(job.phase) || !job.accepted ? 2 : 1;
 }
 
-// The rows of a job that a batch writes or removes.
-std::vector<JobRow> RowsToWrite(const Job& job) {
-  std::vector<JobRow> rows;
+// The progress of a job of which nothing has begun yet.
+std::string EncodeInitialProgress(const Job& job) {
+  Job initial;
+  initial.next_occurrence = job.next_occurrence;
+  for (const Occurrence& occurrence : job.occurrences) {
+    initial.occurrences.emplace_back().number = occurrence.number;
+  }
+  return EncodeProgress(initial);
+}
+
+void AddOwnRows(const Job& job, bool is_split, std::vector<JobRow>& rows) {
   if (IsFinished(job.phase)) {
-    rows.push_back({job.id, true, std::nullopt});
+    rows.push_back({job.id, true, std::nullopt, {}});
   } else if (!job.accepted) {
-    rows.push_back({job.id, true, EncodeRecord(job)});
+    rows.push_back({job.id, true, EncodeRecord(job), {}});
+  }
+  rows.push_back({job.id, false, EncodeProgress(job, is_split), {}});
+}
+
+// A segment takes as many rows as its bytes need.
+void AddSegmentRows(const Job& job,
+                    SegmentNumber segment,
+                    std::vector<JobRow>& rows) {
+  const std::string bytes =
+      IsFinished(job.phase) ? "" : EncodeSegment(job, segment);
+  const auto stored = job.stored_segments.find(segment);
+  const std::uint32_t before =
+      stored == job.stored_segments.end() ? 0 : stored->second;
+  std::uint32_t place = 0;
+  for (std::size_t at = 0; at < bytes.size(); at += kMaxRowBytes) {
+    rows.push_back(
+        {job.id, false, bytes.substr(at, kMaxRowBytes), segment, place++});
+  }
+  for (; place < before; ++place) {
+    rows.push_back({job.id, false, std::nullopt, segment, place});
   }
-  rows.push_back({job.id, false, EncodeProgress(job)});
-  return rows;
 }
 
 std::size_t SizeOf(const std::vector<JobRow>& rows) {
@@ -107,6 +138,16 @@
       work += WorkOf(step, durations.Expect(job.queue, step.estimate), left);
     }
   }
+  if (job.due_occurrences > job.next_occurrence) {
+    const auto backlog =
+        static_cast<double>(job.due_occurrences - job.next_occurrence);
+    for (const StepSpec& step : job.spec.steps) {
+      if (!step.long_running && !step.is_filler) {
+        work += WorkOf(step, durations.Expect(job.queue, step.estimate),
+                       backlog * step.count);
+      }
+    }
+  }
   return work;
 }
 
@@ -358,8 +399,14 @@
       if (HasFailures(job)) {
         m_jobs_with_failures.insert(job.id);
       }
+      m_jobs_with_done_occurrences.insert(job.id);
     }
     m_jobs.emplace(job.id, std::move(owned));
+    if (IsFinished(job.phase)) {
+      RemoveAllSegments(job);
+    } else {
+      RemoveEmptySegments(job);
+    }
   }
   m_recovered_at = now;
   for (auto& [id, worker] : m_workers) {
@@ -540,6 +587,7 @@
       }
     }
   }
+  // It has no segments as long as its record is not committed.
   m_urgent.erase(job.oldest_change);
   m_deferred.erase(job.oldest_change);
   RemoveUnfinished(id);
@@ -639,15 +687,77 @@
   return job.remaining;
 }
 
-void Scheduler::MarkDirty(Job& job, bool urgent) {
+void Scheduler::MarkRowDirty(const ChangedRow& row,
+                             std::uint64_t& oldest,
+                             bool urgent) {
   ++m_last_change;
-  job.remaining_at = {};
-  if (job.oldest_change == 0) {
-    job.oldest_change = m_last_change;
-    m_deferred.emplace(job.oldest_change, &job);
+  row.job->remaining_at = {};
+  if (oldest == 0) {
+    oldest = m_last_change;
+    m_deferred.emplace(oldest, row);
   }
   if (urgent) {
-    m_urgent.insert(m_deferred.extract(job.oldest_change));
+    m_urgent.insert(m_deferred.extract(oldest));
+  }
+}
+
+void Scheduler::MarkDirty(Job& job, bool urgent) {
+  MarkRowDirty({&job, std::nullopt}, job.oldest_change, urgent);
+}
+
+void Scheduler::MarkDirty(const TaskRef& ref, bool urgent) {
+  if (ref.job->form == ProgressForm::kWhole || IsFinished(ref.job->phase)) {
+    MarkDirty(*ref.job, urgent);
+    return;
+  }
+  MarkSegmentDirty(*ref.job, SegmentOf(ref), urgent);
+}
+
+void Scheduler::MarkSegmentDirty(Job& job, SegmentNumber segment, bool urgent) {
+  MarkRowDirty({&job, segment}, job.changed_segments[segment], urgent);
+}
+
+void Scheduler::MarkStepDirty(const TaskRef& ref, bool at_once) {
+  if (!at_once || ref.job->form == ProgressForm::kWhole) {
+    MarkDirty(ref, true);
+    return;
+  }
+  const auto [first, last] = SegmentsOfStep(*ref.job, ref.occurrence, ref.step);
+  for (SegmentNumber segment = first; segment <= last; ++segment) {
+    MarkSegmentDirty(*ref.job, segment, true);
+  }
+}
+
+void Scheduler::RemoveEmptySegments(Job& job) {
+  if (job.stored_segments.empty() || job.form == ProgressForm::kWhole) {
+    return;
+  }
+  const auto begun = FindBegunSegments(job);
+  for (const auto& [segment, rows] : job.stored_segments) {
+    if (!begun.contains(segment)) {
+      MarkSegmentDirty(job, segment, false);
+    }
+  }
+}
+
+void Scheduler::RemoveAllSegments(Job& job) {
+  for (const auto& [segment, oldest] :
+       std::exchange(job.changed_segments, {})) {
+    m_urgent.erase(oldest);
+    m_deferred.erase(oldest);
+  }
+  job.unsplit_segments.clear();
+  for (const auto& [segment, rows] : job.stored_segments) {
+    MarkSegmentDirty(job, segment, false);
+  }
+}
+
+void Scheduler::RemoveSegments(const std::string& job,
+                               const StoredSegments& segments) {
+  for (const auto& [segment, stored] : segments) {
+    for (std::uint32_t place = 0; place < stored.rows; ++place) {
+      m_removed_rows.push_back({job, false, std::nullopt, segment, place});
+    }
   }
 }
 
@@ -662,6 +772,7 @@
   m_unfinished.erase(id);
   m_repeating.erase(id);
   m_jobs_with_failures.erase(id);
+  m_jobs_with_done_occurrences.erase(id);
 }
 
 void Scheduler::Finish(Job& job, JobPhase phase, base::TimePoint now) {
@@ -671,6 +782,7 @@
   RemoveUnfinished(job.id);
   StopAllRuns(job, now);
   m_finished.push_back(&job);
+  RemoveAllSegments(job);
   MarkDirty(job, true);
 }
 
@@ -693,7 +805,8 @@
 void Scheduler::RemoveFinished(base::TimePoint now) {
   std::erase_if(m_finished, [this, now](Job* job) {
     if (now - job->finished_at < m_options.keep_finished ||
-        job->live_runs > 0 || job->oldest_change != 0) {
+        job->live_runs > 0 || job->oldest_change != 0 ||
+        !job->stored_segments.empty()) {
       return false;
     }
     m_removed_jobs.push_back(job->id);
@@ -708,63 +821,176 @@
                            RowChoice choice) {
   RemoveFinished(now);
   Batch batch;
-  TakeJobs(max_rows, choice, batch);
+  TakeRows(max_rows, choice, batch);
   std::erase_if(m_planned, [&batch](const auto& planned) {
-    if (planned.first.job->oldest_change != 0) {
+    if (!IsStartStored(planned.first)) {
       return false;
     }
     batch.starts.push_back(planned);
     return true;
   });
   while (!m_removed_jobs.empty() && batch.rows.size() + 2 <= max_rows) {
-    batch.rows.push_back({m_removed_jobs.back(), true, std::nullopt});
-    batch.rows.push_back({m_removed_jobs.back(), false, std::nullopt});
+    batch.rows.push_back({m_removed_jobs.back(), true, std::nullopt, {}});
+    batch.rows.push_back({m_removed_jobs.back(), false, std::nullopt, {}});
     batch.removed.push_back(m_removed_jobs.back());
     m_removed_jobs.pop_back();
   }
+  while (!m_removed_rows.empty() && batch.rows.size() < max_rows) {
+    batch.rows.push_back(std::move(m_removed_rows.back()));
+    m_removed_rows.pop_back();
+  }
   CoverEnds(batch);
   return batch;
 }
 
-void Scheduler::TakeJobs(std::size_t max_rows, RowChoice choice, Batch& batch) {
-  std::size_t bytes = 0;
-  const auto take = [&batch, &bytes](std::map<std::uint64_t, Job*>& jobs,
-                                     std::size_t up_to) {
-    while (!jobs.empty()) {
-      Job* job = jobs.begin()->second;
-      if (batch.rows.size() + RowsOf(*job) > up_to) {
-        return;
-      }
-      std::vector<JobRow> rows = RowsToWrite(*job);
-      bytes += SizeOf(rows);
-      if (bytes > kMaxBatchBytes && !batch.rows.empty()) {
-        return;
-      }
-      std::ranges::move(rows, std::back_inserter(batch.rows));
-      jobs.erase(jobs.begin());
-      job->oldest_change = 0;
-      job->record_taken = true;
-      if (!job->accepted) {
-        batch.accepted.push_back(job->id);
-      }
-      batch.phases.emplace_back(job->id, job->phase);
-    }
+bool Scheduler::IsStartStored(const TaskRef& ref) {
+  const Job& job = *ref.job;
+  if (job.form != ProgressForm::kSplit) {
+    return job.oldest_change == 0;
+  }
+  const auto is_written = [&job, &ref](std::uint32_t step) {
+    const auto [first, last] = SegmentsOfStep(job, ref.occurrence, step);
+    const auto changed = job.changed_segments.lower_bound(first);
+    return changed == job.changed_segments.end() || changed->first > last;
   };
+  const StepSpec& spec = SpecOf(ref);
+  // The members of a gang start together. The step must not be seen to have
+  // begun before those that it waits for are seen to be done.
+  const bool is_own_written =
+      spec.gang ? is_written(ref.step)
+                : !job.changed_segments.contains(SegmentOf(ref));
+  return is_own_written && std::ranges::all_of(spec.after, is_written);
+}
+
+bool Scheduler::HasOwnRow(const ChangedRow& changed) {
+  const Job& job = *changed.job;
+  return !changed.segment ||
+         (job.form != ProgressForm::kSplitting && job.oldest_change != 0);
+}
+
+std::vector<JobRow> Scheduler::RowsToWrite(const ChangedRow& changed,
+                                           bool ends_split) {
+  std::vector<JobRow> rows;
+  const Job& job = *changed.job;
+  if (HasOwnRow(changed)) {
+    AddOwnRows(job, ends_split || job.form == ProgressForm::kSplit, rows);
+  }
+  if (changed.segment) {
+    AddSegmentRows(job, *changed.segment, rows);
+  }
+  return rows;
+}
+
+void Scheduler::NoteTaken(const ChangedRow& changed,
+                          const std::vector<JobRow>& rows,
+                          Batch& batch) {
+  Job& job = *changed.job;
+  if (HasOwnRow(changed)) {
+    m_urgent.erase(job.oldest_change);
+    m_deferred.erase(job.oldest_change);
+    job.oldest_change = 0;
+    job.record_taken = true;
+    if (!job.accepted) {
+      batch.accepted.push_back(job.id);
+    }
+    batch.phases.emplace_back(job.id, job.phase);
+  }
+  if (changed.segment) {
+    const std::uint64_t oldest = job.changed_segments.at(*changed.segment);
+    m_urgent.erase(oldest);
+    m_deferred.erase(oldest);
+    job.changed_segments.erase(*changed.segment);
+    job.unsplit_segments.erase(*changed.segment);
+    const auto stored = std::ranges::count_if(rows, [](const JobRow& each) {
+      return each.segment.has_value() && each.bytes.has_value();
+    });
+    if (stored == 0) {
+      job.stored_segments.erase(*changed.segment);
+    } else {
+      job.stored_segments[*changed.segment] =
+          static_cast<std::uint32_t>(stored);
+    }
+  }
+}
+
+void Scheduler::BeginSplit(Job& job) {
+  job.form = ProgressForm::kSplitting;
+  job.unsplit_segments = FindBegunSegments(job);
+  for (const auto& [segment, rows] : job.stored_segments) {
+    job.unsplit_segments.insert(segment);
+  }
+  for (const SegmentNumber segment : job.unsplit_segments) {
+    MarkSegmentDirty(job, segment, true);
+  }
+  MarkDirty(job, true);
+}
+
+void Scheduler::TakeRowsOf(ChangedRows& changed,
+                           std::size_t up_to,
+                           std::size_t& bytes,
+                           Batch& batch) {
+  for (auto next = changed.begin(); next != changed.end();) {
+    const std::uint64_t oldest = next->first;
+    const ChangedRow row = next->second;
+    Job& job = *row.job;
+    const bool ends_split = !row.segment &&
+                            job.form == ProgressForm::kSplitting &&
+                            !IsFinished(job.phase);
+    if (ends_split && !job.unsplit_segments.empty()) {
+      ++next;
+      continue;
+    }
+    if (batch.rows.size() + (row.segment ? 1 : RowsOf(job)) > up_to) {
+      return;
+    }
+    std::vector<JobRow> rows = RowsToWrite(row, ends_split);
+    const bool is_too_large =
+        job.form == ProgressForm::kWhole && rows.back().bytes &&
+        rows.back().bytes->size() > kMaxWholeProgressBytes;
+    if (is_too_large && job.accepted) {
+      BeginSplit(job);
+      next = changed.upper_bound(oldest);
+      continue;
+    }
+    if (is_too_large) {
+      rows.back().bytes = EncodeInitialProgress(job);
+    }
+    const std::size_t size = SizeOf(rows);
+    if (!batch.rows.empty() && (batch.rows.size() + rows.size() > up_to ||
+                                bytes + size > kMaxBatchBytes)) {
+      return;
+    }
+    bytes += size;
+    if (ends_split) {
+      job.form = ProgressForm::kSplit;
+    }
+    NoteTaken(row, rows, batch);
+    if (is_too_large) {
+      batch.phases.back().second = JobPhase::kQueued;
+      BeginSplit(job);
+    }
+    std::ranges::move(rows, std::back_inserter(batch.rows));
+    next = changed.upper_bound(oldest);
+  }
+}
+
+void Scheduler::TakeRows(std::size_t max_rows, RowChoice choice, Batch& batch) {
+  std::size_t bytes = 0;
   std::size_t kept = 0;
   if (choice == RowChoice::kAll) {
     kept = std::min(m_deferred.size(), max_rows / kDeferredShare);
   }
-  take(m_urgent, max_rows - kept);
+  TakeRowsOf(m_urgent, max_rows - kept, bytes, batch);
   if (choice == RowChoice::kAll) {
-    take(m_deferred, max_rows);
+    TakeRowsOf(m_deferred, max_rows, bytes, batch);
   }
 }
 
 void Scheduler::CoverEnds(Batch& batch) {
   std::uint64_t oldest_left = m_last_change + 1;
-  for (const auto* jobs : {&m_urgent, &m_deferred}) {
-    if (!jobs->empty()) {
-      oldest_left = std::min(oldest_left, jobs->begin()->first);
+  for (const ChangedRows* changed : {&m_urgent, &m_deferred}) {
+    if (!changed->empty()) {
+      oldest_left = std::min(oldest_left, changed->begin()->first);
     }
   }
   while (!m_unwritten_ends.empty() &&
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_bench.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -171,19 +172,49 @@
   }
   while (m_scheduler->HasRows() || m_scheduler->HasUrgentRows()) {
     const Batch batch = m_scheduler->TakeBatch(kMaxRows, Now());
-    for (const JobRow& row : batch.rows) {
-      auto& table = row.is_record ? m_records : m_progress;
-      if (row.bytes) {
-        table[row.job] = *row.bytes;
-      } else {
-        table.erase(row.job);
-      }
-    }
-    m_scheduler->Confirm(batch, Now());
+    Commit(batch);
   }
   return m_scheduler->TakeOrders();
 }
 
+void SchedulerBench::Commit(const Batch& batch) {
+  std::size_t bytes = 0;
+  for (const JobRow& row : batch.rows) {
+    Store(row);
+    bytes += row.bytes ? row.bytes->size() : 0;
+    m_largest_row = std::max(m_largest_row, row.bytes ? row.bytes->size() : 0);
+  }
+  m_largest_batch = std::max(m_largest_batch, bytes);
+  m_stored_bytes += bytes;
+  m_scheduler->Confirm(batch, Now());
+}
+
+void SchedulerBench::Store(const JobRow& row) {
+  if (row.segment) {
+    auto& rows = m_segments[row.job][*row.segment];
+    if (row.bytes) {
+      rows[row.place] = *row.bytes;
+    } else {
+      rows.erase(row.place);
+    }
+    if (rows.empty()) {
+      m_segments[row.job].erase(*row.segment);
+    }
+    return;
+  }
+  auto& table = row.is_record ? m_records : m_progress;
+  if (row.bytes) {
+    table[row.job] = *row.bytes;
+  } else {
+    table.erase(row.job);
+  }
+}
+
+std::size_t SchedulerBench::CountSegments(const std::string& job) const {
+  const auto found = m_segments.find(job);
+  return found == m_segments.end() ? 0 : found->second.size();
+}
+
 std::vector<StartOrder> SchedulerBench::StepAndStart() {
   return Answer(Step());
 }
@@ -247,6 +278,35 @@
   Report(order.worker.id, Listing(order.worker.id));
 }
 
+void SchedulerBench::EndTogether(
+    const std::vector<StartOrder>& orders,
+    RunEnd how,
+    std::map<std::string, std::uint64_t>& sequences) {
+  std::map<std::string, std::set<TaskId>> ended;
+  for (const StartOrder& order : orders) {
+    ended[order.worker.id].insert(order.task);
+    ListedEnd& end = m_ended[order.worker.id].emplace_back();
+    end.sequence = ++sequences[order.worker.id];
+    end.task = order.task;
+    end.run = order.run;
+    end.how = how;
+  }
+  for (const auto& [worker, tasks] : ended) {
+    std::erase_if(m_running[worker], [&tasks](const StartOrder& each) {
+      return tasks.contains(each.task);
+    });
+    Report(worker, Listing(worker));
+  }
+}
+
+std::vector<StartOrder> SchedulerBench::Running() const {
+  std::vector<StartOrder> all;
+  for (const auto& [worker, running] : m_running) {
+    all.insert(all.end(), running.begin(), running.end());
+  }
+  return all;
+}
+
 std::vector<Job> SchedulerBench::Stored() const {
   std::vector<Job> jobs;
   for (const auto& [id, progress] : m_progress) {
@@ -255,7 +315,16 @@
     if (const auto record = m_records.find(id); record != m_records.end()) {
       job = *DecodeRecord(id, record->second);
     }
-    if (DecodeProgress(job, progress)) {
+    StoredSegments segments;
+    if (const auto found = m_segments.find(id); found != m_segments.end()) {
+      for (const auto& [segment, rows] : found->second) {
+        for (const auto& [place, bytes] : rows) {
+          segments[segment].bytes += bytes;
+          ++segments[segment].rows;
+        }
+      }
+    }
+    if (DecodeProgress(job, progress, segments)) {
       jobs.push_back(std::move(job));
     }
   }
@@ -279,6 +348,7 @@
   bench.m_ended = m_ended;
   bench.m_records = m_records;
   bench.m_progress = m_progress;
+  bench.m_segments = m_segments;
   for (const auto& [key, bytes] : m_known_incarnations) {
     const auto read = bench.m_scheduler->Incarnations().Recover(key, bytes);
     EXPECT_TRUE(read) << key;
--- a/src/cassiastile/jobs/scheduler_bench.hpp
+++ b/src/cassiastile/jobs/scheduler_bench.hpp
@@ -42,6 +42,14 @@
                     std::size_t queue = 0);
   // Plans, commits all rows and returns the orders.
   Orders Step();
+  // Stores the rows of a batch and tells the scheduler.
+  void Commit(const Batch& batch);
+  // The largest row and batch so far, and all that was written, in bytes.
+  std::size_t LargestRow() const { return m_largest_row; }
+  std::size_t LargestBatch() const { return m_largest_batch; }
+  std::size_t StoredBytes() const { return m_stored_bytes; }
+  // Number of segments that a job has in the store.
+  std::size_t CountSegments(const std::string& job) const;
   // Leaves a start without an answer until its stop is confirmed.
   void Withdraw(const StartOrder& start);
   // Answers all starts with success and returns them.
@@ -55,6 +63,13 @@
   WorkerReport Listing(const std::string& worker) const;
   // Ends a run with this sequence number and reports it.
   void End(const StartOrder& order, RunEnd how, std::uint64_t sequence);
+  // Ends runs with one report for each worker. `sequences` has the number of
+  // the last end of each.
+  void EndTogether(const std::vector<StartOrder>& orders,
+                   RunEnd how,
+                   std::map<std::string, std::uint64_t>& sequences);
+  // All runs that are alive.
+  std::vector<StartOrder> Running() const;
   // The jobs in the store, as the next leader reads them.
   std::vector<Job> Stored() const;
   // A bench whose scheduler has taken over from this one. Runs on workers that
@@ -74,6 +89,7 @@
 
  private:
   void ListWorkers();
+  void Store(const JobRow& row);
   // The store's clock is that of the bench.
   void SetStoreClock();
 
@@ -86,8 +102,15 @@
   std::map<std::string, std::vector<ListedEnd>> m_ended;
   std::map<std::string, std::string> m_records;
   std::map<std::string, std::string> m_progress;
+  // By job, segment and place.
+  std::map<std::string,
+           std::map<SegmentNumber, std::map<std::uint32_t, std::string>>>
+      m_segments;
   std::map<std::string, std::string> m_known_incarnations;
   std::shared_ptr<FleetConfig> m_config;
+  std::size_t m_largest_row = 0;
+  std::size_t m_largest_batch = 0;
+  std::size_t m_stored_bytes = 0;
 };
 
 }  // namespace cassiastile::jobs
--- a/src/cassiastile/jobs/scheduler_crashes.cpp
+++ b/src/cassiastile/jobs/scheduler_crashes.cpp
@@ -147,7 +147,7 @@
   }
   if (SpecOf(ref).long_running && !task.crashes.empty()) {
     task.crashes.clear();
-    MarkDirty(*ref.job, false);
+    MarkDirty(ref, false);
   }
 }
 
--- a/src/cassiastile/jobs/scheduler_incarnations.cpp
+++ b/src/cassiastile/jobs/scheduler_incarnations.cpp
@@ -142,7 +142,7 @@
         DescribeDrop(ref, *run, DropReason::kIncarnationOver));
     run->worker = worker.entry.id;
     run->confirmed_at = {};
-    MarkDirty(*ref.job, false);
+    MarkDirty(ref, false);
     if (run->phase == RunPhase::kStopping) {
       // The stop is lost with the incarnation that it was given to.
       run->ordered_at = now;
@@ -279,7 +279,7 @@
   std::erase(FindOccurrence(*ref.job, ref.occurrence)->steps[ref.step].waiting,
              ref.index);
   StopRun(ref, run, StopReason::kStartUnknown, now);
-  MarkDirty(*ref.job, false);
+  MarkDirty(ref, false);
 }
 
 void Scheduler::AcknowledgementSent(const std::string& id,
@@ -377,7 +377,7 @@
                  IsWithdrawnOver(start, worker, now);
         });
     if (forgotten > 0) {
-      MarkDirty(*ref.job, false);
+      MarkDirty(ref, false);
     }
     return std::ranges::none_of(starts, [&](const WithdrawnStart& start) {
       return start.worker.id == worker.entry.id.id;
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -36,6 +36,13 @@
 // load.
 constexpr std::size_t kReservedForFinite = 1;
 
+// Tasks of occurrences that have begun are kept in memory, each in some 250
+// bytes: so many of one job and of all that repeat. An occurrence that is due
+// begins at once only while few tasks wait that could start with it.
+constexpr std::uint64_t kMaxKeptTasks = 1U << 16U;
+constexpr std::uint64_t kMaxKeptTasksOfAll = 1U << 18U;
+constexpr std::size_t kMaxWaitingOfStep = 1000;
+
 // How urgent a job is; more urgent jobs are placed first.
 enum class Urgency : std::uint8_t {
   kLongRunning,  // Serves users as long as it runs.
@@ -196,15 +203,81 @@
     if (!job->accepted) {
       continue;
     }
-    while (job->next_occurrence < job->spec.repeats &&
-           job->spec.first_due + job->spec.interval * job->next_occurrence <=
+    while (job->due_occurrences < job->spec.repeats &&
+           job->spec.first_due + job->spec.interval * job->due_occurrences <=
                wall_ms) {
+      ++job->due_occurrences;
+    }
+    while (job->next_occurrence < job->due_occurrences &&
+           MayBeginOccurrence(*job)) {
       BeginOccurrence(*job, job->next_occurrence);
       MarkDirty(*job, false);
     }
   }
 }
 
+bool Scheduler::MayBeginOccurrence(const Job& job) const {
+  if (job.occurrences.empty()) {
+    return true;
+  }
+  const std::uint64_t tasks = TasksOfOccurrence(job.spec);
+  std::uint64_t kept_of_all = 0;
+  for (const auto& [id, other] : m_repeating) {
+    kept_of_all += other->occurrences.size() * TasksOfOccurrence(other->spec);
+  }
+  if ((job.occurrences.size() + 1) * tasks > kMaxKeptTasks ||
+      kept_of_all + tasks > kMaxKeptTasksOfAll) {
+    return false;
+  }
+  // One step whose tasks fit nowhere must not keep others from beginning.
+  for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+    if (!job.spec.steps[step].after.empty()) {
+      continue;
+    }
+    std::size_t waiting = 0;
+    for (const Occurrence& occurrence : job.occurrences) {
+      waiting += occurrence.steps[step].waiting.size();
+    }
+    if (waiting < kMaxWaitingOfStep) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Scheduler::RemoveOverOccurrences() {
+  std::erase_if(m_jobs_with_done_occurrences, [this](const std::string& id) {
+    Job& job = *m_jobs.at(id);
+    std::vector<std::uint32_t> removed;
+    bool are_left = false;
+    std::erase_if(job.occurrences, [&](const Occurrence& occurrence) {
+      const bool is_done = occurrence.steps_done == occurrence.steps.size();
+      if (!is_done || !IsOver(occurrence)) {
+        are_left = are_left || is_done;
+        return false;
+      }
+      removed.push_back(occurrence.number);
+      return true;
+    });
+    if (job.form == ProgressForm::kWhole || removed.empty()) {
+      return !are_left;
+    }
+    MarkDirty(job, false);
+    const auto last_step =
+        static_cast<std::uint32_t>(job.spec.steps.size() - 1);
+    for (const std::uint32_t number : removed) {
+      const SegmentNumber first = SegmentsOfStep(job, number, 0).first;
+      const SegmentNumber last = SegmentsOfStep(job, number, last_step).second;
+      for (auto stored = job.stored_segments.lower_bound(first);
+           stored != job.stored_segments.end() && stored->first <= last;
+           ++stored) {
+        MarkSegmentDirty(job, stored->first, false);
+      }
+    }
+    return !are_left;
+  });
+}
+
 void Scheduler::Plan(base::TimePoint now, base::WallTime wall) {
   const auto interval = std::clamp<std::chrono::microseconds>(
       kSupervisionIntervalPerWorker *
@@ -215,6 +288,7 @@
     ExpireRuns(now);
     SuperviseRuns(now);
   }
+  RemoveOverOccurrences();
   BeginDueOccurrences(wall);
   FailExhaustedJobs(now);
   if (!IsListCurrent(now) || !m_evacuations.IsCurrent(now)) {
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -81,10 +81,11 @@
   ++ref.job->live_runs;
   if (ref.job->phase == JobPhase::kQueued) {
     ref.job->phase = JobPhase::kRunning;
+    MarkDirty(*ref.job, true);
   }
   m_planned.emplace_back(ref, run.number);
   ++m_work.placed;
-  MarkDirty(*ref.job, true);
+  MarkDirty(ref, true);
   for (WithdrawnStart& start : task.withdrawn) {
     if (start.worker.id != run.worker.id) {
       start.has_left = true;
@@ -152,7 +153,7 @@
   if (step.ready && task->runs.empty() && !listed) {
     step.waiting.push_back(ref.index);
   }
-  MarkDirty(*ref.job, false);
+  MarkDirty(ref, false);
 }
 
 DroppedRun Scheduler::DescribeDrop(const TaskRef& ref,
@@ -380,7 +381,7 @@
       return crash.run == run->number;
     });
     // Stored, so that the next leader need not wait for a late start.
-    MarkDirty(job, false);
+    MarkDirty(*ref, false);
     if (now < worker.finite_from && !spec.long_running) {
       // Its start was for a former incarnation. An acknowledgement for that one
       // may yet make this one forget how the run has ended.
@@ -431,7 +432,7 @@
                                   task.drop_reason, RunPhase::kRunning});
   }
   DropRun(ref, end.run, DropReason::kNone, now);
-  MarkDirty(*ref.job, false);
+  MarkDirty(ref, false);
   if (end.how == RunEnd::kDone) {
     worker.health.RunSucceeded();
     if (speed) {
@@ -486,7 +487,7 @@
   if (step.tasks_done < step.tasks.size()) {
     return;
   }
-  MarkDirty(job, true);
+  MarkStepDirty(ref, whole_gang);
   ++occurrence.steps_done;
   if (occurrence.steps_done < occurrence.steps.size()) {
     RefreshReadySteps(job, occurrence);
@@ -494,6 +495,8 @@
   }
   ForgetAdvice(job.id, occurrence.number);
   ++job.occurrences_done;
+  MarkDirty(job, true);
+  m_jobs_with_done_occurrences.insert(job.id);
   if (job.occurrences_done >= job.spec.Occurrences()) {
     Finish(job, JobPhase::kDone, now);
   }
