Take a refusal of the store for final, and set aside what it concerns

Callers saw: as long as the store refused one row or transaction (400), the leader answered 503 or 504 to all submissions, and nothing was stored of any job, from this leader and each that took over.

Cause: LeaderTransactions took a refusal for an outage and sent the same transaction again without end; nothing was checked before it was sent.

Change: a row that is larger than the store takes is left out before it is sent, and a transaction that is too large is cut into several. The job of such a row goes no further (job.set_aside): it is refused with 400 if it is not accepted, else it fails. All other rows are stored. Rows are deleted last, so that no record goes before its job is known to be finished. The table model refuses what is over a limit.

Evidence: RefusedRowTest, in which the store takes smaller rows than it is expected to.

--- a/include/cassiastile/host/dispatcher.hpp
+++ b/include/cassiastile/host/dispatcher.hpp
@@ -182,6 +182,9 @@
   void StoreDurations();
   void CommitPending();
   void HandleCommitted(const jobs::Batch& batch);
+  // Sets the jobs aside of which the store has refused a row, and returns the
+  // keys of other rows that it has refused.
+  std::set<std::string> HandleRefusedRows(jobs::Batch& batch);
   // Answers the callers whose cancels are stored as markers.
   void HandleMarkersStored(const jobs::CancelMarkers::Batch& batch);
   // Logs a commit of rows taken at `taken_at` if it was slow or others wait.
--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -2,7 +2,9 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cassiastile/host/event_log.hpp"
@@ -69,7 +71,10 @@
   // Writes and deletes rows in one transaction. Only one commit may be in
   // flight. It is retried for as long as the store fails, and sent again beside
   // the first attempt when that has no answer after 0.25 s; `done` gets true
-  // once it is applied, or false if leadership is lost.
+  // once it is applied, or false if leadership is lost. Rows that the store
+  // refuses for good are left out: those that are too large, and those to which
+  // a refused transaction narrows down as it is halved, in the order of the
+  // rows.
   void Commit(std::vector<Row> puts,
               std::vector<Row> deletes,
               std::function<void(bool)> done);
@@ -81,6 +86,10 @@
     return !record.host.empty() && record.host == m_record.host &&
            record.incarnation == m_record.incarnation;
   }
+  // A row by its table and key.
+  using RowName = std::pair<std::string, std::string>;
+  // The rows that were left out of the last commit.
+  const std::set<RowName>& Refused() const { return m_refused; }
   bool IsBusy() const { return m_busy; }
   // Since when the commit in flight has had no answer; nothing if there is
   // none.
@@ -105,6 +114,19 @@
   }
 
  private:
+  // Rows of one transaction.
+  struct Piece {
+    std::vector<Row> puts;
+    std::vector<Row> deletes;
+  };
+  // Adds what is to be sent next, cut into pieces that a transaction takes.
+  void AddPiece(Piece piece);
+  void AddHalves(Piece piece);
+  // Sends the next piece with a new number, or ends the commit.
+  void SendNextPiece();
+  void RefuseRow(const Row& row);
+  // The store will never accept the piece in flight.
+  void HandleRefusal();
   void Send();
   // Sends another attempt of a commit if it is still without an answer.
   void SendAgain(std::uint64_t commit);
@@ -123,7 +145,9 @@
   std::uint64_t m_record_version = 0;
   std::uint64_t m_fencing_token = 0;
   bool m_busy = false;
-  RowTransaction m_transaction;
+  std::vector<Piece> m_pieces;  // To be sent, the last one first.
+  std::set<RowName> m_refused;
+  RowTransaction m_transaction;  // In flight; its last put is the record.
   std::function<void(bool)> m_done;
   std::uint32_t m_attempts = 0;
   std::uint64_t m_resends = 0;
--- a/include/cassiastile/host/ports.hpp
+++ b/include/cassiastile/host/ports.hpp
@@ -49,7 +49,8 @@
   enum class Outcome : std::uint8_t {
     kApplied,
     kConflict,    // An expectation failed; nothing was written.
-    kNotApplied,  // Not sent, or refused; nothing was written.
+    kNotApplied,  // Not sent, or turned away for now; nothing was written.
+    kRefused,     // Never accepted as it is; nothing was written.
     kUnknown,     // No answer; it may still be applied later.
   };
   Outcome outcome = Outcome::kUnknown;
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -256,6 +256,11 @@
   // again, as are all members of its gang.
   void Confirm(const Batch& batch, base::TimePoint now);
 
+  // A row of a job in a batch that was committed otherwise can't be stored. The
+  // job goes no further: it fails or, if it is not accepted yet, is removed.
+  // Returns false in the latter case. Takes the job out of the batch; must be
+  // called before Confirm.
+  bool SetAside(const std::string& id, Batch& batch, base::TimePoint now);
   // Removes segments whose job is gone, with one of the next batches.
   void RemoveSegments(const std::string& job, const StoredSegments& segments);
 
@@ -423,6 +428,8 @@
   void AddUnfinished(Job& job);
   void RemoveUnfinished(const std::string& id);
   void Finish(Job& job, JobPhase phase, base::TimePoint now);
+  // Drops the planned runs of a job that is not accepted, and the job.
+  void RemoveUnaccepted(Job& job, base::TimePoint now);
   void StopAllRuns(Job& job, base::TimePoint now);
   void RemoveFinished(base::TimePoint now);
   // Moves rows from those to write to the next batch.
--- a/include/cassiastile/sim/table_model.hpp
+++ b/include/cassiastile/sim/table_model.hpp
@@ -24,7 +24,7 @@
 
   // Applies a transaction if each expected row has the expected version, 0 for
   // none; otherwise returns a conflict with the current rows. One that is over
-  // a limit is not applied.
+  // a limit is refused.
   host::TransactionReply Apply(const host::RowTransaction& transaction,
                                std::chrono::milliseconds now);
   // The rows of a part whose keys are `from` or greater, in order of their
--- a/src/cassiastile/host/dispatcher.cpp
+++ b/src/cassiastile/host/dispatcher.cpp
@@ -604,7 +604,8 @@
             is_put ? std::move(*row.bytes) : "",     0,           false};
     (is_put ? puts : deletes).push_back(std::move(put));
   }
-  std::vector<std::function<void()>> stored;
+  // With the keys of their rows.
+  std::vector<std::pair<std::string, std::function<void()>>> stored;
   std::map<std::string, Row> newest;  // The last row of each key.
   auto other = m_pending_rows.begin();
   for (; other != m_pending_rows.end(); ++other) {
@@ -612,8 +613,9 @@
     if (newest.size() == kMaxOtherRows && !newest.contains(row.key)) {
       break;
     }
-    newest[row.key] = std::move(row);
-    stored.push_back(std::move(done));
+    const std::string key = row.key;
+    newest[key] = std::move(row);
+    stored.emplace_back(key, std::move(done));
   }
   m_pending_rows.erase(m_pending_rows.begin(), other);
   for (auto& [key, row] : newest) {
@@ -628,22 +630,55 @@
   }
   m_transactions->Commit(
       std::move(puts), std::move(deletes),
-      m_lifetime.Guard([this, batch = std::move(batch),
-                        markers = std::move(markers),
-                        stored = std::move(stored), rows, now](bool applied) {
-        if (applied) {
-          const base::TimePoint confirmed_at = m_transactions->ConfirmedAt();
-          LogSlowCommit(rows, now);
-          for (const auto& done : stored) {
-            done();
-          }
-          HandleMarkersStored(markers);
-          HandleCommitted(batch);
-          m_term_confirmation.Confirmed(confirmed_at);
-        } else {
-          LoseLeadership();
-        }
-      }));
+      m_lifetime.Guard(
+          [this, batch = std::move(batch), markers = std::move(markers),
+           stored = std::move(stored), rows, now](bool applied) mutable {
+            if (applied) {
+              const base::TimePoint confirmed_at =
+                  m_transactions->ConfirmedAt();
+              LogSlowCommit(rows, now);
+              const std::set<std::string> refused = HandleRefusedRows(batch);
+              for (const auto& [key, done] : stored) {
+                if (!refused.contains(key)) {
+                  done();
+                }
+              }
+              HandleMarkersStored(markers);
+              HandleCommitted(batch);
+              m_term_confirmation.Confirmed(confirmed_at);
+            } else {
+              LoseLeadership();
+            }
+          }));
+}
+
+std::set<std::string> Dispatcher::HandleRefusedRows(jobs::Batch& batch) {
+  std::set<std::string> other_rows;
+  for (const auto& [table, key] : m_transactions->Refused()) {
+    std::string job;
+    if (table == kJobTable) {
+      job = key.substr(0, key.size() - kSuffixLength);
+    } else if (const auto segment = DecodeSegmentKey(key);
+               table == kSegmentTable && segment) {
+      job = segment->job;
+    } else {
+      other_rows.insert(key);
+      continue;
+    }
+    m_log.Write("job.set_aside", {{"job", job}, {"fence", FencingToken()}});
+    if (m_scheduler.SetAside(job, batch, m_loop.GetClock().Now())) {
+      continue;
+    }
+    m_commit_queue.Remove(job);
+    const auto waiting = m_await_accept.extract(job);
+    if (!waiting.empty()) {
+      for (const Responder& respond : waiting.mapped()) {
+        respond({.kind = JobAnswerKind::kInvalid,
+                 .detail = "the store does not take the job"});
+      }
+    }
+  }
+  return other_rows;
 }
 
 void Dispatcher::HandleMarkersStored(const jobs::CancelMarkers::Batch& batch) {
--- a/src/cassiastile/host/large_job_test.cpp
+++ b/src/cassiastile/host/large_job_test.cpp
@@ -115,6 +115,57 @@
   ExpectAllDone(wide);
 }
 
+// The store takes less than it is expected to: what it refuses is set aside,
+// and everything else goes on.
+class RefusedRowTest : public LargeJobTest {
+ protected:
+  static constexpr std::size_t kRowBytes = 400;
+  static constexpr milliseconds kTask{3000};
+  static constexpr std::size_t kOthers = 20;
+
+  void SetUp() override {
+    LargeJobTest::SetUp();
+    m_world.Faults().max_job_row_bytes = kRowBytes;
+  }
+
+  std::vector<std::string> SubmitOthers() {
+    std::vector<std::string> others;
+    for (std::size_t i = 0; i < kOthers; ++i) {
+      others.push_back(m_world.Submit(1, 1, 1, milliseconds(100)));
+    }
+    return others;
+  }
+
+  void ExpectAllAreDone(const std::vector<std::string>& jobs) {
+    for (const std::string& job : jobs) {
+      EXPECT_EQ(m_world.SubmissionStatuses().at(job), kOk);
+      EXPECT_EQ(m_world.StateOf(job), "done");
+    }
+    EXPECT_THAT(m_world.Violations(), IsEmpty());
+  }
+};
+
+TEST_F(RefusedRowTest, ARefusedRecordRefusesItsJobAlone) {
+  const auto large = Submit(m_world.MakeLargeJob(0, 2 * kRowBytes));
+  const auto others = SubmitOthers();
+  m_world.RunFor(kUntilAnswered);
+  EXPECT_EQ(large->status, kBadRequest);
+  EXPECT_EQ(m_world.StateOf(large->job), "410");
+  ExpectAllAreDone(others);
+}
+
+TEST_F(RefusedRowTest, ARefusedProgressFailsItsJobAlone) {
+  const std::string wide = m_world.Submit(0, 1, 60, kTask);
+  const auto others = SubmitOthers();
+  m_world.RunFor(kUntilAnswered);
+  const int status = m_world.SubmissionStatuses().at(wide);
+  const std::string state = m_world.StateOf(wide);
+  EXPECT_TRUE((status == kOk && state == "failed") ||
+              (status == kBadRequest && state == "410"))
+      << status << " " << state;
+  ExpectAllAreDone(others);
+}
+
 INSTANTIATE_TEST_SUITE_P(Tasks,
                          WideJobTest,
                          testing::Values(2000U, 6000U, 10000U));
--- a/src/cassiastile/host/leader_transactions.cpp
+++ b/src/cassiastile/host/leader_transactions.cpp
@@ -1,6 +1,7 @@
 #include "cassiastile/host/leader_transactions.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -21,6 +22,19 @@
 // noticed while older attempts still hang.
 constexpr std::uint32_t kMaxUnanswered = 8;
 
+// What the store takes: bytes of a row's value, and entries and bytes of a
+// transaction, which has the leader's record and its expectation besides.
+constexpr std::size_t kMaxRowBytes = 64U << 10U;
+constexpr std::size_t kMaxEntries = 98;
+constexpr std::size_t kMaxBytes = 1020U << 10U;
+
+// At most what a row takes in a transaction, where its value is in base64.
+std::size_t EncodedBytes(const Row& row) {
+  constexpr std::size_t kNames = 128;  // Of the fields, and punctuation.
+  return kNames + row.table.size() + row.part.size() + row.key.size() +
+         (row.value.size() + 2) / 3 * 4;
+}
+
 }  // namespace
 
 ObservedLeaderRecord DecodeLeaderRow(const Row& row) {
@@ -53,20 +67,93 @@
                                 std::function<void(bool)> done) {
   m_busy = true;
   m_done = std::move(done);
+  m_begun_at = m_loop.GetClock().Now();
+  m_refused.clear();
+  std::erase_if(puts, [this](const Row& row) {
+    if (row.value.size() <= kMaxRowBytes) {
+      return false;
+    }
+    RefuseRow(row);
+    return true;
+  });
+  m_pieces.clear();
+  AddPiece({std::move(puts), std::move(deletes)});
+  SendNextPiece();
+}
+
+void LeaderTransactions::AddPiece(Piece piece) {
+  std::size_t bytes = 0;
+  for (const Row& row : piece.puts) {
+    bytes += EncodedBytes(row);
+  }
+  if (piece.puts.size() + piece.deletes.size() > kMaxEntries ||
+      bytes > kMaxBytes) {
+    AddHalves(std::move(piece));
+  } else {
+    m_pieces.push_back(std::move(piece));
+  }
+}
+
+void LeaderTransactions::AddHalves(Piece piece) {
+  // Rows are deleted last: a finished job's record goes after its progress says
+  // that it is finished.
+  const std::size_t half = (piece.puts.size() + piece.deletes.size()) / 2;
+  Piece second;
+  const auto move_from = [](std::vector<Row>& rows, std::size_t from,
+                            std::vector<Row>& to) {
+    from = std::min(from, rows.size());
+    std::move(rows.begin() + static_cast<std::ptrdiff_t>(from), rows.end(),
+              std::back_inserter(to));
+    rows.resize(from);
+  };
+  move_from(piece.deletes, half - std::min(half, piece.puts.size()),
+            second.deletes);
+  move_from(piece.puts, half, second.puts);
+  AddPiece(std::move(second));
+  AddPiece(std::move(piece));
+}
+
+void LeaderTransactions::SendNextPiece() {
+  if (m_pieces.empty()) {
+    Finish(true);
+    return;
+  }
+  Piece piece = std::move(m_pieces.back());
+  m_pieces.pop_back();
   ++m_record.commit;
   m_transaction = {};
   m_transaction.expect.push_back(
       {kLeaderTable, kLeaderPart, kLeaderKey, m_record_version});
-  m_transaction.puts = std::move(puts);
+  m_transaction.puts = std::move(piece.puts);
   m_transaction.puts.push_back(
       {kLeaderTable, kLeaderPart, kLeaderKey, Encode(m_record), 0, false});
-  m_transaction.deletes = std::move(deletes);
+  m_transaction.deletes = std::move(piece.deletes);
   m_attempts = 0;
   m_unanswered = 0;
-  m_begun_at = m_loop.GetClock().Now();
   Send();
 }
 
+void LeaderTransactions::RefuseRow(const Row& row) {
+  m_log.Write(
+      "store.row_refused",
+      {{"table", row.table}, {"key", row.key}, {"bytes", row.value.size()}});
+  m_refused.emplace(row.table, row.key);
+}
+
+void LeaderTransactions::HandleRefusal() {
+  m_transaction.puts.pop_back();
+  Piece piece{std::move(m_transaction.puts), std::move(m_transaction.deletes)};
+  if (piece.puts.size() + piece.deletes.size() > 1) {
+    m_log.Write(
+        "store.transaction_refused",
+        {{"puts", piece.puts.size()}, {"deletes", piece.deletes.size()}});
+    AddHalves(std::move(piece));
+  } else {
+    RefuseRow(piece.puts.empty() ? piece.deletes.front() : piece.puts.front());
+  }
+  SendNextPiece();
+}
+
 void LeaderTransactions::Resign(std::function<void(bool)> done) {
   m_record.host.clear();
   Commit({}, {}, std::move(done));
@@ -122,7 +209,7 @@
     m_confirmed_at = sent_at;
     m_log.Metrics().Observe(Latency::kCommit,
                             m_loop.GetClock().Now() - sent_at);
-    Finish(true);
+    SendNextPiece();
     return;
   }
   if (reply.outcome == Outcome::kConflict) {
@@ -137,8 +224,16 @@
       // An earlier attempt of this commit was applied, but its answer was lost.
       m_record_version = observed.version;
       m_confirmed_at = sent_at;
+      SendNextPiece();
+    } else {
+      Finish(false);
     }
-    Finish(own);
+    return;
+  }
+  const bool has_rows =
+      m_transaction.puts.size() + m_transaction.deletes.size() > 1;
+  if (reply.outcome == Outcome::kRefused && has_rows) {
+    HandleRefusal();
     return;
   }
   if (!m_failing_since) {
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -688,6 +688,7 @@
       return;
     }
     case TransactionReply::Outcome::kNotApplied:
+    case TransactionReply::Outcome::kRefused:
     case TransactionReply::Outcome::kUnknown:
       return;
   }
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -1079,6 +1079,17 @@
 }
 
 TransactionReply VirtualWorld::Apply(const RowTransaction& transaction) {
+  const bool is_refused =
+      std::ranges::any_of(transaction.puts, [this](const Row& row) {
+        return row.table == kJobTable &&
+               row.value.size() > m_faults.max_job_row_bytes;
+      });
+  if (is_refused) {
+    TransactionReply refusal;
+    refusal.outcome = TransactionReply::Outcome::kRefused;
+    refusal.now = StoreClock();
+    return refusal;
+  }
   TransactionReply reply = m_table.Apply(transaction, StoreClock());
   if (reply.outcome == TransactionReply::Outcome::kApplied) {
     WakeFeeds();
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -58,6 +58,8 @@
   double lost_answer_chance = 0;
   // Time that each commit takes longer than usual.
   std::chrono::milliseconds commit_delay{0};
+  // The store refuses a transaction for good if a row of a job is larger.
+  std::size_t max_job_row_bytes = SIZE_MAX;
   // Time that each read takes longer than usual.
   std::chrono::milliseconds read_delay{0};
   // Commits applied 2 to 12 s later, without an answer.
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -574,7 +574,15 @@
       found->second->record_taken || IsFinished(found->second->phase)) {
     return false;
   }
-  Job& job = *found->second;
+  RemoveUnaccepted(*found->second, now);
+  if (m_forgotten.contains(id)) {
+    // The rows of the former job of this id were to be overwritten.
+    m_removed_jobs.push_back(id);
+  }
+  return true;
+}
+
+void Scheduler::RemoveUnaccepted(Job& job, base::TimePoint now) {
   for (Occurrence& occurrence : job.occurrences) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       auto& tasks = occurrence.steps[s].tasks;
@@ -587,16 +595,37 @@
       }
     }
   }
-  // It has no segments as long as its record is not committed.
+  job.stored_segments.clear();
+  RemoveAllSegments(job);
   m_urgent.erase(job.oldest_change);
   m_deferred.erase(job.oldest_change);
+  const std::string id = job.id;
   RemoveUnfinished(id);
-  m_jobs.erase(found);
-  if (m_forgotten.contains(id)) {
-    // The rows of the former job of this id were to be overwritten.
-    m_removed_jobs.push_back(id);
+  m_jobs.erase(id);
+}
+
+bool Scheduler::SetAside(const std::string& id,
+                         Batch& batch,
+                         base::TimePoint now) {
+  std::erase(batch.accepted, id);
+  std::erase_if(batch.phases,
+                [&id](const auto& phase) { return phase.first == id; });
+  std::erase_if(batch.starts,
+                [&id](const auto& start) { return start.first.job->id == id; });
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) {
+    return true;
   }
-  return true;
+  Job& job = *found->second;
+  if (job.accepted) {
+    if (!IsFinished(job.phase)) {
+      Finish(job, JobPhase::kFailed, now);
+    }
+    return true;
+  }
+  RemoveUnaccepted(job, now);
+  m_removed_jobs.push_back(id);
+  return false;
 }
 
 bool Scheduler::Cancel(const std::string& id, base::TimePoint now) {
--- a/src/cassiastile/sim/table_model.cpp
+++ b/src/cassiastile/sim/table_model.cpp
@@ -47,7 +47,7 @@
   host::TransactionReply reply;
   reply.now = now;
   if (!IsWithinLimits(transaction)) {
-    reply.outcome = Outcome::kNotApplied;
+    reply.outcome = Outcome::kRefused;
     return reply;
   }
   bool holds = true;
