--- a/include/cassiastile/host/machine_controller.hpp
+++ b/include/cassiastile/host/machine_controller.hpp
@@ -9,6 +9,7 @@
 #include "cassiastile/host/event_log.hpp"
 #include "cassiastile/host/loop.hpp"
 #include "cassiastile/host/ports.hpp"
+#include "cassiastile/host/wave_orders.hpp"
 #include "cassiastile/jobs/pool_plan.hpp"
 #include "cassiastile/jobs/scheduler.hpp"
 
@@ -105,15 +106,8 @@
     bool is_writing = false;
   };
   struct Wave {
-    // Whether an order for the machine may have been sent of which no
-    // acceptance is known.
-    bool MayHaveBegun(const std::string& machine) const;
-
     WaveRequest request;
-    std::map<std::string, bool> begun;  // Order accepted, by machine.
-    // Machines for which an order may have been sent, also by an earlier
-    // leader.
-    std::set<std::string> ordered;
+    WaveOrders orders;  // Also of earlier leaders.
     // When this leader first saw the request, from which its time limit is
     // counted.
     base::TimePoint seen_at{};
@@ -142,7 +136,6 @@
   // Whether the machine's zone is being evacuated: pools can't count on it.
   bool IsEvacuated(const TrackedMachine& tracked) const;
   void LogLoads(const PoolLoads& loads);
-  static Row MakeWaveRow(const Wave& wave);
   void Maintain(Wave& wave, TrackedMachine& tracked);
   // `first_order` tells whether the wave has not ordered this machine before.
   void SendMaintain(std::uint64_t wave,
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -44,8 +44,6 @@
 constexpr char kOrdersKey[] = "orders";
 constexpr char kMovesKey[] = "moves";
 // States of a machine in a wave's stored row.
-constexpr char kBegun[] = "begun";
-constexpr char kOrderedOnly[] = "ordered";
 constexpr std::chrono::milliseconds kBlockedLogInterval{2000};
 constexpr std::chrono::milliseconds kLoadLogInterval{1000};
 // From the order to move a machine until its new worker is listed and has
@@ -118,10 +116,7 @@
     m_log.Write("wave.bad_row", {{"key", row.key}});
     return;
   }
-  for (std::string name, state; lines >> name >> state;) {
-    m_waves[number].ordered.insert(name);
-    m_waves[number].begun[name] = state == kBegun;
-  }
+  m_waves[number].orders.Recover(row);
 }
 
 void MachineController::Begin(
@@ -145,7 +140,7 @@
   const bool is_move = !order.destination.empty();
   const bool is_open =
       is_move || std::ranges::any_of(m_waves, [&machine](const auto& entry) {
-        return entry.second.MayHaveBegun(machine);
+        return entry.second.orders.MayHaveBegun(machine);
       });
   const auto age =
       std::max(m_term_began - order.at, std::chrono::milliseconds(0));
@@ -482,13 +477,13 @@
   for (const std::string& name : wave.request.machines) {
     const auto found = m_machines.find(name);
     if (found == m_machines.end() || IsRemoved(name)) {
-      all_begun = all_begun && (wave.begun[name] || IsRemoved(name));
+      all_begun = all_begun && (wave.orders.HasBegun(name) || IsRemoved(name));
       continue;
     }
     TrackedMachine& tracked = found->second;
     jobs::WaveMachine& machine = machines.emplace_back();
     machine.name = name;
-    machine.begun = wave.begun[name];
+    machine.begun = wave.orders.HasBegun(name);
     machine.down = tracked.pending == PendingOrder::kMaintain ||
                    tracked.machine.state == MachineState::kMaintenance;
     if (!tracked.listed) {
@@ -500,9 +495,9 @@
     machine.cannot_be_ordered = tracked.machine.state != MachineState::kUp ||
                                 tracked.pending == PendingOrder::kMove ||
                                 now < tracked.retry_at || !MayOrder(name);
-    machine.may_repeat = tracked.is_recovered &&
-                         tracked.pending == PendingOrder::kMaintain &&
-                         !machine.cannot_be_ordered && wave.MayHaveBegun(name);
+    machine.may_repeat =
+        tracked.is_recovered && tracked.pending == PendingOrder::kMaintain &&
+        !machine.cannot_be_ordered && wave.orders.MayHaveBegun(name);
     machine.cordoned = tracked.cordoned;
     machine.cordoned_at = tracked.cordoned_at;
     if (const jobs::WorkerState* worker = WorkerOf(tracked)) {
@@ -559,29 +554,13 @@
   if (wave.done_recorded) {
     return;
   }
-  m_store_row(MakeWaveRow(wave),
+  m_store_row(wave.orders.FirstRow(wave.request.wave),
               m_lifetime.Guard([this, number = wave.request.wave] {
                 Wave& stored = m_waves[number];
                 stored.done_recorded = stored.done;
               }));
 }
 
-bool MachineController::Wave::MayHaveBegun(const std::string& machine) const {
-  const auto found = begun.find(machine);
-  return ordered.contains(machine) && (found == begun.end() || !found->second);
-}
-
-Row MachineController::MakeWaveRow(const Wave& wave) {
-  std::string lines;
-  for (const std::string& machine : wave.ordered) {
-    const auto begun = wave.begun.find(machine);
-    const bool has_begun = begun != wave.begun.end() && begun->second;
-    lines += machine + " " + (has_begun ? kBegun : kOrderedOnly) + "\n";
-  }
-  return {kMachineTable,    kLeaderPart, std::to_string(wave.request.wave),
-          std::move(lines), 0,           false};
-}
-
 void MachineController::Maintain(Wave& wave, TrackedMachine& tracked) {
   const std::uint64_t number = wave.request.wave;
   const std::string name = tracked.machine.name;
@@ -593,13 +572,13 @@
   tracked.incarnation = worker == nullptr ? jobs::WorkerId{} : worker->entry.id;
   m_scheduler.CordonAndMarkUnavailable(tracked.incarnation.id,
                                        tracked.ordered_at);
-  const bool first_order = wave.ordered.insert(name).second;
+  const bool first_order = wave.orders.Add(name);
   if (!first_order) {
     RecordOrder(name, "", {},
                 [this, number, name] { SendMaintain(number, name, false); });
     return;
   }
-  RecordOrder(name, "", {MakeWaveRow(wave)},
+  RecordOrder(name, "", {wave.orders.RowOf(number, name)},
               [this, number, name] { SendMaintain(number, name, true); });
 }
 
@@ -621,8 +600,9 @@
           OrderAnswered(name);
         }
         if (result == MachineOrderResult::kAccepted) {
-          m_waves[number].begun[name] = true;
-          m_store_row(MakeWaveRow(m_waves[number]), [] {});
+          WaveOrders& orders = m_waves[number].orders;
+          orders.SetBegun(name);
+          m_store_row(orders.RowOf(number, name), [] {});
           tracked.accepted = true;
           tracked.accepted_at = now;
           // After a repeated order the worker may be a newer incarnation: the
