Bound the calls to the placement advisor by what it handles

Cause: each waiting step made a call of its own and repeated it every 2 s. The advisor handles one call at a time; with more than a dozen waiting steps it worked on calls whose caller had given up after 3 s. 429 and failures slowed nothing, each call named 30 workers, and admission did not know the advisor's rate.

Change: at most two calls are under way; the leader keeps the queue, in the order in which answers are of use, with a turn for each queue. The time allowed follows from the configured times, the workers named and the calls ahead. Failures pause the calls, up to 2 s. Calls name as many workers as the step can use, by what was allowed before. Jobs that can't be advised before their objective are refused. A worker that was not allowed is named again, rarely. Checkpoints that no row can hold are not stored.

MissingConfigTest.PlacementStillWaitsForAdvice had the repetition after 2 s in it. A call is not repeated now while its answer is due; the test reports that the call has failed, and expects the same as before.

--- a/include/cassiastile/jobs/admission.hpp
+++ b/include/cassiastile/jobs/admission.hpp
@@ -64,6 +64,8 @@
   // the part of the pool, above 0 and up to 1, that it can count on.
   std::optional<CustomerShare> share;
   bool fits_now = false;  // There is free capacity for the job's first step.
+  // The wait for placement advice behind other steps.
+  std::chrono::milliseconds advice_wait{0};
   // Expected duration of the job's longest chain of steps.
   std::chrono::milliseconds critical_path{0};
   // Time left until the job's objective, which counts from its first request;
--- a/include/cassiastile/jobs/orders.hpp
+++ b/include/cassiastile/jobs/orders.hpp
@@ -48,6 +48,7 @@
   std::vector<std::string> workers;  // The candidates, by id.
   std::chrono::milliseconds validity{0};
   base::TimePoint asked_at{};
+  std::chrono::milliseconds timeout{0};  // How long the answer may take.
 };
 
 // A run that was given up although its end was not listed, or one that a worker
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -14,6 +14,7 @@
 
 #include "cassiastile/base/clock.hpp"
 #include "cassiastile/jobs/admission.hpp"
+#include "cassiastile/jobs/advice_calls.hpp"
 #include "cassiastile/jobs/arrival_meter.hpp"
 #include "cassiastile/jobs/duration_model.hpp"
 #include "cassiastile/jobs/fleet_config.hpp"
@@ -220,13 +221,19 @@
                     const TaskId& task,
                     std::uint32_t run,
                     base::TimePoint now);
-  // The advisor has answered. `allowed` holds the ids of workers that may run
-  // the step, with their placement tickets.
+  // The advisor has answered, maybe late. `allowed` holds the ids of workers
+  // that may run the step, with their placement tickets.
   void AdviceAnswered(
       const AdviceRequest& request,
       const std::vector<std::pair<std::string, std::string>>& allowed,
       std::chrono::milliseconds validity,
       base::TimePoint now);
+  // The advisor turned a call away, or gave no answer in time. Returns for how
+  // long it is asked nothing.
+  std::chrono::milliseconds AdviceFailed(const AdviceRequest& request,
+                                         base::TimePoint now);
+  // Number of steps that waited for advice in the last planning round.
+  std::size_t CountStepsWaitingForAdvice() const;
 
   // Drops runs that can't be alive any more, begins occurrences that are due
   // and places waiting tasks, unless the list of workers may be out of date.
@@ -374,6 +381,8 @@
     // of each customer.
     PoolShares shares;
     std::map<std::string, Work> backlog_of_customer;
+    // Steps that have not begun and need advice, by queue.
+    std::map<std::string, std::size_t> unadvised_steps;
   };
 
   // What the placement advisor has said about one step. Whether a worker may
@@ -385,8 +394,8 @@
       std::string ticket;
       std::int64_t incarnation_ms = 0;
       base::TimePoint valid_until{};  // Of the ticket.
+      base::TimePoint asked_at{};
     };
-    base::TimePoint asked_at{};             // Zero if no answer is awaited.
     std::map<std::string, Answer> answers;  // By worker.
 
     bool IsAllowed(const std::string& worker) const;
@@ -783,14 +792,35 @@
   // scheduler_advice.cpp
   // Whether the placement advisor decides which workers may run the job.
   bool NeedsAdvice(const Job& job) const;
-  // Asks the advisor about workers that it has not been asked about, and for
-  // tickets of allowed ones, unless an answer is awaited. Workers without room
-  // are only named while none is known to be allowed.
-  void RequestAdvice(Job& job,
-                     const Occurrence& occurrence,
-                     std::uint32_t step,
+  // A step that waits for advice.
+  struct AdvisedStep {
+    Job* job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+  };
+  // Asks the advisor about the steps that wait, as far as calls may be made:
+  // the queues in turn, and on each queue the first step that has a use for it.
+  void AskAdvisor(base::TimePoint now);
+  // Asks about workers that the advisor has not been asked about, and for
+  // tickets of allowed ones. Workers without room are only named while none is
+  // known to be allowed, and only if `needs_room` is false. Returns whether a
+  // call is made.
+  bool RequestAdvice(const AdvisedStep& wanted,
                      const std::vector<WorkerState*>& workers,
+                     bool needs_room,
                      base::TimePoint now);
+  // How many of the candidates, which are in the order of preference, to name
+  // so that the step's waiting tasks probably find room on allowed ones.
+  std::size_t CountToName(
+      const AdvisedStep& wanted,
+      const std::vector<const WorkerState*>& candidates) const;
+  // The advisor's time for the steps of the queue's jobs that have not begun,
+  // or zero for a queue without advice.
+  std::chrono::milliseconds AdviceBacklog(const Job& job, base::TimePoint now);
+  // Learns from an answer what to name next.
+  void RecordAdvice(
+      const AdviceRequest& request,
+      const std::vector<std::pair<std::string, std::string>>& allowed);
   // The ticket for a run's start; null without a valid one.
   const std::string* FindTicket(const TaskRef& ref,
                                 const Run& run,
@@ -881,7 +911,14 @@
   ZoneEvacuations m_evacuations;
   base::TimePoint m_zones_evacuated_at{};
   std::map<std::string, Advice> m_advice;  // By job, occurrence and step.
-  std::uint64_t m_last_change = 0;         // Counts MarkDirty.
+  AdviceCalls m_advice_calls;
+  std::map<std::string, AdviceHistory> m_advice_history;  // By queue.
+  // The steps that wait in this planning round, by queue, those to be placed
+  // first before others; and how many there were in the last one.
+  std::map<std::string, std::vector<AdvisedStep>> m_advised_steps;
+  std::map<std::string, std::size_t> m_steps_waiting_for_advice;
+  std::string m_last_advised_queue;
+  std::uint64_t m_last_change = 0;  // Counts MarkDirty.
   // Rows that are to be written: at once, and with others.
   ChangedRows m_urgent;
   ChangedRows m_deferred;
--- a/src/cassiastile/host/dispatcher_workers.cpp
+++ b/src/cassiastile/host/dispatcher_workers.cpp
@@ -437,18 +437,29 @@
     m_dependencies.advice.Advise(
         request, m_lifetime.Guard([this, request](
                                       const base::Result<AdviceReply>& reply) {
+          const base::TimePoint answered_at = m_loop.GetClock().Now();
           if (!reply) {
-            m_log.Write("advice.failed", {{"job", request.job},
-                                          {"error", reply.error().message}});
+            const auto pause = m_scheduler.AdviceFailed(request, answered_at);
+            m_log.Write(
+                "advice.failed",
+                {{"job", request.job},
+                 {"error", reply.error().message},
+                 {"pause_ms", pause.count()},
+                 {"waiting", m_scheduler.CountStepsWaitingForAdvice()}});
+            m_loop.After(pause, m_lifetime.Guard([this] { RequestPlan(); }));
             return;
           }
-          m_log.Write("advice.answered", {{"job", request.job},
-                                          {"occurrence", request.occurrence},
-                                          {"step", request.step},
-                                          {"named", request.workers.size()},
-                                          {"allowed", reply->allowed.size()}});
+          m_log.Write(
+              "advice.answered",
+              {{"job", request.job},
+               {"occurrence", request.occurrence},
+               {"step", request.step},
+               {"named", request.workers.size()},
+               {"allowed", reply->allowed.size()},
+               {"took_ms", base::Milliseconds(answered_at - request.asked_at)},
+               {"waiting", m_scheduler.CountStepsWaitingForAdvice()}});
           m_scheduler.AdviceAnswered(request, reply->allowed, reply->validity,
-                                     m_loop.GetClock().Now());
+                                     answered_at);
           RequestPlan();
         }));
   }
--- a/src/cassiastile/host/virtual_world_bench.cpp
+++ b/src/cassiastile/host/virtual_world_bench.cpp
@@ -110,8 +110,9 @@
   return wave;
 }
 
-// A configuration: version, number of services, each with one queue, and
-// whether it lacks the spare pool (0 if it ends there).
+// A configuration: version, number of services, each with one queue, whether it
+// lacks the spare pool (0 if it ends there), how many queues have placement
+// advice (none if it ends there), and the times of that.
 base::Result<jobs::FleetConfig> DecodeConfigText(
     const std::string& text,
     const OnOddMember& /*on_odd*/) {
@@ -141,10 +142,25 @@
   if (!(in >> lacks_spare_pool) || !lacks_spare_pool) {
     config.services.push_back({.name = kSparePool, .is_spare = true});
   }
+  std::size_t advised = 0;
+  std::int64_t decision = 0;
+  std::int64_t period = 0;
+  std::int64_t validity = 0;
+  in >> advised >> decision >> period >> validity;
+  for (std::size_t i = 0; i < std::min(advised, config.queues.size()); ++i) {
+    config.queues[i].advice = {milliseconds(decision), milliseconds(period),
+                               milliseconds(validity)};
+  }
   config.BuildIndex();
   return config;
 }
 
+// Of each four workers one may not run the steps of queues with advice.
+bool MayRunAdvisedSteps(const std::string& worker) {
+  constexpr int kEach = 4;
+  return std::stoi(worker.substr(worker.find('-') + 1)) % kEach != 1;
+}
+
 }  // namespace
 
 void VirtualLoop::After(base::Duration delay, std::function<void()> callback) {
@@ -756,8 +772,53 @@
 
 class WorldAdvice final : public AdvicePort {
  public:
-  void Advise(const jobs::AdviceRequest&,
-              std::function<void(base::Result<AdviceReply>)>) override {}
+  WorldAdvice(VirtualWorld& world, HostLoop& loop, std::string host)
+      : m_world(world), m_loop(loop), m_host(std::move(host)) {}
+
+  void Advise(const jobs::AdviceRequest& request,
+              std::function<void(base::Result<AdviceReply>)> done) override {
+    // The call ends with an answer or with its time.
+    auto once =
+        std::make_shared<std::function<void(base::Result<AdviceReply>)>>(
+            m_loop.Guard(std::move(done)));
+    const auto finish = [once](base::Result<AdviceReply> reply) {
+      if (const auto callback = std::exchange(*once, nullptr)) {
+        callback(std::move(reply));
+      }
+    };
+    const auto fail = [finish](const char* why) {
+      finish(base::Fail(base::ErrorCode::kUnavailable, why));
+    };
+    m_world.Post(request.timeout, [fail] { fail("no answer"); });
+    if (m_world.m_faults.advisor_silent) {
+      return;
+    }
+    m_world.Post(kCallLatency, [this, request, finish, fail] {
+      const auto handled_at =
+          m_world.m_faults.advisor_refuses
+              ? std::nullopt
+              : m_world.m_advisor.Take(m_host, request, m_world.Now());
+      if (!handled_at) {
+        m_world.Post(kCallLatency, [fail] { fail("turned away"); });
+        return;
+      }
+      const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(
+          *handled_at - m_world.Now());
+      m_world.Post(wait, [this, request, finish] {
+        AdviceReply reply{
+            .allowed = m_world.m_advisor.Answer(request, m_world.Now()),
+            .validity = m_world.m_advisor.Times().validity};
+        if (!m_world.Chance(m_world.m_faults.lost_advice_chance)) {
+          m_world.Post(kCallLatency, [finish, reply] { finish(reply); });
+        }
+      });
+    });
+  }
+
+ private:
+  VirtualWorld& m_world;
+  HostLoop& m_loop;
+  std::string m_host;
 };
 
 class WorldPeers final : public PeerPort {
@@ -799,6 +860,7 @@
         store(world, loop, name),
         workers(world, loop),
         machines(world, loop),
+        advice(world, loop, name),
         peers(world, loop),
         node(HostDependencies{.store = store,
                               .workers = workers,
@@ -987,7 +1049,11 @@
 VirtualWorld::VirtualWorld(WorldOptions options)
     : m_options(options),
       m_random(options.seed),
-      m_checker(&m_loop.GetClock()) {
+      m_checker(&m_loop.GetClock()),
+      m_advisor(
+          options.advice,
+          [this](const std::string& id) { return IncarnationOf(id); },
+          MayRunAdvisedSteps) {
   PublishNextConfig();
   std::size_t number = 0;
   const auto add = [this, &number](const std::string& pool) {
@@ -1236,6 +1302,9 @@
     AddViolation("a task of an unknown job was started: " + order.task.job);
     return jobs::StartResult::kRejected;
   }
+  if (!HasValidTicket(worker, order)) {
+    return jobs::StartResult::kNoTicket;
+  }
   const std::size_t runs = m_checker.CountRuns(order.task.job);
   const auto result = worker.model->Start(order, spec->steps[order.task.step],
                                           fence, until, m_loop.Now());
@@ -1267,6 +1336,27 @@
   return result;
 }
 
+std::optional<std::int64_t> VirtualWorld::IncarnationOf(
+    const std::string& id) const {
+  const auto found = m_workers.find(id);
+  if (found == m_workers.end() || !found->second->alive ||
+      found->second->restarting) {
+    return std::nullopt;
+  }
+  return found->second->model->Entry().id.incarnation_ms;
+}
+
+bool VirtualWorld::HasValidTicket(const Worker& worker,
+                                  const jobs::StartOrder& order) const {
+  if (m_job_service.at(order.task.job) >= m_options.advised_services) {
+    return true;
+  }
+  const std::string step =
+      jobs::StepKey(order.task.job, order.task.occurrence, order.task.step);
+  return m_advisor.IsValid(order.ticket, step, worker.model->Entry().id,
+                           m_loop.Now());
+}
+
 void VirtualWorld::CheckFence(const WorkerAddress& address,
                               std::uint64_t fence) {
   const auto [first, is_new] = m_fenced_for.emplace(
@@ -1771,10 +1861,14 @@
                                      bool has_spare_pool) {
   m_config_version += 2;
   RowTransaction transaction;
-  transaction.puts.push_back({kOperatorTable, "", "config",
-                              fmt::format("{} {} {}", m_config_version,
-                                          services, has_spare_pool ? 0 : 1),
-                              0, false});
+  transaction.puts.push_back(
+      {kOperatorTable, "", "config",
+       fmt::format("{} {} {} {} {} {} {}", m_config_version, services,
+                   has_spare_pool ? 0 : 1, m_options.advised_services,
+                   m_options.advice.decision.count(),
+                   m_options.advice.period.count(),
+                   m_options.advice.validity.count()),
+       0, false});
   Apply(transaction);
 }
 
--- a/src/cassiastile/host/virtual_world_bench.hpp
+++ b/src/cassiastile/host/virtual_world_bench.hpp
@@ -11,6 +11,7 @@
 
 #include "cassiastile/base/random.hpp"
 #include "cassiastile/host/host_node.hpp"
+#include "cassiastile/sim/advisor_model.hpp"
 #include "cassiastile/sim/invariant_checker.hpp"
 #include "cassiastile/sim/table_model.hpp"
 #include "cassiastile/sim/worker_timer.hpp"
@@ -101,6 +102,12 @@
   // Restarts of a worker after which its clock is behind, so that it has a
   // lower start time than before.
   double clock_set_back_chance = 0;
+  // The placement advisor takes no calls: they get no answer, or are turned
+  // away.
+  bool advisor_silent = false;
+  bool advisor_refuses = false;
+  // Answers of the advisor that are lost.
+  double lost_advice_chance = 0;
   // Machines that are missing from this many further lists.
   std::map<std::string, int> unlisted_machines;
 };
@@ -121,6 +128,12 @@
   std::chrono::milliseconds evacuation_time{0};
   // From how many workers on other hosts relay the leader's calls.
   std::size_t min_relayed_workers = 100;
+  // The queues of so many services, from the first on, have placement advice.
+  // Of each four workers one may not run their steps.
+  std::size_t advised_services = 0;
+  jobs::AdviceConfig advice{.decision = std::chrono::milliseconds(100),
+                            .period = std::chrono::milliseconds(5),
+                            .validity = std::chrono::milliseconds(3000)};
   double worker_clock_rate = 1.0;  // Speed of the workers' own clocks.
   // How often each worker writes its entry; zero: only when it starts.
   std::chrono::milliseconds heartbeat{0};
@@ -279,6 +292,7 @@
   // Number of starts that workers refused for their fencing token.
   std::uint64_t FencedStarts() const { return m_fenced_starts; }
   std::uint64_t StoreCalls() const { return m_store_calls; }
+  const sim::AdvisorModel& Advisor() const { return m_advisor; }
   // Number of batches of calls that hosts got for the leader.
   std::uint64_t RelayBatches() const { return m_relay_batches; }
   std::uint64_t StartsSent() const { return m_starts_sent; }
@@ -393,6 +407,11 @@
   std::string SubmitJob(std::string job);
   // Removes the entries of workers that have been silent for long.
   void ExpireSilentEntries();
+  // The start time of the worker that runs under this id, or nothing.
+  std::optional<std::int64_t> IncarnationOf(const std::string& id) const;
+  // Whether the start has the ticket that it needs.
+  bool HasValidTicket(const Worker& worker,
+                      const jobs::StartOrder& order) const;
   // Notes disruptions and checks cancelled jobs, periodically.
   void Supervise();
   // Whether faults of the store are injected now, and of anything.
@@ -407,6 +426,7 @@
   std::vector<std::unique_ptr<Host>> m_dead_hosts;
   sim::TableModel m_table;
   sim::InvariantChecker m_checker;  // Uses the loop's clock.
+  sim::AdvisorModel m_advisor;
   std::uint64_t m_store_calls = 0;
   std::uint64_t m_starts_sent = 0;
   std::uint64_t m_calls_to_next_incarnations = 0;
--- a/src/cassiastile/jobs/admission.cpp
+++ b/src/cassiastile/jobs/admission.cpp
@@ -57,19 +57,24 @@
   const bool will_have_capacity =
       HasCapacity(input.pool) ||
       std::ranges::any_of(input.growth, HasCapacity, &CapacityStep::added);
-  if (input.fits_now || !will_have_capacity) {
+  const bool waits_for_room = !input.fits_now && will_have_capacity;
+  if (!waits_for_room && input.advice_wait.count() == 0) {
     return {};
   }
-  double wait_ms = WaitBehind(input.backlog, 1.0, input);
-  if (input.share) {
-    wait_ms = std::min(
-        wait_ms, WaitBehind(input.share->backlog, input.share->part, input));
+  double wait_ms = 0;
+  if (waits_for_room) {
+    wait_ms = WaitBehind(input.backlog, 1.0, input);
+    if (input.share) {
+      wait_ms = std::min(
+          wait_ms, WaitBehind(input.share->backlog, input.share->part, input));
+    }
   }
+  wait_ms = std::max(wait_ms, static_cast<double>(input.advice_wait.count()));
   AdmissionVerdict verdict;
   verdict.wait = std::chrono::milliseconds(std::llround(wait_ms));
   verdict.slack =
       std::max(kMinSlack, input.time_to_objective - input.critical_path);
-  if (input.beyond_share) {
+  if (waits_for_room && input.beyond_share) {
     verdict.admitted = false;
     verdict.retry_after = kMinRetryAfter;
     return verdict;
--- a/src/cassiastile/jobs/missing_config_test.cpp
+++ b/src/cassiastile/jobs/missing_config_test.cpp
@@ -160,9 +160,11 @@
     m_whole = config;
   });
   m_bench.Submit("job", SchedulerBench::OneTask());
-  ASSERT_EQ(m_bench.Step().advice.size(), 1U);
+  const Orders asked = m_bench.Step();
+  ASSERT_EQ(asked.advice.size(), 1U);
   Open();
-  // The advisor has not answered for so long that it is asked again.
+  // The advisor has not answered in time, so that it is asked again.
+  m_bench.GetScheduler().AdviceFailed(asked.advice.front(), m_bench.Now());
   m_bench.Advance(milliseconds(2500));
   for (const char* id : {"w1", "w2", "w3"}) {
     m_bench.Report(id, m_bench.Listing(id));
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -187,6 +187,18 @@
   return terms;
 }
 
+// Steps that have not begun, of the occurrences that have.
+std::size_t CountUnbegunSteps(const Job& job) {
+  std::size_t count = 0;
+  for (const Occurrence& occurrence : job.occurrences) {
+    count += static_cast<std::size_t>(
+        std::ranges::count_if(occurrence.steps, [](const StepState& step) {
+          return !step.ready || step.waiting.size() == step.tasks.size();
+        }));
+  }
+  return count;
+}
+
 bool HasFailures(const Job& job) {
   return std::ranges::any_of(job.occurrences, [](const Occurrence& each) {
     return std::ranges::any_of(each.steps, [](const StepState& step) {
@@ -446,6 +458,9 @@
       if (m_options.share_by_weight) {
         snapshot.backlog_of_customer[job->customer] += work;
       }
+      if (NeedsAdvice(*job)) {
+        snapshot.unadvised_steps[job->queue] += CountUnbegunSteps(*job);
+      }
     }
   }
   for (const WorkerState* worker : WorkersOf(service)) {
@@ -488,6 +503,7 @@
   }
   const StepSpec& first = job.spec.steps.front();
   input.fits_now = Fits(CapacityNeed(first) * first.count, snapshot.free);
+  input.advice_wait = AdviceBacklog(job, now);
   input.critical_path = std::ranges::max(job.critical_paths);
   input.time_to_objective =
       std::chrono::duration_cast<std::chrono::milliseconds>(job.objective -
@@ -559,6 +575,9 @@
       snapshot.shares.Take(customer, CapacityNeed(first) * first.count);
     }
     snapshot.free -= CapacityNeed(first) * first.count;
+    if (NeedsAdvice(job)) {
+      snapshot.unadvised_steps[job.queue] += job.spec.steps.size();
+    }
   }
   AddUnfinished(job);
   m_jobs.emplace(id, std::move(owned));
--- a/src/cassiastile/jobs/scheduler_place.cpp
+++ b/src/cassiastile/jobs/scheduler_place.cpp
@@ -309,6 +309,7 @@
   for (auto& [service, jobs] : waiting) {
     PlaceService(service, jobs, now);
   }
+  AskAdvisor(now);
 }
 
 void Scheduler::PlaceService(const std::string& service,
@@ -380,7 +381,8 @@
   if (NeedsAdvice(job)) {
     advice = &m_advice[StepKey(job.id, occurrence.number, step_number)];
     if (!advice->AllowsAny()) {
-      RequestAdvice(job, occurrence, step_number, workers, now);
+      m_advised_steps[job.queue].push_back(
+          {&job, occurrence.number, step_number});
       return;
     }
   }
@@ -455,7 +457,8 @@
   }
   step.waiting = std::move(left);
   if (advice != nullptr && allowed && !step.waiting.empty()) {
-    RequestAdvice(job, occurrence, step_number, workers, now);
+    m_advised_steps[job.queue].push_back(
+        {&job, occurrence.number, step_number});
   }
   if (unplaced > 0) {
     const Resources need = CapacityNeed(spec) * unplaced;
@@ -505,7 +508,8 @@
   if (places.size() < step.waiting.size()) {
     ReserveGang(job, occurrence, step_number, workers, advice, now);
     if (advice != nullptr) {
-      RequestAdvice(job, occurrence, step_number, workers, now);
+      m_advised_steps[job.queue].push_back(
+          {&job, occurrence.number, step_number});
     }
     return false;
   }
--- a/src/cassiastile/jobs/scheduler_runs.cpp
+++ b/src/cassiastile/jobs/scheduler_runs.cpp
@@ -15,11 +15,15 @@
 // for this long was silent.
 constexpr std::chrono::milliseconds kMaxReportGap{1500};
 
+// Longer texts are not stored: the task resumes from the checkpoint before.
+constexpr std::size_t kMaxCheckpointBytes = 4096;
+
 // Keeps what a run has saved, unless a later run has saved something.
 void KeepCheckpoint(Task& task,
                     std::uint32_t run,
                     const std::string& checkpoint) {
-  if (checkpoint.empty() || run < task.checkpoint_run) {
+  if (checkpoint.empty() || checkpoint.size() > kMaxCheckpointBytes ||
+      run < task.checkpoint_run) {
     return;
   }
   task.checkpoint = checkpoint;
--- a/src/cassiastile/jobs/split_progress_test.cpp
+++ b/src/cassiastile/jobs/split_progress_test.cpp
@@ -122,6 +122,23 @@
   }
 }
 
+// A checkpoint that no row could hold beside others is not kept.
+TEST_F(SplitProgressTest, FarTooLongCheckpointsAreNotKept) {
+  m_bench.Submit("job", Wide(100));
+  ASSERT_EQ(m_bench.StepAndStart().size(), 100U);
+  for (const char* worker : {"a", "b", "c", "d"}) {
+    WorkerReport report = m_bench.Listing(worker);
+    for (ListedRun& run : report.running) {
+      run.checkpoint = std::string(100000, 'x');
+    }
+    m_bench.Report(worker, report);
+    m_bench.AddWorker(worker, 2);
+  }
+  m_bench.Advance(std::chrono::milliseconds(20));
+  m_bench.Step();
+  ExpectBoundedRows();
+}
+
 TEST_F(SplitProgressTest, ABacklogTakesNoMemory) {
   constexpr std::uint32_t kRepeats = 100000;
   m_bench.Submit("job", Repeating(kWideStep, kRepeats));
