Send no copies of a commit to a store that has too much to do

Cause: a part of the store that is a second behind answers 429. The leader took that for an outage: it sent the same commit again after 0.06 to 0.4 s and, beside each attempt without an answer, another every 0.25 s, up to 8 at once, all of which waited in the same part.

Change: 429 is an outcome of its own (kBusy). After it no attempt is sent beside another, and the next one waits 0.25 to 1 s.

Evidence: LeaderTransactionsTest.NoCopiesAreSentToAStoreThatIsBusy; the class had no tests before.

--- a/include/cassiastile/host/leader_transactions.hpp
+++ b/include/cassiastile/host/leader_transactions.hpp
@@ -70,11 +70,12 @@
 
   // Writes and deletes rows in one transaction. Only one commit may be in
   // flight. It is retried for as long as the store fails, and sent again beside
-  // the first attempt when that has no answer after 0.25 s; `done` gets true
-  // once it is applied, or false if leadership is lost. Rows that the store
-  // refuses for good are left out: those that are too large, and those to which
-  // a refused transaction narrows down as it is halved, in the order of the
-  // rows.
+  // the first attempt when that has no answer after 0.25 s, unless the store
+  // has said that it has too much to do: copies would wait there too. `done`
+  // gets true once it is applied, or false if leadership is lost. Rows that the
+  // store refuses for good are left out: those that are too large, and those to
+  // which a refused transaction narrows down as it is halved, in the order of
+  // the rows.
   void Commit(std::vector<Row> puts,
               std::vector<Row> deletes,
               std::function<void(bool)> done);
@@ -152,6 +153,8 @@
   std::uint32_t m_attempts = 0;
   std::uint64_t m_resends = 0;
   std::uint32_t m_unanswered = 0;  // Attempts of the commit in flight.
+  // How often the store has said of it that it has too much to do.
+  std::uint32_t m_busy_replies = 0;
   bool m_retry_armed = false;
   base::TimePoint m_begun_at{};
   base::TimePoint m_confirmed_at{};
--- a/include/cassiastile/host/ports.hpp
+++ b/include/cassiastile/host/ports.hpp
@@ -50,6 +50,7 @@
     kApplied,
     kConflict,    // An expectation failed; nothing was written.
     kNotApplied,  // Not sent, or turned away for now; nothing was written.
+    kBusy,        // The part has too much to do; nothing was written.
     kRefused,     // Never accepted as it is; nothing was written.
     kUnknown,     // No answer; it may still be applied later.
   };
--- a/src/cassiastile/host/leader_transactions.cpp
+++ b/src/cassiastile/host/leader_transactions.cpp
@@ -15,6 +15,10 @@
 // The first retry waits twice this; the wait doubles up to kMaxRetry.
 constexpr std::chrono::milliseconds kRetryBase{30};
 constexpr std::chrono::milliseconds kMaxRetry{400};
+// The same for a store that has too much to do, which turns calls away while a
+// second of them waits.
+constexpr std::chrono::milliseconds kBusyRetryBase{125};
+constexpr std::chrono::milliseconds kMaxBusyRetry{1000};
 // An answer may be lost or its connection dead. A store that is slower than
 // usual by a factor of 50 answers within this time.
 constexpr std::chrono::milliseconds kSendAgainAfter{250};
@@ -130,6 +134,7 @@
   m_transaction.deletes = std::move(piece.deletes);
   m_attempts = 0;
   m_unanswered = 0;
+  m_busy_replies = 0;
   Send();
 }
 
@@ -175,7 +180,7 @@
 
 void LeaderTransactions::SendAgain(std::uint64_t commit) {
   if (m_busy && commit == m_record.commit && m_unanswered > 0 &&
-      m_unanswered < kMaxUnanswered) {
+      m_unanswered < kMaxUnanswered && m_busy_replies == 0) {
     ++m_resends;
     Send();
   }
@@ -238,9 +243,14 @@
   }
   if (!m_failing_since) {
     m_failing_since = sent_at;
-    m_log.Write("store.lost",
-                {{"attempts", m_attempts},
-                 {"unknown", reply.outcome == Outcome::kUnknown}});
+    m_log.Write("store.lost", {{"attempts", m_attempts},
+                               {"unknown", reply.outcome == Outcome::kUnknown},
+                               {"busy", reply.outcome == Outcome::kBusy}});
+  }
+  m_busy_replies += reply.outcome == Outcome::kBusy ? 1 : 0;
+  if (m_busy_replies > 0 && m_unanswered > 0) {
+    // Another attempt waits there already.
+    return;
   }
   Retry();
 }
@@ -251,7 +261,10 @@
   }
   m_retry_armed = true;
   const auto delay =
-      std::min(kRetryBase * (1U << std::min(m_attempts, 5U)), kMaxRetry);
+      m_busy_replies > 0
+          ? std::min(kBusyRetryBase * (1U << std::min(m_busy_replies, 5U)),
+                     kMaxBusyRetry)
+          : std::min(kRetryBase * (1U << std::min(m_attempts, 5U)), kMaxRetry);
   m_loop.After(delay, m_lifetime.Guard([this, commit = m_record.commit] {
     m_retry_armed = false;
     // A later commit whose attempts have failed meanwhile relies on this retry.
--- a/src/cassiastile/host/machine_controller.cpp
+++ b/src/cassiastile/host/machine_controller.cpp
@@ -668,6 +668,7 @@
       return;
     }
     case TransactionReply::Outcome::kNotApplied:
+    case TransactionReply::Outcome::kBusy:
     case TransactionReply::Outcome::kRefused:
     case TransactionReply::Outcome::kUnknown:
       return;
