--- a/include/cassiastile/jobs/job.hpp
+++ b/include/cassiastile/jobs/job.hpp
@@ -171,6 +171,8 @@
   std::vector<Task> tasks;
   std::uint32_t tasks_done = 0;
   bool ready = false;  // All steps that it depends on are done.
+  // The placement advisor has allowed a worker. Not stored.
+  bool is_advised = false;
   // Indices of the tasks to place; empty until the step is ready.
   std::vector<std::uint32_t> waiting;
 };
--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -381,7 +381,7 @@
     // of each customer.
     PoolShares shares;
     std::map<std::string, Work> backlog_of_customer;
-    // Steps that have not begun and need advice, by queue.
+    // Steps about which the placement advisor is to be asked yet, by queue.
     std::map<std::string, std::size_t> unadvised_steps;
   };
 
@@ -814,8 +814,8 @@
   std::size_t CountToName(
       const AdvisedStep& wanted,
       const std::vector<const WorkerState*>& candidates) const;
-  // The advisor's time for the steps of the queue's jobs that have not begun,
-  // or zero for a queue without advice.
+  // The advisor's time for the steps of the queue's jobs that it is to be asked
+  // about yet, or zero for a queue without advice.
   std::chrono::milliseconds AdviceBacklog(const Job& job, base::TimePoint now);
   // Learns from an answer what to name next.
   void RecordAdvice(
--- a/include/cassiastile/soak/soak.hpp
+++ b/include/cassiastile/soak/soak.hpp
@@ -29,6 +29,11 @@
   // See the settings of the same names; zero leaves them out.
   std::size_t memory_mb = 0;
   std::size_t max_descriptors = 0;
+  // The queues of so many services, from the first on, have placement advice.
+  std::size_t advised_services = 0;
+  // Whether jobs with some thousand tasks, whose progress is split, are
+  // submitted now and then.
+  bool wide_jobs = false;
   // Submissions per second over all services.
   double jobs_per_second = 8;
   // Whether machines can be moved to other pools.
--- a/src/bin/cassia_soak.cpp
+++ b/src/bin/cassia_soak.cpp
@@ -93,6 +93,11 @@
       "avoid-slow-workers",
       po::value(&options.avoid_slow_workers)->default_value(true),
       "whether slow workers get tasks after others")(
+      "advised-services",
+      po::value(&options.advised_services)->default_value(0),
+      "services whose queues have placement advice")(
+      "wide-jobs", po::value(&options.wide_jobs)->default_value(false),
+      "whether jobs with some thousand tasks are submitted now and then")(
       "restarts", po::value(&options.plan.restarts)->default_value(false),
       "whether workers restart under their ids around changes of the leader")(
       "settle-seconds",
--- a/src/cassiastile/jobs/scheduler.cpp
+++ b/src/cassiastile/jobs/scheduler.cpp
@@ -187,13 +187,14 @@
   return terms;
 }
 
-// Steps that have not begun, of the occurrences that have.
-std::size_t CountUnbegunSteps(const Job& job) {
+// Steps about which the placement advisor is to be asked yet, of the
+// occurrences that have begun.
+std::size_t CountUnadvisedSteps(const Job& job) {
   std::size_t count = 0;
   for (const Occurrence& occurrence : job.occurrences) {
     count += static_cast<std::size_t>(
         std::ranges::count_if(occurrence.steps, [](const StepState& step) {
-          return !step.ready || step.waiting.size() == step.tasks.size();
+          return !step.is_advised && step.tasks_done < step.tasks.size();
         }));
   }
   return count;
@@ -459,7 +460,7 @@
         snapshot.backlog_of_customer[job->customer] += work;
       }
       if (NeedsAdvice(*job)) {
-        snapshot.unadvised_steps[job->queue] += CountUnbegunSteps(*job);
+        snapshot.unadvised_steps[job->queue] += CountUnadvisedSteps(*job);
       }
     }
   }
--- a/src/cassiastile/jobs/scheduler_advice.cpp
+++ b/src/cassiastile/jobs/scheduler_advice.cpp
@@ -296,6 +296,13 @@
     return;  // The step is over.
   }
   Advice& advice = found->second;
+  const auto job = m_jobs.find(request.job);
+  Occurrence* occurrence =
+      job == m_jobs.end() ? nullptr
+                          : FindOccurrence(*job->second, request.occurrence);
+  if (occurrence != nullptr && !allowed.empty()) {
+    occurrence->steps.at(request.step).is_advised = true;
+  }
   for (const std::string& id : request.workers) {
     advice.answers[id].asked_at = request.asked_at;
   }
--- a/src/cassiastile/soak/callers.cpp
+++ b/src/cassiastile/soak/callers.cpp
@@ -107,6 +107,11 @@
       step.after = {static_cast<std::uint32_t>(i - 1)};
     }
   }
+  if (submit_options.is_wide) {
+    spec.steps.resize(1);
+    spec.steps[0].count = static_cast<std::uint32_t>(between(2500, 4000));
+    spec.steps[0].need = {1, 1, 0};
+  }
   if (submit_options.task_time.count() > 0) {
     spec.steps.resize(1);
     spec.steps[0].count = 2;
@@ -160,6 +165,11 @@
       0;
   submit_options.is_small =
       submit_options.gives_up && submit_options.is_long_running;
+  if (m_options.wide_jobs && !submit_options.gives_up &&
+      !submit_options.is_long_running) {
+    constexpr std::uint64_t kWideOneIn = 30;
+    submit_options.is_wide = m_random() % kWideOneIn == 0;
+  }
   SubmitJob(submit_options);
 }
 
@@ -188,6 +198,7 @@
   job.encoded_spec = adapter::EncodeJob(spec);
   m_fleet.Checker().JobSubmitted(job.id, std::move(spec));
   const std::string id = job.id;
+  m_fleet.NoteQueue(id, job.queue);
   m_jobs.emplace(id, std::move(job));
   ScheduleCopies(id);
   Send(id, submit_options.host);
--- a/src/cassiastile/soak/callers.hpp
+++ b/src/cassiastile/soak/callers.hpp
@@ -92,6 +92,7 @@
     bool gives_up = false;
     bool is_long_running = false;
     bool is_small = false;
+    bool is_wide = false;  // Some thousand tasks that need little each.
     std::chrono::milliseconds task_time{0};  // Zero if drawn.
   };
 
--- a/src/cassiastile/soak/fleet.cpp
+++ b/src/cassiastile/soak/fleet.cpp
@@ -25,6 +25,10 @@
 
 constexpr char kSparePool[] = "spare";
 constexpr jobs::Resources kCapacity{8000, 16384, 0};
+// A call for ten workers takes 90 ms.
+constexpr jobs::AdviceConfig kAdvice{.decision = milliseconds(50),
+                                     .period = milliseconds(4),
+                                     .validity = milliseconds(3000)};
 constexpr milliseconds kProcessCheckInterval{20};
 constexpr milliseconds kRestartDelay{300};
 // The platform removes a silent worker from its list after some missed
@@ -101,6 +105,14 @@
     : m_context(context),
       m_loop(loop),
       m_options(options),
+      m_advisor(
+          kAdvice,
+          [this](const std::string& worker) { return IncarnationOf(worker); },
+          [](const std::string& worker) {
+            // One worker in four may not run the steps.
+            constexpr std::size_t kNotAllowedOneIn = 4;
+            return std::hash<std::string>()(worker) % kNotAllowedOneIn != 0;
+          }),
       m_checker(&loop.GetClock()) {}
 
 Fleet::~Fleet() = default;
@@ -163,6 +175,8 @@
     if (!worker) {
       return tl::unexpected(worker.error());
     }
+    (*worker)->SetTicketCheck(
+        [this](const jobs::StartOrder& order) { return HasTicket(order); });
     auto proxy = LoopbackProxy::Start(m_context, (*worker)->Port());
     if (!proxy) {
       return tl::unexpected(proxy.error());
@@ -236,6 +250,12 @@
     }
     host->callers = std::move(*callers);
     host->table = std::move(*table);
+    auto advisor =
+        adapter::AdvisorServer::Start(m_context, m_loop, m_advisor, host->name);
+    if (!advisor) {
+      return tl::unexpected(advisor.error());
+    }
+    host->advisor = std::move(*advisor);
     WriteSettings(*host);
     StartProcess(*host);
     m_hosts.push_back(std::move(host));
@@ -243,6 +263,25 @@
   return {};
 }
 
+std::optional<std::int64_t> Fleet::IncarnationOf(
+    const std::string& worker) const {
+  for (const auto& machine : m_machines) {
+    const sim::WorkerModel* model = machine->worker->CurrentIncarnation();
+    if (machine->worker_id == worker && model != nullptr) {
+      return model->Entry().id.incarnation_ms;
+    }
+  }
+  return std::nullopt;
+}
+
+bool Fleet::HasTicket(const jobs::StartOrder& order) const {
+  return !m_advised_jobs.contains(order.task.job) ||
+         m_advisor.IsValid(order.ticket,
+                           jobs::StepKey(order.task.job, order.task.occurrence,
+                                         order.task.step),
+                           order.worker, m_loop.GetClock().Now());
+}
+
 void Fleet::WriteSettings(const Host& host) const {
   constexpr int kFinishedStateSeconds = 120;
   nlohmann::json settings{
@@ -255,7 +294,7 @@
       {"ready_endpoint", LoopbackEndpoint(host.ready_port)},
       {"table_endpoint", LoopbackEndpoint(host.table->Port())},
       {"machines_endpoint", LoopbackEndpoint(m_machine_server->Port())},
-      {"advice_endpoint", ""},
+      {"advice_endpoint", LoopbackEndpoint(host.advisor->Port())},
       {"processor_share", 1.0},
       {"max_worker_lease_ms", 10000},
       {"drain_ms", 2000},
@@ -348,6 +387,9 @@
                              .slack = milliseconds(4000),
                              .open = false,
                              .advice = {}});
+    if (i < m_options.advised_services) {
+      config.queues.back().advice = kAdvice;
+    }
     config.services.push_back({.name = ServiceName(i)});
   }
   config.services.push_back({.name = kSparePool, .is_spare = true});
--- a/src/cassiastile/soak/fleet.hpp
+++ b/src/cassiastile/soak/fleet.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,12 @@
     return m_orders_undisturbed_since;
   }
   sim::InvariantChecker& Checker() { return m_checker; }
+  // A job of this queue will be submitted.
+  void NoteQueue(const std::string& job, std::size_t queue) {
+    if (queue < m_options.advised_services) {
+      m_advised_jobs.insert(job);
+    }
+  }
   std::size_t ProcessStarts() const { return m_process_starts; }
 
  private:
@@ -105,6 +112,7 @@
     std::uint16_t ready_port = 0;
     std::unique_ptr<LoopbackProxy> callers;
     std::unique_ptr<LoopbackProxy> table;
+    std::unique_ptr<adapter::AdvisorServer> advisor;
     HostProcess process;
     // What this program has done that may end the process.
     bool was_killed = false;
@@ -141,6 +149,9 @@
   base::Result<void> StartPlatform();
   base::Result<void> StartHosts();
   void WriteSettings(const Host& host) const;
+  // The start time of the worker that runs under this id, or nothing.
+  std::optional<std::int64_t> IncarnationOf(const std::string& worker) const;
+  bool HasTicket(const jobs::StartOrder& order) const;
   void StartProcess(Host& host);
   void WatchProcesses();
   // Adds a violation for an end of a process that this program didn't cause, or
@@ -184,6 +195,8 @@
   asio::io_context& m_context;
   host::Loop& m_loop;
   const SoakOptions& m_options;
+  sim::AdvisorModel m_advisor;
+  std::set<std::string> m_advised_jobs;
   sim::InvariantChecker m_checker;
   std::unique_ptr<adapter::TableServer> m_table;
   std::unique_ptr<adapter::MachineServer> m_machine_server;
--- a/src/cassiastile/soak/soak_test.cpp
+++ b/src/cassiastile/soak/soak_test.cpp
@@ -131,6 +131,32 @@
   }
 }
 
+// The same with a queue that has placement advice, and jobs whose progress is
+// split.
+class WideSoakTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(WideSoakTest, InvariantsHold) {
+  SoakOptions options;
+  options.seed = GetParam();
+  options.plan.duration = milliseconds(4000);
+  options.advised_services = 1;
+  options.wide_jobs = true;
+  options.host_program = CASSIASTILE_HOST_PROGRAM;
+  options.folder = testing::TempDir() + "cassia-soak-wide-" +
+                   std::to_string(getpid()) + "-" +
+                   std::to_string(options.seed);
+  std::filesystem::create_directories(options.folder);
+  const auto result = RunSoak(options);
+  ASSERT_TRUE(result.has_value()) << result.error().message;
+  EXPECT_GT(result->accepted, 0U);
+  EXPECT_THAT(result->violations, IsEmpty());
+  if (!HasFailure()) {
+    std::filesystem::remove_all(options.folder);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, WideSoakTest, testing::Values(1, 2, 3));
+
 // Plays a plan of the regressions with six hosts, nine workers that stay in
 // their pools and little load besides the plan's.
 class RestartedWorkersTest : public testing::Test {
