--- a/include/cassiastile/jobs/scheduler.hpp
+++ b/include/cassiastile/jobs/scheduler.hpp
@@ -801,14 +801,20 @@
   // Asks the advisor about the steps that wait, as far as calls may be made:
   // the queues in turn, and on each queue the first step that has a use for it.
   void AskAdvisor(base::TimePoint now);
-  // Asks about workers that the advisor has not been asked about, and for
-  // tickets of allowed ones. Workers without room are only named while none is
-  // known to be allowed, and only if `needs_room` is false. Returns whether a
-  // call is made.
+  // Makes a call for the step if it has a use for one. Returns whether it does.
   bool RequestAdvice(const AdvisedStep& wanted,
                      const std::vector<WorkerState*>& workers,
                      bool needs_room,
                      base::TimePoint now);
+  // The workers to name, the best first: those that the advisor has not been
+  // asked about, and allowed ones without a ticket. Those without room are only
+  // named while none is known to be allowed, and none at all if `needs_room` is
+  // set and no worker has room.
+  std::vector<const WorkerState*> FindCandidates(
+      const AdvisedStep& wanted,
+      const std::vector<WorkerState*>& workers,
+      bool needs_room,
+      base::TimePoint now);
   // How many of the candidates, which are in the order of preference, to name
   // so that the step's waiting tasks probably find room on allowed ones.
   std::size_t CountToName(
--- a/src/cassiastile/host/leader_transactions_test.cpp
+++ b/src/cassiastile/host/leader_transactions_test.cpp
@@ -134,6 +134,7 @@
     return Outcome::kApplied;
   };
   std::vector<Row> puts;
+  puts.reserve(80);
   for (int i = 0; i < 80; ++i) {
     puts.push_back(MakeRow("r" + std::to_string(i)));
   }
--- a/src/cassiastile/jobs/scheduler_advice.cpp
+++ b/src/cassiastile/jobs/scheduler_advice.cpp
@@ -1,7 +1,6 @@
 // What the placement advisor of a queue says about its steps.
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 #include "cassiastile/jobs/scheduler.hpp"
 
@@ -126,18 +125,51 @@
   if (m_advice_calls.IsUnderWay(key)) {
     return false;
   }
-  const Advice& advice = m_advice[key];
-  const StepSpec& spec = job.spec.steps[wanted.step];
-  const bool allows_any = advice.AllowsAny();
-  const AdviceHistory& history = m_advice_history[job.queue];
+  std::vector<const WorkerState*> candidates =
+      FindCandidates(wanted, workers, needs_room, now);
+  if (candidates.empty()) {
+    return false;
+  }
+  candidates.resize(CountToName(wanted, candidates));
+  const AdviceConfig& config = *QueueOf(job)->advice;
+  AdviceRequest request{.job = job.id,
+                        .occurrence = wanted.occurrence,
+                        .step = wanted.step,
+                        .workers = {},
+                        .validity = config.validity,
+                        .asked_at = now,
+                        .timeout = {}};
+  for (const WorkerState* worker : candidates) {
+    request.workers.push_back(worker->entry.id.id);
+  }
+  request.timeout = m_advice_calls.Begin(
+      key,
+      config.decision +
+          config.period * static_cast<std::int64_t>(request.workers.size()),
+      now);
+  m_orders.advice.push_back(std::move(request));
+  return true;
+}
+
+std::vector<const WorkerState*> Scheduler::FindCandidates(
+    const AdvisedStep& wanted,
+    const std::vector<WorkerState*>& workers,
+    bool needs_room,
+    base::TimePoint now) {
   enum Rank : std::uint8_t { kBound, kAllowed, kWithRoom, kOther, kAgain };
   struct Candidate {
     Rank rank = kOther;
     double chance = 0;
     const WorkerState* worker = nullptr;
   };
+  const Job& job = *wanted.job;
+  const StepSpec& spec = job.spec.steps[wanted.step];
+  const Advice& advice =
+      m_advice[StepKey(job.id, wanted.occurrence, wanted.step)];
+  const AdviceHistory& history = m_advice_history[job.queue];
+  const bool allows_any = advice.AllowsAny();
   std::vector<Candidate> candidates;
-  bool has_use = false;
+  bool has_use = false;  // One of them could get a task now.
   for (const WorkerState* worker : workers) {
     const WorkerEntry& entry = worker->entry;
     if (advice.FindTicket(entry.id, now) != nullptr ||
@@ -162,13 +194,8 @@
       candidates.push_back({kOther, chance, worker});
     }
   }
-  if (has_use) {
-    std::erase_if(candidates, [](const Candidate& candidate) {
-      return candidate.rank == kAgain;
-    });
-  }
-  if (candidates.empty() || (needs_room && !has_use)) {
-    return false;
+  if (needs_room && !has_use) {
+    return {};
   }
   std::ranges::stable_sort(candidates, [](const auto& left, const auto& right) {
     return std::pair(left.rank, -left.chance) <
@@ -177,27 +204,11 @@
   std::vector<const WorkerState*> in_order;
   in_order.reserve(candidates.size());
   for (const Candidate& candidate : candidates) {
-    in_order.push_back(candidate.worker);
-  }
-  const AdviceConfig& config = *QueueOf(job)->advice;
-  AdviceRequest request{.job = job.id,
-                        .occurrence = wanted.occurrence,
-                        .step = wanted.step,
-                        .workers = {},
-                        .validity = config.validity,
-                        .asked_at = now,
-                        .timeout = {}};
-  for (const WorkerState* worker :
-       in_order | std::views::take(CountToName(wanted, in_order))) {
-    request.workers.push_back(worker->entry.id.id);
+    if (!has_use || candidate.rank != kAgain) {
+      in_order.push_back(candidate.worker);
+    }
   }
-  request.timeout = m_advice_calls.Begin(
-      key,
-      config.decision +
-          config.period * static_cast<std::int64_t>(request.workers.size()),
-      now);
-  m_orders.advice.push_back(std::move(request));
-  return true;
+  return in_order;
 }
 
 std::size_t Scheduler::CountToName(
@@ -224,8 +235,7 @@
   double room = 0;
   double none = 1;
   std::size_t named = 0;
-  while (named < most &&
-         (room < tasks || (none > kMaxChanceOfNone && named < most))) {
+  while (named < most && (room < tasks || none > kMaxChanceOfNone)) {
     const WorkerState& worker = *candidates[named++];
     const double chance = history.ChanceOf(worker.entry.id.id);
     const Resources need = CapacityNeed(spec);
@@ -329,6 +339,7 @@
   }
   const AdviceConfig& config = *QueueOf(*job->second)->advice;
   std::vector<std::string> ids;
+  ids.reserve(allowed.size());
   for (const auto& [id, ticket] : allowed) {
     ids.push_back(id);
   }
--- a/src/cassiastile/jobs/scheduler_bench.cpp
+++ b/src/cassiastile/jobs/scheduler_bench.cpp
@@ -292,8 +292,9 @@
     end.how = how;
   }
   for (const auto& [worker, tasks] : ended) {
-    std::erase_if(m_running[worker], [&tasks](const StartOrder& each) {
-      return tasks.contains(each.task);
+    const std::set<TaskId>& over = tasks;
+    std::erase_if(m_running[worker], [&over](const StartOrder& each) {
+      return over.contains(each.task);
     });
     Report(worker, Listing(worker));
   }
